Lay out the workspace, the messages and the interfaces of the parts

The proto files are the messages between instances; generated code is committed. Each part is a pure state machine whose events and actions stand in its package.

--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Which instances live, and what each of them offers.
+ *
+ * @packageDocumentation
+ */
+export { MembershipActionKind } from './lib/MembershipAction'
+export type { MembershipAction } from './lib/MembershipAction'
+export { MembershipEventKind } from './lib/MembershipEvent'
+export type { MembershipEvent } from './lib/MembershipEvent'
--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,35 @@
+/**
+ * Ids, shared views, spans and small helpers that every other package may use.
+ *
+ * @packageDocumentation
+ */
+export { formatJobId, parseJobId } from './lib/ids/jobId'
+export type { JobIdParts } from './lib/ids/jobId'
+export { formatTaskId, parseTaskId } from './lib/ids/taskId'
+export type { TaskIdParts } from './lib/ids/taskId'
+export { isValidName, MAX_NAME_LENGTH } from './lib/ids/isValidName'
+export type { InstanceView } from './lib/views/InstanceView'
+export {
+  deriveSpanId,
+  deriveTraceparent,
+  parseTraceparent,
+  rootTraceparent,
+} from './lib/spans/traceparent'
+export type { Traceparent } from './lib/spans/traceparent'
+export type { SpanRecord } from './lib/spans/SpanRecord'
+export { exhaustive } from './lib/util/exhaustive'
+export { hash64 } from './lib/util/hash64'
+export { ProblemRan } from './lib/views/Problem'
+export type { Problem } from './lib/views/Problem'
+export { StopAnswerState } from './lib/endpointApi/endpointApi'
+export type {
+  HeartbeatAnswer,
+  HeartbeatBody,
+  LeasesAnswer,
+  LeasesBody,
+  ResourcesBody,
+  RunTaskAnswer,
+  RunTaskBody,
+  StopsAnswer,
+  StopsBody,
+} from './lib/endpointApi/endpointApi'
--- /dev/null
+++ b/packages/owner/src/lib/OwnerEvent.ts
@@ -0,0 +1,72 @@
+import type { InstanceView } from '@cherryhitch/model'
+import type {
+  CancelTasks,
+  EndpointAnnouncement,
+  FenceTasks,
+  HandOverEndpoints,
+  PlaceTasks,
+  PresetDefinition,
+  ReleaseSlots,
+} from '@cherryhitch/protocol'
+import type { RunResult, StopResult } from './endpointResults'
+
+/** What an owner can be told. @public */
+export enum OwnerEventKind {
+  Heartbeat = 'heartbeat',
+  Message = 'message',
+  RunEnded = 'run_ended',
+  StopEnded = 'stop_ended',
+  LeasesRenewed = 'leases_renewed',
+  ProbeEnded = 'probe_ended',
+  Members = 'members',
+  Preset = 'preset',
+  Drain = 'drain',
+}
+
+/** Messages from other instances that concern an owner. @public */
+export type OwnerMessage =
+  | { readonly case: 'placeTasks'; readonly value: PlaceTasks }
+  | { readonly case: 'cancelTasks'; readonly value: CancelTasks }
+  | { readonly case: 'fenceTasks'; readonly value: FenceTasks }
+  | { readonly case: 'handOverEndpoints'; readonly value: HandOverEndpoints }
+  | { readonly case: 'releaseSlots'; readonly value: ReleaseSlots }
+
+/** @public */
+export type OwnerEvent =
+  | { readonly kind: OwnerEventKind.Heartbeat; readonly announcement: EndpointAnnouncement }
+  | {
+      readonly kind: OwnerEventKind.Message
+      /** Sending instance. */
+      readonly from: string
+      readonly message: OwnerMessage
+    }
+  /** The answer to RunTask: exactly one for each. */
+  | {
+      readonly kind: OwnerEventKind.RunEnded
+      readonly endpoint: string
+      readonly taskId: string
+      readonly result: RunResult
+    }
+  /** The answer to StopTasks: one for each. */
+  | {
+      readonly kind: OwnerEventKind.StopEnded
+      readonly endpoint: string
+      readonly results: readonly StopResult[]
+    }
+  /** The answer to RenewLeases. `known` is undefined when the endpoint did not answer. */
+  | {
+      readonly kind: OwnerEventKind.LeasesRenewed
+      readonly endpoint: string
+      readonly asked: readonly string[]
+      readonly known: readonly string[] | undefined
+    }
+  /** The answer to Probe. */
+  | {
+      readonly kind: OwnerEventKind.ProbeEnded
+      readonly endpoint: string
+      readonly alive: boolean
+    }
+  /** The instances known now; ownership follows from them. */
+  | { readonly kind: OwnerEventKind.Members; readonly members: readonly InstanceView[] }
+  | { readonly kind: OwnerEventKind.Preset; readonly preset: PresetDefinition }
+  | { readonly kind: OwnerEventKind.Drain }
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,13 @@
+/**
+ * The messages between instances and the stored records.
+ *
+ * The proto files under `proto/` are the source; `npm run generate` writes `src/lib/gen`.
+ *
+ * @packageDocumentation
+ */
+export * from './lib/gen/cherryhitch/v1/control_pb'
+export * from './lib/gen/cherryhitch/v1/endpoints_pb'
+export * from './lib/gen/cherryhitch/v1/jobs_pb'
+export * from './lib/gen/cherryhitch/v1/link_pb'
+export { envelope } from './lib/envelope'
+export type { EnvelopeBody, EnvelopeCase, EnvelopeValue } from './lib/envelope'
--- /dev/null
+++ b/packages/rpc/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Links between instances: one long stream each way with typed, batched envelopes.
+ *
+ * @packageDocumentation
+ */
+export {}
--- /dev/null
+++ b/packages/runtime/src/lib/Machine.ts
@@ -0,0 +1,24 @@
+/**
+ * A pure state machine: it decides, its shell acts.
+ *
+ * A step reads no clock, opens no socket and draws no random number, so the same code runs in
+ * the daemon and in randomised runs.
+ *
+ * @public
+ */
+export abstract class Machine<Event, Action> {
+  /**
+   * Takes one event in and says what is to be done.
+   *
+   * @param now - the present time in milliseconds
+   */
+  abstract step(now: number, event: Event): readonly Action[]
+
+  /** Takes events in one after the other, at the same present time. */
+  stepAll(now: number, events: readonly Event[]): readonly Action[] {
+    return events.flatMap((event) => this.step(now, event))
+  }
+
+  /** Lets time pass: due timeouts, heartbeats, renewals. Called at a steady pace. */
+  abstract tick(now: number): readonly Action[]
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Settings files in JSON with comments, checked against a schema.
+ *
+ * @packageDocumentation
+ */
+export {}
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Endpoints, callers and faulty links that this repository writes, for tests and measurements.
+ *
+ * @packageDocumentation
+ */
+export {}
--- /dev/null
+++ b/packages/storage/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Files that survive: checksummed log, snapshots, disk faults.
+ *
+ * @packageDocumentation
+ */
+export {}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Metrics, logs and traces.
+ *
+ * @packageDocumentation
+ */
+export {}
