--- /dev/null
+++ b/packages/policy/src/lib/estimates/RunTimeEstimator.ts
@@ -0,0 +1,15 @@
+/** What an estimate may depend on. @public */
+export interface EstimateSubject {
+  readonly caller: string
+  readonly service: string
+  /** Declared by the caller, in milliseconds; 0 when it declared none. */
+  readonly declaredMs: number
+}
+
+/** Estimates run times of tasks. @public */
+export abstract class RunTimeEstimator {
+  /** @returns milliseconds, above 0 */
+  abstract estimate(subject: EstimateSubject): number
+  /** Learns from a task that ran to its end. */
+  abstract observe(now: number, subject: EstimateSubject, runMs: number): void
+}
