Add a stand-in endpoint with its ledger

The stand-in joins repeated ids, fences, obeys leases, refuses when full, and counts messages and wasted ones apart from what the system says of itself.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -3,4 +3,28 @@
  *
  * @packageDocumentation
  */
-export {}
+export { StandInEndpoint, startStandInEndpoint } from './lib/endpoint/StandInEndpoint'
+export { defaultStandInEndpointOptions } from './lib/endpoint/StandInEndpointOptions'
+export type {
+  StandInEndpointDefaults,
+  StandInEndpointInput,
+  StandInEndpointOptions,
+} from './lib/endpoint/StandInEndpointOptions'
+export { ListenError } from './lib/endpoint/EndpointServer'
+export {
+  FailEveryBehaviour,
+  FailSomeBehaviour,
+  FailureSpeed,
+  FlappingBehaviour,
+  NormalBehaviour,
+  SlowBehaviour,
+  StraggleSomeBehaviour,
+  TaskBehaviour,
+} from './lib/endpoint/TaskBehaviour'
+export type { TaskPlan } from './lib/endpoint/TaskBehaviour'
+export { EndpointLedger, OveruseKind, RunEnd } from './lib/ledger/EndpointLedger'
+export type { EndpointLedgerData, Overuse, TaskRun, TaskTrace } from './lib/ledger/EndpointLedger'
+export { MessageKind, Waste } from './lib/ledger/messageCounts'
+export type { MessageCount } from './lib/ledger/messageCounts'
+export { SeededRandom } from './lib/util/SeededRandom'
+export type { Weighted } from './lib/util/SeededRandom'
