--- /dev/null
+++ b/packages/storage/src/lib/errors/StorageError.ts
@@ -0,0 +1,64 @@
+import { Data } from 'effect'
+
+/** What went wrong with a data folder. @public */
+export enum StorageErrorKind {
+  DiskFull = 'disk_full',
+  SyncFailed = 'sync_failed',
+  ReadFailed = 'read_failed',
+  WriteFailed = 'write_failed',
+  NotPermitted = 'not_permitted',
+  /** Stored bytes are not those that were written. */
+  Damaged = 'damaged',
+  /** Another process uses the data folder. */
+  Locked = 'locked',
+  /** Written by a newer version of the program. */
+  TooNew = 'too_new',
+  /** An earlier operation failed, so this one was not tried. */
+  Stopped = 'stopped',
+  /** The call itself is wrong: a fault of the program. */
+  Misused = 'misused',
+}
+
+const adviceOf: Readonly<Record<StorageErrorKind, string>> = {
+  [StorageErrorKind.DiskFull]: 'Free space on the disk of the data folder, then restart.',
+  [StorageErrorKind.SyncFailed]:
+    'The disk did not confirm a write. Check the disk and the kernel log, then restart; replace the disk if it happens again.',
+  [StorageErrorKind.ReadFailed]: 'Check the disk and the kernel log, then restart.',
+  [StorageErrorKind.WriteFailed]: 'Check the disk and the kernel log, then restart.',
+  [StorageErrorKind.NotPermitted]:
+    'Give the user of this process the right to read and write the data folder, then restart.',
+  [StorageErrorKind.Damaged]:
+    'Do not edit or delete single files. Move the whole data folder away and add this instance again as a new voter; the other voters hold the state.',
+  [StorageErrorKind.Locked]:
+    'Stop the other process, or give this one a data folder of its own in its settings.',
+  [StorageErrorKind.TooNew]:
+    'Start the newer version of the program again; an older one cannot read this data folder.',
+  [StorageErrorKind.Stopped]:
+    'Look for the first storage error in the log of this process, mend its cause, then restart.',
+  [StorageErrorKind.Misused]: 'Report this message as a fault of the program.',
+}
+
+/** The only error of this package: its kind, the file, what was seen and what to do. @public */
+export class StorageError extends Data.TaggedError('StorageError')<{
+  readonly kind: StorageErrorKind
+  /** File or folder, as named by the disk. */
+  readonly file: string
+  /** What was seen, as a clause without a full stop. */
+  readonly detail: string
+  /** The operating system's error, if there was one. */
+  readonly cause?: unknown
+}> {
+  /** A sentence that tells an operator what to do. */
+  get advice(): string {
+    return adviceOf[this.kind]
+  }
+
+  override get message(): string {
+    return `${this.file}: ${this.detail}. ${this.advice}`
+  }
+}
+
+/** Makes a {@link StorageError} without a cause. @internal */
+export function storageError(kind: StorageErrorKind, file: string, detail: string): StorageError {
+  return new StorageError({ kind, file, detail })
+}
--- /dev/null
+++ b/packages/storage/src/lib/log/scanSegment.ts
@@ -0,0 +1,112 @@
+import { Effect } from 'effect'
+import { Err, Ok } from '../errors/results'
+import type { Result } from 'ts-results'
+import type { Disk } from '../disk/Disk'
+import { StorageErrorKind, storageError } from '../errors/StorageError'
+import type { StorageError } from '../errors/StorageError'
+import {
+  HeaderFault,
+  RECORD_HEADER_SIZE,
+  SEGMENT_HEADER_SIZE,
+  decodeSegmentHeader,
+  isRecordSound,
+  peekRecordHeader,
+} from './segmentFormat'
+import type { SegmentHeader } from './segmentFormat'
+
+/** What was found in one segment file. @internal */
+export interface ScannedSegment {
+  readonly name: string
+  readonly header: SegmentHeader
+  readonly payloads: readonly Uint8Array[]
+  /** Bytes after the last whole record, which a crash left while they were being written. */
+  readonly tornBytes: number
+}
+
+/** Reads the header, or says why it can't be read. @internal */
+export function readHeader(name: string, bytes: Buffer): Result<SegmentHeader, StorageError> {
+  const header = decodeSegmentHeader(bytes)
+  if (header === HeaderFault.Damaged) {
+    return Err(storageError(StorageErrorKind.Damaged, name, 'the header of the segment is damaged'))
+  }
+  if (header === HeaderFault.TooNew) {
+    const detail = 'the segment was written in a format that this program does not know'
+    return Err(storageError(StorageErrorKind.TooNew, name, detail))
+  }
+  return Ok(header)
+}
+
+/** Length of the sound record with this number at this place; undefined when there is none. */
+function soundLengthAt(bytes: Buffer, at: number, sequence: number): number | undefined {
+  const record = peekRecordHeader(bytes, at)
+  if (record?.sequence !== sequence) return undefined
+  return isRecordSound(bytes, at, record.length) ? record.length : undefined
+}
+
+/**
+ * Whether a sound record of a batch that started after `from` follows. A batch starts only after
+ * the one before it was synced, so `from` then lies in bytes that had been acknowledged. Sound
+ * records of the same batch prove nothing: a disk may write the pages of one batch in any order.
+ */
+function isFollowedByLaterBatch(bytes: Buffer, from: number, sequence: number): boolean {
+  for (let at = from + 1; at + RECORD_HEADER_SIZE <= bytes.length; at++) {
+    const record = peekRecordHeader(bytes, at)
+    if (record === undefined) continue
+    if (record.batchStart <= from || record.batchStart > at) continue
+    if (record.sequence <= sequence || record.sequence > sequence + bytes.length) continue
+    if (isRecordSound(bytes, at, record.length)) return true
+  }
+  return false
+}
+
+/**
+ * Reads a segment and decides whether its end was torn by a crash, or damaged later.
+ *
+ * @param isLast - only the last segment may have a torn end
+ * @internal
+ */
+export function scanSegment(
+  name: string,
+  bytes: Buffer,
+  isLast: boolean,
+): Result<ScannedSegment, StorageError> {
+  const header = readHeader(name, bytes)
+  if (header.err) return header
+  const { first, syncedSize } = header.val
+  const payloads: Uint8Array[] = []
+  let at = SEGMENT_HEADER_SIZE
+  while (at < bytes.length) {
+    const length = soundLengthAt(bytes, at, first + payloads.length)
+    if (length === undefined) break
+    const start = at + RECORD_HEADER_SIZE
+    payloads.push(bytes.subarray(start, start + length))
+    at = start + length
+  }
+  const isTorn = at < bytes.length
+  const isDamaged =
+    at < syncedSize ||
+    (isTorn && (!isLast || isFollowedByLaterBatch(bytes, at, first + payloads.length)))
+  if (isDamaged) {
+    const detail = `record ${first + payloads.length} at byte ${at} is damaged, and it had been acknowledged`
+    return Err(storageError(StorageErrorKind.Damaged, name, detail))
+  }
+  return Ok({ name, header: header.val, payloads, tornBytes: bytes.length - at })
+}
+
+/** Reads the records of a segment that this process wrote or recovered. @internal */
+export function readSegment(
+  disk: Disk,
+  { name, first, count }: { readonly name: string; readonly first: number; readonly count: number },
+): Effect.Effect<readonly Uint8Array[], StorageError> {
+  return Effect.gen(function* () {
+    const stored = (yield* disk.read(name)) ?? new Uint8Array()
+    const bytes = Buffer.from(stored.buffer, stored.byteOffset, stored.byteLength)
+    const scanned = scanSegment(name, bytes, false)
+    if (scanned.err) return yield* Effect.fail(scanned.val)
+    if (scanned.val.header.first === first && scanned.val.payloads.length === count) {
+      return scanned.val.payloads
+    }
+    const detail = `the segment holds other records than the ${count} that were written`
+    return yield* Effect.fail(storageError(StorageErrorKind.Damaged, name, detail))
+  })
+}
--- /dev/null
+++ b/packages/storage/src/lib/migrations/runMigrations.ts
@@ -0,0 +1,77 @@
+import { Err, Ok } from '../errors/results'
+import type { Result } from 'ts-results'
+import { StorageErrorKind, storageError } from '../errors/StorageError'
+import type { StorageError } from '../errors/StorageError'
+
+/** One step of a stored record's format, from a version to the next one. @public */
+export interface Migration {
+  /** The version that it reads; it writes the one after it. */
+  readonly from: number
+  /** What changes, for the log. */
+  readonly description: string
+  readonly migrate: (content: Uint8Array) => Uint8Array
+}
+
+/** Content of a stored record with the version of its format. @public */
+export interface VersionedContent {
+  readonly version: number
+  readonly content: Uint8Array
+}
+
+const VERSION_SIZE = 2
+
+/** The version that a list of migrations leads to, which is the one to write. @public */
+export function newestVersion(migrations: readonly Migration[], oldest = 1): number {
+  return migrations.reduce((version, { from }) => Math.max(version, from + 1), oldest)
+}
+
+/** Puts the version before the content. @public */
+export function packVersioned({ version, content }: VersionedContent): Uint8Array {
+  const bytes = Buffer.alloc(VERSION_SIZE + content.length)
+  bytes.writeUInt16BE(version)
+  bytes.set(content, VERSION_SIZE)
+  return bytes
+}
+
+/** Reads what {@link packVersioned} wrote; `where` names the record in errors. @public */
+export function unpackVersioned(
+  bytes: Uint8Array,
+  where: string,
+): Result<VersionedContent, StorageError> {
+  if (bytes.length < VERSION_SIZE) {
+    return Err(storageError(StorageErrorKind.Damaged, where, 'the record has no version'))
+  }
+  const version = Buffer.from(bytes.buffer, bytes.byteOffset).readUInt16BE()
+  return Ok({ version, content: bytes.subarray(VERSION_SIZE) })
+}
+
+/**
+ * Brings a stored record to the newest version.
+ *
+ * @param migrations - without gaps; the order of the list does not matter
+ * @param where - names the record in errors
+ * @returns the content; an error of kind `TooNew` for a version above the newest, of kind
+ *   `Damaged` for one that no migration leads on from
+ * @public
+ */
+export function runMigrations(
+  stored: VersionedContent,
+  migrations: readonly Migration[],
+  where: string,
+): Result<Uint8Array, StorageError> {
+  const newest = newestVersion(migrations)
+  if (stored.version > newest) {
+    const detail = `the record has version ${stored.version}, this program knows up to ${newest}`
+    return Err(storageError(StorageErrorKind.TooNew, where, detail))
+  }
+  let content = stored.content
+  for (let version = stored.version; version < newest; version++) {
+    const migration = migrations.find(({ from }) => from === version)
+    if (migration === undefined) {
+      const detail = `the record has version ${stored.version}, and nothing reads version ${version}`
+      return Err(storageError(StorageErrorKind.Damaged, where, detail))
+    }
+    content = migration.migrate(content)
+  }
+  return Ok(content)
+}
