--- a/packages/policy/src/lib/order/FifoQueue.ts
+++ b/packages/policy/src/lib/order/FifoQueue.ts
@@ -1,22 +1,24 @@
+import { CallerTally } from './CallerTally'
 import { TaskQueue } from './TaskQueue'
 import type { QueuedTask } from './TaskQueue'
 
 /** Baseline: first come, first served. @public */
 export class FifoQueue<T extends QueuedTask> extends TaskQueue<T> {
   private readonly waiting = new Map<string, T>()
-  private workMs = 0
+  private readonly tally = new CallerTally()
 
   override get size(): number {
     return this.waiting.size
   }
 
   override get queuedWorkMs(): number {
-    return this.workMs
+    return this.tally.workMs
   }
 
   override push(_now: number, task: T): void {
+    if (this.waiting.has(task.taskId)) return
     this.waiting.set(task.taskId, task)
-    this.workMs += task.estimateMs
+    this.tally.add(task)
   }
 
   override pop(_now: number, fits: (task: T) => boolean): T | undefined {
@@ -30,7 +32,7 @@
     const task = this.waiting.get(taskId)
     if (task === undefined) return undefined
     this.waiting.delete(taskId)
-    this.workMs -= task.estimateMs
+    this.tally.subtract(task)
     return task
   }
 
@@ -47,7 +49,7 @@
   }
 
   override sizeOf(caller: string): number {
-    return [...this.waiting.values()].filter((task) => task.caller === caller).length
+    return this.tally.of(caller).tasks
   }
 
   override has(taskId: string): boolean {
--- a/packages/policy/src/lib/order/createTaskQueue.ts
+++ b/packages/policy/src/lib/order/createTaskQueue.ts
@@ -1,5 +1,6 @@
 import { exhaustive } from '@cherryhitch/model'
 import { QueueOrder } from '@cherryhitch/protocol'
+import { DeadlineFairQueue } from './DeadlineFairQueue'
 import { FifoQueue } from './FifoQueue'
 import type { QueuedTask, TaskQueue } from './TaskQueue'
 
@@ -8,8 +9,9 @@
   switch (order) {
     case QueueOrder.UNSPECIFIED:
     case QueueOrder.FIFO:
-    case QueueOrder.DEADLINE_FAIR:
       return new FifoQueue<T>()
+    case QueueOrder.DEADLINE_FAIR:
+      return new DeadlineFairQueue<T>()
     default:
       return exhaustive(order)
   }
--- a/packages/policy/src/lib/retries/createRetryBudget.ts
+++ b/packages/policy/src/lib/retries/createRetryBudget.ts
@@ -1,8 +1,8 @@
 import type { PresetDefinition } from '@cherryhitch/protocol'
-import { FixedRetries } from './FixedRetries'
 import type { RetryBudget } from './RetryBudget'
+import { ShareRetryBudget } from './ShareRetryBudget'
 
 /** Makes the retry budget that a preset asks for. @public */
-export function createRetryBudget(_preset: PresetDefinition): RetryBudget {
-  return new FixedRetries()
+export function createRetryBudget(preset: PresetDefinition): RetryBudget {
+  return new ShareRetryBudget({ share: preset.retryBudget })
 }
--- /dev/null
+++ b/packages/policy/src/lib/routing/MeasuredWaitRouter.ts
@@ -0,0 +1,41 @@
+import { fillOwners } from './fillOwners'
+import { OwnerRouter } from './OwnerRouter'
+import type { OwnerOffer, RouteAssignment, RoutedTask } from './OwnerRouter'
+
+/** @public */
+export interface MeasuredWaitRouterOptions {
+  /** Wait that is borne at home before a task leaves its zone, beyond the way, in milliseconds. */
+  readonly spillMarginMs: number
+}
+
+/** @public */
+export const defaultMeasuredWaitRouterOptions: MeasuredWaitRouterOptions = { spillMarginMs: 20 }
+
+/**
+ * Sends tasks to the owner where they are predicted to end first, in the own zone unless another
+ * one is ahead by more than the way there and the margin.
+ *
+ * @public
+ */
+export class MeasuredWaitRouter extends OwnerRouter {
+  private readonly options: MeasuredWaitRouterOptions
+
+  constructor(options: Partial<MeasuredWaitRouterOptions> = {}) {
+    super()
+    this.options = { ...defaultMeasuredWaitRouterOptions, ...options }
+  }
+
+  override assign(
+    _now: number,
+    ownZone: string,
+    tasks: readonly RoutedTask[],
+    offers: readonly OwnerOffer[],
+  ): readonly RouteAssignment[] {
+    const extraCostMs = (offer: OwnerOffer): number =>
+      offer.zone === ownZone ? 0 : this.options.spillMarginMs
+    return fillOwners(tasks, offers, extraCostMs).map(({ task, offer }) => ({
+      index: task.index,
+      instance: offer.instance,
+    }))
+  }
+}
--- a/packages/policy/src/lib/routing/createOwnerRouter.ts
+++ b/packages/policy/src/lib/routing/createOwnerRouter.ts
@@ -1,8 +1,8 @@
 import type { PresetDefinition } from '@cherryhitch/protocol'
+import { MeasuredWaitRouter } from './MeasuredWaitRouter'
 import type { OwnerRouter } from './OwnerRouter'
-import { OwnZoneRouter } from './OwnZoneRouter'
 
 /** Makes the router that a preset asks for. @public */
-export function createOwnerRouter(_preset: PresetDefinition): OwnerRouter {
-  return new OwnZoneRouter()
+export function createOwnerRouter(preset: PresetDefinition): OwnerRouter {
+  return new MeasuredWaitRouter({ spillMarginMs: preset.spillMarginMs })
 }
