--- a/packages/coordinator/src/index.ts
+++ b/packages/coordinator/src/index.ts
@@ -7,3 +7,13 @@
 export type { CoordinatorAction } from './lib/CoordinatorAction'
 export { CoordinatorEventKind } from './lib/CoordinatorEvent'
 export type { CoordinatorEvent, CoordinatorMessage } from './lib/CoordinatorEvent'
+export type { CoordinatorCounters } from './lib/CoordinatorCounters'
+export { CoordinatorMachine } from './lib/CoordinatorMachine'
+export { defaultCoordinatorLimits, defaultCoordinatorTiming } from './lib/CoordinatorOptions'
+export type {
+  CoordinatorLimits,
+  CoordinatorOptions,
+  CoordinatorTiming,
+} from './lib/CoordinatorOptions'
+export { startCoordinator } from './lib/startCoordinator'
+export type { CoordinatorPart, JobQuestion, StartCoordinatorOptions } from './lib/startCoordinator'
--- /dev/null
+++ b/packages/coordinator/src/lib/CoordinatorOptions.ts
@@ -0,0 +1,76 @@
+import type { PresetDefinition } from '@cherryhitch/protocol'
+
+/** Bounds on what a coordinator keeps. @public */
+export interface CoordinatorLimits {
+  /** Tasks that one job may have. */
+  readonly tasksPerJob: number
+  /** Answers kept for later questions and for resends with a key. */
+  readonly keptAnswers: number
+  /** Characters of output in all kept answers together. */
+  readonly keptAnswerChars: number
+  /** Jobs in the list for operators. */
+  readonly listedJobs: number
+  /** Claims given up before their outcome was known, whose "not run" is remembered. */
+  readonly abandonedClaims: number
+  /** Jobs whose cancellation is kept for one silent owner until its link is back. */
+  readonly owedCancelsPerOwner: number
+}
+
+/** @public */
+export const defaultCoordinatorLimits: CoordinatorLimits = {
+  tasksPerJob: 10_000,
+  keptAnswers: 20_000,
+  keptAnswerChars: 64 * 1024 * 1024,
+  listedJobs: 500,
+  abandonedClaims: 10_000,
+  owedCancelsPerOwner: 10_000,
+}
+
+/** All in milliseconds. @public */
+export interface CoordinatorTiming {
+  /** How long an endpoint runs a task on without a renewal from its owner. */
+  readonly leaseMs: number
+  /** Added to the lease before a lost owner's tasks count as stopped: clocks drift. */
+  readonly leaseMarginMs: number
+  /** Offers of an owner that was silent for longer are used only when there is no other. */
+  readonly ownerSilentMs: number
+  /** Deadline of a job that names none. */
+  readonly defaultDeadlineMs: number
+  readonly maxDeadlineMs: number
+  /** How long answers are kept. */
+  readonly answerRetentionMs: number
+  /** How long another instance may take before it is asked again. */
+  readonly forwardTimeoutMs: number
+  /** A task this much later than expected is asked after at its owner. */
+  readonly askAfterMs: number
+  /** Longest time between two such questions about one job. */
+  readonly askEveryMaxMs: number
+  /** Least time between two messages of cancellations to one owner; waves are sent together. */
+  readonly cancelBatchMs: number
+}
+
+/** @public */
+export const defaultCoordinatorTiming: CoordinatorTiming = {
+  leaseMs: 3000,
+  leaseMarginMs: 300,
+  ownerSilentMs: 1500,
+  defaultDeadlineMs: 30_000,
+  maxDeadlineMs: 3_600_000,
+  answerRetentionMs: 300_000,
+  forwardTimeoutMs: 2000,
+  askAfterMs: 1000,
+  askEveryMaxMs: 8000,
+  cancelBatchMs: 20,
+}
+
+/** @public */
+export interface CoordinatorOptions {
+  readonly instance: string
+  readonly zone: string
+  /** Boot number of this process; part of each job id. */
+  readonly boot: number
+  /** In force until the first Preset event. */
+  readonly preset: PresetDefinition
+  readonly limits?: Partial<CoordinatorLimits>
+  readonly timing?: Partial<CoordinatorTiming>
+}
--- /dev/null
+++ b/packages/coordinator/src/lib/jobs/JobEnding.ts
@@ -0,0 +1,65 @@
+import type { JobAnswer } from '@cherryhitch/protocol'
+import { JobState } from '@cherryhitch/protocol'
+import type { CoordinatorContext } from '../CoordinatorContext'
+import type { TaskFlight } from '../placement/TaskFlight'
+import type { Job } from './Job'
+import { JobPhase } from './Job'
+import type { JobProblem } from './jobAnswers'
+import { refusedAnswer, succeededAnswer, unsuccessfulAnswer } from './jobAnswers'
+import { jobSpan } from './jobSpans'
+
+/** Told of each job's end, before the job is forgotten. @internal */
+export type JobEndListener = (now: number, job: Job, answer: JobAnswer, before: JobPhase) => void
+
+/** Ends jobs: the one place where a job's waiters get its whole answer. @internal */
+export class JobEnding {
+  private readonly listeners: JobEndListener[] = []
+
+  constructor(
+    private readonly context: CoordinatorContext,
+    private readonly flight: TaskFlight,
+  ) {}
+
+  listen(listener: JobEndListener): void {
+    this.listeners.push(listener)
+  }
+
+  succeed(now: number, job: Job): void {
+    this.context.counters.succeeded++
+    this.end(now, job, succeededAnswer(job, this.context.policies))
+  }
+
+  fail(now: number, job: Job, why: JobProblem): void {
+    this.context.counters.failed++
+    this.end(now, job, unsuccessfulAnswer(job, JobState.FAILED, why, this.context.policies))
+  }
+
+  cancel(now: number, job: Job, why: JobProblem): void {
+    this.context.counters.cancelled++
+    this.end(now, job, unsuccessfulAnswer(job, JobState.CANCELLED, why, this.context.policies))
+  }
+
+  /** Only for a job of which no task was placed. */
+  refuse(now: number, job: Job, why: JobProblem): void {
+    this.context.counters.refused++
+    this.end(now, job, refusedAnswer(job.id, job.tasks.length, why, this.context.policies))
+  }
+
+  /** Ends a job with the answer of another one that holds its key. */
+  endWith(now: number, job: Job, answer: JobAnswer): void {
+    this.end(now, job, answer)
+  }
+
+  private end(now: number, job: Job, answer: JobAnswer): void {
+    if (job.phase === JobPhase.Ended) return
+    const before = job.phase
+    job.phase = JobPhase.Ended
+    const { outbox, jobs } = this.context
+    for (const waiter of job.waiters) outbox.reply(waiter, answer)
+    const owners = this.flight.abandon(now, job)
+    for (const owner of owners) outbox.cancel(owner, job.id, answer.reason)
+    jobs.remove(job)
+    outbox.span(jobSpan(job, now, answer.state === JobState.SUCCEEDED))
+    for (const listener of this.listeners) listener(now, job, answer, before)
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/lib/jobs/Placement.ts
@@ -0,0 +1,11 @@
+/** Tasks of a job that went to one owner in one message. @internal */
+export interface Placement {
+  readonly owner: string
+  /** Boot of the owner when the tasks were placed: a later one does not know them. */
+  readonly boot: number
+  readonly placedAt: number
+  readonly spanId: string
+  /** Tasks of it without a result. */
+  open: number
+  ok: boolean
+}
--- /dev/null
+++ b/packages/coordinator/src/lib/jobs/Waiter.ts
@@ -0,0 +1,29 @@
+/** Where a request for an answer came from. @internal */
+export enum WaiterKind {
+  /** A caller connected to this instance. */
+  Local = 'local',
+  /** Another instance that sent its caller's request on. */
+  Remote = 'remote',
+}
+
+/** Somebody who waits for a job's end. @internal */
+export type Waiter =
+  | { readonly kind: WaiterKind.Local; readonly requestId: string }
+  | { readonly kind: WaiterKind.Remote; readonly instance: string; readonly requestId: string }
+
+/** @internal */
+export function localWaiter(requestId: string): Waiter {
+  return { kind: WaiterKind.Local, requestId }
+}
+
+/** @internal */
+export function remoteWaiter(instance: string, requestId: string): Waiter {
+  return { kind: WaiterKind.Remote, instance, requestId }
+}
+
+/** Tells whether both are the same request: a resent one must not be answered twice. @internal */
+export function isSameWaiter(one: Waiter, other: Waiter): boolean {
+  if (one.requestId !== other.requestId) return false
+  if (one.kind === WaiterKind.Local) return other.kind === WaiterKind.Local
+  return other.kind === WaiterKind.Remote && one.instance === other.instance
+}
--- /dev/null
+++ b/packages/coordinator/src/lib/placement/Retries.ts
@@ -0,0 +1,114 @@
+import { hash64 } from '@cherryhitch/model'
+import type { TaskReport } from '@cherryhitch/protocol'
+import { Reason } from '@cherryhitch/protocol'
+import type { CoordinatorContext } from '../CoordinatorContext'
+import type { Job, TaskRecord } from '../jobs/Job'
+import { TaskPhase } from '../jobs/Job'
+import type { JobEnding } from '../jobs/JobEnding'
+import type { JobProblem } from '../jobs/jobAnswers'
+import { problem } from '../jobs/jobAnswers'
+import { DueKind } from '../timers/DueItem'
+import { groupBy } from './groupBy'
+import type { TaskPlacement } from './TaskPlacement'
+
+const DRAW_DIGITS = 8
+const DRAW_RANGE = 0x1_0000_0000
+
+/** Reasons that another owner may not have. */
+const worthRetrying: ReadonlySet<Reason> = new Set([
+  Reason.ENDPOINT_REFUSED,
+  Reason.ENDPOINT_LOST,
+  Reason.NO_ENDPOINT,
+  Reason.QUEUE_FULL,
+  Reason.DRAINING,
+  Reason.OWNER_LOST,
+])
+
+/** Places tasks again that truly did not run, as far as the budget goes. @internal */
+export class Retries {
+  constructor(
+    private readonly context: CoordinatorContext,
+    private readonly placement: TaskPlacement,
+    private readonly ending: JobEnding,
+  ) {}
+
+  /**
+   * Decides about tasks of one job that were reported as not run.
+   *
+   * The delay is drawn once for tasks of equal attempts, so that they go out in one message.
+   */
+  consider(now: number, job: Job, tasks: readonly TaskRecord[], why: JobProblem): void {
+    if (!worthRetrying.has(why.reason)) {
+      this.ending.fail(now, job, why)
+      return
+    }
+    const due = new Map<number, TaskRecord[]>()
+    for (const task of tasks) {
+      const delayMs = this.delayMs(now, job, task)
+      if (delayMs === undefined) {
+        this.ending.fail(now, job, outOfBudget(why))
+        return
+      }
+      if (now + delayMs >= job.deadlineAt) {
+        this.ending.fail(now, job, why)
+        return
+      }
+      const present = due.get(delayMs)
+      if (present === undefined) due.set(delayMs, [task])
+      else present.push(task)
+    }
+    for (const [delayMs, group] of due) this.schedule(now, job, group, delayMs)
+  }
+
+  /** The delay of some tasks is over. */
+  placeAgain(now: number, job: Job, indexes: readonly number[]): void {
+    const waiting = indexes.flatMap((index) => job.tasks[index] ?? []).filter(isWaiting)
+    const groups = groupBy(waiting, (task) => task.refusedBy.join(' '))
+    const planned = []
+    for (const group of groups.values()) {
+      const routes = this.placement.route(now, job, group)
+      if (routes === undefined) {
+        const detail = 'No other owner of the service takes a task that did not run.'
+        this.ending.fail(now, job, problem(Reason.NO_ENDPOINT, detail))
+        return
+      }
+      planned.push(routes)
+    }
+    this.context.counters.tasksPlacedAgain += waiting.length
+    for (const routes of planned) this.placement.send(now, job, routes)
+  }
+
+  private delayMs(now: number, job: Job, task: TaskRecord): number | undefined {
+    const retried = task.attempt - 1
+    return this.context.policies.retries.takeRetry(now, retried, draw(`${job.id}/${task.attempt}`))
+  }
+
+  private schedule(now: number, job: Job, tasks: readonly TaskRecord[], delayMs: number): void {
+    const indexes = tasks.map((task) => task.index)
+    if (delayMs <= 0) {
+      this.placeAgain(now, job, indexes)
+      return
+    }
+    const item = { kind: DueKind.Retry, sequence: job.sequence, indexes } as const
+    this.context.due.schedule(now + delayMs, item)
+  }
+}
+
+/** The problem that an owner's report tells of. @internal */
+export function reportedProblem(report: TaskReport): JobProblem {
+  return problem(report.reason, report.detail, report.retryAfterMs)
+}
+
+function isWaiting(task: TaskRecord): boolean {
+  return task.phase === TaskPhase.Waiting
+}
+
+function outOfBudget(why: JobProblem): JobProblem {
+  const detail = `The retry budget is used up after: ${why.detail}`
+  return problem(Reason.RETRY_BUDGET, detail, why.retryAfterMs)
+}
+
+/** A number from 0 to 1 that is fixed by the seed, as machines draw no random numbers. */
+function draw(seed: string): number {
+  return parseInt(hash64(seed).slice(0, DRAW_DIGITS), 16) / DRAW_RANGE
+}
--- /dev/null
+++ b/packages/coordinator/src/lib/placement/groupBy.ts
@@ -0,0 +1,11 @@
+/** Groups items by a key, in the order of their first appearance. @internal */
+export function groupBy<T, K>(items: Iterable<T>, keyOf: (item: T) => K): Map<K, T[]> {
+  const groups = new Map<K, T[]>()
+  for (const item of items) {
+    const key = keyOf(item)
+    const group = groups.get(key)
+    if (group === undefined) groups.set(key, [item])
+    else group.push(item)
+  }
+  return groups
+}
--- /dev/null
+++ b/packages/coordinator/src/lib/startCoordinator.ts
@@ -0,0 +1,163 @@
+import type { SpanRecord } from '@cherryhitch/model'
+import { exhaustive } from '@cherryhitch/model'
+import type { ClaimEnd, Envelope, JobAnswer, JobSpec, KeyClaim } from '@cherryhitch/protocol'
+import type { Clock } from '@cherryhitch/runtime'
+import { startPart, systemClock } from '@cherryhitch/runtime'
+import { Effect } from 'effect'
+import type { Scope } from 'effect'
+import type { CoordinatorAction } from './CoordinatorAction'
+import { CoordinatorActionKind } from './CoordinatorAction'
+import type { CoordinatorCounters } from './CoordinatorCounters'
+import type { CoordinatorEvent } from './CoordinatorEvent'
+import { CoordinatorEventKind } from './CoordinatorEvent'
+import { CoordinatorMachine } from './CoordinatorMachine'
+import type { CoordinatorOptions } from './CoordinatorOptions'
+
+/** Steady pace of a coordinator's timers: small beside a task of 50 ms. */
+const TICK_MS = 10
+
+/** @public */
+export interface StartCoordinatorOptions extends CoordinatorOptions {
+  /** Sends to an instance; to the own one it delivers locally. */
+  readonly send: (to: string, envelope: Envelope) => void
+  /** Claims a key; the host answers with a ClaimAnswered event. */
+  readonly claim: (claim: KeyClaim) => void
+  readonly endClaim: (end: ClaimEnd) => void
+  readonly onSpan: (span: SpanRecord) => void
+  /** No job is in flight any more; called once, after Drain. */
+  readonly onDrained: () => void
+  readonly log: (line: string) => void
+  readonly clock?: Clock
+}
+
+/** A caller's question about a job. @public */
+export interface JobQuestion {
+  readonly jobId: string
+  readonly caller: string
+  readonly cancel: boolean
+  readonly wait: boolean
+}
+
+/** A running coordinator. @public */
+export interface CoordinatorPart {
+  /** Interrupting it tells the coordinator that the caller is gone. */
+  readonly submit: (job: JobSpec, respondAsync: boolean) => Effect.Effect<JobAnswer>
+  /** Undefined: no such job is known, or it is another caller's. */
+  readonly query: (question: JobQuestion) => Effect.Effect<JobAnswer | undefined>
+  readonly tell: (event: CoordinatorEvent) => void
+  readonly jobs: () => readonly JobAnswer[]
+  readonly counters: () => Readonly<CoordinatorCounters>
+  readonly jobsInFlight: () => number
+  /** Events that wait in the mailbox. */
+  readonly backlog: () => number
+}
+
+type Resume = (answer: JobAnswer | undefined) => void
+
+/** The requests of connected callers that wait for their Reply. */
+class OpenRequests {
+  private readonly resumes = new Map<string, Resume>()
+  private lastRequest = 0
+
+  open(resume: Resume): string {
+    const requestId = `r${++this.lastRequest}`
+    this.resumes.set(requestId, resume)
+    return requestId
+  }
+
+  answer(requestId: string, answer: JobAnswer | undefined): void {
+    const resume = this.resumes.get(requestId)
+    this.resumes.delete(requestId)
+    resume?.(answer)
+  }
+
+  close(requestId: string): void {
+    this.resumes.delete(requestId)
+  }
+}
+
+function perform(
+  action: CoordinatorAction,
+  options: StartCoordinatorOptions,
+  requests: OpenRequests,
+): void {
+  switch (action.kind) {
+    case CoordinatorActionKind.Send:
+      options.send(action.to, action.envelope)
+      return
+    case CoordinatorActionKind.Reply:
+      requests.answer(action.requestId, action.answer)
+      return
+    case CoordinatorActionKind.Claim:
+      options.claim(action.claim)
+      return
+    case CoordinatorActionKind.EndClaim:
+      options.endClaim(action.end)
+      return
+    case CoordinatorActionKind.Span:
+      options.onSpan(action.span)
+      return
+    case CoordinatorActionKind.Drained:
+      options.log('coordinator: drained, no job is in flight')
+      options.onDrained()
+      return
+    default:
+      exhaustive(action)
+  }
+}
+
+/**
+ * Starts the coordinator of this instance; it ends with the scope.
+ *
+ * @public
+ */
+export function startCoordinator(
+  options: StartCoordinatorOptions,
+): Effect.Effect<CoordinatorPart, never, Scope.Scope> {
+  return Effect.gen(function* () {
+    const clock = options.clock ?? systemClock
+    const machine = new CoordinatorMachine(options)
+    const requests = new OpenRequests()
+    const part = yield* startPart(machine, {
+      tickMs: TICK_MS,
+      clock,
+      perform: (action) => {
+        perform(action, options, requests)
+      },
+      onDefect: (defect) => {
+        options.log(`coordinator: stopped by a defect: ${String(defect)}`)
+      },
+    })
+    const ask = (makeEvent: (requestId: string) => CoordinatorEvent) =>
+      Effect.callback<JobAnswer | undefined>((resume) => {
+        const requestId = requests.open((answer) => {
+          resume(Effect.succeed(answer))
+        })
+        part.tell(makeEvent(requestId))
+        return Effect.sync(() => {
+          requests.close(requestId)
+          part.tell({ kind: CoordinatorEventKind.CallerGone, requestId })
+        })
+      })
+    return {
+      submit: (job, respondAsync) =>
+        Effect.map(
+          ask((requestId) => ({ kind: CoordinatorEventKind.Submit, requestId, job, respondAsync })),
+          requireAnswer,
+        ),
+      query: (question) =>
+        ask((requestId) => ({ kind: CoordinatorEventKind.Query, requestId, ...question })),
+      tell: part.tell,
+      jobs: () => machine.jobs(),
+      counters: () => machine.counters,
+      jobsInFlight: () => machine.jobsInFlight,
+      backlog: part.backlog,
+    }
+  })
+}
+
+/** Only a question about an unknown job is answered with nothing. */
+function requireAnswer(answer: JobAnswer | undefined): JobAnswer {
+  if (answer === undefined) throw new Error('a submitted job was answered with nothing')
+  return answer
+}
