--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -10,7 +10,6 @@
   StandInEndpointInput,
   StandInEndpointOptions,
 } from './lib/endpoint/StandInEndpointOptions'
-export { ListenError } from './lib/endpoint/EndpointServer'
 export {
   FailEveryBehaviour,
   FailSomeBehaviour,
@@ -28,3 +27,13 @@
 export type { MessageCount } from './lib/ledger/messageCounts'
 export { SeededRandom } from './lib/util/SeededRandom'
 export type { Weighted } from './lib/util/SeededRandom'
+export { ListenError } from './lib/util/ListenError'
+export {
+  CutKind,
+  FaultyLink,
+  LinkDirection,
+  LinkScope,
+  defaultFaultyLinkOptions,
+  startFaultyLink,
+} from './lib/link/FaultyLink'
+export type { FaultyLinkOptions } from './lib/link/FaultyLink'
--- a/packages/stand-ins/src/lib/endpoint/EndpointServer.ts
+++ b/packages/stand-ins/src/lib/endpoint/EndpointServer.ts
@@ -6,14 +6,13 @@
 import { problemReply, readJsonBody, writeReply } from '../http/serverReplies'
 import { OveruseKind } from '../ledger/EndpointLedger'
 import { MessageKind, Waste } from '../ledger/messageCounts'
+import { DelayTimer } from '../util/DelayTimer'
+import { ListenError } from '../util/ListenError'
 import { presentTime } from '../util/presentTime'
 import type { StandInEndpointOptions } from './StandInEndpointOptions'
 import type { TaskRunner } from './TaskRunner'
 import { readLeaseMs, readRunBody, readTaskIds } from './readRunBody'
 
-/** The server could not listen. @public */
-export class ListenError extends Error {}
-
 type Answerer = (reply: JsonReply) => void
 
 const OK = 200
@@ -25,6 +24,7 @@
   private readonly sockets = new Set<Socket>()
   /** Connections that get no bytes any more, though they stay open. */
   private readonly silent = new WeakSet<Socket>()
+  private readonly delays = new DelayTimer()
   private hung = false
 
   constructor(
@@ -109,8 +109,7 @@
   }
 
   private afterDelay(act: () => void): void {
-    if (this.options.networkDelayMs <= 0) act()
-    else setTimeout(act, this.options.networkDelayMs)
+    this.delays.after(this.options.networkDelayMs, act)
   }
 
   private route(req: http.IncomingMessage, body: unknown, answer: Answerer): void {
--- a/packages/stand-ins/src/lib/endpoint/StandInEndpoint.ts
+++ b/packages/stand-ins/src/lib/endpoint/StandInEndpoint.ts
@@ -1,7 +1,7 @@
 import type { HeartbeatBody } from '@cherryhitch/model'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
-import type { ListenError } from './EndpointServer'
+import type { ListenError } from '../util/ListenError'
 import { EndpointServer } from './EndpointServer'
 import { HeartbeatSender } from './HeartbeatSender'
 import type { StandInEndpointInput, StandInEndpointOptions } from './StandInEndpointOptions'
--- a/packages/stand-ins/src/lib/http/requestJson.ts
+++ b/packages/stand-ins/src/lib/http/requestJson.ts
@@ -1,5 +1,6 @@
 import http from 'node:http'
 import { Effect } from 'effect'
+import { splitAddress } from '../util/splitAddress'
 import { parseJson } from './serverReplies'
 
 /** How a request got no answer. @public */
@@ -41,12 +42,6 @@
   readonly body: unknown
 }
 
-/** Splits `host:port`. @internal */
-export function splitAddress(address: string): { host: string; port: number } {
-  const cut = address.lastIndexOf(':')
-  return { host: address.slice(0, cut), port: Number(address.slice(cut + 1)) }
-}
-
 function requestOptions(request: JsonRequest, text: string | undefined): http.RequestOptions {
   const headers: Record<string, string | number> = { ...request.headers }
   if (text !== undefined) {
