Add the HTTP interfaces for callers, endpoints and operators

Callers submit, ask after and cancel jobs; endpoints send heartbeats; operators read the state and propose changes. One table maps each reason to its status.

--- a/packages/http-api/src/index.ts
+++ b/packages/http-api/src/index.ts
@@ -9,3 +9,27 @@
 export type { JobQuestion } from './lib/services/JobService'
 export { OperatorService } from './lib/services/OperatorService'
 export type { AuditPage, EndpointStatus, SettingsStatus } from './lib/services/OperatorService'
+export { AccessRole, Authenticator } from './lib/auth/Authenticator'
+export type { AccessToken } from './lib/auth/Authenticator'
+export { BearerAuthenticator } from './lib/auth/BearerAuthenticator'
+export { CALLER_HEADER, OPERATOR_HEADER, createAuthenticator } from './lib/auth/createAuthenticator'
+export { HeaderAuthenticator } from './lib/auth/HeaderAuthenticator'
+export { OpenAuthenticator } from './lib/auth/OpenAuthenticator'
+export { isOperatorName } from './lib/auth/isOperatorName'
+export { startCallerServer } from './lib/callers/startCallerServer'
+export type { CallerServerOptions } from './lib/callers/startCallerServer'
+export { startEndpointServer } from './lib/endpoints/startEndpointServer'
+export type { EndpointServerOptions } from './lib/endpoints/startEndpointServer'
+export { HealthSource } from './lib/health/HealthSource'
+export { startOperatorServer } from './lib/operators/startOperatorServer'
+export type { OperatorServerOptions } from './lib/operators/startOperatorServer'
+export type { MetricsText } from './lib/operators/metricsRoute'
+export type { HttpCounters, HttpServer } from './lib/server/HttpServer'
+export { HttpServerError, HttpServerErrorKind } from './lib/server/HttpServerError'
+export { defaultHttpLimits } from './lib/server/HttpServerOptions'
+export type {
+  HttpClock,
+  HttpLimits,
+  HttpServerOptions,
+  TlsFiles,
+} from './lib/server/HttpServerOptions'
--- /dev/null
+++ b/packages/http-api/src/lib/auth/OpenAuthenticator.ts
@@ -0,0 +1,10 @@
+import type { Result } from 'ts-results'
+import { Authenticator } from './Authenticator'
+import { Ok } from '../util/results'
+
+/** Lets everybody in, without a name. @public */
+export class OpenAuthenticator extends Authenticator {
+  override identify(): Result<string, never> {
+    return Ok('')
+  }
+}
--- /dev/null
+++ b/packages/http-api/src/lib/callers/jobBody.ts
@@ -0,0 +1,29 @@
+import { Schema } from 'effect'
+import { nameSchema, resourceSchema } from '../exchange/schemas'
+import type { HttpLimits } from '../server/HttpServerOptions'
+
+/** Schema of the body of `POST /v1/jobs`. @internal */
+export function jobBodySchema(limits: HttpLimits) {
+  const duration = Schema.Number.check(
+    Schema.isBetween({ minimum: 1, maximum: limits.maxDeadlineMs }),
+  )
+  const task = Schema.Struct({
+    service: nameSchema,
+    payload: Schema.Unknown,
+    cores: Schema.optionalKey(resourceSchema),
+    memoryMb: Schema.optionalKey(resourceSchema),
+    accelerators: Schema.optionalKey(resourceSchema),
+    expectedRunMs: Schema.optionalKey(duration),
+  })
+  return Schema.Struct({
+    idempotent: Schema.Boolean,
+    deadlineMs: Schema.optionalKey(duration),
+    tasks: Schema.Array(task).check(Schema.isBetweenLength(1, limits.tasksPerJob)),
+  })
+}
+
+/** The body of `POST /v1/jobs`, checked. @internal */
+export type JobBody = ReturnType<typeof jobBodySchema>['Type']
+
+/** One task of the body. @internal */
+export type TaskBody = JobBody['tasks'][number]
--- /dev/null
+++ b/packages/http-api/src/lib/callers/submissionKey.ts
@@ -0,0 +1,35 @@
+import type { IncomingHttpHeaders } from 'node:http'
+import type { Result } from 'ts-results'
+import { RequestError, RequestErrorKind } from '../problems/RequestError'
+import { Err, Ok } from '../util/results'
+
+/** Longest submission key, in characters. */
+const MAX_KEY_LENGTH = 128
+const visiblePattern = /^[\x21-\x7e]+$/
+
+/** The key of a submission; empty when there is none. @internal */
+export function readSubmissionKey(headers: IncomingHttpHeaders): Result<string, RequestError> {
+  const key = headers['idempotency-key']
+  if (key === undefined) return Ok('')
+  if (typeof key === 'string' && isSubmissionKey(key)) return Ok(key)
+  const message = `Idempotency-Key: send it once, 1 to ${MAX_KEY_LENGTH} visible ASCII characters.`
+  return Err(new RequestError(RequestErrorKind.Malformed, message))
+}
+
+function isSubmissionKey(text: string): boolean {
+  return text.length <= MAX_KEY_LENGTH && visiblePattern.test(text)
+}
+
+/**
+ * Refuses a job that may run once only but has no key: a resend of it, after a lost answer,
+ * could not be told from a second job.
+ *
+ * @internal
+ */
+export function checkKeyNeed(idempotent: boolean, key: string): Result<string, RequestError> {
+  if (idempotent || key !== '') return Ok(key)
+  const message =
+    'A job with "idempotent": false needs the header Idempotency-Key, because without it ' +
+    'a second sending could not be recognised.'
+  return Err(new RequestError(RequestErrorKind.Malformed, message))
+}
--- /dev/null
+++ b/packages/http-api/src/lib/endpoints/heartbeatBody.ts
@@ -0,0 +1,47 @@
+import { parseTaskId } from '@cherryhitch/model'
+import { Schema } from 'effect'
+import { countSchema, nameSchema, resourceSchema } from '../exchange/schemas'
+
+/** Most slots or connections that an endpoint may announce. */
+const MAX_SLOTS = 10_000
+const MAX_PORT = 65_535
+const addressPattern = /^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-f:.]+\]):(\d{1,5})$/i
+
+const address = Schema.String.check(
+  Schema.makeFilter((text: string) =>
+    isAddress(text) ? undefined : 'is no IP address with a port, such as 10.0.0.7:9001',
+  ),
+)
+
+const taskId = Schema.String.check(
+  Schema.makeFilter((text: string) =>
+    parseTaskId(text) === undefined ? 'is no task id' : undefined,
+  ),
+)
+
+const resources = Schema.Struct({
+  cores: Schema.optionalKey(resourceSchema),
+  memoryMb: Schema.optionalKey(resourceSchema),
+  accelerators: Schema.optionalKey(resourceSchema),
+})
+const count = Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: MAX_SLOTS }))
+/** Schema of the body of a heartbeat. @internal */
+export const heartbeatBodySchema = Schema.Struct({
+  service: nameSchema,
+  zone: nameSchema,
+  rack: nameSchema,
+  address,
+  slots: count,
+  connections: count,
+  capacity: resources,
+  usage: Schema.optionalKey(resources),
+  boot: countSchema,
+  runningTaskIds: Schema.Array(taskId).check(Schema.isMaxLength(MAX_SLOTS)),
+  state: Schema.Literals(['serving', 'leaving']),
+})
+
+/** Workers talk by IP numbers, so a host name is refused. */
+function isAddress(text: string): boolean {
+  const port = Number(addressPattern.exec(text)?.[1] ?? 0)
+  return port > 0 && port <= MAX_PORT
+}
--- /dev/null
+++ b/packages/http-api/src/lib/exchange/ExchangeHost.ts
@@ -0,0 +1,18 @@
+import type { Authenticator } from '../auth/Authenticator'
+import type { Router } from '../routing/Router'
+import type { HttpClock, HttpLimits } from '../server/HttpServerOptions'
+import type { BodyBudget } from './BodyBudget'
+
+/** What an exchange needs of the server that it belongs to. @internal */
+export interface ExchangeHost {
+  readonly limits: HttpLimits
+  readonly budget: BodyBudget
+  readonly router: Router
+  readonly auth: Authenticator
+  readonly clock: HttpClock
+  readonly log: (line: string) => void
+  /** Whether answers close their connections. */
+  isClosing(): boolean
+  countAnswer(status: number): void
+  countAbandoned(): void
+}
--- /dev/null
+++ b/packages/http-api/src/lib/exchange/Reply.ts
@@ -0,0 +1,19 @@
+/** An answer that is ready to be sent. @internal */
+export interface Reply {
+  readonly status: number
+  readonly contentType: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body: string
+}
+
+export const JSON_TYPE = 'application/json'
+export const PROBLEM_TYPE = 'application/problem+json'
+
+/** Makes a reply of a value that is written as JSON. @internal */
+export function jsonReply(
+  status: number,
+  value: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): Reply {
+  return { status, contentType: JSON_TYPE, headers, body: JSON.stringify(value) }
+}
--- /dev/null
+++ b/packages/http-api/src/lib/operators/views.ts
@@ -0,0 +1,114 @@
+import type { Message } from '@bufbuild/protobuf'
+import type { InstanceView } from '@cherryhitch/model'
+import type {
+  AuditRecord,
+  JobAnswer,
+  PresetDefinition,
+  Resources,
+  ServiceSummary,
+  VotersStatus,
+} from '@cherryhitch/protocol'
+import {
+  AdmissionRule,
+  AuditKind,
+  EndpointState,
+  HealthRule,
+  InstanceState,
+  JobState,
+  Outcome,
+  PlacementRule,
+  QueueOrder,
+  Reason,
+} from '@cherryhitch/protocol'
+import type { AuditPage, EndpointStatus, SettingsStatus } from '../services/OperatorService'
+
+/**
+ * What operators read, as plain objects: the words of the messages' enums in lower case, and
+ * none of the messages' own bookkeeping.
+ */
+
+/** A message without the name of its type; JSON leaves undefined members out. */
+function plain<T extends Message>(message: T) {
+  return { ...message, $typeName: undefined }
+}
+
+/** @internal */
+export function viewInstance(instance: InstanceView, now: number) {
+  const { heardAt, services, state, ...rest } = instance
+  return {
+    ...rest,
+    state: InstanceState[state].toLowerCase(),
+    heardMsAgo: Math.max(0, Math.round(now - heardAt)),
+    services: services.map(viewService),
+  }
+}
+
+function viewService(summary: ServiceSummary) {
+  return { ...plain(summary), largest: viewResources(summary.largest) }
+}
+
+function viewResources(resources: Resources | undefined) {
+  const { cores = 0, memoryMb = 0, accelerators = 0 } = resources ?? {}
+  return { cores, memoryMb, accelerators }
+}
+
+/** @internal */
+export function viewEndpoint({ announcement, ...status }: EndpointStatus) {
+  const { state, capacity, usage } = announcement
+  return {
+    ...plain(announcement),
+    state: EndpointState[state].toLowerCase(),
+    capacity: viewResources(capacity),
+    usage: viewResources(usage),
+    ...status,
+  }
+}
+
+/** A job without its outputs, which are the caller's business alone. @internal */
+export function viewJob(answer: JobAnswer) {
+  const { jobId, state, outcome, reason, detail, tasks, tasksEnded } = answer
+  const { settingsVersion, settingsCurrent } = answer
+  return {
+    jobId,
+    detail,
+    tasks,
+    tasksEnded,
+    settingsVersion,
+    settingsCurrent,
+    state: JobState[state].toLowerCase(),
+    outcome: Outcome[outcome].toLowerCase(),
+    reason: Reason[reason].toLowerCase(),
+  }
+}
+
+/** @internal */
+export function viewSettings({ settings, current }: SettingsStatus) {
+  const { version, preset, auditHash } = settings
+  return { version, preset, auditHash, current, presets: settings.definitions.map(viewPreset) }
+}
+
+function viewPreset(definition: PresetDefinition) {
+  return {
+    ...plain(definition),
+    queueOrder: QueueOrder[definition.queueOrder].toLowerCase(),
+    placementRule: PlacementRule[definition.placementRule].toLowerCase(),
+    healthRule: HealthRule[definition.healthRule].toLowerCase(),
+    admissionRule: AdmissionRule[definition.admissionRule].toLowerCase(),
+  }
+}
+
+/** @internal */
+export function viewAudit({ records, current }: AuditPage) {
+  return { current, records: records.map(viewAuditRecord) }
+}
+
+/** The time is written out as well, since people read the record. */
+function viewAuditRecord(record: AuditRecord) {
+  const kind = AuditKind[record.kind].toLowerCase()
+  return { ...plain(record), kind, at: new Date(record.atMs).toISOString() }
+}
+
+/** @internal */
+export function viewVoters(status: VotersStatus) {
+  return { ...plain(status), members: status.members.map((member) => plain(member)) }
+}
--- /dev/null
+++ b/packages/http-api/src/lib/problems/reasonTable.ts
@@ -0,0 +1,46 @@
+import { Reason } from '@cherryhitch/protocol'
+
+/** How a reason appears towards callers. @internal */
+export interface ReasonEntry {
+  readonly status: number
+  readonly title: string
+}
+
+/**
+ * Status and title of each reason; the one place where they are settled.
+ *
+ * 4xx: the caller has to change something, or asked for it. 502: a part behind the instance
+ * was lost or failed. 503: sending the same later can help. 504: time ran out.
+ *
+ * @internal
+ */
+export const reasonTable: Readonly<Record<Reason, ReasonEntry>> = {
+  [Reason.UNSPECIFIED]: { status: 500, title: 'The job failed without a reason.' },
+  [Reason.NEVER_FITS]: { status: 422, title: 'No worker could ever run this job.' },
+  [Reason.TOO_LATE]: { status: 503, title: 'The job would miss its deadline.' },
+  [Reason.QUEUE_FULL]: { status: 503, title: 'The queue is full.' },
+  [Reason.CALLER_LIMIT]: { status: 429, title: 'The share of this caller is used up.' },
+  [Reason.NO_ENDPOINT]: { status: 503, title: 'No endpoint of the service is known.' },
+  [Reason.DEADLINE_PASSED]: { status: 504, title: 'The deadline passed.' },
+  [Reason.CANCELLED]: { status: 409, title: 'The job was cancelled.' },
+  [Reason.ENDPOINT_REFUSED]: { status: 503, title: 'An endpoint refused a task.' },
+  [Reason.ENDPOINT_LOST]: { status: 502, title: 'An endpoint was lost.' },
+  [Reason.OWNER_LOST]: { status: 502, title: 'The owner of an endpoint was lost.' },
+  [Reason.COORDINATOR_LOST]: { status: 502, title: 'The coordinator of the job was lost.' },
+  [Reason.NO_QUORUM]: { status: 503, title: 'The quorum can not be reached.' },
+  [Reason.SIBLING_FAILED]: { status: 502, title: 'Another task of the job failed.' },
+  [Reason.DRAINING]: { status: 503, title: 'The instance is shutting down.' },
+  [Reason.RETRY_BUDGET]: { status: 503, title: 'The budget for retries is used up.' },
+  [Reason.TASK_FAILED]: { status: 502, title: 'A task failed at its endpoint.' },
+  [Reason.KEY_OUTCOME_UNKNOWN]: {
+    status: 409,
+    title: 'The outcome of the first submission is not known.',
+  },
+  [Reason.KEY_REUSED]: { status: 422, title: 'The key was used with other content.' },
+  [Reason.PRESET_LIMIT]: { status: 503, title: 'The preset in force admits no more.' },
+}
+
+/** The word of a reason in answers, such as `queue_full`. @internal */
+export function reasonWord(reason: Reason): string {
+  return Reason[reason].toLowerCase()
+}
--- /dev/null
+++ b/packages/http-api/src/lib/routing/Router.ts
@@ -0,0 +1,107 @@
+import type { Effect } from 'effect'
+import type { Result } from 'ts-results'
+import type { ApiRequest } from '../exchange/ApiRequest'
+import type { Reply } from '../exchange/Reply'
+import { RequestError, RequestErrorKind } from '../problems/RequestError'
+import { Err, Ok } from '../util/results'
+
+/** @internal */
+export enum Method {
+  Get = 'GET',
+  Post = 'POST',
+  Put = 'PUT',
+  Delete = 'DELETE',
+}
+
+/** Handles one request whose sender is known and whose body is there. @internal */
+export type Handler = (req: ApiRequest) => Effect.Effect<Reply, RequestError>
+
+/** @internal */
+export interface Route {
+  readonly method: Method
+  /** Segments after the leading slash; `{name}` matches any one segment. */
+  readonly path: string
+  /** Whether it has a JSON body. */
+  readonly takesBody: boolean
+  /** Whether it answers without a token. */
+  readonly open?: boolean
+  readonly handle: Handler
+}
+
+/** @internal */
+export interface RouteMatch {
+  readonly route: Route
+  readonly params: Readonly<Record<string, string>>
+}
+
+interface CompiledRoute {
+  readonly route: Route
+  readonly segments: readonly string[]
+}
+
+const variablePattern = /^\{(\w+)\}$/
+
+function matchSegments(
+  pattern: readonly string[],
+  segments: readonly string[],
+): Record<string, string> | undefined {
+  if (pattern.length !== segments.length) return undefined
+  const params: Record<string, string> = {}
+  for (const [i, expected] of pattern.entries()) {
+    const segment = segments[i] ?? ''
+    const variable = variablePattern.exec(expected)?.[1]
+    if (variable !== undefined) params[variable] = segment
+    else if (expected !== segment) return undefined
+  }
+  return params
+}
+
+/** Finds the route for a method and a path. @internal */
+export class Router {
+  private readonly compiled: readonly CompiledRoute[]
+
+  constructor(routes: readonly Route[]) {
+    this.compiled = routes.map((route) => ({ route, segments: route.path.split('/') }))
+  }
+
+  find(method: string, path: string): Result<RouteMatch, RequestError> {
+    const segments = decodeSegments(path)
+    if (segments === undefined) return Err(notFound(path))
+    const allowed = new Set<string>()
+    for (const { route, segments: pattern } of this.compiled) {
+      const params = matchSegments(pattern, segments)
+      if (params === undefined) continue
+      if (accepts(route, method)) return Ok({ route, params })
+      allowed.add(route.method)
+      if (route.method === Method.Get) allowed.add('HEAD')
+    }
+    if (allowed.size === 0) return Err(notFound(path))
+    return Err(methodNotAllowed([...allowed].sort()))
+  }
+}
+
+/** A HEAD is served as a GET; Node leaves the body out. */
+function accepts(route: Route, method: string): boolean {
+  const wanted = method === 'HEAD' ? 'GET' : method
+  return wanted === (route.method as string)
+}
+
+function decodeSegments(path: string): readonly string[] | undefined {
+  if (!path.startsWith('/')) return undefined
+  try {
+    return path.slice(1).split('/').map(decodeURIComponent)
+  } catch {
+    return undefined
+  }
+}
+
+function notFound(path: string): RequestError {
+  return new RequestError(RequestErrorKind.NotFound, `There is no resource at ${path}.`)
+}
+
+function methodNotAllowed(allowed: readonly string[]): RequestError {
+  const allow = allowed.join(', ')
+  return new RequestError(RequestErrorKind.MethodNotAllowed, `Allowed here: ${allow}.`, {
+    Allow: allow,
+  })
+}
