--- a/packages/http-api/src/lib/callers/jobBody.ts
+++ b/packages/http-api/src/lib/callers/jobBody.ts
@@ -16,7 +16,12 @@
     expectedRunMs: Schema.optionalKey(duration),
   })
   return Schema.Struct({
-    idempotent: Schema.Boolean,
+    // Stated, never guessed: a wrong guess doubles an answer one way and refuses resends the other.
+    idempotent: Schema.Boolean.pipe(
+      Schema.annotateKey({
+        messageMissingKey: 'say whether running the job twice would do no harm: true or false',
+      }),
+    ),
     deadlineMs: Schema.optionalKey(duration),
     tasks: Schema.Array(task).check(Schema.isBetweenLength(1, limits.tasksPerJob)),
   })
--- a/packages/http-api/src/lib/operators/views.ts
+++ b/packages/http-api/src/lib/operators/views.ts
@@ -27,9 +27,11 @@
  * none of the messages' own bookkeeping.
  */
 
-/** A message without the name of its type; JSON leaves undefined members out. */
-function plain<T extends Message>(message: T) {
-  return { ...message, $typeName: undefined }
+/** A copy of a message without the name of its type. */
+function plain<T extends Message>(message: T): Omit<T, '$typeName'> {
+  const copy: Omit<T, '$typeName'> = { ...message }
+  Reflect.deleteProperty(copy, '$typeName')
+  return copy
 }
 
 /** @internal */
