Add callers, the check of the ledgers, the ideal schedule and generated loads

Callers go through a balancer, write down what they were told, and submit again by a rule. The check compares this with what endpoints saw and names each broken promise; a table proves that it finds every kind. The ideal schedule is a clairvoyant list schedule of the same work, worked by hand in its tests.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -37,3 +37,42 @@
   startFaultyLink,
 } from './lib/link/FaultyLink'
 export type { FaultyLinkOptions } from './lib/link/FaultyLink'
+export { Balancer, defaultBalancerOptions, startBalancer } from './lib/caller/Balancer'
+export type { BalancerOptions } from './lib/caller/Balancer'
+export { CallerPool, callerPool } from './lib/caller/CallerPool'
+export type { CallerPoolInput } from './lib/caller/CallerPool'
+export type { JobRequest, TaskRequest } from './lib/caller/JobRequest'
+export {
+  NeverResubmit,
+  PatientResubmit,
+  ResubmitRule,
+  defaultPatientResubmitOptions,
+} from './lib/caller/ResubmitRule'
+export type { PatientResubmitOptions } from './lib/caller/ResubmitRule'
+export { StandInCaller, SubmitStyle, defaultStandInCallerOptions } from './lib/caller/StandInCaller'
+export type { StandInCallerOptions } from './lib/caller/StandInCaller'
+export { CallerLedger, CallerOutcome } from './lib/ledger/CallerLedger'
+export type { CallerAttempt, OutputSeen, Submission } from './lib/ledger/CallerLedger'
+export { Invariant, checkLedgers } from './lib/ledger/checkLedgers'
+export type { InvariantReport, Violation } from './lib/ledger/checkLedgers'
+export { ArrivalOrder, IdealOrder, LeastWorkOrder } from './lib/ideal/IdealOrder'
+export type { WaitingJob } from './lib/ideal/IdealOrder'
+export { defaultIdealOptions, idealSchedule, longestPath } from './lib/ideal/idealSchedule'
+export type { IdealJob, IdealOptions, IdealTimes } from './lib/ideal/idealSchedule'
+export { WorkloadGenerator } from './lib/workload/WorkloadGenerator'
+export { defaultWorkloadOptions } from './lib/workload/WorkloadOptions'
+export type {
+  BurstOptions,
+  CallerShare,
+  CancelWaveOptions,
+  RangeShare,
+  ServiceShare,
+  WorkloadOptions,
+} from './lib/workload/WorkloadOptions'
+export {
+  deployments,
+  placeEndpoints,
+  placeInstances,
+  totalSlots,
+} from './lib/deployment/Deployment'
+export type { Deployment, PlacedEndpoint, PlacedInstance } from './lib/deployment/Deployment'
