--- /dev/null
+++ b/packages/http-api/src/lib/callers/answerReply.test.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { JobState, Outcome, Reason } from '@cherryhitch/protocol'
+import { succeeded, unsuccessful } from '../fixtures/FakeServices'
+import { answerReply } from './answerReply'
+import type { JobProblem } from './answerReply'
+
+function problemFor(reason: Reason, outcome: Outcome, retryAfterMs = 0) {
+  const state = outcome === Outcome.NOT_RUN ? JobState.REFUSED : JobState.FAILED
+  const reply = answerReply(unsuccessful({ state, reason, outcome, retryAfterMs }))
+  return { reply, problem: JSON.parse(reply.body) as JobProblem }
+}
+
+describe('the reply to a job', () => {
+  const statuses: readonly (readonly [Reason, number, boolean])[] = [
+    [Reason.NEVER_FITS, 422, false],
+    [Reason.TOO_LATE, 503, true],
+    [Reason.QUEUE_FULL, 503, true],
+    [Reason.CALLER_LIMIT, 429, true],
+    [Reason.NO_ENDPOINT, 503, true],
+    [Reason.DEADLINE_PASSED, 504, false],
+    [Reason.CANCELLED, 409, false],
+    [Reason.ENDPOINT_REFUSED, 503, true],
+    [Reason.ENDPOINT_LOST, 502, false],
+    [Reason.OWNER_LOST, 502, false],
+    [Reason.COORDINATOR_LOST, 502, false],
+    [Reason.NO_QUORUM, 503, true],
+    [Reason.SIBLING_FAILED, 502, false],
+    [Reason.DRAINING, 503, true],
+    [Reason.RETRY_BUDGET, 503, true],
+    [Reason.TASK_FAILED, 502, false],
+    [Reason.KEY_OUTCOME_UNKNOWN, 409, false],
+    [Reason.KEY_REUSED, 422, false],
+    [Reason.PRESET_LIMIT, 503, true],
+  ]
+  for (const [reason, status, advised] of statuses) {
+    const word = Reason[reason].toLowerCase()
+    it(`gives ${word} the status ${status}${advised ? ' with Retry-After' : ''}`, () => {
+      const { reply, problem } = problemFor(reason, Outcome.NOT_RUN)
+      assert.equal(reply.status, status)
+      assert.equal(problem.reason, word)
+      assert.equal(problem.type, `urn:cherryhitch:problem:${word.replaceAll('_', '-')}`)
+      assert.equal(reply.headers?.['Retry-After'] !== undefined, advised)
+    })
+  }
+
+  it('knows a status for every reason that there is', () => {
+    const reasons = Object.values(Reason).filter((value) => typeof value === 'number')
+    assert.equal(statuses.length, reasons.length - 1)
+  })
+
+  it('gives the wait exactly in the document and in whole seconds in the header', () => {
+    const { reply, problem } = problemFor(Reason.QUEUE_FULL, Outcome.NOT_RUN, 350)
+    assert.equal(problem.retryAfter, 0.35)
+    assert.equal(reply.headers?.['Retry-After'], '1')
+    const longer = problemFor(Reason.QUEUE_FULL, Outcome.NOT_RUN, 2001)
+    assert.equal(longer.reply.headers?.['Retry-After'], '3')
+  })
+
+  it('does not invite to come back when the job may have run', () => {
+    const { reply, problem } = problemFor(Reason.NO_QUORUM, Outcome.UNKNOWN, 500)
+    assert.equal(reply.headers?.['Retry-After'], undefined)
+    assert.equal(problem.retryAfter, undefined)
+    assert.equal(problem.ran, 'unknown')
+  })
+
+  it('passes outputs on to the last digit', () => {
+    const outputs = ['{"sum":12345678901234567890.10}', 'null', '"é"']
+    assert.ok(answerReply(succeeded(outputs)).body.endsWith(`"outputs":[${outputs.join(',')}]}`))
+  })
+
+  it('gives no partial answer when an output is missing', () => {
+    const partial = { ...succeeded(['1', '2']), tasks: 3 }
+    const reply = answerReply(partial)
+    assert.equal(reply.status, 500)
+    assert.equal((JSON.parse(reply.body) as JobProblem).ran, 'unknown')
+  })
+})
--- a/packages/http-api/src/lib/callers/answerReply.ts
+++ b/packages/http-api/src/lib/callers/answerReply.ts
@@ -50,12 +50,13 @@
   return successReply(answer)
 }
 
-/** The outputs are JSON text already; they are joined without being parsed. */
+/** The outputs are JSON text already; they are joined into the body as they came. */
 function successReply(answer: JobAnswer): Reply {
-  const head = `{"jobId":${JSON.stringify(answer.jobId)},"state":"succeeded"`
-  const outputs = `"outputs":[${answer.outputs.join(',')}]`
-  const settings = `"settingsVersion":${answer.settingsVersion},"settingsCurrent":${String(answer.settingsCurrent)}}`
-  return { status: OK, contentType: JSON_TYPE, body: `${head},${outputs},${settings}` }
+  const { jobId, settingsVersion, settingsCurrent } = answer
+  const state = stateWord(answer.state)
+  const head = JSON.stringify({ jobId, state, settingsVersion, settingsCurrent })
+  const body = `${head.slice(0, -1)},"outputs":[${answer.outputs.join(',')}]}`
+  return { status: OK, contentType: JSON_TYPE, body }
 }
 
 function runningReply(answer: JobAnswer): Reply {
--- a/packages/http-api/src/lib/exchange/Exchange.ts
+++ b/packages/http-api/src/lib/exchange/Exchange.ts
@@ -34,11 +34,11 @@
     private readonly req: IncomingMessage,
     private readonly res: ServerResponse,
     private readonly onEnd: () => void,
-  ) {}
-
-  /** Whether a service may have been called already. */
-  isRunning(): boolean {
-    return this.fiber !== undefined
+  ) {
+    // A write to a connection that has just closed; `abandon` follows.
+    res.on('error', (err) => {
+      host.log(`an answer could not be sent: ${err.message}`)
+    })
   }
 
   /**
--- a/packages/http-api/src/lib/server/ConnectionTable.ts
+++ b/packages/http-api/src/lib/server/ConnectionTable.ts
@@ -36,9 +36,9 @@
     if (removed) this.subtract(1)
   }
 
-  /** Exchanges of one connection that are not answered. */
-  pending(socket: Duplex): number {
-    return this.exchanges.get(socket)?.size ?? 0
+  /** Exchanges of one connection that are not answered; undefined before it was open. */
+  pending(socket: Duplex): number | undefined {
+    return this.exchanges.get(socket)?.size
   }
 
   connections(): number {
--- a/packages/http-api/src/lib/server/ServerHost.ts
+++ b/packages/http-api/src/lib/server/ServerHost.ts
@@ -130,7 +130,8 @@
 
   private serve(req: http.IncomingMessage, res: http.ServerResponse, awaits: boolean): void {
     const exchange = this.open(req, res)
-    if (this.table.pending(req.socket) > this.limits.pipelinedRequests) {
+    const pending = this.table.pending(req.socket) ?? 0
+    if (pending > this.limits.pipelinedRequests) {
       exchange.refuse(tooManyPipelined(this.limits.pipelinedRequests))
     } else {
       exchange.begin(awaits)
--- a/packages/http-api/src/lib/server/refuseUnparsed.ts
+++ b/packages/http-api/src/lib/server/refuseUnparsed.ts
@@ -12,12 +12,17 @@
 /**
  * Answers what is no HTTP request, and closes the connection.
  *
- * @param pending - requests of the connection that are not answered. With any of them this
- *   answer would be taken for theirs and claim that they did not run, so it is left out.
+ * @param pending - requests of the connection that are not answered, undefined before its
+ *   TLS handshake. With any of them this answer would be taken for theirs and claim that they
+ *   did not run, so it is left out.
  * @internal
  */
-export function refuseUnparsed(err: NodeJS.ErrnoException, socket: Duplex, pending: number): void {
-  if (pending > 0 || !socket.writable || err.code === 'ECONNRESET') {
+export function refuseUnparsed(
+  err: NodeJS.ErrnoException,
+  socket: Duplex,
+  pending: number | undefined,
+): void {
+  if (pending !== 0 || !socket.writable || err.code === 'ECONNRESET') {
     socket.destroy()
     return
   }
