Answer questions, keep keys and follow lost owners in the coordinator

Questions go to the coordinator that the job's id names. Keyed idempotent jobs go to the instance that rendezvous hashing picks, so resends meet; non-idempotent ones are dispatched only after their key was claimed, and a key whose job truly did not run is given back.

--- a/packages/coordinator/src/lib/CoordinatorContext.ts
+++ b/packages/coordinator/src/lib/CoordinatorContext.ts
@@ -1,6 +1,10 @@
+import type { AnswerBook } from './answers/AnswerBook'
 import type { CoordinatorCounters } from './CoordinatorCounters'
 import type { CoordinatorLimits, CoordinatorOptions, CoordinatorTiming } from './CoordinatorOptions'
 import type { JobBook } from './jobs/JobBook'
+import type { Replies } from './jobs/Replies'
+import type { RequestBook } from './jobs/RequestBook'
+import type { KeyBook } from './keys/KeyBook'
 import type { MemberBook } from './members/MemberBook'
 import type { Outbox } from './Outbox'
 import type { TasksByOwner } from './placement/TasksByOwner'
@@ -18,6 +22,10 @@
   readonly policies: PolicyBook
   readonly members: MemberBook
   readonly jobs: JobBook
+  readonly keys: KeyBook
+  readonly answers: AnswerBook
+  readonly requests: RequestBook
+  readonly replies: Replies
   readonly inFlight: TasksByOwner
   readonly due: DueWheel<DueItem>
 }
--- a/packages/coordinator/src/lib/CoordinatorOptions.ts
+++ b/packages/coordinator/src/lib/CoordinatorOptions.ts
@@ -37,6 +37,8 @@
   /** Deadline of a job that names none. */
   readonly defaultDeadlineMs: number
   readonly maxDeadlineMs: number
+  /** How much earlier than the caller's the deadline is that owners are told. */
+  readonly ownerDeadlineMarginMs: number
   /** How long answers are kept. */
   readonly answerRetentionMs: number
   /** How long another instance may take before it is asked again. */
@@ -56,6 +58,7 @@
   ownerSilentMs: 1500,
   defaultDeadlineMs: 30_000,
   maxDeadlineMs: 3_600_000,
+  ownerDeadlineMarginMs: 25,
   answerRetentionMs: 300_000,
   forwardTimeoutMs: 2000,
   askAfterMs: 1000,
--- a/packages/coordinator/src/lib/Outbox.ts
+++ b/packages/coordinator/src/lib/Outbox.ts
@@ -87,11 +87,14 @@
     this.cancels.delete(owner)
   }
 
-  /** Takes out the actions; cancellations that follow closely on others wait for a tick. */
-  take(now: number): readonly CoordinatorAction[] {
+  /**
+   * Takes out the actions; cancellations that follow closely on others wait for a tick, unless
+   * this is the last step.
+   */
+  take(now: number, isLast: boolean): readonly CoordinatorAction[] {
     for (const [owner, owed] of this.cancels) {
       if (owed.jobs.length === 0) continue
-      if (now - owed.sentAt < this.options.cancelBatchMs) continue
+      if (now - owed.sentAt < this.options.cancelBatchMs && !isLast) continue
       if (!this.options.isReachable(owner)) continue
       this.sendCancels(now, owner, owed)
     }
--- a/packages/coordinator/src/lib/PolicyBook.ts
+++ b/packages/coordinator/src/lib/PolicyBook.ts
@@ -16,6 +16,7 @@
   retries: RetryBudget
   version = 0
   current = false
+  private isApplied = false
 
   constructor(preset: PresetDefinition) {
     this.router = createOwnerRouter(preset)
@@ -27,7 +28,8 @@
   apply(preset: PresetDefinition, version: number, current: boolean): void {
     if (version < this.version) return
     this.current = current
-    if (version === this.version) return
+    if (version === this.version && this.isApplied) return
+    this.isApplied = true
     this.version = version
     this.router = createOwnerRouter(preset)
     this.admission = createAdmission(preset)
--- /dev/null
+++ b/packages/coordinator/src/lib/answers/AnswerKeeper.ts
@@ -0,0 +1,38 @@
+import type { JobAnswer } from '@cherryhitch/protocol'
+import { JobState, Outcome } from '@cherryhitch/protocol'
+import type { CoordinatorContext } from '../CoordinatorContext'
+import type { Job } from '../jobs/Job'
+import { JobPhase } from '../jobs/Job'
+import { formatKeyId } from '../keys/KeyBook'
+
+/**
+ * Keeps the answers that somebody may ask for later: of jobs answered asynchronously, and of jobs
+ * with a key. The answer of any other job went to its one caller.
+ *
+ * @internal
+ */
+export class AnswerKeeper {
+  constructor(private readonly context: CoordinatorContext) {}
+
+  jobEnded(now: number, job: Job, answer: JobAnswer, before: JobPhase): void {
+    if (!job.respondAsync && !job.isKeyed) return
+    const keyId = job.isKeyed ? formatKeyId(job.caller, job.spec.submissionKey) : ''
+    this.context.answers.keep(now, { jobId: job.id, caller: job.caller, answer, keyId })
+    const entry = this.context.keys.get(keyId)
+    if (entry?.jobId !== job.id) return
+    entry.running = false
+    entry.answersAll = answersResends(job, answer, before)
+    entry.answered = [...job.waiters]
+  }
+}
+
+/**
+ * Whether a resend with the key gets this answer. A job that may run again does so after a
+ * failure, or the caller could never mend it; one that must not run twice gets it always, unless
+ * it truly did not run or the voters know more.
+ */
+function answersResends(job: Job, answer: JobAnswer, before: JobPhase): boolean {
+  if (answer.state === JobState.SUCCEEDED) return true
+  if (job.spec.idempotent || before !== JobPhase.Running) return false
+  return answer.outcome !== Outcome.NOT_RUN
+}
--- a/packages/coordinator/src/lib/createContext.ts
+++ b/packages/coordinator/src/lib/createContext.ts
@@ -1,8 +1,12 @@
+import { AnswerBook } from './answers/AnswerBook'
 import type { CoordinatorContext } from './CoordinatorContext'
 import { createCounters } from './CoordinatorCounters'
 import type { CoordinatorOptions } from './CoordinatorOptions'
 import { defaultCoordinatorLimits, defaultCoordinatorTiming } from './CoordinatorOptions'
 import { JobBook } from './jobs/JobBook'
+import { Replies } from './jobs/Replies'
+import { RequestBook } from './jobs/RequestBook'
+import { KeyBook } from './keys/KeyBook'
 import { MemberBook } from './members/MemberBook'
 import { Outbox } from './Outbox'
 import { TasksByOwner } from './placement/TasksByOwner'
@@ -15,13 +19,23 @@
   const limits = { ...defaultCoordinatorLimits, ...options.limits }
   const timing = { ...defaultCoordinatorTiming, ...options.timing }
   const counters = createCounters()
-  const members = new MemberBook(options.instance, timing.ownerSilentMs)
+  const members = new MemberBook(options.instance, options.boot, timing.ownerSilentMs)
   const outbox = new Outbox({
     counters,
     cancelBatchMs: timing.cancelBatchMs,
     owedCancelsPerOwner: limits.owedCancelsPerOwner,
     isReachable: (instance) => members.isAlive(instance),
   })
+  const keys = new KeyBook()
+  const requests = new RequestBook()
+  const answers = new AnswerBook({
+    retentionMs: timing.answerRetentionMs,
+    maxAnswers: limits.keptAnswers,
+    maxChars: limits.keptAnswerChars,
+    onDropped: ({ keyId, jobId }) => {
+      keys.forget(keyId, jobId)
+    },
+  })
   return {
     options,
     limits,
@@ -31,6 +45,10 @@
     members,
     policies: new PolicyBook(options.preset),
     jobs: new JobBook(),
+    keys,
+    answers,
+    requests,
+    replies: new Replies(outbox, requests),
     inFlight: new TasksByOwner(),
     due: new DueWheel<DueItem>(),
   }
--- /dev/null
+++ b/packages/coordinator/src/lib/forwarding/QueryDesk.ts
@@ -0,0 +1,138 @@
+import { create } from '@bufbuild/protobuf'
+import { parseJobId } from '@cherryhitch/model'
+import type { JobIdParts } from '@cherryhitch/model'
+import type { JobAnswer } from '@cherryhitch/protocol'
+import { JobAnswerSchema, JobQuerySchema, JobState, Outcome, Reason } from '@cherryhitch/protocol'
+import type { CoordinatorContext } from '../CoordinatorContext'
+import type { JobEnding } from '../jobs/JobEnding'
+import type { JobProblem } from '../jobs/jobAnswers'
+import { problem, runningAnswer, unknownAnswer } from '../jobs/jobAnswers'
+import type { Waiter } from '../jobs/Waiter'
+import type { ClaimDesk } from '../keys/ClaimDesk'
+import type { Forwarding } from './Forwarding'
+import { ForwardLoss } from './Forwarding'
+
+const UNREACHABLE_RETRY_MS = 1000
+
+const cancelled = problem(Reason.CANCELLED, 'The caller cancelled the job.')
+const coordinatorLost = problem(
+  Reason.COORDINATOR_LOST,
+  'The process that coordinated the job is gone.',
+)
+const unreachable: JobProblem = problem(
+  Reason.COORDINATOR_LOST,
+  'The coordinator of the job does not answer now; the job may still end.',
+  UNREACHABLE_RETRY_MS,
+)
+
+/** A question about a job, from a caller here or through another instance. @internal */
+export interface QueryRequest {
+  readonly jobId: string
+  readonly caller: string
+  readonly cancel: boolean
+  readonly wait: boolean
+  readonly waiter: Waiter
+}
+
+/** Answers questions about any job: its id names the instance and the boot to ask. @internal */
+export class QueryDesk {
+  constructor(
+    private readonly context: CoordinatorContext,
+    private readonly ending: JobEnding,
+    private readonly claims: ClaimDesk,
+    private readonly forwarding: Forwarding,
+  ) {}
+
+  /** A caller of this instance asks. */
+  ask(now: number, request: QueryRequest): void {
+    const id = parseJobId(request.jobId)
+    if (id === undefined) this.context.replies.give(request.waiter, undefined)
+    else if (id.coordinator === this.context.options.instance) this.answerOwn(now, request, id)
+    else this.askOther(now, request, id)
+  }
+
+  /** Another instance asks for its caller, because the id names this one. */
+  answer(now: number, request: QueryRequest): void {
+    const id = parseJobId(request.jobId)
+    if (id?.coordinator === this.context.options.instance) this.answerOwn(now, request, id)
+    else this.context.replies.give(request.waiter, undefined)
+  }
+
+  private answerOwn(now: number, request: QueryRequest, id: JobIdParts): void {
+    const { options, jobs, replies, policies } = this.context
+    const { waiter, caller } = request
+    if (id.boot !== options.boot) {
+      const isEarlier = id.boot < options.boot
+      const lost = unknownAnswer(request.jobId, coordinatorLost, policies)
+      replies.give(waiter, isEarlier ? lost : undefined)
+      return
+    }
+    const job = jobs.get(id.sequence)
+    if (job === undefined) {
+      replies.give(waiter, this.keptAnswer(now, request))
+      return
+    }
+    // Another caller's job is answered as if it were unknown, so that ids tell nothing.
+    if (job.caller !== caller) replies.give(waiter, undefined)
+    else if (request.cancel) {
+      replies.attach(job, waiter)
+      this.ending.cancel(now, job, cancelled)
+    } else if (request.wait) replies.attach(job, waiter)
+    else replies.give(waiter, runningAnswer(job, policies))
+  }
+
+  private keptAnswer(now: number, { jobId, caller }: QueryRequest): JobAnswer | undefined {
+    const kept = this.context.answers.get(now, jobId)
+    if (kept?.caller === caller) return kept.answer
+    return this.claims.abandonedAnswer(jobId, caller)
+  }
+
+  private askOther(now: number, request: QueryRequest, id: JobIdParts): void {
+    const { members, policies, replies, timing } = this.context
+    const { waiter, jobId, caller, cancel, wait } = request
+    const target = id.coordinator
+    if (members.get(target) === undefined) {
+      replies.give(waiter, undefined)
+      return
+    }
+    if (id.boot < members.bootOf(target)) {
+      replies.give(waiter, unknownAnswer(jobId, coordinatorLost, policies))
+      return
+    }
+    if (!members.isAlive(target)) {
+      replies.give(waiter, this.unreachableAnswer(jobId))
+      return
+    }
+    const forwardId = this.forwarding.ask(now, {
+      target,
+      body: (_at, requestId) => ({
+        case: 'jobQuery',
+        value: create(JobQuerySchema, { requestId, jobId, caller, cancel, wait }),
+      }),
+      expiresAt: now + (wait && !cancel ? timing.maxDeadlineMs : timing.forwardTimeoutMs),
+      resendMs: timing.forwardTimeoutMs / 2,
+      onAnswer: (_at, answer) => {
+        replies.give(waiter, answer)
+      },
+      onLost: (_at, loss) => {
+        const isRestarted = loss === ForwardLoss.TargetGone && id.boot < members.bootOf(target)
+        const lost = unknownAnswer(jobId, coordinatorLost, policies)
+        replies.give(waiter, isRestarted ? lost : this.unreachableAnswer(jobId))
+      },
+    })
+    replies.attachForward(waiter, forwardId)
+  }
+
+  /** The job's state is not known, which is no claim that it failed. */
+  private unreachableAnswer(jobId: string): JobAnswer {
+    const { version, current } = this.context.policies
+    return create(JobAnswerSchema, {
+      jobId,
+      state: JobState.UNSPECIFIED,
+      outcome: Outcome.UNKNOWN,
+      ...unreachable,
+      settingsVersion: version,
+      settingsCurrent: current,
+    })
+  }
+}
--- a/packages/coordinator/src/lib/jobs/Job.ts
+++ b/packages/coordinator/src/lib/jobs/Job.ts
@@ -28,6 +28,8 @@
    * of an earlier attempt can't be taken for one of the present attempt.
    */
   refusedBy: readonly string[]
+  /** Instances that fenced its id without ever having had it: they would refuse it. */
+  fencedAt: readonly string[]
 }
 
 /** Where a job stands with its coordinator. @internal */
@@ -53,6 +55,8 @@
   readonly traceparent: string
 }
 
+const NOBODY: readonly string[] = []
+
 /** One job that this coordinator answers for. @internal */
 export class Job {
   readonly id: string
@@ -68,10 +72,15 @@
   readonly tasks: readonly TaskRecord[]
   readonly waiters: Waiter[] = []
   phase = JobPhase.Running
+  /** The job that holds the key, for one that joined it. */
+  joinedId = ''
   /** Whether this job holds the claim of its key. */
   claimed = false
   placements = 0
+  /** Questions about late tasks so far. */
   questions = 0
+  /** Whether the time of the next question is set. */
+  questionDue = false
   private inFlightCount = 0
   private succeededCount = 0
   private failedCount = 0
@@ -93,7 +102,8 @@
       placement: undefined,
       attempt: 0,
       output: '',
-      refusedBy: [],
+      refusedBy: NOBODY,
+      fencedAt: NOBODY,
     }))
   }
 
--- a/packages/coordinator/src/lib/jobs/JobDesk.ts
+++ b/packages/coordinator/src/lib/jobs/JobDesk.ts
@@ -3,19 +3,28 @@
 import type { JobSpec } from '@cherryhitch/protocol'
 import { Reason } from '@cherryhitch/protocol'
 import type { CoordinatorContext } from '../CoordinatorContext'
-import type { Routes, TaskPlacement } from '../placement/TaskPlacement'
+import type { TaskPlacement } from '../placement/TaskPlacement'
 import { routedTask } from '../placement/TaskPlacement'
 import { DueKind } from '../timers/DueItem'
 import { Job } from './Job'
 import type { JobEnding } from './JobEnding'
 import type { JobProblem } from './jobAnswers'
-import { problem } from './jobAnswers'
+import { problem, refusedAnswer, runningAnswer } from './jobAnswers'
+import type { Waiter } from './Waiter'
 
 const NO_ENDPOINT_RETRY_MS = 1000
 const DRAINING_RETRY_MS = 100
 /** Weights of callers are not settable yet: all count the same. */
 const EVEN_WEIGHT = 1
 
+/** A job as it was submitted, here or at the instance that sent it on. @internal */
+export interface SubmitRequest {
+  readonly spec: JobSpec
+  readonly respondAsync: boolean
+  readonly waiter: Waiter
+  readonly isForwarded: boolean
+}
+
 /** Takes jobs in: gives them their id, admits or refuses them, and starts them. @internal */
 export class JobDesk {
   private lastSequence = 0
@@ -27,12 +36,54 @@
     private readonly ending: JobEnding,
   ) {}
 
-  /** Makes a job out of what a caller sent. It is not in the book yet. */
-  open(now: number, spec: JobSpec, respondAsync: boolean, contentHash: string): Job {
-    const { options, timing, policies } = this.context
+  /** Takes a job without a key. */
+  submit(now: number, request: SubmitRequest): void {
+    const job = this.admit(now, request, '')
+    if (job !== undefined) this.start(now, job)
+  }
+
+  /** @returns the job, or undefined when it was refused */
+  admit(now: number, request: SubmitRequest, contentHash: string): Job | undefined {
+    const job = this.open(now, request, contentHash)
+    const why = this.refusal(now, job)
+    if (why !== undefined) {
+      this.refuse(request, job.id, why)
+      return undefined
+    }
+    this.enter(now, job)
+    this.context.replies.attach(job, request.waiter)
+    return job
+  }
+
+  /** Refuses a submission that is not made a job. */
+  refuseUnopened(request: SubmitRequest, why: JobProblem): void {
+    this.refuse(request, this.nextId().id, why)
+  }
+
+  /** Time until the deadline of a job that arrives now. */
+  deadlineInMs(spec: JobSpec): number {
+    const { defaultDeadlineMs, maxDeadlineMs } = this.context.timing
+    const wantedMs = spec.deadlineInMs === 0 ? defaultDeadlineMs : spec.deadlineInMs
+    return Math.min(wantedMs, maxDeadlineMs)
+  }
+
+  private refuse({ spec, waiter }: SubmitRequest, jobId: string, why: JobProblem): void {
+    const { counters, policies, replies } = this.context
+    counters.refused++
+    replies.give(waiter, refusedAnswer(jobId, spec.tasks.length, why, policies))
+  }
+
+  private nextId(): { id: string; sequence: number } {
+    const { instance, boot } = this.context.options
     const sequence = ++this.lastSequence
-    const id = formatJobId({ coordinator: options.instance, boot: options.boot, sequence })
-    const wantedMs = spec.deadlineInMs === 0 ? timing.defaultDeadlineMs : spec.deadlineInMs
+    return { id: formatJobId({ coordinator: instance, boot, sequence }), sequence }
+  }
+
+  /** Makes a job out of what a caller sent. It is not in the book yet. */
+  private open(now: number, request: SubmitRequest, contentHash: string): Job {
+    const { policies } = this.context
+    const { spec, respondAsync } = request
+    const { id, sequence } = this.nextId()
     const estimatesMs = spec.tasks.map((task) =>
       policies.estimator.estimate({
         caller: spec.caller,
@@ -45,7 +96,7 @@
       sequence,
       spec,
       startedAt: now,
-      deadlineAt: now + Math.min(wantedMs, timing.maxDeadlineMs),
+      deadlineAt: now + this.deadlineInMs(spec),
       respondAsync,
       estimatesMs,
       contentHash,
@@ -54,7 +105,7 @@
   }
 
   /** @returns why the job is refused, or undefined when it is admitted */
-  refusal(now: number, job: Job): JobProblem | undefined {
+  private refusal(now: number, job: Job): JobProblem | undefined {
     if (this.draining) {
       const detail = 'This instance is draining; another one takes the job.'
       return problem(Reason.DRAINING, detail, DRAINING_RETRY_MS)
@@ -68,27 +119,22 @@
   }
 
   /** Enters an admitted job into the book; from here on it has a deadline. */
-  enter(now: number, job: Job): void {
+  private enter(now: number, job: Job): void {
     this.context.jobs.add(job)
     this.context.policies.retries.noteFresh(now, job.tasks.length)
     this.context.due.schedule(job.deadlineAt, { kind: DueKind.Deadline, sequence: job.sequence })
   }
 
-  /** @returns undefined when some task of the job has no owner now */
-  route(now: number, job: Job): Routes | undefined {
-    return this.placement.route(now, job, job.tasks)
-  }
-
   /** Places all tasks of a job, or refuses it as a whole. */
-  start(now: number, job: Job): boolean {
-    const routes = this.route(now, job)
+  start(now: number, job: Job): void {
+    const routes = this.placement.route(now, job, job.tasks)
     if (routes === undefined) {
       const detail = 'No endpoint of a service that the job needs is known now.'
       this.ending.refuse(now, job, problem(Reason.NO_ENDPOINT, detail, NO_ENDPOINT_RETRY_MS))
-      return false
+      return
     }
     this.placement.send(now, job, routes)
-    return true
+    this.context.replies.answerAsync(job, runningAnswer(job, this.context.policies))
   }
 
   private malformed(now: number, job: Job): JobProblem | undefined {
@@ -108,7 +154,7 @@
       caller: job.caller,
       tasks: job.tasks.map(routedTask),
       deadlineAt: job.deadlineAt,
-      offers: members.offers(now),
+      offers: members.offers,
       jobsInFlight: jobs.size,
       callerTasksInFlight: ownTasks,
       tasksInFlight: jobs.tasksInFlight,
--- a/packages/coordinator/src/lib/jobs/JobEnding.ts
+++ b/packages/coordinator/src/lib/jobs/JobEnding.ts
@@ -1,6 +1,7 @@
 import type { JobAnswer } from '@cherryhitch/protocol'
 import { JobState } from '@cherryhitch/protocol'
 import type { CoordinatorContext } from '../CoordinatorContext'
+import { formatKeyId } from '../keys/KeyBook'
 import type { TaskFlight } from '../placement/TaskFlight'
 import type { Job } from './Job'
 import { JobPhase } from './Job'
@@ -50,12 +51,19 @@
     this.end(now, job, answer)
   }
 
+  /** Forgets a job whose waiters were answered, or wait for another job now. */
+  dissolve(job: Job): void {
+    job.phase = JobPhase.Ended
+    this.context.jobs.remove(job)
+    this.context.keys.forget(formatKeyId(job.caller, job.spec.submissionKey), job.id)
+  }
+
   private end(now: number, job: Job, answer: JobAnswer): void {
     if (job.phase === JobPhase.Ended) return
     const before = job.phase
     job.phase = JobPhase.Ended
-    const { outbox, jobs } = this.context
-    for (const waiter of job.waiters) outbox.reply(waiter, answer)
+    const { outbox, jobs, replies } = this.context
+    for (const waiter of job.waiters) replies.give(waiter, answer)
     const owners = this.flight.abandon(now, job)
     for (const owner of owners) outbox.cancel(owner, job.id, answer.reason)
     jobs.remove(job)
--- a/packages/coordinator/src/lib/jobs/Placement.ts
+++ b/packages/coordinator/src/lib/jobs/Placement.ts
@@ -9,3 +9,8 @@
   open: number
   ok: boolean
 }
+
+/** @internal */
+export function newPlacement(now: number, owner: string, boot: number, spanId: string): Placement {
+  return { owner, boot, placedAt: now, spanId, open: 0, ok: true }
+}
--- a/packages/coordinator/src/lib/jobs/Waiter.ts
+++ b/packages/coordinator/src/lib/jobs/Waiter.ts
@@ -8,17 +8,27 @@
 
 /** Somebody who waits for a job's end. @internal */
 export type Waiter =
-  | { readonly kind: WaiterKind.Local; readonly requestId: string }
-  | { readonly kind: WaiterKind.Remote; readonly instance: string; readonly requestId: string }
+  | {
+      readonly kind: WaiterKind.Local
+      readonly requestId: string
+      /** It is answered as soon as the job runs. */
+      readonly respondAsync: boolean
+    }
+  | {
+      readonly kind: WaiterKind.Remote
+      readonly instance: string
+      readonly requestId: string
+      readonly respondAsync: boolean
+    }
 
 /** @internal */
-export function localWaiter(requestId: string): Waiter {
-  return { kind: WaiterKind.Local, requestId }
+export function localWaiter(requestId: string, respondAsync: boolean): Waiter {
+  return { kind: WaiterKind.Local, requestId, respondAsync }
 }
 
 /** @internal */
-export function remoteWaiter(instance: string, requestId: string): Waiter {
-  return { kind: WaiterKind.Remote, instance, requestId }
+export function remoteWaiter(instance: string, requestId: string, respondAsync: boolean): Waiter {
+  return { kind: WaiterKind.Remote, instance, requestId, respondAsync }
 }
 
 /** Tells whether both are the same request: a resent one must not be answered twice. @internal */
--- a/packages/coordinator/src/lib/jobs/jobAnswers.ts
+++ b/packages/coordinator/src/lib/jobs/jobAnswers.ts
@@ -44,7 +44,7 @@
 /** @internal */
 export function runningAnswer(job: Job, stamp: SettingsStamp): JobAnswer {
   return create(JobAnswerSchema, {
-    jobId: job.id,
+    jobId: job.joinedId === '' ? job.id : job.joinedId,
     state: JobState.RUNNING,
     settingsVersion: stamp.version,
     settingsCurrent: stamp.current,
--- /dev/null
+++ b/packages/coordinator/src/lib/keys/ClaimDesk.ts
@@ -0,0 +1,276 @@
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
+import { parseJobId } from '@cherryhitch/model'
+import type { ClaimAnswer, JobAnswer } from '@cherryhitch/protocol'
+import {
+  ClaimEndSchema,
+  ClaimState,
+  ClaimVerdict,
+  JobAnswerSchema,
+  JobQuerySchema,
+  KeyClaimSchema,
+  Outcome,
+  Reason,
+} from '@cherryhitch/protocol'
+import type { CoordinatorContext } from '../CoordinatorContext'
+import type { Forwarding } from '../forwarding/Forwarding'
+import type { Job } from '../jobs/Job'
+import { JobPhase } from '../jobs/Job'
+import { problem, runningAnswer } from '../jobs/jobAnswers'
+import type { JobDesk } from '../jobs/JobDesk'
+import type { JobEnding } from '../jobs/JobEnding'
+
+const QUORUM_RETRY_MS = 1000
+const NOTHING = new Uint8Array(0)
+
+const noQuorum = problem(
+  Reason.NO_QUORUM,
+  'The key could not be claimed, because the voters can not be reached; the job did not run.',
+  QUORUM_RETRY_MS,
+)
+const claimsFull = problem(
+  Reason.QUEUE_FULL,
+  'The bound on kept submission keys is reached; the job did not run.',
+  QUORUM_RETRY_MS,
+)
+const keyReused = problem(
+  Reason.KEY_REUSED,
+  'The submission key was used before with other content; this submission did not run.',
+)
+const outcomeUnknown = problem(
+  Reason.KEY_OUTCOME_UNKNOWN,
+  'A job with this key may have run at a coordinator that is lost; it is not run again.',
+)
+
+/** What is remembered of a job that was given up before its claim was answered. @internal */
+export interface AbandonedClaim {
+  readonly caller: string
+  readonly submissionKey: string
+  readonly answer: JobAnswer
+}
+
+/**
+ * Claims the keys of non-idempotent jobs in the quorum. A job is dispatched only after its claim
+ * was granted, and only once.
+ *
+ * @internal
+ */
+export class ClaimDesk {
+  private readonly abandoned = new Map<string, AbandonedClaim>()
+
+  constructor(
+    private readonly context: CoordinatorContext,
+    private readonly desk: JobDesk,
+    private readonly ending: JobEnding,
+    private readonly forwarding: Forwarding,
+  ) {
+    ending.listen((now, job, answer, before) => {
+      this.jobEnded(now, job, answer, before)
+    })
+  }
+
+  start(now: number, job: Job): void {
+    job.phase = JobPhase.Claiming
+    this.context.outbox.claim(
+      create(KeyClaimSchema, {
+        caller: job.caller,
+        submissionKey: job.spec.submissionKey,
+        jobId: job.id,
+        contentHash: job.contentHash,
+        atMs: now,
+      }),
+    )
+  }
+
+  /** The answer that an abandoned job got; it truly did not run. */
+  abandonedAnswer(jobId: string, caller: string): JobAnswer | undefined {
+    const claim = this.abandoned.get(jobId)
+    return claim?.caller === caller ? claim.answer : undefined
+  }
+
+  takeAnswer(
+    now: number,
+    jobId: string,
+    answer: ClaimAnswer | undefined,
+    mayBeClaimed: boolean,
+  ): void {
+    const job = this.findClaiming(jobId)
+    if (job === undefined) {
+      this.settleAbandoned(now, jobId, answer, mayBeClaimed)
+      return
+    }
+    if (answer !== undefined) {
+      this.decide(now, job, answer)
+      return
+    }
+    this.ending.refuse(now, job, noQuorum)
+    this.settleAbandoned(now, jobId, undefined, mayBeClaimed)
+  }
+
+  private findClaiming(jobId: string): Job | undefined {
+    const id = parseJobId(jobId)
+    const { options, jobs } = this.context
+    if (id?.coordinator !== options.instance || id.boot !== options.boot) return undefined
+    const job = jobs.get(id.sequence)
+    return job?.phase === JobPhase.Claiming ? job : undefined
+  }
+
+  private decide(now: number, job: Job, answer: ClaimAnswer): void {
+    switch (answer.verdict) {
+      case ClaimVerdict.GRANTED:
+        this.dispatch(now, job)
+        return
+      case ClaimVerdict.HELD:
+        this.followHolder(now, job, answer)
+        return
+      case ClaimVerdict.MISMATCH:
+        this.ending.refuse(now, job, keyReused)
+        this.abandoned.delete(job.id)
+        return
+      case ClaimVerdict.FULL:
+        this.ending.refuse(now, job, claimsFull)
+        this.abandoned.delete(job.id)
+        return
+      case ClaimVerdict.UNSPECIFIED:
+      default:
+        // Not understood, so it may be claimed: the release makes the refusal true for good.
+        this.ending.refuse(now, job, noQuorum)
+        this.settleAbandoned(now, job.id, undefined, true)
+    }
+  }
+
+  private dispatch(now: number, job: Job): void {
+    job.phase = JobPhase.Running
+    job.claimed = true
+    this.desk.start(now, job)
+  }
+
+  /** Another job holds the key: its answer is the answer to this one. */
+  private followHolder(now: number, job: Job, answer: ClaimAnswer): void {
+    if (answer.state === ClaimState.UNSPECIFIED) {
+      this.ending.refuse(now, job, noQuorum)
+      this.abandoned.delete(job.id)
+      return
+    }
+    this.context.counters.keyHits++
+    job.phase = JobPhase.Joining
+    if (answer.state === ClaimState.ENDED) {
+      this.endWithKept(now, job, answer.answer)
+      return
+    }
+    const holder = parseJobId(answer.jobId)
+    const { options, members } = this.context
+    if (holder === undefined || !members.isPresent(holder.coordinator, holder.boot)) {
+      this.ending.fail(now, job, outcomeUnknown)
+    } else if (holder.coordinator === options.instance) {
+      this.joinLocal(now, job, answer.jobId, holder.sequence)
+    } else this.joinRemote(now, job, answer.jobId, holder.coordinator)
+  }
+
+  private endWithKept(now: number, job: Job, bytes: Uint8Array): void {
+    const kept = decodeAnswer(bytes)
+    if (kept === undefined) this.ending.fail(now, job, outcomeUnknown)
+    else this.ending.endWith(now, job, kept)
+  }
+
+  private joinLocal(now: number, job: Job, holderId: string, sequence: number): void {
+    const { jobs, answers, replies, policies } = this.context
+    const holder = jobs.get(sequence)
+    if (holder !== undefined && holder !== job) {
+      job.joinedId = holderId
+      replies.answerAsync(job, runningAnswer(job, policies))
+      replies.move(job, holder)
+      this.ending.dissolve(job)
+      return
+    }
+    const kept = answers.get(now, holderId)?.answer ?? this.abandonedAnswer(holderId, job.caller)
+    if (kept === undefined) this.ending.fail(now, job, outcomeUnknown)
+    else this.ending.endWith(now, job, kept)
+  }
+
+  private joinRemote(now: number, job: Job, holderId: string, target: string): void {
+    const { timing, jobs, replies, policies } = this.context
+    const { sequence, caller } = job
+    job.joinedId = holderId
+    replies.answerAsync(job, runningAnswer(job, policies))
+    if (job.waiters.length === 0) {
+      this.ending.dissolve(job)
+      return
+    }
+    const end = (at: number, answer: JobAnswer | undefined): void => {
+      // The job may have reached its deadline meanwhile.
+      if (jobs.get(sequence) !== job) return
+      if (answer === undefined) this.ending.fail(at, job, outcomeUnknown)
+      else this.ending.endWith(at, job, answer)
+    }
+    this.forwarding.ask(now, {
+      target,
+      body: (_at, requestId) => ({
+        case: 'jobQuery',
+        value: create(JobQuerySchema, { requestId, jobId: holderId, caller, wait: true }),
+      }),
+      expiresAt: job.deadlineAt,
+      resendMs: timing.forwardTimeoutMs,
+      onAnswer: end,
+      onLost: (at) => {
+        end(at, undefined)
+      },
+    })
+  }
+
+  private jobEnded(now: number, job: Job, answer: JobAnswer, before: JobPhase): void {
+    if (before === JobPhase.Claiming) this.abandon(job, answer)
+    if (!job.claimed) return
+    // A job that truly did not run gives its key back, so that a resend may run.
+    const isUnused = answer.outcome === Outcome.NOT_RUN
+    const bytes = isUnused ? NOTHING : toBinary(JobAnswerSchema, answer)
+    this.endClaim(now, job.id, job.caller, job.spec.submissionKey, bytes)
+  }
+
+  private abandon(job: Job, answer: JobAnswer): void {
+    const { caller, spec } = job
+    this.abandoned.set(job.id, { caller, submissionKey: spec.submissionKey, answer })
+    for (const oldest of this.abandoned.keys()) {
+      if (this.abandoned.size <= this.context.limits.abandonedClaims) return
+      this.abandoned.delete(oldest)
+    }
+  }
+
+  /**
+   * Gives the key of an abandoned job back where its claim was or may still be committed. The
+   * release also stands in the log against a claim that is committed after it.
+   */
+  private settleAbandoned(
+    now: number,
+    jobId: string,
+    answer: ClaimAnswer | undefined,
+    mayBeClaimed: boolean,
+  ): void {
+    const claim = this.abandoned.get(jobId)
+    if (claim === undefined) return
+    const isGranted = answer?.verdict === ClaimVerdict.GRANTED
+    if (isGranted || (answer === undefined && mayBeClaimed)) {
+      this.endClaim(now, jobId, claim.caller, claim.submissionKey, NOTHING)
+      return
+    }
+    this.abandoned.delete(jobId)
+  }
+
+  private endClaim(
+    now: number,
+    jobId: string,
+    caller: string,
+    submissionKey: string,
+    answer: Uint8Array,
+  ): void {
+    const end = create(ClaimEndSchema, { caller, submissionKey, jobId, answer, atMs: now })
+    this.context.outbox.endClaim(end)
+  }
+}
+
+function decodeAnswer(bytes: Uint8Array): JobAnswer | undefined {
+  try {
+    return fromBinary(JobAnswerSchema, bytes)
+  } catch {
+    return undefined
+  }
+}
--- a/packages/coordinator/src/lib/members/MemberBook.ts
+++ b/packages/coordinator/src/lib/members/MemberBook.ts
@@ -1,6 +1,8 @@
 import type { InstanceView } from '@cherryhitch/model'
 import type { OwnerOffer } from '@cherryhitch/policy'
 import { InstanceState } from '@cherryhitch/protocol'
+import type { MemberChange } from './MemberChange'
+import { MemberChangeKind } from './MemberChange'
 import { UnreportedTasks } from './UnreportedTasks'
 
 /** An offer that is kept up to date in place, so that placing a job builds no list. */
@@ -8,23 +10,17 @@
   unreported: number
 }
 
-interface OfferEntry {
-  readonly offer: LiveOffer
-  readonly heardAt: number
-}
-
 /** What this coordinator knows of the instances. @internal */
 export class MemberBook {
   private byName = new Map<string, InstanceView>()
-  private entries: OfferEntry[] = []
   private offerList: readonly OwnerOffer[] = []
   private readonly offerOf = new Map<string, LiveOffer>()
   private readonly unreported = new Map<string, UnreportedTasks>()
-  private oldestHeardAt = Infinity
   private servingNames: readonly string[] = []
 
   constructor(
     private readonly self: string,
+    private readonly selfBoot: number,
     private readonly silentMs: number,
   ) {}
 
@@ -33,15 +29,17 @@
     return this.servingNames
   }
 
-  get(instance: string): InstanceView | undefined {
-    return this.byName.get(instance)
+  /** Offers of live owners; see `update`. */
+  get offers(): readonly OwnerOffer[] {
+    return this.offerList
   }
 
-  all(): Iterable<InstanceView> {
-    return this.byName.values()
+  get(instance: string): InstanceView | undefined {
+    return this.byName.get(instance)
   }
 
   bootOf(instance: string): number {
+    if (instance === this.self) return this.selfBoot
     return this.byName.get(instance)?.boot ?? 0
   }
 
@@ -49,31 +47,44 @@
     return instance === this.self || (this.byName.get(instance)?.alive ?? false)
   }
 
-  update(members: readonly InstanceView[]): void {
-    const previous = this.byName
-    this.byName = new Map(members.map((member) => [member.instance, member]))
-    this.entries = []
-    this.offerOf.clear()
-    this.oldestHeardAt = Infinity
-    this.servingNames = members.filter(isServing).map((member) => member.instance)
-    for (const member of members) {
-      if (isServing(member)) this.takeOffers(member, previous.get(member.instance))
-    }
-    this.offerList = this.entries.map((entry) => entry.offer)
+  /** Whether an instance lives in the very boot. */
+  isPresent(instance: string, boot: number): boolean {
+    return this.isAlive(instance) && this.bootOf(instance) === boot
+  }
+
+  /** When an instance was last heard of; long ago when it is not known. */
+  heardAt(instance: string): number {
+    return this.byName.get(instance)?.heardAt ?? -Infinity
+  }
+
+  /** Other live instances of the zone of an instance. */
+  zoneMates(instance: string): readonly string[] {
+    const zone = this.byName.get(instance)?.zone
+    const mates = [...this.byName.values()].filter((member) => member.zone === zone && member.alive)
+    return mates.map((member) => member.instance).filter((name) => name !== instance)
   }
 
   /**
-   * Offers of live owners. An owner that was silent for a while is left out where another one
-   * offers the same service.
+   * Takes a new view in. An owner that was silent for a while is left out of the offers where
+   * another one offers the same service. Silence is measured at the time of the view, because
+   * views come only when something changed.
    */
-  offers(now: number): readonly OwnerOffer[] {
-    if (now - this.oldestHeardAt <= this.silentMs) return this.offerList
-    const fresh = this.entries.filter((entry) => now - entry.heardAt <= this.silentMs)
-    const covered = new Set(fresh.map((entry) => entry.offer.service))
-    const usable = this.entries.filter(
-      (entry) => now - entry.heardAt <= this.silentMs || !covered.has(entry.offer.service),
-    )
-    return usable.map((entry) => entry.offer)
+  update(now: number, members: readonly InstanceView[]): readonly MemberChange[] {
+    const previous = this.byName
+    this.byName = new Map(members.map((member) => [member.instance, member]))
+    const serving = members.filter(isServing)
+    this.servingNames = serving.map((member) => member.instance)
+    this.offerOf.clear()
+    const silent: LiveOffer[] = []
+    const fresh: LiveOffer[] = []
+    for (const member of serving) {
+      const isSilent = !member.self && now - member.heardAt > this.silentMs
+      const offers = this.takeOffers(member, previous.get(member.instance))
+      if (isSilent) silent.push(...offers)
+      else fresh.push(...offers)
+    }
+    this.offerList = withoutCovered(silent, fresh)
+    return this.changesSince(previous)
   }
 
   /** Predicted wait at an owner, in milliseconds. */
@@ -105,13 +116,24 @@
     if (offer !== undefined) offer.unreported = tasks.count
   }
 
-  private takeOffers(member: InstanceView, before: InstanceView | undefined): void {
+  private changesSince(previous: ReadonlyMap<string, InstanceView>): readonly MemberChange[] {
+    const changes: MemberChange[] = []
+    for (const before of previous.values()) {
+      const { instance, boot } = before
+      if (before.self) continue
+      const after = this.byName.get(instance)
+      const kind = changeKind(before, after)
+      const heardAt = after?.boot === boot ? after.heardAt : before.heardAt
+      if (kind !== undefined) changes.push({ kind, instance, boot, heardAt })
+    }
+    return changes
+  }
+
+  private takeOffers(member: InstanceView, before: InstanceView | undefined): LiveOffer[] {
     const isNew = before?.services !== member.services
     // What was on its way when the summary was made may be missing in it.
     const cutoff = member.heardAt - member.roundTripMs
-    const heardAt = member.self ? Infinity : member.heardAt
-    this.oldestHeardAt = Math.min(this.oldestHeardAt, heardAt)
-    for (const summary of member.services) {
+    return member.services.map((summary) => {
       const key = offerKey(member.instance, summary.service)
       const tasks = this.unreported.get(key)
       if (isNew) tasks?.forgetBefore(cutoff)
@@ -128,12 +150,31 @@
         roundTripMs: member.self ? 0 : member.roundTripMs,
         unreported: tasks?.count ?? 0,
       }
-      this.entries.push({ offer, heardAt })
       this.offerOf.set(key, offer)
-    }
+      return offer
+    })
   }
 }
 
+function changeKind(
+  before: InstanceView,
+  after: InstanceView | undefined,
+): MemberChangeKind | undefined {
+  if (after !== undefined && after.boot !== before.boot) return MemberChangeKind.Restarted
+  const isAlive = after?.alive ?? false
+  if (before.alive === isAlive) return undefined
+  return isAlive ? MemberChangeKind.Back : MemberChangeKind.Lost
+}
+
+function withoutCovered(
+  silent: readonly LiveOffer[],
+  fresh: readonly LiveOffer[],
+): readonly LiveOffer[] {
+  if (silent.length === 0) return fresh
+  const covered = new Set(fresh.map((offer) => offer.service))
+  return [...fresh, ...silent.filter((offer) => !covered.has(offer.service))]
+}
+
 function isServing(member: InstanceView): boolean {
   return member.alive && member.state === InstanceState.SERVING
 }
--- a/packages/coordinator/src/lib/placement/Retries.ts
+++ b/packages/coordinator/src/lib/placement/Retries.ts
@@ -3,7 +3,7 @@
 import { Reason } from '@cherryhitch/protocol'
 import type { CoordinatorContext } from '../CoordinatorContext'
 import type { Job, TaskRecord } from '../jobs/Job'
-import { TaskPhase } from '../jobs/Job'
+import { JobPhase, TaskPhase } from '../jobs/Job'
 import type { JobEnding } from '../jobs/JobEnding'
 import type { JobProblem } from '../jobs/jobAnswers'
 import { problem } from '../jobs/jobAnswers'
@@ -38,6 +38,7 @@
    * The delay is drawn once for tasks of equal attempts, so that they go out in one message.
    */
   consider(now: number, job: Job, tasks: readonly TaskRecord[], why: JobProblem): void {
+    if (isDecidedAtDeadline(job, why)) return
     if (!worthRetrying.has(why.reason)) {
       this.ending.fail(now, job, why)
       return
@@ -62,6 +63,7 @@
 
   /** The delay of some tasks is over. */
   placeAgain(now: number, job: Job, indexes: readonly number[]): void {
+    if (job.phase !== JobPhase.Running) return
     const waiting = indexes.flatMap((index) => job.tasks[index] ?? []).filter(isWaiting)
     const groups = groupBy(waiting, (task) => task.refusedBy.join(' '))
     const planned = []
@@ -99,6 +101,15 @@
   return problem(report.reason, report.detail, report.retryAfterMs)
 }
 
+/**
+ * An owner dropped tasks because their deadline passed, which is a little before the job's. The
+ * other owners give their word in the same moment, so the job ends with the last of them, or at
+ * its deadline: it may turn out that none of it ran.
+ */
+function isDecidedAtDeadline(job: Job, why: JobProblem): boolean {
+  return why.reason === Reason.DEADLINE_PASSED && job.inFlight > 0 && job.tasksEnded === 0
+}
+
 function isWaiting(task: TaskRecord): boolean {
   return task.phase === TaskPhase.Waiting
 }
--- a/packages/coordinator/src/lib/placement/TaskPlacement.ts
+++ b/packages/coordinator/src/lib/placement/TaskPlacement.ts
@@ -5,13 +5,15 @@
 import { PlacedTaskSchema, PlaceTasksSchema } from '@cherryhitch/protocol'
 import type { CoordinatorContext } from '../CoordinatorContext'
 import type { Job, TaskRecord } from '../jobs/Job'
-import type { Placement } from '../jobs/Placement'
+import { newPlacement } from '../jobs/Placement'
 import { DueKind } from '../timers/DueItem'
 import type { TaskFlight } from './TaskFlight'
 import { serviceOf } from './TaskFlight'
 
 /** A task is asked after once it takes this many times as long as it was expected to. */
 const LATE_FACTOR = 3
+/** Largest share of the time left that owners may lose for the earlier deadline. */
+const MAX_MARGIN_SHARE = 0.05
 
 /** Which owner gets each of some tasks. @internal */
 export type Routes = ReadonlyMap<string, readonly TaskRecord[]>
@@ -26,7 +28,7 @@
   /** @returns undefined when some task has no owner that could take it */
   route(now: number, job: Job, tasks: readonly TaskRecord[]): Routes | undefined {
     const { policies, members, options } = this.context
-    const offers = withoutRefusing(members.offers(now), tasks)
+    const offers = withoutRefusing(members.offers, tasks)
     const assigned = policies.router.assign(now, options.zone, tasks.map(routedTask), offers)
     if (assigned.length < tasks.length) return undefined
     const routes = new Map<string, TaskRecord[]>()
@@ -52,19 +54,13 @@
   private sendTo(now: number, job: Job, owner: string, tasks: readonly TaskRecord[]): void {
     const { outbox, counters, members, options } = this.context
     const traceparent = deriveTraceparent(job.traceparent, `${job.id}/place/${job.placements++}`)
-    const placement: Placement = {
-      owner,
-      boot: members.bootOf(owner),
-      placedAt: now,
-      spanId: parseTraceparent(traceparent)?.spanId ?? '',
-      open: 0,
-      ok: true,
-    }
+    const spanId = parseTraceparent(traceparent)?.spanId ?? ''
+    const placement = newPlacement(now, owner, members.bootOf(owner), spanId)
     for (const task of tasks) this.flight.place(now, task, placement)
     const value = create(PlaceTasksSchema, {
       jobId: job.id,
       caller: job.caller,
-      deadlineInMs: Math.max(0, job.deadlineAt - now),
+      deadlineInMs: this.ownerDeadlineInMs(now, job),
       idempotent: job.spec.idempotent,
       jobRemaining: job.remaining,
       traceparent,
@@ -76,6 +72,16 @@
     outbox.send(owner, { case: 'placeTasks', value })
   }
 
+  /**
+   * Owners get a slightly earlier deadline than the caller's: what was still queued is reported
+   * as not run in time for an answer that says so.
+   */
+  private ownerDeadlineInMs(now: number, job: Job): number {
+    const leftMs = Math.max(0, job.deadlineAt - now)
+    const marginMs = Math.min(this.context.timing.ownerDeadlineMarginMs, leftMs * MAX_MARGIN_SHARE)
+    return leftMs - marginMs
+  }
+
   private expectedMs(owner: string, tasks: readonly TaskRecord[]): number {
     let longest = 0
     for (const task of tasks) {
@@ -87,17 +93,18 @@
 
   private scheduleQuestion(now: number, job: Job, expectedMs: number): void {
     const at = now + Math.max(this.context.timing.askAfterMs, LATE_FACTOR * expectedMs)
-    if (at >= job.deadlineAt) return
+    if (at >= job.deadlineAt || job.questionDue) return
+    job.questionDue = true
     this.context.due.schedule(at, { kind: DueKind.AskAfterLate, sequence: job.sequence })
   }
 }
 
-/** No owner that said "not run" gets the task again; see `TaskRecord.refusedBy`. */
+/** No owner that said "not run", or where the id is fenced, gets the task again. */
 function withoutRefusing(
   offers: readonly OwnerOffer[],
   tasks: readonly TaskRecord[],
 ): readonly OwnerOffer[] {
-  const refusing = new Set(tasks.flatMap((task) => task.refusedBy))
+  const refusing = new Set(tasks.flatMap((task) => [...task.refusedBy, ...task.fencedAt]))
   if (refusing.size === 0) return offers
   return offers.filter((offer) => !refusing.has(offer.instance))
 }
