--- /dev/null
+++ b/packages/control/src/lib/node/ClientEvent.ts
@@ -0,0 +1,69 @@
+import type {
+  Command,
+  CommandAnswer,
+  Envelope,
+  EnvelopeBody,
+  ReadControlReply,
+  SettingsState,
+} from '@cherryhitch/protocol'
+
+/** What the client part of an instance is told. @internal */
+export enum ClientEventKind {
+  Propose = 'propose',
+  Read = 'read',
+  Received = 'received',
+  LocalSettings = 'local_settings',
+  PeerSeen = 'peer_seen',
+}
+
+/** @internal */
+export type ClientEvent =
+  | {
+      readonly kind: ClientEventKind.Propose
+      readonly command: Command
+      /** After this the answer is given as it stands: not accepted, or unknown. */
+      readonly timeoutMs: number
+    }
+  | {
+      readonly kind: ClientEventKind.Read
+      readonly readId: string
+      readonly auditFrom: number
+      readonly auditLimit: number
+    }
+  | {
+      readonly kind: ClientEventKind.Received
+      readonly from: string
+      readonly body: EnvelopeBody
+    }
+  /** The voter of this instance knows these settings to be committed. */
+  | { readonly kind: ClientEventKind.LocalSettings; readonly settings: SettingsState }
+  /** An instance of the own zone, and the version that it says it has. */
+  | {
+      readonly kind: ClientEventKind.PeerSeen
+      readonly instance: string
+      readonly settingsVersion: number
+    }
+
+/** What the client part asks its shell to do. @internal */
+export enum ClientActionKind {
+  Send = 'send',
+  Answered = 'answered',
+  ReadAnswered = 'read_answered',
+  SettingsChanged = 'settings_changed',
+}
+
+/** @internal */
+export type ClientAction =
+  | { readonly kind: ClientActionKind.Send; readonly to: string; readonly envelope: Envelope }
+  | { readonly kind: ClientActionKind.Answered; readonly answer: CommandAnswer }
+  | {
+      readonly kind: ClientActionKind.ReadAnswered
+      readonly readId: string
+      readonly reply: ReadControlReply
+    }
+  | {
+      readonly kind: ClientActionKind.SettingsChanged
+      readonly settings: SettingsState
+      /** False while the lease on them has run out: they are the newest known here. */
+      readonly current: boolean
+    }
--- /dev/null
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -0,0 +1,280 @@
+import type {
+  ClaimAnswer,
+  ClaimEnd,
+  Command,
+  CommandAnswer,
+  Envelope,
+  EnvelopeBody,
+  KeyClaim,
+  ReadControlReply,
+  VotersStatus,
+} from '@cherryhitch/protocol'
+import { exhaustive } from '@cherryhitch/model'
+import type { Clock } from '@cherryhitch/runtime'
+import type { ControlError } from '../errors/ControlError'
+import { ControlActionKind, VoterRole } from '../voter/ControlAction'
+import type { ControlAction, PersistBatch } from '../voter/ControlAction'
+import { ControlEventKind } from '../voter/ControlEvent'
+import type { ControlEvent } from '../voter/ControlEvent'
+import type { VoterMachine } from '../voter/VoterMachine'
+import { ClaimBatcher } from './ClaimBatcher'
+import { ClaimEndBatcher } from './ClaimEndBatcher'
+import { ClientActionKind, ClientEventKind } from './ClientEvent'
+import type { ClientAction, ClientEvent } from './ClientEvent'
+import type { ClientMachine } from './ClientMachine'
+import type { ClientTiming } from './ClientOptions'
+import type { KnownSettings } from './ControlNode'
+import type { ControlNodeOptions } from './ControlNodeOptions'
+
+/** What waits in the mailbox of an instance's control part. @internal */
+export type NodeEvent =
+  | { readonly to: NodePart.Voter; readonly event: ControlEvent }
+  | { readonly to: NodePart.Client; readonly event: ClientEvent }
+  /** Claims or ends wait; those of one turn of the event loop share a command. */
+  | { readonly to: NodePart.Batches }
+  | { readonly to: NodePart.Timer }
+
+/** @internal */
+export enum NodePart {
+  Voter = 'voter',
+  Client = 'client',
+  Batches = 'batches',
+  Timer = 'timer',
+}
+
+/** @internal */
+export interface ControlHostParts {
+  readonly options: ControlNodeOptions
+  readonly clock: Clock
+  readonly timing: ClientTiming
+  readonly client: ClientMachine
+  readonly voter: VoterMachine | undefined
+  readonly diskId: string | undefined
+  readonly tell: (event: NodeEvent) => void
+  readonly persist: (batch: PersistBatch) => void
+}
+
+type Done<T> = (value: T) => void
+
+/** Holds the machines of an instance and carries out what they ask for. @internal */
+export class ControlHost {
+  readonly diskId: string | undefined
+  readonly #parts: ControlHostParts
+  readonly #answers = new Map<string, Done<CommandAnswer>[]>()
+  readonly #reads = new Map<string, Done<ReadControlReply>>()
+  readonly #claims: ClaimBatcher
+  readonly #ends: ClaimEndBatcher
+  readonly #counters = {
+    messages_sent: 0,
+    persists: 0,
+    entries_persisted: 0,
+    entries_applied: 0,
+    elections_won: 0,
+    reads: 0,
+    proposals: 0,
+  }
+
+  constructor(parts: ControlHostParts) {
+    this.#parts = parts
+    this.diskId = parts.diskId
+    const { instance, boot } = parts.options
+    this.#claims = new ClaimBatcher(`${instance}.${boot}`)
+    this.#ends = new ClaimEndBatcher(`${instance}.${boot}`)
+  }
+
+  receive(from: string, boot: number, body: EnvelopeBody): void {
+    if (this.#isForVoter(body)) {
+      const event = { kind: ControlEventKind.Received as const, from, boot, body }
+      this.#parts.tell({ to: NodePart.Voter, event })
+    } else {
+      this.#tellClient({ kind: ClientEventKind.Received, from, body })
+    }
+  }
+
+  notePeer(instance: string, settingsVersion: number): void {
+    this.#tellClient({ kind: ClientEventKind.PeerSeen, instance, settingsVersion })
+  }
+
+  propose(command: Command, done: Done<CommandAnswer>): void {
+    const { commandId } = command
+    this.#answers.set(commandId, [...(this.#answers.get(commandId) ?? []), done])
+    const timeoutMs = this.#parts.timing.proposalTimeoutMs
+    this.#tellClient({ kind: ClientEventKind.Propose, command, timeoutMs })
+  }
+
+  claim(claim: KeyClaim, done: Done<ClaimAnswer | ControlError | undefined>): void {
+    const deadline = this.#parts.clock.now() + this.#parts.timing.claimTimeoutMs
+    this.#claims.add({
+      claim,
+      deadline,
+      done: (outcome) => {
+        done(outcome.val)
+      },
+    })
+    this.#parts.tell({ to: NodePart.Batches })
+  }
+
+  endClaim(end: ClaimEnd): void {
+    this.#ends.add(end)
+    this.#parts.tell({ to: NodePart.Batches })
+  }
+
+  read(auditFrom: number, auditLimit: number, done: Done<ReadControlReply>): void {
+    const readId = `read.${++this.#counters.reads}`
+    this.#reads.set(readId, done)
+    this.#tellClient({ kind: ClientEventKind.Read, readId, auditFrom, auditLimit })
+  }
+
+  settings(): KnownSettings | undefined {
+    const { client, clock } = this.#parts
+    const { settings } = client
+    return settings && { settings, current: client.isCurrent(clock.now()) }
+  }
+
+  status(): VotersStatus | undefined {
+    const { voter, client, clock } = this.#parts
+    return voter?.status(clock.now()) ?? client.voters
+  }
+
+  isLeader(): boolean {
+    return this.#parts.voter?.role === VoterRole.Leader
+  }
+
+  leader(): string {
+    const { voter, client } = this.#parts
+    return voter !== undefined && voter.leader !== '' ? voter.leader : client.leader
+  }
+
+  counters(): Record<string, number> {
+    return {
+      ...this.#counters,
+      claim_commands: this.#claims.commands,
+      ends_waiting: this.#ends.waiting,
+      ends_dropped: this.#ends.dropped,
+    }
+  }
+
+  /** Handles what waited in the mailbox; what arrived together shares writes and messages. */
+  handle(events: readonly NodeEvent[]): void {
+    const now = this.#parts.clock.now()
+    const forVoter: ControlEvent[] = []
+    for (const event of events) {
+      if (event.to === NodePart.Voter) forVoter.push(event.event)
+      else if (event.to === NodePart.Client)
+        this.#runClient(this.#parts.client.step(now, event.event))
+    }
+    const { voter } = this.#parts
+    if (voter !== undefined && forVoter.length > 0) this.#runVoter(voter.stepAll(now, forVoter))
+    if (events.some(({ to }) => to === NodePart.Timer)) this.#tick(now)
+    if (events.some(({ to }) => to === NodePart.Batches)) this.#proposeBatches()
+  }
+
+  #tick(now: number): void {
+    const { voter, client } = this.#parts
+    if (voter !== undefined) this.#runVoter(voter.tick(now))
+    this.#runClient(client.tick(now))
+    this.#proposeBatches()
+  }
+
+  #proposeBatches(): void {
+    const now = this.#parts.clock.now()
+    const { claimTimeoutMs } = this.#parts.timing
+    for (const command of [this.#claims.next(now), this.#ends.next(now)]) {
+      if (command === undefined) continue
+      this.#tellClient({ kind: ClientEventKind.Propose, command, timeoutMs: claimTimeoutMs })
+    }
+  }
+
+  #isForVoter(body: EnvelopeBody): boolean {
+    if (this.#parts.voter === undefined) return false
+    switch (body.case) {
+      case 'proposeReply':
+      case 'readControlReply':
+      case 'settingsNotice':
+        return false
+      default:
+        return true
+    }
+  }
+
+  #tellClient(event: ClientEvent): void {
+    this.#parts.tell({ to: NodePart.Client, event })
+  }
+
+  #runVoter(actions: readonly ControlAction[]): void {
+    for (const action of actions) this.#performVoter(action)
+  }
+
+  #performVoter(action: ControlAction): void {
+    const { options, persist } = this.#parts
+    switch (action.kind) {
+      case ControlActionKind.Send:
+        this.#send(action.to, action.envelope)
+        return
+      case ControlActionKind.Persist:
+        this.#counters.persists++
+        this.#counters.entries_persisted += action.batch.entries.length
+        persist(action.batch)
+        return
+      case ControlActionKind.Applied:
+        this.#counters.entries_applied++
+        return
+      case ControlActionKind.SettingsChanged:
+        this.#tellClient({ kind: ClientEventKind.LocalSettings, settings: action.settings })
+        return
+      case ControlActionKind.RoleChanged:
+        if (action.role === VoterRole.Leader) this.#counters.elections_won++
+        return
+      case ControlActionKind.Log:
+        options.log(action.line)
+        return
+      default:
+        exhaustive(action)
+    }
+  }
+
+  #runClient(actions: readonly ClientAction[]): void {
+    for (const action of actions) this.#performClient(action)
+  }
+
+  #performClient(action: ClientAction): void {
+    switch (action.kind) {
+      case ClientActionKind.Send:
+        this.#send(action.to, action.envelope)
+        return
+      case ClientActionKind.Answered:
+        this.#answer(action.answer)
+        return
+      case ClientActionKind.ReadAnswered:
+        this.#reads.get(action.readId)?.(action.reply)
+        this.#reads.delete(action.readId)
+        return
+      case ClientActionKind.SettingsChanged:
+        this.#parts.options.onSettings(action.settings, action.current)
+        return
+      default:
+        exhaustive(action)
+    }
+  }
+
+  #answer(answer: CommandAnswer): void {
+    const now = this.#parts.clock.now()
+    if (this.#claims.onAnswer(answer) || this.#ends.onAnswer(now, answer)) {
+      this.#proposeBatches()
+      return
+    }
+    const waiting = this.#answers.get(answer.commandId) ?? []
+    this.#answers.delete(answer.commandId)
+    for (const done of waiting) done(answer)
+  }
+
+  #send(to: string, envelope: Envelope): void {
+    const { instance, boot, send } = this.#parts.options
+    if (to !== instance) {
+      this.#counters.messages_sent++
+      send(to, envelope)
+    } else if (envelope.body.case !== undefined) {
+      this.receive(instance, boot, envelope.body)
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/lib/node/startControlNode.ts
@@ -0,0 +1,124 @@
+import { hash64 } from '@cherryhitch/model'
+import { systemClock } from '@cherryhitch/runtime'
+import { Effect, Queue, Schedule } from 'effect'
+import type { Scope } from 'effect'
+import type { ControlError } from '../errors/ControlError'
+import { initVoters, openVoter } from '../store/initVoters'
+import { VoterStore } from '../store/VoterStore'
+import type { PersistBatch } from '../voter/ControlAction'
+import { VoterMachine } from '../voter/VoterMachine'
+import type { StoredVoter, VoterMachineOptions } from '../voter/VoterOptions'
+import { ClientEventKind } from './ClientEvent'
+import { ClientMachine } from './ClientMachine'
+import { defaultClientTiming } from './ClientOptions'
+import { ControlHost, NodePart } from './ControlHost'
+import type { NodeEvent } from './ControlHost'
+import { ControlNode } from './ControlNode'
+import { DEFAULT_TICK_MS } from './ControlNodeOptions'
+import type { ControlNodeOptions } from './ControlNodeOptions'
+import { startPersistPart } from './startPersistPart'
+
+interface OpenVoter {
+  readonly store: VoterStore
+  readonly stored: StoredVoter
+}
+
+/**
+ * Starts an instance's part of the replicated log: a voter or learner where there is a disk, a
+ * follower elsewhere. It ends with the scope.
+ *
+ * Fails when the disk fails or what it holds is damaged.
+ *
+ * @public
+ */
+export function startControlNode(
+  options: ControlNodeOptions,
+): Effect.Effect<ControlNode, ControlError, Scope.Scope> {
+  return Effect.gen(function* () {
+    const { instance, boot, voters } = options
+    const timing = { ...defaultClientTiming, ...options.clientTiming }
+    const mailbox = yield* Queue.unbounded<NodeEvent>()
+    const tell = (event: NodeEvent): void => {
+      Queue.offerUnsafe(mailbox, event)
+    }
+    const opened = yield* openDisk(options)
+    const voter = opened && new VoterMachine(machineOptions(options), opened.stored)
+    const persist = yield* startPersist(opened, tell)
+    const client = new ClientMachine({ instance, boot, voters, timing })
+    const clock = options.clock ?? systemClock
+    const diskId = opened?.stored.diskId
+    const host = new ControlHost({ options, clock, timing, client, voter, diskId, tell, persist })
+    const settings = voter?.settings
+    if (settings !== undefined) {
+      tell({ to: NodePart.Client, event: { kind: ClientEventKind.LocalSettings, settings } })
+    }
+    yield* startMailbox(host, mailbox, options)
+    return new ControlNode(host)
+  })
+}
+
+function openDisk(options: ControlNodeOptions): Effect.Effect<OpenVoter | undefined, ControlError> {
+  return Effect.gen(function* () {
+    const { disk, instance, voters, autoInit } = options
+    if (disk === undefined) return undefined
+    const { stored } = yield* VoterStore.open(disk)
+    if (stored === undefined && autoInit !== undefined && voters.includes(instance)) {
+      yield* initVoters(disk, { instance, voters, clusterId: autoInit.clusterId })
+    }
+    const opened = yield* openVoter(disk, instance)
+    if (opened.stored.snapshot === undefined) {
+      options.log(`disk ${opened.stored.diskId} is empty: it waits to be added as a learner`)
+    }
+    return opened
+  })
+}
+
+function machineOptions(options: ControlNodeOptions): VoterMachineOptions {
+  const { instance, boot, voterTiming, voterLimits, state } = options
+  const seed = options.seed ?? parseInt(hash64(`${instance}.${boot}`).slice(0, 8), 16)
+  return {
+    instance,
+    seed,
+    ...(voterTiming && { timing: voterTiming }),
+    ...(voterLimits && { limits: voterLimits }),
+    ...(state && { state }),
+  }
+}
+
+function startPersist(
+  opened: OpenVoter | undefined,
+  tell: (event: NodeEvent) => void,
+): Effect.Effect<(batch: PersistBatch) => void, never, Scope.Scope> {
+  return Effect.gen(function* () {
+    if (opened === undefined) return () => undefined
+    const part = yield* startPersistPart(opened.store, (event) => {
+      tell({ to: NodePart.Voter, event })
+    })
+    return part.persist
+  })
+}
+
+/** The fiber that owns the machines. */
+function startMailbox(
+  host: ControlHost,
+  mailbox: Queue.Queue<NodeEvent>,
+  options: ControlNodeOptions,
+): Effect.Effect<void, never, Scope.Scope> {
+  return Effect.gen(function* () {
+    const drain = Effect.gen(function* () {
+      const events = yield* Queue.takeAll(mailbox)
+      yield* Effect.sync(() => {
+        host.handle(events)
+      })
+    })
+    const guarded = Effect.catchCause(Effect.forever(drain), (cause) =>
+      Effect.sync(() => {
+        options.log(`ended by a fault of the program: ${String(cause)}`)
+      }),
+    )
+    yield* Effect.forkScoped(guarded)
+    const tick = Effect.sync(() => Queue.offerUnsafe(mailbox, { to: NodePart.Timer }))
+    const tickMs = options.tickMs ?? DEFAULT_TICK_MS
+    yield* Effect.forkScoped(Effect.repeat(tick, Schedule.spaced(tickMs)))
+  })
+}
--- /dev/null
+++ b/packages/control/src/lib/store/VoterStore.ts
@@ -0,0 +1,205 @@
+import { fromBinary, toBinary } from '@bufbuild/protobuf'
+import { ControlSnapshotSchema, HardStateSchema, LogEntrySchema } from '@cherryhitch/protocol'
+import type { ControlSnapshot, HardState, LogEntry } from '@cherryhitch/protocol'
+import {
+  DurableFile,
+  newestVersion,
+  packVersioned,
+  RecordLog,
+  runMigrations,
+  StorageError,
+  StorageErrorKind,
+  unpackVersioned,
+} from '@cherryhitch/storage'
+import type { Disk, Migration } from '@cherryhitch/storage'
+import { Effect } from 'effect'
+import { ControlError, ControlErrorKind } from '../errors/ControlError'
+import type { PersistBatch } from '../voter/ControlAction'
+import type { StoredVoter } from '../voter/VoterOptions'
+
+const files = { hardState: 'control-vote', snapshot: 'control-snapshot', log: 'control-log' }
+
+/** Ordered migrations of each stored record; none yet, so all are at version 1. */
+const migrations: Record<keyof typeof files, readonly Migration[]> = {
+  hardState: [],
+  snapshot: [],
+  log: [],
+}
+
+/**
+ * A voter's term and vote, snapshot and log on a disk.
+ *
+ * @internal
+ */
+export class VoterStore {
+  readonly #hardState: DurableFile
+  readonly #snapshot: DurableFile
+  readonly #log: RecordLog
+  /** Index of the first entry in the log file. */
+  #firstIndex: number
+
+  private constructor(
+    hardState: DurableFile,
+    snapshot: DurableFile,
+    log: RecordLog,
+    firstIndex: number,
+  ) {
+    this.#hardState = hardState
+    this.#snapshot = snapshot
+    this.#log = log
+    this.#firstIndex = firstIndex
+  }
+
+  /** Reads what the disk holds; undefined parts mean that it holds no voter yet. */
+  static open(disk: Disk): Effect.Effect<OpenedStore, ControlError> {
+    return Effect.mapError(openStore(disk), asControlError)
+  }
+
+  /** @internal */
+  static make(parts: StoreParts): VoterStore {
+    return new VoterStore(parts.hardState, parts.snapshot, parts.log, parts.firstIndex)
+  }
+
+  /**
+   * Syncs a batch. The order matters for a crash in between: the vote before all; the snapshot
+   * before the entries that it replaces go.
+   */
+  persist(batch: PersistBatch): Effect.Effect<void, ControlError> {
+    const { hardState, snapshot, truncateAfter, entries } = batch
+    const steps = Effect.gen({ self: this }, function* () {
+      if (hardState !== undefined) yield* this.writeHardState(hardState)
+      if (snapshot !== undefined) yield* this.#writeSnapshot(snapshot)
+      if (truncateAfter !== undefined) yield* this.#truncateAfter(truncateAfter)
+      if (snapshot !== undefined) yield* this.#dropThrough(snapshot.lastIndex)
+      if (entries.length > 0) yield* this.#append(entries)
+    })
+    return Effect.mapError(steps, asControlError)
+  }
+
+  /** The first records of a voter: its state and its identity. @internal */
+  initialize(hardState: HardState, snapshot?: ControlSnapshot): Effect.Effect<void, ControlError> {
+    const steps = Effect.gen({ self: this }, function* () {
+      if (snapshot !== undefined) yield* this.#writeSnapshot(snapshot)
+      // The identity comes last: a folder without one holds no voter.
+      yield* this.writeHardState(hardState)
+    })
+    return Effect.mapError(steps, asControlError)
+  }
+
+  private writeHardState(hardState: HardState): Effect.Effect<void, StorageError> {
+    return this.#hardState.write(pack('hardState', toBinary(HardStateSchema, hardState)))
+  }
+
+  #writeSnapshot(snapshot: ControlSnapshot): Effect.Effect<void, StorageError> {
+    return this.#snapshot.write(pack('snapshot', toBinary(ControlSnapshotSchema, snapshot)))
+  }
+
+  #truncateAfter(index: number): Effect.Effect<void, StorageError> {
+    const kept = Math.max(0, index - this.#firstIndex + 1)
+    return kept >= this.#log.length ? Effect.void : this.#log.truncateAfter(kept)
+  }
+
+  #dropThrough(index: number): Effect.Effect<void, StorageError> {
+    const covered = Math.max(0, index - this.#firstIndex + 1)
+    const dropped = Math.min(this.#log.length, covered)
+    return Effect.tap(this.#log.dropFirst(dropped), () =>
+      Effect.sync(() => {
+        this.#firstIndex += dropped
+      }),
+    )
+  }
+
+  #append(entries: readonly LogEntry[]): Effect.Effect<void, StorageError> {
+    const [first] = entries
+    if (this.#log.length === 0 && first !== undefined) this.#firstIndex = first.index
+    return this.#log.append(entries.map((entry) => pack('log', toBinary(LogEntrySchema, entry))))
+  }
+}
+
+interface StoreParts {
+  readonly hardState: DurableFile
+  readonly snapshot: DurableFile
+  readonly log: RecordLog
+  readonly firstIndex: number
+}
+
+/** @internal */
+export interface OpenedStore {
+  readonly store: VoterStore
+  /** Undefined when no voter was ever started here. */
+  readonly stored: StoredVoter | undefined
+}
+
+function openStore(disk: Disk): Effect.Effect<OpenedStore, StorageError> {
+  return Effect.gen(function* () {
+    const hardState = new DurableFile(disk, files.hardState)
+    const snapshot = new DurableFile(disk, files.snapshot)
+    const voteBytes = yield* hardState.read()
+    const snapshotBytes = yield* snapshot.read()
+    const log = yield* RecordLog.open(disk, files.log)
+    const vote = voteBytes && fromBinary(HardStateSchema, yield* unpack('hardState', voteBytes))
+    const state =
+      snapshotBytes && fromBinary(ControlSnapshotSchema, yield* unpack('snapshot', snapshotBytes))
+    const all: LogEntry[] = []
+    for (const bytes of log.records) {
+      all.push(fromBinary(LogEntrySchema, yield* unpack('log', bytes)))
+    }
+    const firstIndex = all[0]?.index ?? (state?.lastIndex ?? -1) + 1
+    const store = VoterStore.make({ hardState, snapshot, log, firstIndex })
+    if (vote === undefined) return { store, stored: undefined }
+    const gap = findGap(state, all)
+    if (gap !== undefined) return yield* damaged(gap)
+    const entries = entriesAfter(state, all)
+    // What a crash left behind a newer snapshot goes now, so that file and memory agree.
+    if (entries.length === 0) yield* log.truncateAfter(0)
+    const { diskId, term, votedFor } = vote
+    return { store, stored: { diskId, term, votedFor, snapshot: state, entries } }
+  })
+}
+
+/** The entries that go on from the snapshot; those that contradict it are left overs of a crash. */
+function entriesAfter(
+  snapshot: ControlSnapshot | undefined,
+  entries: readonly LogEntry[],
+): readonly LogEntry[] {
+  if (snapshot === undefined) return []
+  const { lastIndex, lastTerm } = snapshot
+  const covered = entries.find(({ index }) => index === lastIndex)
+  if (covered !== undefined && covered.term !== lastTerm) return []
+  return entries.filter(({ index }) => index > lastIndex)
+}
+
+/** Why the log can't go on from the snapshot; it is then better not to start. */
+function findGap(
+  snapshot: ControlSnapshot | undefined,
+  entries: readonly LogEntry[],
+): string | undefined {
+  const [first] = entries
+  if (first === undefined) return undefined
+  if (snapshot === undefined) return `the log starts at entry ${first.index} and has no snapshot`
+  if (first.index <= snapshot.lastIndex + 1) return undefined
+  return `the log starts at entry ${first.index}, the snapshot ends at ${snapshot.lastIndex}`
+}
+
+function damaged(detail: string): StorageError {
+  return new StorageError({ kind: StorageErrorKind.Damaged, file: files.log, detail })
+}
+
+function pack(kind: keyof typeof files, content: Uint8Array): Uint8Array {
+  return packVersioned({ version: newestVersion(migrations[kind]), content })
+}
+
+function unpack(
+  kind: keyof typeof files,
+  bytes: Uint8Array,
+): Effect.Effect<Uint8Array, StorageError> {
+  const name = files[kind]
+  const content = unpackVersioned(bytes, name).andThen((stored) =>
+    runMigrations(stored, migrations[kind], name),
+  )
+  return content.ok ? Effect.succeed(content.val) : Effect.fail(content.val)
+}
+
+function asControlError(cause: StorageError): ControlError {
+  return new ControlError({ kind: ControlErrorKind.Storage, detail: cause.message, cause })
+}
--- /dev/null
+++ b/packages/control/src/lib/testing/commands.ts
@@ -0,0 +1,49 @@
+import { create } from '@bufbuild/protobuf'
+import { ClaimEndSchema, CommandSchema, KeyClaimSchema } from '@cherryhitch/protocol'
+import type { ClaimEnd, Command, KeyClaim, VoterChangeKind } from '@cherryhitch/protocol'
+
+/** An operator's change of preset. */
+export function setPreset(
+  commandId: string,
+  name: string,
+  fromVersion: number,
+  operator = 'sato',
+): Command {
+  const value = { name, fromVersion, operator, reason: 'test', atMs: 1 }
+  return create(CommandSchema, { commandId, change: { case: 'setPreset', value } })
+}
+
+/** A claim of a key by a job. */
+export function keyClaim(submissionKey: string, jobId: string, contentHash = 'hash'): KeyClaim {
+  return create(KeyClaimSchema, { caller: 'desk', submissionKey, jobId, contentHash, atMs: 1 })
+}
+
+/** The command that a coordinator's batch of claims makes. */
+export function claimKeys(commandId: string, claims: readonly KeyClaim[]): Command {
+  return create(CommandSchema, {
+    commandId,
+    change: { case: 'claimKeys', value: { claims: [...claims] } },
+  })
+}
+
+/** The end of a claimed job; without an answer it releases the key. */
+export function claimEnd(submissionKey: string, jobId: string, answer = ''): ClaimEnd {
+  return create(ClaimEndSchema, {
+    caller: 'desk',
+    submissionKey,
+    jobId,
+    answer: new TextEncoder().encode(answer),
+    atMs: 1,
+  })
+}
+
+/** An operator's change of the voters. */
+export function changeVoters(
+  commandId: string,
+  kind: VoterChangeKind,
+  instance: string,
+  diskId: string,
+): Command {
+  const value = { kind, instance, diskId, operator: 'sato', reason: 'test', atMs: 1 }
+  return create(CommandSchema, { commandId, change: { case: 'changeVoters', value } })
+}
--- /dev/null
+++ b/packages/control/src/lib/testing/nodeCluster.ts
@@ -0,0 +1,144 @@
+import { fromBinary, toBinary } from '@bufbuild/protobuf'
+import { EnvelopeSchema } from '@cherryhitch/protocol'
+import type { Envelope } from '@cherryhitch/protocol'
+import { MemoryDisk } from '@cherryhitch/storage'
+import { Effect, Exit, Scope } from 'effect'
+import type { ControlNode } from '../node/ControlNode'
+import type { ControlNodeOptions } from '../node/ControlNodeOptions'
+import { startControlNode } from '../node/startControlNode'
+
+/** Short times, so that tests and benches need not wait. */
+export const quickTiming = {
+  voterTiming: {
+    heartbeatMs: 20,
+    electionMinMs: 100,
+    electionMaxMs: 200,
+    resendMs: 50,
+    replaceSilentMs: 400,
+    settingsLeaseMs: 300,
+    noticeResendMs: 50,
+    confirmBatchMs: 20,
+  },
+  clientTiming: {
+    attemptMs: 80,
+    retryMs: 20,
+    pollMs: 100,
+    settingsLeaseMs: 300,
+    proposalTimeoutMs: 3_000,
+    claimTimeoutMs: 1_500,
+  },
+  tickMs: 5,
+}
+
+interface RunningNode {
+  readonly node: ControlNode
+  readonly scope: Scope.Closeable
+  readonly boot: number
+}
+
+/** Real nodes over in-memory links, for tests and benches. */
+export class NodeCluster {
+  readonly disks = new Map<string, MemoryDisk>()
+  readonly lines: string[] = []
+  /** Bytes and messages that crossed a link. */
+  sentBytes = 0
+  sentMessages = 0
+  /** Links that lose everything, as `from>to`. */
+  readonly cut = new Set<string>()
+  readonly #nodes = new Map<string, RunningNode>()
+  readonly #voters: readonly string[]
+  readonly #options: Partial<ControlNodeOptions>
+  readonly #encodes: boolean
+
+  constructor(
+    voters: readonly string[],
+    options: Partial<ControlNodeOptions> = quickTiming,
+    encodes = false,
+  ) {
+    this.#voters = voters
+    this.#options = options
+    this.#encodes = encodes
+  }
+
+  /** Starts a node; a voter of the settings gets a disk, the others follow without one. */
+  async start(instance: string, options: Partial<ControlNodeOptions> = {}): Promise<ControlNode> {
+    const boot = (this.#nodes.get(instance)?.boot ?? 0) + 1
+    const disk = this.#diskOf(instance)
+    const scope = Scope.makeUnsafe()
+    const start = startControlNode({
+      instance,
+      boot,
+      zone: 'a',
+      voters: this.#voters,
+      autoInit: { clusterId: 'test' },
+      ...(disk && { disk }),
+      send: (to, envelope) => {
+        this.#deliver(instance, boot, to, envelope)
+      },
+      log: (line) => this.lines.push(`${instance}: ${line}`),
+      onSettings: () => undefined,
+      ...this.#options,
+      ...options,
+    })
+    const node = await Effect.runPromise(Effect.provideService(start, Scope.Scope, scope))
+    this.#nodes.set(instance, { node, scope, boot })
+    return node
+  }
+
+  /** Ends a process; its disk keeps what was synced. */
+  async stop(instance: string): Promise<void> {
+    const running = this.#nodes.get(instance)
+    if (running === undefined) return
+    await Effect.runPromise(Scope.close(running.scope, Exit.void))
+    this.disks.get(instance)?.crash()
+  }
+
+  async stopAll(): Promise<void> {
+    for (const instance of this.#nodes.keys()) await this.stop(instance)
+  }
+
+  node(instance: string): ControlNode {
+    const running = this.#nodes.get(instance)
+    if (running === undefined) throw new Error(`${instance} does not run`)
+    return running.node
+  }
+
+  /** Cuts an instance off from all others, or joins it again. */
+  setCut(instance: string, cut: boolean): void {
+    for (const other of this.#nodes.keys()) {
+      for (const link of [`${instance}>${other}`, `${other}>${instance}`]) {
+        if (cut) this.cut.add(link)
+        else this.cut.delete(link)
+      }
+    }
+  }
+
+  #diskOf(instance: string): MemoryDisk | undefined {
+    if (!this.#voters.includes(instance)) return undefined
+    const disk = this.disks.get(instance) ?? new MemoryDisk({ seed: this.disks.size + 1 })
+    this.disks.set(instance, disk)
+    return disk
+  }
+
+  #deliver(from: string, boot: number, to: string, envelope: Envelope): void {
+    let carried = envelope
+    if (this.#encodes) {
+      const bytes = toBinary(EnvelopeSchema, envelope)
+      this.sentBytes += bytes.length
+      carried = fromBinary(EnvelopeSchema, bytes)
+    }
+    this.sentMessages++
+    if (this.cut.has(`${from}>${to}`)) return
+    const { case: name } = carried.body
+    if (name !== undefined) this.#nodes.get(to)?.node.receive(from, boot, carried.body)
+  }
+}
+
+/** Waits until the condition holds; fails after a limit that no healthy run comes near. */
+export async function until(condition: () => boolean, what: string): Promise<void> {
+  const limit = Date.now() + 10_000
+  while (!condition()) {
+    if (Date.now() > limit) throw new Error(`waited too long until ${what}`)
+    await new Promise((resolve) => setTimeout(resolve, 5))
+  }
+}
--- /dev/null
+++ b/packages/control/src/lib/voter/VoterRepair.ts
@@ -0,0 +1,90 @@
+import { create } from '@bufbuild/protobuf'
+import { ChangeVotersSchema, VoterChangeKind } from '@cherryhitch/protocol'
+import type { ChangeVoters, Voter } from '@cherryhitch/protocol'
+import type { Result } from 'ts-results'
+import { Err, Ok } from '../util/results'
+import { changeMembers, majorityOf } from '../state/voterSet'
+import type { Replication } from './Replication'
+import type { VoterCore } from './VoterCore'
+
+/**
+ * Decides which changes of the voters are safe now, and which the leader makes on its own.
+ *
+ * A lost voter is removed before its successor is promoted: in between, the two others are needed,
+ * as they were before. The other way round, three of four would be.
+ *
+ * @internal
+ */
+export class VoterRepair {
+  readonly #core: VoterCore
+  readonly #replication: Replication
+
+  constructor(core: VoterCore, replication: Replication) {
+    this.#core = core
+    this.#replication = replication
+  }
+
+  /** Why a change must not be made now. */
+  check(now: number, change: ChangeVoters): Result<void, string> {
+    const { log, commitIndex, term, members } = this.#core
+    if (log.termAt(commitIndex) !== term) return Err('the leader has committed nothing yet')
+    const pending = log.slice(commitIndex + 1)
+    if (pending.some(({ command }) => command?.change.case === 'changeVoters')) {
+      return Err('another change of the voters is not yet committed')
+    }
+    const promotes = change.kind === VoterChangeKind.PROMOTE
+    if (promotes && !this.#hasCaughtUp(now, change.diskId)) {
+      return Err(`disk ${change.diskId} has not caught up`)
+    }
+    const changed = changeMembers(members, change)
+    if (changed.err || this.#isReachable(now, changed.val)) return Ok.EMPTY
+    return Err('no majority of the changed set can be reached')
+  }
+
+  /** The change that the leader should make by itself, if any. */
+  next(now: number): ChangeVoters | undefined {
+    const { members } = this.#core
+    const learner = members.find(({ learner, diskId }) => {
+      return learner && this.#hasCaughtUp(now, diskId)
+    })
+    const lost = members.find((member) => this.#isLost(now, member, learner))
+    const voters = members.filter((member) => !member.learner)
+    if (lost !== undefined) return this.#change(VoterChangeKind.REMOVE, lost, now)
+    // An even set tolerates no more losses than the odd one below it.
+    if (learner === undefined || voters.length % 2 !== 0) return undefined
+    return this.#change(VoterChangeKind.PROMOTE, learner, now)
+  }
+
+  #isLost(now: number, voter: Voter, successor: Voter | undefined): boolean {
+    if (voter.learner || voter.diskId === this.#core.diskId) return false
+    if (this.#replication.hasLostEntries(voter.diskId)) return true
+    if (successor === undefined) return false
+    const { electionMaxMs, replaceSilentMs } = this.#core.config.timing
+    const silentMs = this.#replication.silentMs(now, voter.diskId)
+    // An instance has one disk: a new one in its place means that the old one is gone.
+    return silentMs > (voter.instance === successor.instance ? electionMaxMs : replaceSilentMs)
+  }
+
+  #hasCaughtUp(now: number, diskId: string): boolean {
+    const silentMs = this.#replication.silentMs(now, diskId)
+    if (silentMs > this.#core.config.timing.electionMinMs) return false
+    return this.#replication.matchOf(diskId) >= this.#core.commitIndex
+  }
+
+  #isReachable(now: number, members: readonly Voter[]): boolean {
+    const { electionMinMs } = this.#core.config.timing
+    const reachable = members.filter(({ diskId, learner }) => {
+      return !learner && this.#replication.silentMs(now, diskId) <= electionMinMs
+    })
+    return reachable.length >= majorityOf(members)
+  }
+
+  #change(kind: VoterChangeKind, { instance, diskId }: Voter, atMs: number): ChangeVoters {
+    const operator = `leader ${this.#core.config.instance}`
+    const reason =
+      kind === VoterChangeKind.REMOVE
+        ? 'the disk is lost'
+        : 'it has caught up and takes a free place'
+    return create(ChangeVotersSchema, { kind, instance, diskId, operator, reason, atMs })
+  }
+}
--- /dev/null
+++ b/packages/control/src/lib/voter/answerRead.ts
@@ -0,0 +1,26 @@
+import type { ReadControl, VotersStatus } from '@cherryhitch/protocol'
+import type { VoterCore } from './VoterCore'
+
+/** Records of the audit in one reply at most. */
+const MAX_AUDIT_PAGE = 1_000
+
+/**
+ * Answers a read. Without a status it was not confirmed by a majority; then the settings are the
+ * newest that this voter knows of.
+ *
+ * @internal
+ */
+export function answerRead(
+  core: VoterCore,
+  to: string,
+  { requestId, auditFrom, auditLimit }: ReadControl,
+  voters: VotersStatus | undefined,
+): void {
+  const { state, leader } = core
+  const ok = voters !== undefined && state !== undefined
+  const limit = Math.min(auditLimit, MAX_AUDIT_PAGE)
+  const audit = ok && auditFrom >= 0 ? state.audit(auditFrom, limit) : []
+  const settings = state && { settings: state.settings }
+  const value = { requestId, ok, audit, leader, ...settings, ...(voters && { voters }) }
+  core.send(to, { case: 'readControlReply', value })
+}
