--- a/packages/http-api/src/lib/exchange/Exchange.ts
+++ b/packages/http-api/src/lib/exchange/Exchange.ts
@@ -7,7 +7,7 @@
 import { requestErrorReply } from '../problems/requestErrorReply'
 import type { RouteMatch } from '../routing/Router'
 import { BodyReader, checkBodyHead } from './BodyReader'
-import type { ExchangeHost } from './ExchangeHost'
+import type { ExchangeHost, ExchangePlace } from './ExchangeHost'
 import type { Reply } from './Reply'
 import { sendReply } from './sendReply'
 import { Err, Ok } from '../util/results'
@@ -33,7 +33,7 @@
     private readonly host: ExchangeHost,
     private readonly req: IncomingMessage,
     private readonly res: ServerResponse,
-    private readonly onEnd: () => void,
+    private readonly place: ExchangePlace,
   ) {
     // A write to a connection that has just closed; `abandon` follows.
     res.on('error', (err) => {
@@ -76,7 +76,7 @@
     this.end()
     this.host.countAbandoned()
     this.fiber?.interruptUnsafe()
-    this.onEnd()
+    this.place.leave()
   }
 
   private admit(): Result<Admitted, RequestError> {
@@ -136,8 +136,12 @@
     this.end()
     this.host.countAnswer(reply.status)
     // It counts as in progress until it was handed to the system: a shutdown must not cut it.
-    this.res.once('close', this.onEnd)
-    sendReply(this.req, this.res, reply, this.host.isClosing())
+    this.res.once('close', () => {
+      this.place.leave()
+    })
+    // A pipelined request behind this one would be cut off; its answer closes instead.
+    const close = this.host.isClosing() && this.place.isNewest()
+    sendReply(this.req, this.res, reply, { close, lingerMs: this.host.limits.lingerMs })
   }
 
   private end(): void {
--- a/packages/http-api/src/lib/exchange/ExchangeHost.ts
+++ b/packages/http-api/src/lib/exchange/ExchangeHost.ts
@@ -16,3 +16,11 @@
   countAnswer(status: number): void
   countAbandoned(): void
 }
+
+/** Where an exchange stands on its connection. @internal */
+export interface ExchangePlace {
+  /** Whether no later request has come on the same connection. */
+  isNewest(): boolean
+  /** The answer is sent, or nobody waits for it. */
+  leave(): void
+}
--- a/packages/http-api/src/lib/exchange/sendReply.ts
+++ b/packages/http-api/src/lib/exchange/sendReply.ts
@@ -1,8 +1,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Reply } from './Reply'
 
-/** How long the rest of a refused body is read and thrown away, in milliseconds. */
-const LINGER_MS = 1000
+/** @internal */
+export interface SendOptions {
+  /** Whether the connection is to be closed after the answer. */
+  readonly close: boolean
+  /** How long the rest of a body is read and thrown away, in milliseconds. */
+  readonly lingerMs: number
+}
 
 /**
  * Writes an answer.
@@ -17,10 +22,10 @@
   req: IncomingMessage,
   res: ServerResponse,
   reply: Reply,
-  closing: boolean,
+  { close, lingerMs }: SendOptions,
 ): void {
   const bodyPending = !req.complete && hasBody(req)
-  if (closing || bodyPending) res.setHeader('Connection', 'close')
+  if (close || bodyPending) res.setHeader('Connection', 'close')
   res.writeHead(reply.status, {
     'Content-Type': reply.contentType,
     'Content-Length': Buffer.byteLength(reply.body),
@@ -32,7 +37,7 @@
     return
   }
   res.write(reply.body)
-  endAfterBody(req, res)
+  endAfterBody(req, res, lingerMs)
 }
 
 function hasBody(req: IncomingMessage): boolean {
@@ -40,12 +45,12 @@
   return Number(req.headers['content-length'] ?? 0) > 0
 }
 
-function endAfterBody(req: IncomingMessage, res: ServerResponse): void {
+function endAfterBody(req: IncomingMessage, res: ServerResponse, lingerMs: number): void {
   const end = (): void => {
     clearTimeout(timer)
     res.end()
   }
-  const timer = setTimeout(end, LINGER_MS)
+  const timer = setTimeout(end, lingerMs)
   req.once('end', end)
   req.once('close', end)
   req.resume()
--- a/packages/http-api/src/lib/server/ConnectionTable.ts
+++ b/packages/http-api/src/lib/server/ConnectionTable.ts
@@ -41,6 +41,11 @@
     return this.exchanges.get(socket)?.size
   }
 
+  /** Whether no later exchange has begun on the same connection. */
+  isNewest(socket: Socket, exchange: Exchange): boolean {
+    return [...(this.exchanges.get(socket) ?? [])].at(-1) === exchange
+  }
+
   connections(): number {
     return this.sockets.size
   }
--- a/packages/http-api/src/lib/server/HttpServerOptions.ts
+++ b/packages/http-api/src/lib/server/HttpServerOptions.ts
@@ -14,6 +14,8 @@
   readonly requestTimeoutMs: number
   /** How long a connection may stay open without a request, in milliseconds. */
   readonly idleTimeoutMs: number
+  /** How long the rest of a refused body is read and thrown away, in milliseconds. */
+  readonly lingerMs: number
   /** Open connections; further ones are closed at once. */
   readonly connections: number
   /** Requests of one connection that are not answered yet (HTTP pipelining). */
@@ -38,6 +40,7 @@
   nestingDepth: 64,
   requestTimeoutMs: 10_000,
   idleTimeoutMs: 15_000,
+  lingerMs: 1000,
   connections: 10_000,
   pipelinedRequests: 16,
   defaultDeadlineMs: 60_000,
--- a/packages/http-api/src/lib/server/ServerHost.ts
+++ b/packages/http-api/src/lib/server/ServerHost.ts
@@ -146,8 +146,11 @@
   private open(req: http.IncomingMessage, res: http.ServerResponse): Exchange {
     const { socket } = req
     this.counts.countRequest()
-    const exchange: Exchange = new Exchange(this, req, res, () => {
-      this.table.end(socket, exchange)
+    const exchange: Exchange = new Exchange(this, req, res, {
+      isNewest: () => this.table.isNewest(socket, exchange),
+      leave: () => {
+        this.table.end(socket, exchange)
+      },
     })
     this.table.begin(socket, exchange)
     return exchange
--- /dev/null
+++ b/packages/http-api/src/lib/server/openServer.test.ts
@@ -0,0 +1,280 @@
+import assert from 'node:assert/strict'
+import https from 'node:https'
+import net from 'node:net'
+import path from 'node:path'
+import { describe, it } from 'node:test'
+import { Effect } from 'effect'
+import {
+  eventually,
+  exchangeRaw,
+  problemOf,
+  rawJob,
+  rawPost,
+  send,
+  smallJob,
+} from '../fixtures/clients'
+import { succeeded } from '../fixtures/FakeServices'
+import { openCallerServer } from '../fixtures/testServers'
+import { HttpServerError, HttpServerErrorKind } from './HttpServerError'
+import { openServer } from './openServer'
+import { OpenAuthenticator } from '../auth/OpenAuthenticator'
+
+const body = JSON.stringify(smallJob)
+const CLOSE = 'Connection: close'
+const tlsFolder = path.join(import.meta.dirname, '../fixtures/tls')
+const tls = { keyFile: `${tlsFolder}/key.pem`, certFile: `${tlsFolder}/cert.pem` }
+
+/** Answers that never come, until the test lets them. */
+function gate() {
+  let open = (): void => undefined
+  const opened = new Promise<void>((resolve) => {
+    open = resolve
+  })
+  const answer = () =>
+    Effect.map(
+      Effect.promise(() => opened),
+      () => succeeded(['1']),
+    )
+  return {
+    answer,
+    open: () => {
+      open()
+    },
+  }
+}
+
+describe('an HTTP server under hostile input', () => {
+  const limits = {
+    bodyBytes: 2000,
+    headerBytes: 2000,
+    requestTimeoutMs: 100,
+    lingerMs: 20,
+    pipelinedRequests: 2,
+  }
+  const cases: readonly {
+    readonly name: string
+    readonly sent: readonly (string | Buffer)[]
+    readonly status: number
+  }[] = [
+    { name: 'something that is not HTTP', sent: ['hello\r\n\r\n'], status: 400 },
+    { name: 'no Host', sent: [`GET /healthz HTTP/1.1\r\n${CLOSE}\r\n\r\n`], status: 400 },
+    {
+      name: 'a target without a slash',
+      sent: [`GET http://x/healthz HTTP/1.1\r\nHost: x\r\n${CLOSE}\r\n\r\n`],
+      status: 404,
+    },
+    {
+      name: 'a target that is no text',
+      sent: [`GET /v1/jobs/%ff HTTP/1.1\r\nHost: x\r\n${CLOSE}\r\n\r\n`],
+      status: 404,
+    },
+    { name: 'a huge header', sent: [rawPost([`X: ${'x'.repeat(3000)}`])], status: 431 },
+    {
+      name: 'a head that never ends',
+      sent: ['POST /v1/jobs HTTP/1.1\r\nHost: x\r\n'],
+      status: 408,
+    },
+    { name: 'a connection that says nothing', sent: [], status: 408 },
+    {
+      name: 'a body that never ends',
+      sent: [rawPost(['Content-Length: 500']), '{"a'],
+      status: 408,
+    },
+    { name: 'a body announced too large', sent: [rawPost(['Content-Length: 9000'])], status: 413 },
+    {
+      name: 'a body that grows too large',
+      sent: [rawPost(['Transfer-Encoding: chunked']), `bb8\r\n${'x'.repeat(3000)}\r\n`],
+      status: 413,
+    },
+    {
+      name: 'an expectation that nobody knows',
+      sent: [rawJob(body, ['Expect: miracles', CLOSE])],
+      status: 417,
+    },
+    {
+      name: 'a body that is not UTF-8',
+      sent: [rawPost(['Content-Length: 2', CLOSE]), Buffer.from([0x22, 0xff])],
+      status: 400,
+    },
+  ]
+  for (const { name, sent, status } of cases) {
+    it(`answers ${status} to ${name}, and calls no service`, async (t) => {
+      const { server, service } = await openCallerServer(t, { limits })
+      const raw = await exchangeRaw(server.port, ...sent)
+      assert.match(raw, new RegExp(`^HTTP/1.1 ${status} `))
+      assert.match(raw, /"ran":"no"/)
+      assert.equal(service.submitted.length, 0)
+    })
+  }
+
+  it('keeps the Idempotency-Key behind hundreds of other headers', async (t) => {
+    const { server, service } = await openCallerServer(t)
+    const padding = Array.from({ length: 700 }, (_, i) => `X${i}: 1`)
+    await exchangeRaw(server.port, rawJob(body, [...padding, 'Idempotency-Key: last', CLOSE]))
+    assert.equal(service.submitted[0]?.submissionKey, 'last')
+  })
+
+  it('says nothing of a running request when garbage follows it', async (t) => {
+    const { server, service } = await openCallerServer(t)
+    service.answer = () => Effect.never
+    const raw = await exchangeRaw(server.port, rawJob(body), 'garbage\r\n\r\n')
+    assert.equal(raw, '')
+    assert.equal(service.submitted.length, 1)
+    assert.equal(service.interrupted, 1)
+  })
+
+  it('abandons half a request without a trace', async (t) => {
+    const { server, service } = await openCallerServer(t)
+    const socket = net.connect(server.port, '127.0.0.1')
+    socket.end(rawPost(['Content-Length: 500']) + '{"idem')
+    await eventually(() => server.counters().abandoned === 1)
+    assert.equal(server.requestsInProgress(), 0)
+    assert.equal(service.submitted.length, 0)
+    socket.destroy()
+  })
+
+  it('answers pipelined requests in order, and refuses those past the limit', async (t) => {
+    const { server, service } = await openCallerServer(t, { limits })
+    const { answer, open } = gate()
+    service.answer = answer
+    const raw = exchangeRaw(server.port, rawJob(body), rawJob(body), rawJob(body, [CLOSE]))
+    await eventually(() => server.counters().answers.get(503) === 1)
+    open()
+    const statuses = [...(await raw).matchAll(/HTTP\/1.1 (\d+)/g)].map((match) => match[1])
+    assert.deepEqual(statuses, ['200', '200', '503'])
+    assert.equal(service.submitted.length, 2)
+  })
+
+  it('lets a client that asks first keep a body that is too large', async (t) => {
+    const { server } = await openCallerServer(t, { limits })
+    const expect = 'Expect: 100-continue'
+    const refused = await exchangeRaw(server.port, rawPost(['Content-Length: 9000', expect]))
+    assert.match(refused, /^HTTP\/1.1 413 /)
+    const taken = await exchangeRaw(server.port, rawJob(body, [expect, CLOSE]))
+    assert.match(taken, /^HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 /)
+  })
+
+  it('gives the memory of bodies back', async (t) => {
+    const { server } = await openCallerServer(t, { limits: { bufferedBytes: body.length } })
+    for (let i = 0; i < 3; i++) {
+      const answer = await send(server.port, '/v1/jobs', { method: 'POST', body })
+      assert.equal(answer.status, 200)
+    }
+    const larger = await send(server.port, '/v1/jobs', { method: 'POST', body: `${body} ` })
+    assert.equal(larger.status, 503)
+    assert.equal(problemOf(larger).ran, 'no')
+  })
+
+  it('closes connections past the limit', async (t) => {
+    const { server } = await openCallerServer(t, { limits: { connections: 1 } })
+    const first = net.connect(server.port, '127.0.0.1')
+    await eventually(() => server.connections() === 1)
+    assert.equal(await exchangeRaw(server.port), '')
+    assert.equal(server.counters().connectionsRefused, 1)
+    first.destroy()
+  })
+
+  it('closes a connection that stays idle', async (t) => {
+    const { server } = await openCallerServer(t, { limits: { idleTimeoutMs: 20 } })
+    const raw = await exchangeRaw(server.port, rawJob(body))
+    assert.match(raw, /^HTTP\/1.1 200 /)
+  })
+})
+
+describe('a shutdown', () => {
+  it('closes connections with the answer once told to', async (t) => {
+    const { server } = await openCallerServer(t)
+    server.closeAfterAnswers()
+    const answer = await send(server.port, '/v1/jobs', { method: 'POST', body })
+    assert.equal(answer.headers.get('connection'), 'close')
+  })
+
+  it('cuts off no pipelined request by closing after the one before it', async (t) => {
+    const { server, service } = await openCallerServer(t)
+    const { answer, open } = gate()
+    service.answer = answer
+    const raw = exchangeRaw(server.port, rawJob(body), rawJob(body))
+    await eventually(() => service.submitted.length === 2)
+    server.closeAfterAnswers()
+    open()
+    assert.equal((await raw).match(/HTTP\/1.1 200 /g)?.length, 2)
+    assert.equal(service.interrupted, 0)
+  })
+
+  it('finishes what is in progress, and takes nothing new', async (t) => {
+    const { server, service, logged, close } = await openCallerServer(t)
+    const { answer, open } = gate()
+    service.answer = answer
+    const running = send(server.port, '/v1/jobs', { method: 'POST', body })
+    await eventually(() => service.submitted.length === 1)
+    const { port } = server
+    server.stopAccepting()
+    await assert.rejects(send(port, '/v1/jobs', { method: 'POST', body }))
+    const idle = Effect.runPromise(server.whenIdle).then(close)
+    open()
+    assert.equal((await running).status, 200)
+    await idle
+    assert.deepEqual(logged, [])
+  })
+
+  it('says how many requests it cut off', async (t) => {
+    const { server, service, logged, close } = await openCallerServer(t)
+    service.answer = () => Effect.never
+    const running = send(server.port, '/v1/jobs', { method: 'POST', body })
+    await eventually(() => service.submitted.length === 1)
+    await Promise.all([assert.rejects(running), close()])
+    await eventually(() => service.interrupted === 1)
+    assert.equal(service.interrupted, 1)
+    assert.deepEqual(logged, ['cut off 1 requests in progress'])
+  })
+})
+
+describe('starting a server', () => {
+  const options = { host: '127.0.0.1', port: 0, log: () => undefined }
+
+  function failure(changes: object): Promise<unknown> {
+    const started = openServer({ ...options, ...changes }, new OpenAuthenticator(), [])
+    return Effect.runPromise(Effect.flip(Effect.scoped(started)))
+  }
+
+  it('fails when the port is taken', async (t) => {
+    const { server } = await openCallerServer(t)
+    const err = await failure({ port: server.port })
+    assert.ok(err instanceof HttpServerError)
+    assert.equal(err.kind, HttpServerErrorKind.ListenFailed)
+  })
+
+  for (const certFile of ['/nowhere.pem', tls.keyFile]) {
+    it(`fails with the certificate ${path.basename(certFile)}`, async () => {
+      const err = await failure({ tls: { ...tls, certFile } })
+      assert.ok(err instanceof HttpServerError)
+      assert.equal(err.kind, HttpServerErrorKind.TlsUnusable)
+    })
+  }
+
+  it('speaks HTTPS with a key, and tells the service of callers that go', async (t) => {
+    const { server, service } = await openCallerServer(t, { tls })
+    service.answer = () => Effect.never
+    const req = https.request({
+      port: server.port,
+      host: '127.0.0.1',
+      rejectUnauthorized: false,
+      method: 'POST',
+      path: '/v1/jobs',
+      headers: { 'Cherryhitch-Caller': 'desk' },
+    })
+    req.on('error', () => undefined)
+    req.end(body)
+    await eventually(() => service.submitted.length === 1)
+    assert.equal(server.requestsInProgress(), 1)
+    req.destroy()
+    await eventually(() => service.interrupted === 1)
+    assert.equal(service.interrupted, 1)
+  })
+
+  it('drops plain HTTP on an HTTPS port', async (t) => {
+    const { server, service } = await openCallerServer(t, { tls })
+    assert.doesNotMatch(await exchangeRaw(server.port, rawJob(body)), /HTTP/)
+    assert.equal(service.submitted.length, 0)
+  })
+})
