Queue and dispatch tasks at the owner of an endpoint

The owner learns endpoints from heartbeats, keeps one queue per service, starts tasks where a slot is free, and reports how each ended. A broken request is cleared up by asking the endpoint (renewal, then fence) before anything is concluded; endpoints and queues move between owners. A client carries the requests out over bounded connections.

--- a/packages/owner/src/lib/OwnerAction.ts
+++ b/packages/owner/src/lib/OwnerAction.ts
@@ -11,6 +11,8 @@
   SummaryChanged = 'summary_changed',
   Span = 'span',
   Drained = 'drained',
+  DropRun = 'drop_run',
+  CloseIdle = 'close_idle',
 }
 
 /** @public */
@@ -40,6 +42,15 @@
   | { readonly kind: OwnerActionKind.Span; readonly span: SpanRecord }
   /** Draining is over: nothing is queued, dispatched or owned here any more. */
   | { readonly kind: OwnerActionKind.Drained }
+  /** Nobody awaits this request any more: its connection is closed. RunEnded still follows. */
+  | {
+      readonly kind: OwnerActionKind.DropRun
+      readonly endpoint: string
+      readonly taskId: string
+      readonly run: number
+    }
+  /** The endpoint was handed over: idle connections to it are closed. */
+  | { readonly kind: OwnerActionKind.CloseIdle; readonly endpoint: string }
 
 /** Starts a task at an endpoint, or joins it when `join` says it may run there already. @public */
 export interface RunTaskAction {
@@ -49,6 +60,10 @@
   /** Connections the endpoint allows this owner to hold. */
   readonly maxConnections: number
   readonly taskId: string
+  /** Number of this request, unique in this process; RunEnded names it. */
+  readonly run: number
+  /** Boot of the endpoint that the owner means: another one must not take it for a join. */
+  readonly endpointBoot: number
   readonly service: string
   readonly payload: string
   readonly resources: Resources | undefined
--- a/packages/owner/src/lib/OwnerEvent.ts
+++ b/packages/owner/src/lib/OwnerEvent.ts
@@ -3,6 +3,7 @@
   CancelTasks,
   EndpointAnnouncement,
   FenceTasks,
+  ForwardHeartbeat,
   HandOverEndpoints,
   PlaceTasks,
   PresetDefinition,
@@ -30,10 +31,16 @@
   | { readonly case: 'fenceTasks'; readonly value: FenceTasks }
   | { readonly case: 'handOverEndpoints'; readonly value: HandOverEndpoints }
   | { readonly case: 'releaseSlots'; readonly value: ReleaseSlots }
+  | { readonly case: 'forwardHeartbeat'; readonly value: ForwardHeartbeat }
 
 /** @public */
 export type OwnerEvent =
-  | { readonly kind: OwnerEventKind.Heartbeat; readonly announcement: EndpointAnnouncement }
+  | {
+      readonly kind: OwnerEventKind.Heartbeat
+      readonly announcement: EndpointAnnouncement
+      /** The instance that passed it on; it is not passed on a second time. */
+      readonly forwardedBy?: string
+    }
   | {
       readonly kind: OwnerEventKind.Message
       /** Sending instance. */
@@ -45,6 +52,7 @@
       readonly kind: OwnerEventKind.RunEnded
       readonly endpoint: string
       readonly taskId: string
+      readonly run: number
       readonly result: RunResult
     }
   /** The answer to StopTasks: one for each. */
@@ -52,6 +60,8 @@
       readonly kind: OwnerEventKind.StopEnded
       readonly endpoint: string
       readonly results: readonly StopResult[]
+      /** Boot of the endpoint that answered, where it says so. */
+      readonly boot?: number | undefined
     }
   /** The answer to RenewLeases. `known` is undefined when the endpoint did not answer. */
   | {
@@ -59,6 +69,8 @@
       readonly endpoint: string
       readonly asked: readonly string[]
       readonly known: readonly string[] | undefined
+      /** Boot of the endpoint that answered, where it says so. */
+      readonly boot?: number | undefined
     }
   /** The answer to Probe. */
   | {
--- /dev/null
+++ b/packages/owner/src/lib/OwnerMachine.ts
@@ -0,0 +1,241 @@
+import { exhaustive } from '@cherryhitch/model'
+import type { InstanceView } from '@cherryhitch/model'
+import type { PresetDefinition, ServiceSummary } from '@cherryhitch/protocol'
+import { Reason } from '@cherryhitch/protocol'
+import { Machine } from '@cherryhitch/runtime'
+import { Dispatcher } from './dispatch/Dispatcher'
+import type { ServiceLane } from './dispatch/ServiceLane'
+import { EndpointDirectory } from './endpoints/EndpointDirectory'
+import { EndpointProbes } from './endpoints/EndpointProbes'
+import { HandOver } from './handover/HandOver'
+import { QueueMover } from './handover/QueueMover'
+import { Cancellation } from './intake/Cancellation'
+import { CoordinatorWatch } from './intake/CoordinatorWatch'
+import { Fencing } from './intake/Fencing'
+import { Placement } from './intake/Placement'
+import { NotRunTasks } from './outcomes/NotRunTasks'
+import { RunAnswers } from './outcomes/RunAnswers'
+import { TaskEnds } from './outcomes/TaskEnds'
+import type { OwnerAction } from './OwnerAction'
+import { OwnerActionKind } from './OwnerAction'
+import { OwnerContext } from './OwnerContext'
+import type { OwnerCounters } from './OwnerCounters'
+import type { OwnerEvent, OwnerMessage } from './OwnerEvent'
+import { OwnerEventKind } from './OwnerEvent'
+import type { OwnerMachineOptions } from './OwnerOptions'
+import { LeaseKeeper } from './recovery/LeaseKeeper'
+import { LostTasks } from './recovery/LostTasks'
+import { describeEndpoint } from './views/describeEndpoint'
+import type { EndpointView } from './views/EndpointView'
+import { Summaries } from './views/Summaries'
+
+/**
+ * The owner of a zone's endpoints, or of a share of them: it queues tasks, starts each where a
+ * slot is free, and reports how it ended. It hosts the managers and routes events to them.
+ *
+ * @public
+ */
+export class OwnerMachine extends Machine<OwnerEvent, OwnerAction> {
+  private readonly ctx: OwnerContext
+  private readonly dispatcher: Dispatcher
+  private readonly notRun: NotRunTasks
+  private readonly probes: EndpointProbes
+  private readonly directory: EndpointDirectory
+  private readonly answers: RunAnswers
+  private readonly lost: LostTasks
+  private readonly leases: LeaseKeeper
+  private readonly handOver: HandOver
+  private readonly queues: QueueMover
+  private readonly placement: Placement
+  private readonly cancellation: Cancellation
+  private readonly fencing: Fencing
+  private readonly coordinators: CoordinatorWatch
+  private readonly offers: Summaries
+  private drained = false
+
+  constructor(options: OwnerMachineOptions) {
+    super()
+    const ctx = new OwnerContext(options)
+    const ends = new TaskEnds(ctx)
+    this.ctx = ctx
+    this.dispatcher = new Dispatcher(ctx, ends)
+    this.notRun = new NotRunTasks(ctx, ends, this.dispatcher)
+    this.probes = new EndpointProbes(ctx)
+    this.directory = new EndpointDirectory(ctx, ends, this.notRun)
+    this.answers = new RunAnswers(ctx, ends, this.notRun, this.probes)
+    this.lost = new LostTasks(ctx, ends, this.notRun, this.dispatcher, this.probes)
+    this.leases = new LeaseKeeper(ctx, ends, this.lost, this.probes)
+    this.handOver = new HandOver(ctx, this.directory)
+    this.queues = new QueueMover(ctx, ends)
+    this.placement = new Placement(ctx, ends, this.dispatcher)
+    this.cancellation = new Cancellation(ctx, ends)
+    this.fencing = new Fencing(ctx)
+    this.coordinators = new CoordinatorWatch(ctx, this.cancellation)
+    this.offers = new Summaries(ctx)
+  }
+
+  override step(now: number, event: OwnerEvent): readonly OwnerAction[] {
+    this.apply(now, event)
+    return this.finish(now)
+  }
+
+  override tick(now: number): readonly OwnerAction[] {
+    for (const record of [...this.ctx.endpoints.values()]) {
+      this.probes.tend(now, record)
+      this.leases.tend(now, record)
+      this.handOver.expireHeld(now, record)
+      this.directory.forgetIfGone(now, record)
+    }
+    this.notRun.tick(now)
+    this.coordinators.tick(now)
+    for (const lane of [...this.ctx.lanes.values()]) this.tendLane(now, lane)
+    this.ctx.memory.expire(now)
+    if (this.offers.changedMuch(now)) {
+      this.ctx.outbox.push({ kind: OwnerActionKind.SummaryChanged })
+    }
+    return this.finish(now)
+  }
+
+  /** What is offered to coordinators now, per service. */
+  summaries(now: number): readonly ServiceSummary[] {
+    return this.offers.make(now)
+  }
+
+  /** The endpoints known here, for operators. */
+  endpoints(now: number): readonly EndpointView[] {
+    return [...this.ctx.endpoints.values()].map((record) => describeEndpoint(now, this.ctx, record))
+  }
+
+  get counters(): Readonly<OwnerCounters> {
+    return this.ctx.counters
+  }
+
+  /** Tasks that are queued or dispatched here. */
+  get tasks(): number {
+    return this.ctx.book.size
+  }
+
+  /** The instance that heartbeats of an endpoint should go to; undefined when none is known. */
+  ownerOf(endpoint: string, service: string, zone = this.ctx.zone): string | undefined {
+    if (this.ctx.endpoints.get(endpoint)?.owned === true) return this.ctx.instance
+    return this.ctx.ownership.ownerOf(endpoint, service, zone)
+  }
+
+  private apply(now: number, event: OwnerEvent): void {
+    switch (event.kind) {
+      case OwnerEventKind.Heartbeat:
+        this.directory.heartbeat(now, event.announcement, event.forwardedBy)
+        return
+      case OwnerEventKind.Message:
+        this.receive(now, event.from, event.message)
+        return
+      case OwnerEventKind.RunEnded:
+        this.answers.ended(now, event)
+        return
+      case OwnerEventKind.StopEnded:
+      case OwnerEventKind.LeasesRenewed:
+      case OwnerEventKind.ProbeEnded:
+        this.applyControlAnswer(now, event)
+        return
+      case OwnerEventKind.Members:
+        this.setMembers(now, event.members)
+        return
+      case OwnerEventKind.Preset:
+        this.setPreset(now, event.preset)
+        return
+      case OwnerEventKind.Drain:
+        this.drain(now)
+        return
+      default:
+        exhaustive(event)
+    }
+  }
+
+  private tendLane(now: number, lane: ServiceLane): void {
+    for (const task of lane.queue.removeExpired(now)) this.dispatcher.expire(now, task)
+    lane.countSlots()
+    this.ctx.dirtyLanes.add(lane)
+    if (lane.isEmpty) this.ctx.lanes.delete(lane.service)
+    const { draining, timing } = this.ctx
+    if (draining || lane.endpoints.size === 0 || !lane.isDeserted(now, timing)) return
+    this.queues.refuseAll(now, lane, Reason.NO_ENDPOINT, 'No endpoint of the service is left.')
+  }
+
+  private receive(now: number, from: string, message: OwnerMessage): void {
+    switch (message.case) {
+      case 'placeTasks':
+        this.placement.place(now, from, message.value)
+        return
+      case 'cancelTasks':
+        this.cancellation.cancel(now, message.value)
+        return
+      case 'fenceTasks':
+        this.fencing.fence(now, from, message.value)
+        return
+      case 'handOverEndpoints':
+        this.handOver.takeOver(now, from, message.value)
+        return
+      case 'releaseSlots':
+        this.handOver.released(from, message.value)
+        return
+      case 'forwardHeartbeat': {
+        const { announcement } = message.value
+        if (announcement !== undefined) this.directory.heartbeat(now, announcement, from)
+        return
+      }
+      default:
+        exhaustive(message)
+    }
+  }
+
+  private applyControlAnswer(now: number, event: ControlAnswer): void {
+    const record = this.ctx.endpoints.get(event.endpoint)
+    if (record === undefined) this.ctx.counters.lateAnswers++
+    else if (event.kind === OwnerEventKind.StopEnded) {
+      this.lost.stopsEnded(now, record, event.results, event.boot)
+    } else if (event.kind === OwnerEventKind.LeasesRenewed) {
+      this.leases.renewed(now, record, event.known, event.boot)
+    } else this.probes.ended(now, record, event.alive)
+  }
+
+  private setMembers(now: number, members: readonly InstanceView[]): void {
+    const changed = this.ctx.ownership.setMembers(now, members)
+    this.handOver.forgetDeadHolders()
+    if (changed) this.handOver.rebalance()
+    this.coordinators.membersChanged(now, members)
+  }
+
+  private setPreset(now: number, preset: PresetDefinition): void {
+    const moved = this.ctx.ownership.setShards(preset.ownerShards)
+    this.ctx.usePreset(now, preset)
+    if (moved) this.handOver.rebalance()
+  }
+
+  private drain(now: number): void {
+    if (this.ctx.draining) return
+    this.ctx.draining = true
+    this.ctx.ownership.leave(now)
+    this.handOver.rebalance()
+    for (const lane of this.ctx.lanes.values()) this.ctx.dirtyLanes.add(lane)
+  }
+
+  /** Starts what can start, and hands out what was decided. */
+  private finish(now: number): readonly OwnerAction[] {
+    this.queues.run(now)
+    this.dispatcher.run(now)
+    this.lost.sendStops(now)
+    this.handOver.flushReleases()
+    if (this.ctx.draining && !this.drained && this.ctx.book.size === 0) {
+      this.drained = true
+      this.ctx.outbox.push({ kind: OwnerActionKind.Drained })
+    }
+    return this.ctx.outbox.take()
+  }
+}
+
+type ControlAnswer = Extract<
+  OwnerEvent,
+  {
+    kind: OwnerEventKind.StopEnded | OwnerEventKind.LeasesRenewed | OwnerEventKind.ProbeEnded
+  }
+>
--- /dev/null
+++ b/packages/owner/src/lib/client/HttpExchange.ts
@@ -0,0 +1,158 @@
+import http from 'node:http'
+import type { Socket } from 'node:net'
+import { Data, Effect } from 'effect'
+
+/** One HTTP request and the bounds of its answer. @internal */
+export interface HttpExchange {
+  readonly method: string
+  /** Host and port. */
+  readonly address: string
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: string
+  readonly agent: http.Agent
+  /** Milliseconds until a new connection has to be there. */
+  readonly connectTimeoutMs: number
+  /** Milliseconds until the whole answer has to be there. */
+  readonly answerTimeoutMs: number
+  /** Longest answer in bytes. */
+  readonly maxAnswerBytes: number
+}
+
+/** @internal */
+export interface HttpReply {
+  readonly status: number
+  readonly body: string
+  /** The answer was cut off at the bound. */
+  readonly oversized: boolean
+}
+
+/** No answer came. @internal */
+export class HttpFailure extends Data.TaggedError('HttpFailure')<{
+  /** Whether any byte of the request may have reached the other end. */
+  readonly mayHaveArrived: boolean
+  readonly detail: string
+}> {}
+
+const KEEP_ALIVE_PROBE_MS = 1000
+/** Node takes no longer timer. */
+const MAX_TIMER_MS = 2_147_483_647
+
+/**
+ * Carries out one request; interrupting it closes the connection.
+ *
+ * A request that never had a connected socket can't have arrived. On a connection that was used
+ * before, a reset tells nothing: the request may have been read before it.
+ *
+ * @internal
+ */
+export function exchange(options: HttpExchange): Effect.Effect<HttpReply, HttpFailure> {
+  return Effect.callback<HttpReply, HttpFailure>((resume) => {
+    const run = new RunningExchange(options, resume)
+    return Effect.sync(() => {
+      run.abort('It was given up.')
+    })
+  })
+}
+
+type Resume = (effect: Effect.Effect<HttpReply, HttpFailure>) => void
+
+class RunningExchange {
+  private readonly req: http.ClientRequest
+  private readonly answerTimer: NodeJS.Timeout
+  private connectTimer: NodeJS.Timeout | undefined
+  private connected = false
+  private settled = false
+
+  constructor(
+    private readonly options: HttpExchange,
+    private readonly resume: Resume,
+  ) {
+    const { host, port } = splitAddress(options.address)
+    const { method, path, agent, body } = options
+    const headers = { ...options.headers, 'content-length': Buffer.byteLength(body) }
+    this.req = http.request({ host, port, method, path, agent, headers })
+    this.answerTimer = setTimeout(
+      () => {
+        this.abort('The answer did not come in time.')
+      },
+      Math.min(options.answerTimeoutMs, MAX_TIMER_MS),
+    )
+    this.req.on('socket', (socket) => {
+      this.watch(socket)
+    })
+    this.req.on('response', (res) => {
+      this.read(res)
+    })
+    this.req.on('error', (err) => {
+      this.fail(err.message)
+    })
+    this.req.end(body)
+  }
+
+  /** Gives up and closes the connection. */
+  abort(detail: string): void {
+    this.fail(detail)
+    this.req.destroy()
+  }
+
+  private watch(socket: Socket): void {
+    if (!socket.connecting) {
+      this.connected = true
+      return
+    }
+    socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS)
+    this.connectTimer = setTimeout(() => {
+      this.abort('The connection was not made in time.')
+    }, this.options.connectTimeoutMs)
+    socket.once('connect', () => {
+      this.connected = true
+      clearTimeout(this.connectTimer)
+    })
+  }
+
+  private read(res: http.IncomingMessage): void {
+    const chunks: Buffer[] = []
+    let size = 0
+    const finish = (oversized: boolean): void => {
+      const body = oversized ? '' : Buffer.concat(chunks).toString('utf8')
+      this.settle(Effect.succeed({ status: res.statusCode ?? 0, body, oversized }))
+    }
+    res.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size <= this.options.maxAnswerBytes) {
+        chunks.push(chunk)
+        return
+      }
+      finish(true)
+      this.req.destroy()
+    })
+    res.on('end', () => {
+      finish(false)
+    })
+    res.on('aborted', () => {
+      this.fail('The connection broke within the answer.')
+    })
+    res.on('error', (err) => {
+      this.fail(err.message)
+    })
+  }
+
+  private fail(detail: string): void {
+    this.settle(Effect.fail(new HttpFailure({ mayHaveArrived: this.connected, detail })))
+  }
+
+  private settle(end: Effect.Effect<HttpReply, HttpFailure>): void {
+    if (this.settled) return
+    this.settled = true
+    clearTimeout(this.answerTimer)
+    clearTimeout(this.connectTimer)
+    this.resume(end)
+  }
+}
+
+function splitAddress(address: string): { host: string; port: number } {
+  const cut = address.lastIndexOf(':')
+  const host = address.slice(0, cut).replace(/^\[|\]$/g, '')
+  return { host, port: Number(address.slice(cut + 1)) }
+}
--- a/packages/owner/src/lib/endpointResults.ts
+++ b/packages/owner/src/lib/endpointResults.ts
@@ -6,6 +6,8 @@
   Failed = 'failed',
   /** Refused with `ran: no`, fenced, or the connection was never made. */
   NotRun = 'not_run',
+  /** 410: it ended, and the endpoint forgot its answer. */
+  Unknown = 'unknown',
   /** The connection broke after the request was on its way. */
   Lost = 'lost',
 }
@@ -19,6 +21,8 @@
   readonly detail: string
   /** Run time as the endpoint measured it, in milliseconds; 0 when unknown. */
   readonly runMs: number
+  /** Whether the endpoint answered at all, if only with a refusal. */
+  readonly answered: boolean
 }
 
 /** What an endpoint says of a task it was told to stop. @public */
--- /dev/null
+++ b/packages/owner/src/lib/handover/HandOver.ts
@@ -0,0 +1,146 @@
+import type {
+  EndpointAnnouncement,
+  HandedEndpoint,
+  HandOverEndpoints,
+  ReleaseSlots,
+} from '@cherryhitch/protocol'
+import { create } from '@bufbuild/protobuf'
+import { HandedEndpointSchema } from '@cherryhitch/protocol'
+import { CONTROL_CONNECTIONS } from '../endpoints/connectionShares'
+import type { EndpointDirectory } from '../endpoints/EndpointDirectory'
+import type { EndpointRecord } from '../endpoints/EndpointRecord'
+import { OwnerActionKind } from '../OwnerAction'
+import type { OwnerContext } from '../OwnerContext'
+
+/**
+ * Moves endpoints between owners. The old owner finishes what it dispatched and says which slots
+ * it still uses; the new one starts nothing on those.
+ *
+ * @internal
+ */
+export class HandOver {
+  constructor(
+    private readonly ctx: OwnerContext,
+    private readonly directory: EndpointDirectory,
+  ) {}
+
+  /** Hands over each endpoint whose owner is another instance by now. */
+  rebalance(): void {
+    const moved = new Map<string, HandedEndpoint[]>()
+    for (const record of this.ctx.endpoints.values()) {
+      if (!record.owned) continue
+      const owner = this.ownerOf(record)
+      if (owner === undefined || owner === this.ctx.instance) continue
+      const handed = moved.get(owner) ?? []
+      handed.push(this.handOver(record, owner))
+      moved.set(owner, handed)
+    }
+    for (const [owner, endpoints] of moved) {
+      this.ctx.outbox.send(owner, { case: 'handOverEndpoints', value: { endpoints } })
+    }
+  }
+
+  /** Connections and slots of instances that died are free, but for what the endpoint lists. */
+  forgetDeadHolders(): void {
+    for (const record of this.ctx.endpoints.values()) {
+      if (record.heldBy === undefined || this.ctx.ownership.isAlive(record.heldBy)) continue
+      record.heldBy = undefined
+      record.heldConnections = 0
+      this.ctx.refresh(record)
+    }
+  }
+
+  /** Takes endpoints from their old owner. */
+  takeOver(now: number, from: string, handed: HandOverEndpoints): void {
+    for (const { announcement, dispatchedTaskIds, connectionsHeld } of handed.endpoints) {
+      if (announcement === undefined) continue
+      const record = this.recordFor(now, announcement)
+      if (record === undefined) continue
+      this.ctx.counters.endpointsTakenOver++
+      const until = now + this.ctx.timing.leaseMs + this.ctx.timing.leaseSlackMs
+      for (const taskId of dispatchedTaskIds) {
+        const listed = record.held.get(taskId)?.listed ?? false
+        if (!record.running.has(taskId)) record.held.set(taskId, { until, listed })
+      }
+      record.heldBy = connectionsHeld > 0 ? from : undefined
+      record.heldConnections = connectionsHeld
+      record.holdUntil = 0
+      this.ctx.refresh(record)
+    }
+    // This instance may leave, or know better: then the endpoint moves on.
+    if (this.ctx.draining) this.rebalance()
+  }
+
+  /** Tasks of the old owner ended. */
+  released(from: string, release: ReleaseSlots): void {
+    const record = this.ctx.endpoints.get(release.endpoint)
+    if (record?.owned !== true) return
+    for (const taskId of release.taskIds) record.held.delete(taskId)
+    if (record.heldBy === from) record.heldConnections = release.connectionsHeld
+    this.ctx.refresh(record)
+  }
+
+  /** Tells new owners which of the slots they wait for are free now. */
+  flushReleases(): void {
+    for (const [endpoint, taskIds] of this.ctx.releasedSlots) {
+      const record = this.ctx.endpoints.get(endpoint)
+      if (record?.successor === undefined) continue
+      const connectionsHeld = connectionsOf(record)
+      const value = { endpoint, taskIds, connectionsHeld }
+      this.ctx.outbox.send(record.successor, { case: 'releaseSlots', value })
+      if (record.running.size > 0) continue
+      this.ctx.outbox.push({ kind: OwnerActionKind.CloseIdle, endpoint })
+      this.directory.remove(record)
+    }
+    this.ctx.releasedSlots.clear()
+  }
+
+  /** Slots whose holders neither ended nor were listed again are free after their time. */
+  expireHeld(now: number, record: EndpointRecord): void {
+    if (record.held.size === 0) return
+    for (const [taskId, slot] of record.held) {
+      if (slot.until <= now) record.held.delete(taskId)
+    }
+    this.ctx.refresh(record)
+  }
+
+  private ownerOf(record: EndpointRecord): string | undefined {
+    return this.ctx.ownership.ownerOf(record.endpoint, record.service, record.announcement.zone)
+  }
+
+  private handOver(record: EndpointRecord, owner: string): HandedEndpoint {
+    this.ctx.counters.endpointsHandedOver++
+    record.owned = false
+    record.successor = owner
+    this.directory.disown(record)
+    this.noteSuccessor(record.service, owner)
+    const { endpoint, announcement } = record
+    if (record.running.size === 0) this.ctx.endpoints.delete(endpoint)
+    this.ctx.outbox.push({ kind: OwnerActionKind.CloseIdle, endpoint })
+    return create(HandedEndpointSchema, {
+      announcement,
+      dispatchedTaskIds: [...record.running.keys(), ...record.held.keys()],
+      connectionsHeld: connectionsOf(record),
+    })
+  }
+
+  private noteSuccessor(service: string, owner: string): void {
+    const owners = this.ctx.successors.get(service)
+    if (owners === undefined) this.ctx.successors.set(service, new Set([owner]))
+    else owners.add(owner)
+  }
+
+  private recordFor(now: number, announcement: EndpointAnnouncement): EndpointRecord | undefined {
+    const known = this.ctx.endpoints.get(announcement.endpoint)
+    if (known === undefined) return this.directory.add(now, announcement)
+    if (announcement.boot < known.boot) return undefined
+    if (!known.owned) this.directory.takeBack(now, known, announcement)
+    return known
+  }
+}
+
+/** Connections that this owner still holds to an endpoint, those for renewals and stops included. */
+function connectionsOf(record: EndpointRecord): number {
+  if (record.running.size === 0 && record.openRuns.size === 0) return 0
+  return record.openRuns.size + CONTROL_CONNECTIONS
+}
--- /dev/null
+++ b/packages/owner/src/lib/startOwner.ts
@@ -0,0 +1,130 @@
+import type { SpanRecord } from '@cherryhitch/model'
+import { exhaustive } from '@cherryhitch/model'
+import type { Envelope, ServiceSummary } from '@cherryhitch/protocol'
+import type { Clock } from '@cherryhitch/runtime'
+import { startPart, systemClock } from '@cherryhitch/runtime'
+import type { Scope } from 'effect'
+import { Effect } from 'effect'
+import type { EndpointClientCounters, EndpointClientOptions } from './client/EndpointClient'
+import { EndpointClient } from './client/EndpointClient'
+import type { OwnerAction } from './OwnerAction'
+import { OwnerActionKind } from './OwnerAction'
+import type { OwnerCounters } from './OwnerCounters'
+import type { OwnerEvent } from './OwnerEvent'
+import { OwnerMachine } from './OwnerMachine'
+import type { OwnerMachineOptions } from './OwnerOptions'
+import type { EndpointView } from './views/EndpointView'
+
+/** Fine enough for leases and silences of seconds; an idle tick costs microseconds. */
+const TICK_MS = 25
+
+const LOG_PREFIX = 'owner:'
+
+/** What the owner needs of the process it runs in. Callbacks must return at once. @public */
+export interface OwnerPartOptions extends OwnerMachineOptions {
+  /** Sends a message to an instance; the own one included. */
+  readonly send: (to: string, envelope: Envelope) => void
+  /** The offer changed much: coordinators should hear of it now. */
+  readonly onSummaryChanged: () => void
+  readonly onSpan: (span: SpanRecord) => void
+  /** Draining is over. */
+  readonly onDrained: () => void
+  /** A defect ended the part; the process has to end too. */
+  readonly onDefect?: (defect: unknown) => void
+  readonly log: (line: string) => void
+  readonly clock?: Clock
+  readonly client?: Partial<EndpointClientOptions>
+}
+
+/** A running owner. @public */
+export interface OwnerPart {
+  /** Takes an event; returns at once. */
+  readonly tell: (event: OwnerEvent) => void
+  /** Events that wait. */
+  readonly backlog: () => number
+  readonly summaries: () => readonly ServiceSummary[]
+  readonly endpoints: () => readonly EndpointView[]
+  readonly counters: () => Readonly<OwnerCounters>
+  readonly clientCounters: () => Readonly<EndpointClientCounters>
+  /** Tasks that are queued or dispatched here. */
+  readonly tasks: () => number
+  /** The instance that heartbeats of an endpoint should go to. */
+  readonly ownerOf: (endpoint: string, service: string, zone?: string) => string | undefined
+}
+
+/**
+ * Starts the owner: the state machine in a fiber of its own, and the client that it talks to
+ * endpoints with. Both end with the scope.
+ *
+ * @public
+ */
+export function startOwner(
+  options: OwnerPartOptions,
+): Effect.Effect<OwnerPart, never, Scope.Scope> {
+  const clock = options.clock ?? systemClock
+  const machine = new OwnerMachine(options)
+  return Effect.gen(function* () {
+    // The client answers into the mailbox, which exists only after it.
+    let deliver: (event: OwnerEvent) => void = () => undefined
+    const tell = (event: OwnerEvent): void => {
+      deliver(event)
+    }
+    const client = yield* Effect.acquireRelease(
+      Effect.sync(() => new EndpointClient(tell, options.client)),
+      (open) =>
+        Effect.sync(() => {
+          open.close()
+        }),
+    )
+    const part = yield* startPart(machine, {
+      perform: (action) => {
+        perform(options, client, action)
+      },
+      onDefect: (defect) => {
+        options.log(`${LOG_PREFIX} stopped by a defect: ${String(defect)}`)
+        options.onDefect?.(defect)
+      },
+      tickMs: TICK_MS,
+      clock,
+    })
+    deliver = part.tell
+    return {
+      tell,
+      backlog: part.backlog,
+      summaries: () => machine.summaries(clock.now()),
+      endpoints: () => machine.endpoints(clock.now()),
+      counters: () => machine.counters,
+      clientCounters: () => client.counters,
+      tasks: () => machine.tasks,
+      ownerOf: (endpoint, service, zone) => machine.ownerOf(endpoint, service, zone),
+    }
+  })
+}
+
+function perform(options: OwnerPartOptions, client: EndpointClient, action: OwnerAction): void {
+  switch (action.kind) {
+    case OwnerActionKind.Send:
+      options.send(action.to, action.envelope)
+      return
+    case OwnerActionKind.SummaryChanged:
+      options.onSummaryChanged()
+      return
+    case OwnerActionKind.Span:
+      options.onSpan(action.span)
+      return
+    case OwnerActionKind.Drained:
+      options.log(`${LOG_PREFIX} drained.`)
+      options.onDrained()
+      return
+    case OwnerActionKind.RunTask:
+    case OwnerActionKind.StopTasks:
+    case OwnerActionKind.RenewLeases:
+    case OwnerActionKind.Probe:
+    case OwnerActionKind.DropRun:
+    case OwnerActionKind.CloseIdle:
+      client.perform(action)
+      return
+    default:
+      exhaustive(action)
+  }
+}
--- /dev/null
+++ b/packages/owner/src/lib/tasks/TaskBook.ts
@@ -0,0 +1,81 @@
+import { parseTraceparent } from '@cherryhitch/model'
+import type { PlaceTasks } from '@cherryhitch/protocol'
+import type { JobRecord, TaskRecord } from './TaskRecord'
+
+/** All tasks that are queued or dispatched here, by id, by job and by coordinator. @internal */
+export class TaskBook {
+  private readonly tasks = new Map<string, TaskRecord>()
+  private readonly jobs = new Map<string, JobRecord>()
+  private readonly coordinators = new Map<string, Set<JobRecord>>()
+
+  get size(): number {
+    return this.tasks.size
+  }
+
+  get(taskId: string): TaskRecord | undefined {
+    return this.tasks.get(taskId)
+  }
+
+  job(jobId: string): JobRecord | undefined {
+    return this.jobs.get(jobId)
+  }
+
+  jobsOf(coordinator: string): readonly JobRecord[] {
+    return [...(this.coordinators.get(coordinator) ?? [])]
+  }
+
+  coordinatorNames(): Iterable<string> {
+    return this.coordinators.keys()
+  }
+
+  /** Makes the job of a placement known, or takes in what it says newly. */
+  openJob(placement: PlaceTasks, coordinator: string): JobRecord {
+    const known = this.jobs.get(placement.jobId)
+    if (known !== undefined) {
+      known.remaining = placement.jobRemaining
+      return known
+    }
+    const job: JobRecord = {
+      jobId: placement.jobId,
+      caller: placement.caller,
+      coordinator,
+      idempotent: placement.idempotent,
+      traceparent: placement.traceparent,
+      trace: parseTraceparent(placement.traceparent),
+      remaining: placement.jobRemaining,
+      tasks: new Map(),
+      perEndpoint: new Map(),
+      perRack: new Map(),
+    }
+    this.jobs.set(job.jobId, job)
+    this.index(job)
+    return job
+  }
+
+  add(task: TaskRecord): void {
+    this.tasks.set(task.taskId, task)
+    task.job.tasks.set(task.index, task)
+  }
+
+  /** Forgets a task, and its job with the last one. */
+  remove(task: TaskRecord): void {
+    this.tasks.delete(task.taskId)
+    task.job.tasks.delete(task.index)
+    this.closeJob(task.job)
+  }
+
+  /** Forgets a job that has no task here. */
+  closeJob(job: JobRecord): void {
+    if (job.tasks.size > 0) return
+    this.jobs.delete(job.jobId)
+    const jobs = this.coordinators.get(job.coordinator)
+    jobs?.delete(job)
+    if (jobs?.size === 0) this.coordinators.delete(job.coordinator)
+  }
+
+  private index(job: JobRecord): void {
+    const jobs = this.coordinators.get(job.coordinator)
+    if (jobs === undefined) this.coordinators.set(job.coordinator, new Set([job]))
+    else jobs.add(job)
+  }
+}
--- /dev/null
+++ b/packages/owner/src/lib/views/Summaries.ts
@@ -0,0 +1,113 @@
+import { create } from '@bufbuild/protobuf'
+import { HealthState } from '@cherryhitch/policy'
+import type { Resources, ServiceSummary } from '@cherryhitch/protocol'
+import { ResourcesSchema, ServiceSummarySchema } from '@cherryhitch/protocol'
+import type { ServiceLane } from '../dispatch/ServiceLane'
+import type { EndpointRecord } from '../endpoints/EndpointRecord'
+import { EndpointReach } from '../endpoints/EndpointRecord'
+import type { OwnerContext } from '../OwnerContext'
+
+/** A change of free slots by this share is worth a message. */
+const MUCH = 0.25
+
+interface Offer {
+  readonly slots: number
+  readonly freeSlots: number
+}
+
+interface Tally {
+  endpoints: number
+  slots: number
+  freeSlots: number
+  ejected: number
+  largest: Resources | undefined
+}
+
+/** What this owner offers per service, and whether coordinators should hear of a change. @internal */
+export class Summaries {
+  private announced = new Map<string, Offer>()
+  private announcedAt = -Infinity
+
+  constructor(private readonly ctx: OwnerContext) {}
+
+  make(now: number): readonly ServiceSummary[] {
+    if (this.ctx.draining) return []
+    return [...this.ctx.lanes.values()].map((lane) => this.summarize(now, lane))
+  }
+
+  /** Whether the offer differs much from the one that was announced last. */
+  changedMuch(now: number): boolean {
+    if (now - this.announcedAt < this.ctx.timing.summaryMs) return false
+    const offers = new Map<string, Offer>()
+    if (!this.ctx.draining) {
+      for (const lane of this.ctx.lanes.values()) offers.set(lane.service, this.tally(now, lane))
+    }
+    if (!differMuch(this.announced, offers)) return false
+    this.announced = offers
+    this.announcedAt = now
+    return true
+  }
+
+  private summarize(now: number, lane: ServiceLane): ServiceSummary {
+    const { endpoints, slots, freeSlots, ejected, largest } = this.tally(now, lane)
+    const summary = create(ServiceSummarySchema, {
+      service: lane.service,
+      endpoints,
+      slots,
+      freeSlots,
+      queuedTasks: lane.queue.size + lane.delayed,
+      waitMs: lane.predictWaitMs(slots, freeSlots),
+      meanRunMs: lane.meanRunMs,
+      ejectedEndpoints: ejected,
+    })
+    if (largest !== undefined) summary.largest = largest
+    return summary
+  }
+
+  private tally(now: number, lane: ServiceLane): Tally {
+    const tally: Tally = { endpoints: 0, slots: 0, freeSlots: 0, ejected: 0, largest: undefined }
+    for (const record of lane.endpoints) {
+      if (!this.isUsable(now, record)) continue
+      tally.endpoints++
+      tally.largest = larger(tally.largest, record.announcement.capacity)
+      const health = this.ctx.health.state(now, record.endpoint)
+      if (health === HealthState.Ejected) {
+        tally.ejected++
+        continue
+      }
+      tally.slots += record.slots
+      tally.freeSlots += record.freeSlots
+    }
+    return tally
+  }
+
+  private isUsable(now: number, record: EndpointRecord): boolean {
+    if (record.leaving || record.reach === EndpointReach.Unreachable) return false
+    return now - record.lastHeartbeatAt < this.ctx.timing.endpointTimeoutMs
+  }
+}
+
+/** The larger worker, by cores, then memory, then accelerators. */
+function larger(one: Resources | undefined, other: Resources | undefined): Resources | undefined {
+  if (one === undefined || other === undefined) return one ?? other
+  return create(ResourcesSchema, {
+    cores: Math.max(one.cores, other.cores),
+    memoryMb: Math.max(one.memoryMb, other.memoryMb),
+    accelerators: Math.max(one.accelerators, other.accelerators),
+  })
+}
+
+function differMuch(
+  before: ReadonlyMap<string, Offer>,
+  after: ReadonlyMap<string, Offer>,
+): boolean {
+  if (before.size !== after.size) return true
+  for (const [service, offer] of after) {
+    const old = before.get(service)
+    if (old === undefined) return true
+    if (old.slots !== offer.slots) return true
+    if ((old.freeSlots === 0) !== (offer.freeSlots === 0)) return true
+    if (Math.abs(old.freeSlots - offer.freeSlots) > MUCH * Math.max(1, old.freeSlots)) return true
+  }
+  return false
+}
--- /dev/null
+++ b/packages/owner/src/lib/views/describeEndpoint.ts
@@ -0,0 +1,29 @@
+import type { EndpointRecord } from '../endpoints/EndpointRecord'
+import type { OwnerContext } from '../OwnerContext'
+import type { EndpointView } from './EndpointView'
+
+/** An endpoint as operators see it. @internal */
+export function describeEndpoint(
+  now: number,
+  ctx: OwnerContext,
+  record: EndpointRecord,
+): EndpointView {
+  return {
+    endpoint: record.endpoint,
+    service: record.service,
+    zone: record.announcement.zone,
+    rack: record.announcement.rack,
+    address: record.address,
+    boot: record.boot,
+    owned: record.owned,
+    leaving: record.leaving,
+    reach: record.reach,
+    health: ctx.health.state(now, record.endpoint),
+    slots: record.slots,
+    freeSlots: record.freeSlots,
+    runningTasks: record.running.size,
+    heldSlots: record.held.size,
+    silentMs: now - record.lastHeartbeatAt,
+    slowness: ctx.lanes.get(record.service)?.pace.slowness(now, record.endpoint) ?? 1,
+  }
+}
