Test the coordinator's answers, losses and questions at its interface

The tables found that a timer set after a later one went off with that one only: the wheel took the earliest waiting bucket for the first open one. It keeps the two apart now, and a test holds it.

--- /dev/null
+++ b/packages/coordinator/src/lib/placement/LossWatch.test.ts
@@ -0,0 +1,166 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { FenceState, JobState, Outcome, Reason } from '@cherryhitch/protocol'
+import type { MemberInit } from '../fixtures/CoordinatorFixture'
+import { CoordinatorFixture, makeSpec, SELF, succeeded } from '../fixtures/CoordinatorFixture'
+
+/** Lease, margin and a tick. */
+const LEASE_END_MS = 3320
+const RETRY_MS = 2500
+
+const self: MemberInit = { instance: SELF, slots: 0 }
+
+/** A job of two tasks at `a2`; `b2` offers the service only from then on. */
+function placedAtA2(): CoordinatorFixture {
+  const fixture = new CoordinatorFixture()
+  fixture.members(self, { instance: 'a2' })
+  fixture.submit(makeSpec({ tasks: 2 }))
+  fixture.members(self, { instance: 'a2' }, { instance: 'b2', zone: 'b' })
+  return fixture
+}
+
+function view(fixture: CoordinatorFixture, a2: Partial<MemberInit>): void {
+  fixture.members(self, { instance: 'a2', ...a2 }, { instance: 'b2', zone: 'b' })
+}
+
+describe('an owner that falls silent', () => {
+  it('fails nothing while its lease may still run, and is asked when it is back', () => {
+    const fixture = placedAtA2()
+    const heardAt = fixture.now
+    fixture.advance(1000)
+    view(fixture, { alive: false, heardAt })
+    fixture.advance(1000)
+    assert.deepEqual(fixture.replies('r1'), [])
+    view(fixture, {})
+    const [question] = fixture.sent('fenceTasks')
+    assert.equal(question?.to, 'a2')
+    assert.deepEqual(question.value.indexes, [0, 1])
+    fixture.fence('a2', fixture.jobId, FenceState.IN_PROGRESS, 0, 1)
+    fixture.report('a2', fixture.jobId, succeeded(0), succeeded(1))
+    assert.equal(fixture.reply('r1')?.state, JobState.SUCCEEDED)
+  })
+
+  it('makes its tasks unknown once the lease has run out; they are never placed again', () => {
+    const fixture = placedAtA2()
+    const heardAt = fixture.now
+    fixture.advance(1000)
+    view(fixture, { alive: false, heardAt })
+    fixture.advance(heardAt + 3290 - fixture.now)
+    assert.deepEqual(fixture.replies('r1'), [])
+    fixture.advance(40)
+    assert.equal(fixture.reply('r1')?.outcome, Outcome.UNKNOWN)
+    assert.equal(fixture.reply('r1')?.reason, Reason.OWNER_LOST)
+    assert.deepEqual(fixture.placed, ['a2:0,1'])
+    assert.equal(fixture.machine.counters.tasksLost, 2)
+  })
+
+  it('gets another lease when it came back in between', () => {
+    const fixture = placedAtA2()
+    view(fixture, { alive: false, heardAt: fixture.now })
+    fixture.advance(3000)
+    view(fixture, {})
+    view(fixture, { alive: false, heardAt: fixture.now })
+    fixture.advance(1000)
+    assert.deepEqual(fixture.replies('r1'), [])
+    fixture.advance(LEASE_END_MS)
+    assert.equal(fixture.reply('r1')?.reason, Reason.OWNER_LOST)
+  })
+
+  it('is looked for in its zone: one that drained may have passed its queue on', () => {
+    const fixture = placedAtA2()
+    const gone: MemberInit = { instance: 'a2', alive: false, heardAt: fixture.now }
+    fixture.members(self, gone, { instance: 'a3' }, { instance: 'b2', zone: 'b' })
+    const asked = fixture.sent('fenceTasks').map(({ to }) => to)
+    assert.deepEqual(asked.sort(), [SELF, 'a3'])
+    fixture.fence('a3', fixture.jobId, FenceState.IN_PROGRESS, 0, 1)
+    fixture.fence(SELF, fixture.jobId, FenceState.NEVER_SEEN, 0, 1)
+    fixture.advance(LEASE_END_MS)
+    assert.deepEqual(fixture.replies('r1'), [])
+    fixture.report('a3', fixture.jobId, succeeded(0), succeeded(1))
+    assert.equal(fixture.reply('r1')?.state, JobState.SUCCEEDED)
+  })
+})
+
+describe('an owner that never saw the tasks', () => {
+  it('is believed once a later view shows the boot that was asked', () => {
+    const fixture = placedAtA2()
+    fixture.fence('a2', fixture.jobId, FenceState.NEVER_SEEN, 0, 1)
+    fixture.advance(RETRY_MS)
+    assert.deepEqual(fixture.placed, ['a2:0,1'])
+    view(fixture, {})
+    fixture.advance(RETRY_MS)
+    assert.deepEqual(fixture.placed, ['a2:0,1', 'b2:0,1'])
+    fixture.report('b2', fixture.jobId, succeeded(0), succeeded(1))
+    assert.equal(fixture.reply('r1')?.state, JobState.SUCCEEDED)
+  })
+
+  it('is believed at once when it is the own instance', () => {
+    const fixture = new CoordinatorFixture()
+    fixture.members({ instance: SELF })
+    fixture.submit(makeSpec())
+    fixture.fence(SELF, fixture.jobId, FenceState.NEVER_SEEN, 0)
+    fixture.advance(RETRY_MS)
+    assert.equal(fixture.reply('r1')?.outcome, Outcome.NOT_RUN)
+  })
+
+  it('is not believed when it restarted: the boot before it may have started them', () => {
+    const fixture = placedAtA2()
+    fixture.fence('a2', fixture.jobId, FenceState.NEVER_SEEN, 0, 1)
+    fixture.advance(10)
+    view(fixture, { boot: 2 })
+    fixture.fence('a2', fixture.jobId, FenceState.NEVER_SEEN, 0, 1)
+    fixture.advance(100)
+    view(fixture, { boot: 2 })
+    fixture.advance(3150)
+    assert.deepEqual(fixture.replies('r1'), [])
+    fixture.advance(200)
+    assert.equal(fixture.reply('r1')?.outcome, Outcome.UNKNOWN)
+    assert.equal(fixture.reply('r1')?.reason, Reason.OWNER_LOST)
+    assert.deepEqual(fixture.placed, ['a2:0,1'])
+  })
+
+  it('does not speak for the owner that has them', () => {
+    const fixture = placedAtA2()
+    fixture.fence('b2', fixture.jobId, FenceState.NEVER_SEEN, 0, 1)
+    fixture.advance(10)
+    view(fixture, {})
+    fixture.advance(RETRY_MS)
+    assert.deepEqual(fixture.placed, ['a2:0,1'])
+  })
+
+  it('does not get an ended job placed again', () => {
+    const fixture = placedAtA2()
+    fixture.fence('a2', fixture.jobId, FenceState.NEVER_SEEN, 0, 1)
+    fixture.callerGone('r1')
+    fixture.advance(10)
+    view(fixture, {})
+    fixture.advance(RETRY_MS)
+    assert.deepEqual(fixture.placed, ['a2:0,1'])
+  })
+})
+
+describe('an owner that restarted', () => {
+  it('keeps tasks that reached its new boot', () => {
+    const fixture = placedAtA2()
+    view(fixture, { boot: 2 })
+    assert.equal(fixture.sent('fenceTasks').at(-1)?.to, 'a2')
+    fixture.fence('a2', fixture.jobId, FenceState.IN_PROGRESS, 0, 1)
+    fixture.advance(LEASE_END_MS)
+    assert.deepEqual(fixture.replies('r1'), [])
+    fixture.report('a2', fixture.jobId, succeeded(0), succeeded(1))
+    assert.equal(fixture.reply('r1')?.state, JobState.SUCCEEDED)
+  })
+})
+
+describe('a task that is much later than expected', () => {
+  it('is asked after, less and less often, with one message for each owner and job', () => {
+    const fixture = placedAtA2()
+    fixture.advance(990)
+    assert.equal(fixture.sent('fenceTasks').length, 0)
+    fixture.advance(30)
+    assert.equal(fixture.sent('fenceTasks').length, 1)
+    fixture.advance(8900)
+    assert.equal(fixture.sent('fenceTasks').length, 4)
+    assert.deepEqual(fixture.sent('fenceTasks')[0]?.value.indexes, [0, 1])
+  })
+})
--- a/packages/coordinator/src/lib/timers/DueWheel.ts
+++ b/packages/coordinator/src/lib/timers/DueWheel.ts
@@ -10,34 +10,41 @@
  */
 export class DueWheel<T> {
   private readonly buckets = new Map<number, T[]>()
-  private nextBucket: number | undefined
+  /** First bucket that was not taken yet; what is set for an earlier one goes there. */
+  private openBucket = -Infinity
+  /** No bucket before this one holds anything. */
+  private earliest = Infinity
+  private count = 0
 
   /** Timers that have not gone off. */
-  size = 0
+  get size(): number {
+    return this.count
+  }
 
   schedule(at: number, item: T): void {
-    const wanted = Math.ceil(at / BUCKET_MS)
-    const bucket = Math.max(wanted, this.nextBucket ?? wanted)
-    this.nextBucket = Math.min(bucket, this.nextBucket ?? bucket)
-    this.size++
+    const bucket = Math.max(Math.ceil(at / BUCKET_MS), this.openBucket)
+    this.earliest = Math.min(this.earliest, bucket)
+    this.count++
     const items = this.buckets.get(bucket)
     if (items === undefined) this.buckets.set(bucket, [item])
     else items.push(item)
   }
 
-  /** Takes out what is due, oldest first. Items that it sets off anew come with the next call. */
+  /** Takes out what is due, oldest first. */
   takeDue(now: number): readonly T[] {
-    if (this.nextBucket === undefined) return []
     const last = Math.floor(now / BUCKET_MS)
+    this.openBucket = Math.max(this.openBucket, last + 1)
     const due: T[] = []
-    for (let bucket = this.nextBucket; bucket <= last && this.size > 0; bucket++) {
-      const items = this.buckets.get(bucket)
-      if (items === undefined) continue
-      this.buckets.delete(bucket)
-      this.size -= items.length
-      due.push(...items)
+    while (this.earliest <= last && this.count > 0) {
+      const items = this.buckets.get(this.earliest)
+      if (items !== undefined) {
+        this.buckets.delete(this.earliest)
+        this.count -= items.length
+        due.push(...items)
+      }
+      this.earliest++
     }
-    this.nextBucket = this.size === 0 ? undefined : Math.max(this.nextBucket, last + 1)
+    if (this.count === 0) this.earliest = Infinity
     return due
   }
 }
