--- a/packages/storage/src/lib/disk/MemoryDisk.ts
+++ b/packages/storage/src/lib/disk/MemoryDisk.ts
@@ -74,6 +74,11 @@
     this.faults.haltAfter(changes)
   }
 
+  /** Takes back all planned faults; what they did stays. */
+  clearFaults(): void {
+    this.faults.clear()
+  }
+
   /** Flips one byte of a file, also where it is synced. */
   flip(name: string, at: number): void {
     this.names.get(name)?.flip(at)
--- a/packages/storage/src/lib/folder/lockFile.ts
+++ b/packages/storage/src/lib/folder/lockFile.ts
@@ -8,68 +8,80 @@
 import { identify, isAlive } from './processIdentity'
 import type { ProcessIdentity } from './processIdentity'
 
-const LOCK_NAME = 'lock'
-/** Attempts to take a lock over while other processes do the same. */
-const MAX_ATTEMPTS = 3
+const lockPattern = /^lock\.(\d{1,15})$/
+
 /** Keeps apart several openings in one process. */
 let openings = 0
 
-/** Links a finished file to the name of the lock; false when there is a lock already. */
-async function linkLock(own: string, lock: string): Promise<boolean> {
-  try {
-    await fs.link(own, lock)
-    return true
-  } catch (err) {
-    if (systemErrorCode(err) === 'EEXIST') return false
-    throw err
-  }
+/** A lock that was taken, or the process that has it. */
+type Outcome =
+  | { readonly taken: true; readonly number: number }
+  | { readonly taken: false; readonly holder: ProcessIdentity }
+
+function lockPath(folder: string, number: number): string {
+  return path.join(folder, `lock.${number}`)
 }
 
-/** Who holds the lock; undefined when it is gone or was not written by this program. */
+async function listLocks(folder: string): Promise<readonly number[]> {
+  const names = await fs.readdir(folder)
+  return names.map((name) => Number(lockPattern.exec(name)?.[1] ?? 0)).filter((n) => n > 0)
+}
+
+/** Who has a lock; undefined when it is released, gone or unreadable. */
 async function readHolder(lock: string): Promise<ProcessIdentity | undefined> {
   const text = await fs.readFile(lock, 'utf8').catch(() => '')
   try {
-    const holder = JSON.parse(text) as Partial<ProcessIdentity> | null
-    if (typeof holder?.pid !== 'number') return undefined
-    return {
-      pid: holder.pid,
-      startedAt: holder.startedAt ?? '',
-      machineBoot: holder.machineBoot ?? '',
-    }
+    const { pid, startedAt = '', machineBoot = '' } = JSON.parse(text) as Partial<ProcessIdentity>
+    return pid === undefined ? undefined : { pid, startedAt, machineBoot }
   } catch {
     return undefined
   }
 }
 
-/**
- * Moves a lock aside whose holder is dead. Another process may have put its own there since it
- * was read: that one is put back.
- */
-async function moveAside(lock: string, aside: string): Promise<void> {
+/** Gives a finished file the name of a lock; false when another process has made that lock. */
+async function linkLock(own: string, lock: string): Promise<boolean> {
   try {
-    await fs.rename(lock, aside)
+    await fs.link(own, lock)
+    return true
   } catch (err) {
-    if (systemErrorCode(err) === 'ENOENT') return
+    if (systemErrorCode(err) === 'EEXIST') return false
     throw err
   }
-  const moved = await readHolder(aside)
-  if (moved !== undefined && (await isAlive(moved))) await linkLock(aside, lock)
-  await fs.rm(aside, { force: true })
 }
 
-/** Takes the lock; undefined when done, else who holds it. */
-async function takeLock(folder: string): Promise<ProcessIdentity | undefined> {
-  const lock = path.join(folder, LOCK_NAME)
-  const own = `${lock}.${process.pid}.${++openings}`
+/**
+ * Tries to make the lock that follows the highest one.
+ *
+ * The highest one is never removed and its holder never comes back to life, so at most one
+ * process makes the next. One that made a lower number, having listed the folder too early, sees
+ * the higher one when it looks again.
+ *
+ * @returns undefined when another process was quicker: look again
+ */
+async function takeNext(folder: string, own: string): Promise<Outcome | undefined> {
+  const highest = Math.max(0, ...(await listLocks(folder)))
+  const holder = highest > 0 ? await readHolder(lockPath(folder, highest)) : undefined
+  if (holder !== undefined && (await isAlive(holder))) return { taken: false, holder }
+  const number = highest + 1
+  if (!(await linkLock(own, lockPath(folder, number)))) return undefined
+  const locks = await listLocks(folder)
+  if (locks.some((other) => other > number)) {
+    await fs.rm(lockPath(folder, number), { force: true })
+    return undefined
+  }
+  const older = locks.filter((other) => other < number)
+  for (const other of older) await fs.rm(lockPath(folder, other), { force: true })
+  return { taken: true, number }
+}
+
+async function take(folder: string): Promise<Outcome> {
+  const own = path.join(folder, `lock-${process.pid}-${++openings}.tmp`)
   await fs.writeFile(own, JSON.stringify(await identify(process.pid)))
   try {
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      if (await linkLock(own, lock)) return undefined
-      const holder = await readHolder(lock)
-      if (holder !== undefined && (await isAlive(holder))) return holder
-      await moveAside(lock, `${own}.stale`)
+    for (;;) {
+      const outcome = await takeNext(folder, own)
+      if (outcome !== undefined) return outcome
     }
-    return await readHolder(lock)
   } finally {
     await fs.rm(own, { force: true })
   }
@@ -77,20 +89,22 @@
 
 /**
  * Locks a data folder for this process until the scope ends. The lock of a dead process, or of
- * one from before the machine's last start, is taken over.
+ * one from before the machine's last start, is taken over. A released lock stays as an empty file.
  *
  * @internal
  */
-export function acquireLock(folder: string): Effect.Effect<void, StorageError, Scope.Scope> {
-  const take = Effect.gen(function* () {
-    const holder = yield* Effect.tryPromise({
-      try: () => takeLock(folder),
+export function acquireLock(folder: string): Effect.Effect<number, StorageError, Scope.Scope> {
+  const acquire = Effect.gen(function* () {
+    const outcome = yield* Effect.tryPromise({
+      try: () => take(folder),
       catch: (err) => fromSystemError(err, folder, StorageErrorKind.WriteFailed),
     })
-    if (holder === undefined) return
-    const detail = `the data folder is in use by process ${holder.pid}`
+    if (outcome.taken) return outcome.number
+    const detail = `the data folder is in use by process ${outcome.holder.pid}`
     return yield* Effect.fail(storageError(StorageErrorKind.Locked, folder, detail))
   })
-  const release = Effect.promise(() => fs.rm(path.join(folder, LOCK_NAME), { force: true }))
-  return Effect.acquireRelease(take, () => release)
+  // An error here leaves a lock whose holder is dead soon, which the next process takes over.
+  return Effect.acquireRelease(acquire, (number) =>
+    Effect.promise(() => fs.truncate(lockPath(folder, number)).catch(() => undefined)),
+  )
 }
--- a/packages/storage/src/lib/log/segmentFormat.ts
+++ b/packages/storage/src/lib/log/segmentFormat.ts
@@ -33,10 +33,10 @@
   TooNew = 'too_new',
 }
 
-export function encodeSegmentHeader(header: SegmentHeader): Buffer {
+export function encodeSegmentHeader(header: SegmentHeader, version = SEGMENT_VERSION): Buffer {
   const bytes = Buffer.alloc(SEGMENT_HEADER_SIZE)
   bytes.writeUInt32BE(SEGMENT_MAGIC, headerOffsets.magic)
-  bytes.writeUInt32BE(SEGMENT_VERSION, headerOffsets.version)
+  bytes.writeUInt32BE(version, headerOffsets.version)
   bytes.writeBigUInt64BE(BigInt(header.first), headerOffsets.first)
   bytes.writeBigUInt64BE(BigInt(header.floor), headerOffsets.floor)
   bytes.writeUInt32BE(header.syncedSize, headerOffsets.syncedSize)
