Test what each answer of an endpoint does to its task

Tables of answers, broken requests, fences and late answers at the interface of the actions. A refused task is tried at another endpoint first: the test found it going back to the same one.

--- a/packages/owner/src/lib/client/EndpointClient.ts
+++ b/packages/owner/src/lib/client/EndpointClient.ts
@@ -1,3 +1,4 @@
+import { Ok } from '@cherryhitch/model'
 import { Effect, Fiber } from 'effect'
 import type { Result } from 'ts-results'
 import type { RunResult } from '../endpointResults'
@@ -63,6 +64,8 @@
 const JSON_HEADERS = { 'content-type': 'application/json' }
 /** Beyond the deadline the owner has ended the task by itself; the request is only cleaned up. */
 const AFTER_DEADLINE_MS = 10_000
+/** Of no meaning without tasks, but a lease has to be above 0. */
+const PROBE_LEASE_MS = 1
 /** Connections of an endpoint that nothing was asked of for this long are forgotten. */
 const FORGET_AFTER_MS = 60_000
 
@@ -201,10 +204,11 @@
     })
   }
 
-  /** An empty renewal on a new connection: no request of its own is needed for it. */
+  /** An empty renewal on a new connection; whatever is answered, it is alive. */
   private probe(endpoint: string, address: string): void {
-    const body = JSON.stringify({ leaseMs: 0, taskIds: [] })
-    const request = { endpoint, address, path: '/v1/leases', body, read: readLeasesReply }
+    const body = JSON.stringify({ leaseMs: PROBE_LEASE_MS, taskIds: [] })
+    const read = (): Result<true, string> => Ok(true)
+    const request = { endpoint, address, path: '/v1/leases', body, read }
     this.control(request, false, (reply) => {
       this.tell({ kind: OwnerEventKind.ProbeEnded, endpoint, alive: reply !== undefined })
     })
--- a/packages/owner/src/lib/dispatch/Dispatcher.ts
+++ b/packages/owner/src/lib/dispatch/Dispatcher.ts
@@ -89,6 +89,7 @@
     for (let i = 0; i < count && candidates.length < this.ctx.limits.candidates; i++) {
       const record = lane.open[(lane.cursor + i) % count]
       if (record === undefined || !this.mayStart(now, record, task)) continue
+      if (avoids(now, lane, task, record)) continue
       candidates.push(describe(now, lane, record, task))
     }
     if (candidates.length === 0) return undefined
@@ -149,6 +150,12 @@
   }
 }
 
+/** An endpoint that refused a task just now is not asked again while there are others. */
+function avoids(now: number, lane: ServiceLane, task: TaskRecord, record: EndpointRecord): boolean {
+  if (task.refusedBy !== record.endpoint || now >= task.refusedUntil) return false
+  return lane.endpoints.size > 1
+}
+
 function describe(
   now: number,
   lane: ServiceLane,
--- a/packages/owner/src/lib/outcomes/NotRunTasks.ts
+++ b/packages/owner/src/lib/outcomes/NotRunTasks.ts
@@ -7,6 +7,8 @@
 import { TaskPhase } from '../tasks/TaskRecord'
 import type { TaskEnds } from './TaskEnds'
 
+/** An endpoint that refused a task gets the same one again only after this. */
+const AVOID_MS = 1000
 const DRAW_DIGITS = 8
 const DRAW_RANGE = 16 ** DRAW_DIGITS
 
@@ -22,6 +24,8 @@
 
   /** Its endpoint refused it, or was never reached. */
   refused(now: number, task: TaskRecord, detail: string): void {
+    task.refusedBy = task.endpoint?.endpoint
+    task.refusedUntil = now + AVOID_MS
     this.again(now, task, detail)
   }
 
--- /dev/null
+++ b/packages/owner/src/lib/outcomes/RunAnswers.test.ts
@@ -0,0 +1,235 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { Outcome, Reason } from '@cherryhitch/protocol'
+import { RunResultKind, StopState } from '../endpointResults'
+import { JOB, makeResult, OwnerFixture } from '../fixtures/OwnerFixture'
+import { OwnerActionKind } from '../OwnerAction'
+
+const TASK = `${JOB}.0`
+
+/** One endpoint that runs one task. */
+function running(): OwnerFixture {
+  const owner = new OwnerFixture()
+  owner.heartbeat()
+  owner.place()
+  return owner
+}
+
+/** A task whose request broke, with the question about it on its way. */
+function lost(): OwnerFixture {
+  const owner = running()
+  owner.end(owner.runOf(), RunResultKind.Lost)
+  owner.endProbe(true)
+  owner.pass(50)
+  return owner
+}
+
+describe('the answer of an endpoint', () => {
+  const plain = [
+    { kind: RunResultKind.Succeeded, outcome: Outcome.SUCCEEDED, reason: Reason.UNSPECIFIED },
+    { kind: RunResultKind.Failed, outcome: Outcome.FAILED, reason: Reason.TASK_FAILED },
+    { kind: RunResultKind.Unknown, outcome: Outcome.UNKNOWN, reason: Reason.ENDPOINT_LOST },
+  ]
+  for (const { kind, outcome, reason } of plain) {
+    it(`ends the task when it is ${kind}`, () => {
+      const owner = running()
+      owner.end(owner.runOf(), kind)
+      const [report, ...more] = owner.reportsOn()
+      assert.deepEqual([report?.outcome, report?.reason, more.length], [outcome, reason, 0])
+      assert.equal(report?.endpoint, 'e1')
+      assert.equal(owner.machine.tasks, 0)
+    })
+  }
+
+  it('hands on output, run time and the time in the queue', () => {
+    const owner = new OwnerFixture()
+    owner.heartbeat({ slots: 1 })
+    owner.place([0, 1])
+    owner.now += 300
+    owner.end(owner.runOf(), RunResultKind.Succeeded)
+    owner.end(owner.runOf(`${JOB}.1`), makeResult(RunResultKind.Succeeded, { output: '[7]' }))
+    const [report] = owner.reportsOn(1)
+    assert.deepEqual([report?.output, report?.runMs, report?.queuedMs], ['[7]', 100, 300])
+  })
+
+  it('tries a refused task elsewhere', () => {
+    const owner = running()
+    owner.heartbeat({ endpoint: 'e2' })
+    const refused = owner.runOf()
+    owner.end(refused, RunResultKind.NotRun)
+    owner.passWithHeartbeats(200, { endpoint: 'e1' }, { endpoint: 'e2' })
+    assert.equal(owner.openRuns.length, 1)
+    assert.notEqual(owner.runOf().endpoint, refused.endpoint)
+    assert.equal(owner.runOf().join, false)
+  })
+
+  it('reports a task as not run once the budget is used up', () => {
+    const owner = running()
+    for (let tries = 0; tries < 20 && owner.reportsOn().length === 0; tries++) {
+      if (owner.openRuns.length > 0) owner.end(owner.runOf(), RunResultKind.NotRun)
+      owner.passWithHeartbeats(500, {})
+    }
+    const [report, ...more] = owner.reportsOn()
+    assert.deepEqual([report?.outcome, more.length], [Outcome.NOT_RUN, 0])
+    assert.ok((report?.retryAfterMs ?? 0) > 0)
+  })
+})
+
+describe('a request that broke', () => {
+  it('is joined on a new connection when the endpoint says that the task runs', () => {
+    const owner = lost()
+    assert.equal(owner.openRuns.length, 0)
+    owner.endRenewal([TASK])
+    assert.equal(owner.runOf().join, true)
+    assert.equal(owner.runOf().endpoint, 'e1')
+    owner.end(owner.runOf(), RunResultKind.Succeeded)
+    assert.equal(owner.reportsOn()[0]?.outcome, Outcome.SUCCEEDED)
+    assert.equal(owner.all(OwnerActionKind.StopTasks).length, 0)
+  })
+
+  const afterFence = [
+    { name: 'fetches the answer of a task that ended', state: StopState.Ended, joins: true },
+    { name: 'is unknown when the fence stopped it', state: StopState.Stopped, joins: false },
+  ]
+  for (const { name, state, joins } of afterFence) {
+    it(name, () => {
+      const owner = lost()
+      owner.endRenewal([])
+      owner.endStops(state, 1)
+      assert.equal(owner.openRuns.length, joins ? 1 : 0)
+      if (joins) owner.end(owner.runOf(), RunResultKind.Succeeded)
+      const outcome = joins ? Outcome.SUCCEEDED : Outcome.UNKNOWN
+      assert.deepEqual(
+        owner.reportsOn().map((report) => report.outcome),
+        [outcome],
+      )
+    })
+  }
+
+  it('is tried at another endpoint once it is fenced as never seen', () => {
+    const owner = lost()
+    owner.heartbeat({ endpoint: 'e2' })
+    owner.endRenewal([])
+    assert.deepEqual(owner.last(OwnerActionKind.StopTasks).taskIds, [TASK])
+    assert.equal(owner.openRuns.length, 0)
+    owner.endStops(StopState.NeverSeen, 1)
+    owner.pass(200)
+    assert.deepEqual(
+      owner.openRuns.map((run) => [run.endpoint, run.join]),
+      [['e2', false]],
+    )
+  })
+
+  it('is reported as not run when the only endpoint has fenced it', () => {
+    const owner = lost()
+    owner.endRenewal([])
+    owner.endStops(StopState.NeverSeen, 1)
+    assert.equal(owner.reportsOn()[0]?.outcome, Outcome.NOT_RUN)
+  })
+
+  const boots = [
+    { name: 'a heartbeat of the same process confirms', boot: 1, outcome: Outcome.NOT_RUN },
+    { name: 'a restarted process means nothing', boot: 2, outcome: Outcome.UNKNOWN },
+  ]
+  for (const { name, boot, outcome } of boots) {
+    it(`believes "never seen" only of the process it was sent to: ${name}`, () => {
+      const owner = lost()
+      owner.endRenewal([])
+      owner.endStops(StopState.NeverSeen)
+      owner.heartbeat()
+      assert.equal(owner.reportsOn().length, 0, 'a heartbeat sent before the answer proves nothing')
+      owner.pass(150)
+      owner.heartbeat({ boot })
+      assert.deepEqual(
+        owner.reportsOn().map((report) => report.outcome),
+        [outcome],
+      )
+    })
+  }
+
+  it('is unknown when the process that says "never seen" is another one', () => {
+    const owner = lost()
+    owner.endRenewal([])
+    owner.endStops(StopState.NeverSeen, 2)
+    assert.equal(owner.reportsOn()[0]?.outcome, Outcome.UNKNOWN)
+  })
+
+  it('is unknown when a join is refused: it was known there before', () => {
+    const owner = lost()
+    owner.endRenewal([TASK])
+    owner.end(owner.runOf(), RunResultKind.NotRun)
+    assert.equal(owner.reportsOn()[0]?.outcome, Outcome.UNKNOWN)
+  })
+
+  it('is given up when the lease has run out, not sooner and not much later', () => {
+    const owner = running()
+    owner.end(owner.runOf(), RunResultKind.Lost)
+    owner.endProbe(false)
+    owner.pass(2950)
+    assert.equal(owner.reportsOn().length, 0)
+    owner.pass(300)
+    const [report] = owner.reportsOn()
+    assert.deepEqual([report?.outcome, report?.reason], [Outcome.UNKNOWN, Reason.ENDPOINT_LOST])
+    assert.equal(owner.openRuns.length, 0)
+  })
+
+  it('counts the lease from a renewal that may have arrived', () => {
+    const owner = lost()
+    owner.endRenewal(undefined)
+    owner.endProbe(false)
+    const askedAt = owner.now
+    owner.pass(2950)
+    assert.equal(owner.reportsOn().length, 0)
+    owner.pass(300)
+    assert.equal(owner.reportsOn()[0]?.outcome, Outcome.UNKNOWN)
+    assert.ok(owner.now - askedAt <= 3250)
+  })
+})
+
+describe('answers that nothing is awaited of', () => {
+  it('drops the answer of an earlier request after the task went elsewhere', () => {
+    const owner = lost()
+    owner.heartbeat({ endpoint: 'e2' })
+    const late = { ...owner.all(OwnerActionKind.RunTask)[0] }
+    owner.endRenewal([])
+    owner.endStops(StopState.NeverSeen, 1)
+    owner.pass(200)
+    assert.equal(owner.runOf().endpoint, 'e2')
+    owner.end(late as ReturnType<OwnerFixture['runOf']>, RunResultKind.Succeeded)
+    assert.equal(owner.reportsOn().length, 0)
+    assert.equal(owner.machine.counters.lateAnswers, 1)
+  })
+
+  it('drops doubled, foreign and unasked answers', () => {
+    const owner = running()
+    const run = owner.runOf()
+    owner.end({ ...run, endpoint: 'e9' }, RunResultKind.Succeeded)
+    owner.end({ ...run, taskId: `${JOB}.7` }, RunResultKind.Succeeded)
+    owner.end(run, RunResultKind.Succeeded)
+    owner.end(run, RunResultKind.NotRun)
+    owner.endProbe(true)
+    assert.deepEqual(
+      owner.reportsOn().map((report) => report.outcome),
+      [Outcome.SUCCEEDED],
+    )
+    assert.equal(owner.machine.counters.lateAnswers, 4)
+    assert.equal(owner.all(OwnerActionKind.RunTask).length, 1)
+  })
+
+  it('waits for the second request when the first one breaks late', () => {
+    const owner = running()
+    const silent = owner.runOf()
+    owner.passWithHeartbeats(1600, {})
+    owner.endRenewal([])
+    owner.passWithHeartbeats(250, {})
+    owner.endStops(StopState.Ended, 1)
+    const join = owner.runOf()
+    assert.equal(join.join, true)
+    owner.end(silent, RunResultKind.Lost)
+    owner.end(join, RunResultKind.Succeeded)
+    assert.deepEqual(
+      owner.reportsOn().map((report) => report.outcome),
+      [Outcome.SUCCEEDED],
+    )
+  })
+})
--- a/packages/owner/src/lib/tasks/TaskRecord.ts
+++ b/packages/owner/src/lib/tasks/TaskRecord.ts
@@ -72,6 +72,9 @@
   retries = 0
   /** The rack where it counts among its job's running tasks. */
   countedRack: string | undefined
+  /** The endpoint that refused it last, and until when it is tried elsewhere if there is one. */
+  refusedBy: string | undefined
+  refusedUntil = 0
   /** Endpoints where its id is fenced. */
   fencedAt: readonly string[] = []
   readonly jobRemaining: number
