Add links between instances over one long stream each way

Each instance dials every peer and pushes batches of envelopes on its own stream; the receiver answers each batch with a receipt. Sequences continue over the streams of one process, so that a batch resent after a silent or reset connection is delivered once. A connection that owes an answer is probed by a new one before the peer counts as down.

--- /dev/null
+++ b/packages/rpc/src/lib/host/deliverEnvelope.ts
@@ -0,0 +1,25 @@
+import type { Envelope } from '@cherryhitch/protocol'
+import type { LinkCounters } from './LinkCounters'
+import type { LinkHandlers } from './LinkHostOptions'
+
+/** What handing an envelope over needs. */
+export interface DeliveryOptions {
+  readonly handlers: LinkHandlers
+  readonly counters: LinkCounters
+}
+
+/** Hands one envelope to the instance; a handler that throws harms only this one. */
+export function deliverEnvelope(
+  { handlers, counters }: DeliveryOptions,
+  from: string,
+  boot: number,
+  envelope: Envelope,
+): void {
+  counters.received += 1
+  try {
+    handlers.onEnvelope(from, boot, envelope)
+  } catch (err) {
+    counters.handlerErrors += 1
+    handlers.log(`handler of ${envelope.body.case ?? 'unknown message'} failed: ${String(err)}`)
+  }
+}
--- /dev/null
+++ b/packages/rpc/src/lib/host/startLinkHost.ts
@@ -0,0 +1,54 @@
+import { isValidName } from '@cherryhitch/model'
+import { systemClock } from '@cherryhitch/runtime'
+import { Effect } from 'effect'
+import type { Scope } from 'effect'
+import { BatchReceiver } from '../server/BatchReceiver'
+import { listenForLinks } from '../server/listenForLinks'
+import { newLinkCounters } from './LinkCounters'
+import { LinkError, LinkErrorKind } from './LinkError'
+import { LinkHost } from './LinkHost'
+import type { LinkHostOptions } from './LinkHostOptions'
+import { defaultLinkTuning } from './LinkHostOptions'
+import { startSelfDelivery } from './startSelfDelivery'
+
+/**
+ * Listens for the other instances, and dials each of them.
+ *
+ * Fails with a `LinkError` when the socket can't be opened or the instance's name is invalid.
+ *
+ * @public
+ */
+export function startLinkHost(
+  options: LinkHostOptions,
+): Effect.Effect<LinkHost, LinkError, Scope.Scope> {
+  const { instance, boot, token, tls } = options
+  const tuning = { ...defaultLinkTuning, ...options }
+  const counters = newLinkCounters()
+  return Effect.gen(function* () {
+    if (!isValidName(instance)) {
+      return yield* Effect.fail(
+        new LinkError(LinkErrorKind.Options, `invalid instance name "${instance}"`),
+      )
+    }
+    const delivery = { handlers: options, counters }
+    const receiver = new BatchReceiver({ ...delivery, token, maxSenders: tuning.maxSenders })
+    const port = yield* listenForLinks({ listen: options.listen, tls, tuning, receiver, counters })
+    const { maxQueuedEnvelopes } = tuning
+    const selfDelivery = yield* startSelfDelivery({
+      ...delivery,
+      instance,
+      boot,
+      maxQueuedEnvelopes,
+    })
+    const clock = options.clock ?? systemClock
+    const shared = { ...tuning, ...delivery, instance, boot, token, tls, clock }
+    const host = new LinkHost(port, shared, selfDelivery)
+    yield* Effect.addFinalizer(() =>
+      Effect.sync(() => {
+        host.setPeers([])
+      }),
+    )
+    host.setPeers(options.peers)
+    return host
+  })
+}
--- /dev/null
+++ b/packages/rpc/src/lib/peer/LinkConnection.ts
@@ -0,0 +1,123 @@
+import net from 'node:net'
+import tls from 'node:tls'
+import { create } from '@bufbuild/protobuf'
+import { EnvelopeBatchSchema, LinkService } from '@cherryhitch/protocol'
+import type { Envelope, EnvelopeBatch } from '@cherryhitch/protocol'
+import { Code, ConnectError, createClient } from '@connectrpc/connect'
+import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import type { LinkPeer, LinkTls } from '../host/LinkHostOptions'
+import { BatchFeed } from './BatchFeed'
+
+/** @internal */
+export interface LinkConnectionOptions {
+  readonly peer: LinkPeer
+  readonly instance: string
+  readonly boot: number
+  readonly token: string | undefined
+  readonly tls: LinkTls | undefined
+  readonly onOpen: () => void
+  readonly onReceipt: (sequence: number) => void
+}
+
+/** How a connection ended. */
+export interface ConnectionEnd {
+  readonly reason: string
+  readonly refused: boolean
+}
+
+/** Receipts are a few bytes; anything larger is not from a link. */
+const MAX_RECEIPT_BYTES = 1024
+/** Answers of a receiver that will be the same for the next dial. */
+const refusals: ReadonlySet<Code> = new Set([
+  Code.Unauthenticated,
+  Code.PermissionDenied,
+  Code.FailedPrecondition,
+  Code.InvalidArgument,
+  Code.Unimplemented,
+])
+
+/** A dialled connection with its one stream. It owns its socket. @internal */
+export class LinkConnection {
+  readonly #feed = new BatchFeed<EnvelopeBatch>()
+  readonly #abort = new AbortController()
+  readonly #manager: Http2SessionManager
+  #socket: net.Socket | undefined
+
+  constructor(private readonly options: LinkConnectionOptions) {
+    const { peer } = options
+    const scheme = options.tls === undefined ? 'http' : 'https'
+    const host = net.isIPv6(peer.host) ? `[${peer.host}]` : peer.host
+    const authority = `${scheme}://${host}:${peer.port}`
+    this.#manager = new Http2SessionManager(
+      authority,
+      {},
+      { createConnection: () => this.#openSocket() },
+    )
+  }
+
+  /** Dials and reads receipts until the connection ends, for whatever cause. */
+  async run(): Promise<ConnectionEnd> {
+    try {
+      const receipts = this.#client().exchange(this.#feed, this.#callOptions())
+      for await (const receipt of receipts) this.options.onReceipt(receipt.sequence)
+      return { reason: 'closed by the peer', refused: false }
+    } catch (err) {
+      const failure = ConnectError.from(err)
+      return { reason: failure.message, refused: refusals.has(failure.code) }
+    } finally {
+      this.close()
+    }
+  }
+
+  send(sequence: number, envelopes: readonly Envelope[]): void {
+    const { instance, boot } = this.options
+    this.#feed.push(
+      create(EnvelopeBatchSchema, {
+        from: instance,
+        fromBoot: boot,
+        sequence,
+        envelopes: [...envelopes],
+      }),
+    )
+  }
+
+  /** Ends the connection with a reset, so that unsent data does not arrive late. */
+  close(): void {
+    this.#feed.end()
+    this.#abort.abort()
+    this.#manager.abort()
+    this.#socket?.resetAndDestroy()
+  }
+
+  #client() {
+    const { authority } = this.#manager
+    return createClient(
+      LinkService,
+      createConnectTransport({
+        baseUrl: authority,
+        httpVersion: '2',
+        sessionManager: this.#manager,
+        acceptCompression: [],
+        readMaxBytes: MAX_RECEIPT_BYTES,
+      }),
+    )
+  }
+
+  #callOptions() {
+    const { token } = this.options
+    const headers = token === undefined ? {} : { authorization: `Bearer ${token}` }
+    return { headers, signal: this.#abort.signal }
+  }
+
+  #openSocket(): net.Socket {
+    const { peer, tls: certificates, onOpen } = this.options
+    const target = { host: peer.host, port: peer.port, noDelay: true }
+    if (certificates === undefined) {
+      this.#socket = net.connect(target).once('connect', onOpen)
+    } else {
+      const secure = { ...target, ...certificates, ALPNProtocols: ['h2'] }
+      this.#socket = tls.connect(secure).once('secureConnect', onOpen)
+    }
+    return this.#socket
+  }
+}
--- /dev/null
+++ b/packages/rpc/src/lib/peer/startPeerLink.ts
@@ -0,0 +1,174 @@
+import { exhaustive } from '@cherryhitch/model'
+import type { Envelope } from '@cherryhitch/protocol'
+import type { Clock } from '@cherryhitch/runtime'
+import { Effect, Queue, Schedule } from 'effect'
+import type { Scope } from 'effect'
+import type { LinkHandlers, LinkPeer, LinkTls } from '../host/LinkHostOptions'
+import { estimateBytes } from './estimateBytes'
+import { LinkConnection } from './LinkConnection'
+import { PeerLink } from './PeerLink'
+import type { PeerLinkOptions } from './PeerLink'
+import type { PeerLinkAction } from './PeerLinkAction'
+import { PeerLinkActionKind } from './PeerLinkAction'
+import type { PeerLinkEvent } from './PeerLinkEvent'
+import { PeerLinkEventKind } from './PeerLinkEvent'
+
+/** @internal */
+export interface StartPeerLinkOptions extends PeerLinkOptions {
+  readonly target: LinkPeer
+  readonly instance: string
+  readonly boot: number
+  readonly token: string | undefined
+  readonly tls: LinkTls | undefined
+  readonly clock: Clock
+  readonly handlers: LinkHandlers
+}
+
+/** Handle of a running link. @internal */
+export interface RunningPeerLink {
+  /** Never blocks; false when the envelope was refused, and counted. */
+  readonly send: (envelope: Envelope) => boolean
+  readonly roundTripMs: () => number
+  readonly isUp: () => boolean
+  /** Envelopes without a receipt. */
+  readonly outstanding: () => number
+  readonly nextSequence: () => number
+}
+
+const TICK = Symbol('tick')
+type Mail = PeerLinkEvent | typeof TICK
+
+/** Starts the fiber that owns the link to one peer. It ends with the scope. @internal */
+export function startPeerLink(
+  options: StartPeerLinkOptions,
+): Effect.Effect<RunningPeerLink, never, Scope.Scope> {
+  return Effect.gen(function* () {
+    const mailbox = yield* Queue.unbounded<Mail>()
+    const shell = new PeerLinkShell(options, (event) => Queue.offerUnsafe(mailbox, event))
+    const loop = Effect.gen(function* () {
+      const mail = yield* Queue.takeAll(mailbox)
+      yield* Effect.sync(() => {
+        shell.handle(mail)
+      })
+    })
+    yield* Effect.addFinalizer(() =>
+      Effect.sync(() => {
+        shell.closeAll()
+      }),
+    )
+    yield* Effect.forkScoped(Effect.forever(loop))
+    const tick = Effect.sync(() => Queue.offerUnsafe(mailbox, TICK))
+    yield* Effect.forkScoped(Effect.repeat(tick, Schedule.spaced(options.tickMs)))
+    return shell.handleFor()
+  })
+}
+
+/** Carries out what the machine decides. Only its fiber calls `handle`. */
+class PeerLinkShell {
+  readonly #machine: PeerLink
+  readonly #connections = new Map<number, LinkConnection>()
+  /** Envelopes told to the mailbox that the machine has not seen yet. */
+  #untaken = 0
+
+  constructor(
+    private readonly options: StartPeerLinkOptions,
+    private readonly tell: (event: PeerLinkEvent) => void,
+  ) {
+    this.#machine = new PeerLink(options)
+  }
+
+  handle(mail: readonly Mail[]): void {
+    const now = this.options.clock.now()
+    const events = mail.filter((item) => item !== TICK)
+    const isTickDue = events.length < mail.length
+    this.#untaken = 0
+    this.#performAll(this.#machine.stepAll(now, events))
+    if (isTickDue) this.#performAll(this.#machine.tick(now))
+  }
+
+  handleFor(): RunningPeerLink {
+    return {
+      send: (envelope) => this.#send(envelope),
+      roundTripMs: () => this.#machine.roundTripMs,
+      isUp: () => this.#machine.isUp,
+      outstanding: () => this.#machine.outbox.size + this.#untaken,
+      nextSequence: () => this.#machine.outbox.nextSequence,
+    }
+  }
+
+  closeAll(): void {
+    for (const connection of this.#connections.values()) connection.close()
+    this.#connections.clear()
+  }
+
+  #send(envelope: Envelope): boolean {
+    const { counters, maxEnvelopeBytes } = this.options
+    const bytes = estimateBytes(envelope)
+    if (bytes > maxEnvelopeBytes) {
+      counters.oversized += 1
+      return false
+    }
+    // A peer that is down keeps the newest envelopes, so there is always room.
+    if (this.#machine.isUp && !this.#machine.outbox.hasRoomFor(bytes, this.#untaken)) {
+      counters.dropped += 1
+      return false
+    }
+    this.#untaken += 1
+    this.tell({ kind: PeerLinkEventKind.EnvelopeQueued, envelope, bytes })
+    return true
+  }
+
+  #performAll(actions: readonly PeerLinkAction[]): void {
+    for (const action of actions) this.#perform(action)
+  }
+
+  #perform(action: PeerLinkAction): void {
+    const { handlers, peer } = this.options
+    switch (action.kind) {
+      case PeerLinkActionKind.Dial:
+        this.#dial(action.connection)
+        return
+      case PeerLinkActionKind.Close:
+        this.#connections.get(action.connection)?.close()
+        this.#connections.delete(action.connection)
+        return
+      case PeerLinkActionKind.SendBatch:
+        this.#connections.get(action.connection)?.send(action.sequence, action.envelopes)
+        return
+      case PeerLinkActionKind.ReportUp:
+        handlers.onLinkUp(peer, action.roundTripMs)
+        return
+      case PeerLinkActionKind.ReportDown:
+        handlers.onLinkDown(peer)
+        return
+      case PeerLinkActionKind.Log:
+        handlers.log(action.line)
+        return
+      default:
+        exhaustive(action)
+    }
+  }
+
+  #dial(id: number): void {
+    const { target, instance, boot, token, tls } = this.options
+    const connection = new LinkConnection({
+      peer: target,
+      instance,
+      boot,
+      token,
+      tls,
+      onOpen: () => {
+        this.tell({ kind: PeerLinkEventKind.ConnectionOpened, connection: id })
+      },
+      onReceipt: (sequence) => {
+        this.tell({ kind: PeerLinkEventKind.ReceiptArrived, connection: id, sequence })
+      },
+    })
+    this.#connections.set(id, connection)
+    // The promise never rejects, and it ends when the connection is closed.
+    void connection.run().then((end) => {
+      this.#connections.delete(id)
+      this.tell({ kind: PeerLinkEventKind.ConnectionClosed, connection: id, ...end })
+    })
+  }
+}
--- /dev/null
+++ b/packages/rpc/src/lib/server/BatchReceiver.ts
@@ -0,0 +1,105 @@
+import { create } from '@bufbuild/protobuf'
+import { isValidName } from '@cherryhitch/model'
+import { BatchReceiptSchema } from '@cherryhitch/protocol'
+import type { BatchReceipt, EnvelopeBatch } from '@cherryhitch/protocol'
+import { Code, ConnectError } from '@connectrpc/connect'
+import type { HandlerContext } from '@connectrpc/connect'
+import { deliverEnvelope } from '../host/deliverEnvelope'
+import type { DeliveryOptions } from '../host/deliverEnvelope'
+import { Inbox, InboxVerdict } from './Inbox'
+import { tokenMatches } from './tokenMatches'
+
+/** @internal */
+export interface BatchReceiverOptions extends DeliveryOptions {
+  readonly token: string | undefined
+  readonly maxSenders: number
+}
+
+const verdictCodes: Readonly<Partial<Record<InboxVerdict, Code>>> = {
+  [InboxVerdict.StaleBoot]: Code.FailedPrecondition,
+  [InboxVerdict.Superseded]: Code.Aborted,
+  [InboxVerdict.Full]: Code.ResourceExhausted,
+}
+
+/** Takes in the streams of all senders. A stream that breaks a rule ends alone. @internal */
+export class BatchReceiver {
+  readonly #inbox: Inbox
+  #lastStream = 0
+
+  constructor(private readonly options: BatchReceiverOptions) {
+    this.#inbox = new Inbox(options.maxSenders)
+  }
+
+  /** Handler of `LinkService.Exchange`: one receipt for each batch. */
+  async *exchange(
+    batches: AsyncIterable<EnvelopeBatch>,
+    context: HandlerContext,
+  ): AsyncGenerator<BatchReceipt> {
+    this.#authorise(context.requestHeader.get('authorization'))
+    let first: EnvelopeBatch | undefined
+    let stream = 0
+    for await (const batch of batches) {
+      if (first === undefined) {
+        first = batch
+        stream = this.#open(batch)
+      }
+      yield this.#take(first, batch, stream)
+    }
+  }
+
+  #authorise(header: string | null): void {
+    const { token } = this.options
+    if (token === undefined || tokenMatches(header, token)) return
+    throw this.#refuse('wrong or missing token', Code.Unauthenticated)
+  }
+
+  #open(batch: EnvelopeBatch): number {
+    const { from, fromBoot } = batch
+    if (!isValidName(from) || !isCount(fromBoot)) {
+      throw this.#refuse('malformed sender', Code.InvalidArgument)
+    }
+    this.#lastStream += 1
+    this.#check(this.#inbox.open(from, fromBoot, this.#lastStream), batch)
+    return this.#lastStream
+  }
+
+  #take(first: EnvelopeBatch, batch: EnvelopeBatch, stream: number): BatchReceipt {
+    const { from, fromBoot, sequence, envelopes } = batch
+    if (from !== first.from || fromBoot !== first.fromBoot || !isCount(sequence)) {
+      throw this.#refuse(`malformed batch from ${first.from}`, Code.InvalidArgument)
+    }
+    const isEmpty = envelopes.length === 0
+    const verdict = this.#inbox.accept(from, fromBoot, stream, sequence, isEmpty)
+    this.#check(verdict, batch)
+    this.options.counters.batchesReceived += 1
+    if (verdict === InboxVerdict.Duplicate) this.options.counters.duplicateBatches += 1
+    else this.#deliver(batch)
+    return create(BatchReceiptSchema, { sequence: this.#inbox.highest(from) })
+  }
+
+  #check(verdict: InboxVerdict, { from, fromBoot }: EnvelopeBatch): void {
+    const code = verdictCodes[verdict]
+    if (code === undefined) return
+    if (verdict === InboxVerdict.StaleBoot) {
+      this.options.counters.staleBoots += 1
+      this.options.handlers.onStaleBoot?.(from, fromBoot)
+      throw new ConnectError(verdict, code)
+    }
+    throw this.#refuse(`${from}: ${verdict}`, code)
+  }
+
+  #deliver({ from, fromBoot, envelopes }: EnvelopeBatch): void {
+    for (const envelope of envelopes) deliverEnvelope(this.options, from, fromBoot, envelope)
+  }
+
+  #refuse(message: string, code: Code): ConnectError {
+    this.options.counters.refusedStreams += 1
+    this.options.handlers.log(`stream refused: ${message}`)
+    return new ConnectError(message, code)
+  }
+}
+
+/** Numbers of batches and boots are whole and exact. */
+function isCount(value: number): boolean {
+  return Number.isSafeInteger(value) && value >= 0
+}
