--- a/packages/http-api/src/lib/endpoints/heartbeatBody.ts
+++ b/packages/http-api/src/lib/endpoints/heartbeatBody.ts
@@ -1,3 +1,4 @@
+import { isIPv4, isIPv6 } from 'node:net'
 import { parseTaskId } from '@cherryhitch/model'
 import { Schema } from 'effect'
 import { countSchema, nameSchema, resourceSchema } from '../exchange/schemas'
@@ -5,7 +6,7 @@
 /** Most slots or connections that an endpoint may announce. */
 const MAX_SLOTS = 10_000
 const MAX_PORT = 65_535
-const addressPattern = /^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-f:.]+\]):(\d{1,5})$/i
+const addressPattern = /^(?:\[(?<v6>[^\]]+)\]|(?<v4>[\d.]+)):(?<port>\d{1,5})$/
 
 const address = Schema.String.check(
   Schema.makeFilter((text: string) =>
@@ -42,6 +43,8 @@
 
 /** Workers talk by IP numbers, so a host name is refused. */
 function isAddress(text: string): boolean {
-  const port = Number(addressPattern.exec(text)?.[1] ?? 0)
-  return port > 0 && port <= MAX_PORT
+  const parts = addressPattern.exec(text)?.groups
+  const port = Number(parts?.port ?? 0)
+  const isIp = isIPv4(parts?.v4 ?? '') || isIPv6(parts?.v6 ?? '')
+  return isIp && port > 0 && port <= MAX_PORT
 }
--- a/packages/http-api/src/lib/health/HealthSource.ts
+++ b/packages/http-api/src/lib/health/HealthSource.ts
@@ -1,7 +1,7 @@
 /** Answers the platform's probes. @public */
-export abstract class HealthSource {
+export interface HealthSource {
   /** False: restart the process. */
-  abstract isAlive(): boolean
+  isAlive(): boolean
   /** False: send no new requests here. */
-  abstract isReady(): boolean
+  isReady(): boolean
 }
--- a/packages/http-api/src/lib/routing/Router.ts
+++ b/packages/http-api/src/lib/routing/Router.ts
@@ -19,7 +19,7 @@
 /** @internal */
 export interface Route {
   readonly method: Method
-  /** Segments after the leading slash; `{name}` matches any one segment. */
+  /** Segments after the leading slash; `{name}` matches any one segment that is not empty. */
   readonly path: string
   /** Whether it has a JSON body. */
   readonly takesBody: boolean
@@ -50,8 +50,9 @@
   for (const [i, expected] of pattern.entries()) {
     const segment = segments[i] ?? ''
     const variable = variablePattern.exec(expected)?.[1]
+    if (variable === undefined && expected !== segment) return undefined
+    if (variable !== undefined && segment === '') return undefined
     if (variable !== undefined) params[variable] = segment
-    else if (expected !== segment) return undefined
   }
   return params
 }
