Pace the times to come back, and judge a job's wait by when it falls due

Cause: under ten times the capacity all refused callers came back together, and a full queue of bulk work refused enquiries that would have been served at once. Change: refusals book times to come back at the pace of the service; the predicted wait of a job is the share of the queue that falls due before it.

--- a/packages/policy/src/lib/admission/JobAtDoor.ts
+++ b/packages/policy/src/lib/admission/JobAtDoor.ts
@@ -8,10 +8,12 @@
 export class JobAtDoor {
   readonly services: readonly { readonly capacity: ServiceCapacity; readonly count: number }[]
   readonly workMs: number
+  readonly longestMs: number
 
   constructor(readonly request: AdmissionRequest) {
     const { tasks, offers } = request
     this.workMs = tasks.reduce((sum, task) => sum + task.estimateMs, 0)
+    this.longestMs = tasks.reduce((most, task) => Math.max(most, task.estimateMs), 0)
     const fallbackMs = this.workMs / Math.max(1, tasks.length)
     this.services = countByService(tasks).map(([service, count]) => ({
       count,
@@ -19,11 +21,6 @@
     }))
   }
 
-  /** Whether some service of the job has no slot to spare. */
-  get isContended(): boolean {
-    return this.services.some(({ capacity, count }) => capacity.freeSlots < count)
-  }
-
   /** This instance's part of the slots. */
   get slotsHere(): number {
     const slots = this.services.reduce((sum, { capacity }) => sum + capacity.slots, 0)
@@ -39,6 +36,15 @@
     return this.workMs / Math.max(1e-9, this.slotsHere)
   }
 
+  /**
+   * Time until the job falls due in a queue by due time: its work, or until its latest start.
+   *
+   * @see DeadlineFairQueue
+   */
+  leadMs(now: number): number {
+    return Math.min(this.workMs, this.request.deadlineAt - now - this.longestMs)
+  }
+
   /** Predicted end of its last task, with all waits in queues taken times a factor. */
   finishMs(waitFactor: number): number {
     const { tasks, offers } = this.request
--- a/packages/policy/src/lib/admission/PredictedFinishAdmission.ts
+++ b/packages/policy/src/lib/admission/PredictedFinishAdmission.ts
@@ -5,7 +5,7 @@
 import type { ServiceCapacity } from './describeService'
 import { JobAtDoor } from './JobAtDoor'
 import { ReturnTimes } from './ReturnTimes'
-import { WorkShares } from './WorkShares'
+import { LeadShares } from './LeadShares'
 
 /** @public */
 export interface PredictedFinishAdmissionOptions {
@@ -13,12 +13,16 @@
   readonly queuedTasksPerSlot: number
   /** Share of the places that one caller may hold while others wait, 0 to 1. */
   readonly callerQueueShare: number
-  /** Whether owners serve small jobs first, so that these wait for a part of the queue only. */
-  readonly smallJobsFirst: boolean
+  /** Whether owners serve by due time, so that small and urgent jobs wait for a part only. */
+  readonly byDueTime: boolean
   /** Predicted waits are taken as longer by this factor. */
   readonly waitSafety: number
   /** Share of the places that is kept for callers below their fair share. */
   readonly reservedShare: number
+  /** The share of a caller binds once this part of the places is taken, 0 to 1. */
+  readonly contendedFill: number
+  /** Spreads the times to come back at the pace of the service. */
+  readonly pacedReturns: boolean
 }
 
 /** Measured in `docs/design/admission.md`; a preset overrides the first four. @public */
@@ -26,9 +30,11 @@
   jobsInFlight: 2000,
   queuedTasksPerSlot: 20,
   callerQueueShare: 0.5,
-  smallJobsFirst: true,
+  byDueTime: true,
   waitSafety: 1.2,
   reservedShare: 0.1,
+  contendedFill: 0.5,
+  pacedReturns: true,
 }
 
 type Refusal = Extract<AdmissionDecision, { admitted: false }>
@@ -45,12 +51,13 @@
  */
 export class PredictedFinishAdmission extends Admission {
   private readonly options: PredictedFinishAdmissionOptions
-  private readonly returnTimes = new ReturnTimes()
-  private readonly workShares = new WorkShares()
+  private readonly returnTimes: ReturnTimes
+  private readonly leadShares = new LeadShares()
 
   constructor(options: Partial<PredictedFinishAdmissionOptions> = {}) {
     super()
     this.options = { ...defaultPredictedFinishAdmissionOptions, ...options }
+    this.returnTimes = new ReturnTimes(this.options.pacedReturns)
   }
 
   override decide(now: number, request: AdmissionRequest): AdmissionDecision {
@@ -61,7 +68,7 @@
       this.refuseWhenFull(now, job) ??
       this.refuseWhenLate(now, job)
     if (refusal !== undefined) return refusal
-    this.workShares.observe(job.workMs)
+    this.leadShares.observe(job.leadMs(now), job.workMs)
     return { admitted: true }
   }
 
@@ -82,7 +89,7 @@
   private refuseBeyondShare(now: number, job: JobAtDoor): Refusal | undefined {
     const { callerTasksInFlight, tasks } = job.request
     // A caller with nothing in flight always gets its turn, however large its job.
-    if (callerTasksInFlight === 0 || !job.isContended) return undefined
+    if (callerTasksInFlight === 0 || !this.isContended(job)) return undefined
     const places = this.placesOf(job)
     const over = callerTasksInFlight + tasks.length - places * this.callerShare(job)
     if (over <= 0) return undefined
@@ -118,7 +125,7 @@
 
   private refuseWhenLate(now: number, job: JobAtDoor): Refusal | undefined {
     const budgetMs = job.request.deadlineAt - now
-    const share = this.options.smallJobsFirst ? this.workShares.shareUpTo(job.workMs) : 1
+    const share = this.options.byDueTime ? this.leadShares.shareUpTo(job.leadMs(now)) : 1
     const finishMs = job.finishMs(share * this.options.waitSafety)
     if (finishMs <= budgetMs) return undefined
     const idleMs = job.finishMs(0)
@@ -143,6 +150,13 @@
     return Math.min(1, Math.max(fair, this.options.callerQueueShare * request.callerWeight))
   }
 
+  private isContended({ services }: JobAtDoor): boolean {
+    return services.some(({ capacity, count }) => {
+      const places = capacity.slots * (1 + this.options.queuedTasksPerSlot)
+      return capacity.tasksThere + count > places * this.options.contendedFill
+    })
+  }
+
   private isAboveShare(job: JobAtDoor): boolean {
     const { callerTasksInFlight, activeCallers, callerWeight } = job.request
     const fair = Math.min(1, callerWeight / (activeCallers + 1))
--- a/packages/policy/src/lib/admission/ReturnTimes.ts
+++ b/packages/policy/src/lib/admission/ReturnTimes.ts
@@ -11,6 +11,9 @@
 export class ReturnTimes {
   private bookedUntil = 0
 
+  /** @param paced - false tells everyone when there is room for it alone: the baseline */
+  constructor(private readonly paced: boolean) {}
+
   /**
    * @param delayMs - when there is room for this job, were it alone
    * @param serviceMs - how long the service needs for it
@@ -22,7 +25,7 @@
       latest,
       Math.max(now + Math.max(MIN_RETRY_AFTER_MS, delayMs), this.bookedUntil),
     )
-    this.bookedUntil = Math.min(latest, at + serviceMs)
+    if (this.paced) this.bookedUntil = Math.min(latest, at + serviceMs)
     return Math.ceil(at - now)
   }
 }
--- a/packages/policy/src/lib/admission/createAdmission.ts
+++ b/packages/policy/src/lib/admission/createAdmission.ts
@@ -16,7 +16,7 @@
         jobsInFlight: preset.jobsInFlightPerInstance,
         queuedTasksPerSlot: preset.queuedTasksPerSlot,
         callerQueueShare: preset.callerQueueShare,
-        smallJobsFirst: preset.queueOrder === QueueOrder.DEADLINE_FAIR,
+        byDueTime: preset.queueOrder === QueueOrder.DEADLINE_FAIR,
       })
     default:
       return exhaustive(preset.admissionRule)
--- a/packages/policy/src/lib/admission/describeService.ts
+++ b/packages/policy/src/lib/admission/describeService.ts
@@ -4,8 +4,6 @@
 /** What all owners together offer for the service of some tasks. @internal */
 export interface ServiceCapacity {
   readonly slots: number
-  /** Free slots, less what was placed since the offers were made. */
-  readonly freeSlots: number
   /** Tasks that run, wait or are on their way. */
   readonly tasksThere: number
   readonly unreported: number
@@ -27,7 +25,6 @@
   return {
     slots,
     unreported,
-    freeSlots: Math.max(0, sum((offer) => offer.freeSlots) - unreported),
     tasksThere: sum((offer) => offer.slots - offer.freeSlots + offer.queuedTasks) + unreported,
     meanRunMs: measuredMs > 0 ? measuredMs : fallbackRunMs,
   }
--- a/packages/policy/src/lib/bench/simulateOrder.ts
+++ b/packages/policy/src/lib/bench/simulateOrder.ts
@@ -1,18 +1,20 @@
-import type { QueuedTask, TaskQueue } from '../order/TaskQueue'
+import type { TaskQueue } from '../order/TaskQueue'
 import { IndexedHeap } from '../util/IndexedHeap'
-import { drawNormal, seededRandom } from './seededRandom'
+import { seededRandom } from './seededRandom'
+import { drawCaller, drawJob, drawSize, idealMs, MEAN_RUN_MS, MEAN_TASKS } from './workload'
+import type { CallerMix, SimulatedJob, SimulatedTask } from './workload'
+
+/** Little more than the longest tasks take in most jobs. */
+const TIGHT_DEADLINE_MS = 3000
 
 /** A queue in front of some slots, and the jobs that come to it. @internal */
-export interface OrderScenario {
+export interface OrderScenario extends CallerMix {
   readonly slots: number
   /** Work that arrives over what the slots can do. */
   readonly load: number
   readonly jobs: number
   readonly seed: number
   readonly deadlineMs: number
-  /** Share of all jobs that the first caller sends; the others share the rest evenly. */
-  readonly heavyShare: number
-  readonly callers: number
   /** Jobs of one task that the first caller sends all at once, in the middle of the run. */
   readonly flood: number
   /** Share of the jobs whose deadline is tight. */
@@ -29,73 +31,6 @@
   readonly onTime: boolean
 }
 
-interface SimulatedTask extends QueuedTask {
-  readonly runMs: number
-}
-
-interface SimulatedJob {
-  readonly caller: string
-  readonly arrivesAt: number
-  readonly deadlineAt: number
-  readonly tasks: readonly SimulatedTask[]
-}
-
-/** Median and spread give the users' 50 ms to 1 s with a few of several seconds. */
-const MEDIAN_RUN_MS = 200
-const RUN_SIGMA = 0.8
-const MIN_RUN_MS = 50
-const MAX_RUN_MS = 5000
-const ESTIMATE_SIGMA = 0.4
-/** Little more than the longest tasks take in most jobs. */
-const TIGHT_DEADLINE_MS = 3000
-const MEAN_RUN_MS = 275
-const MEAN_TASKS = 17.8
-
-function drawSize(random: () => number): number {
-  const kind = random()
-  if (kind < 0.5) return 1
-  if (kind < 0.8) return 2 + Math.floor(random() * 19)
-  return 20 + Math.floor(random() * 101)
-}
-
-function drawCaller({ heavyShare, callers }: OrderScenario, random: () => number): string {
-  return random() < heavyShare ? 'c0' : `c${1 + Math.floor(random() * (callers - 1))}`
-}
-
-function drawJob(
-  scenario: OrderScenario,
-  random: () => number,
-  jobId: string,
-  at: number,
-  caller: string,
-  size: number,
-): SimulatedJob {
-  const isTight = random() < scenario.tightShare
-  const deadlineAt = at + (isTight ? TIGHT_DEADLINE_MS : scenario.deadlineMs)
-  const tasks = Array.from({ length: size }, (_, index) => {
-    const drawn = MEDIAN_RUN_MS * Math.exp(RUN_SIGMA * drawNormal(random))
-    return {
-      taskId: `${jobId}.${index}`,
-      jobId,
-      caller,
-      service: 's',
-      deadlineAt,
-      enqueuedAt: at,
-      estimateMs: MEAN_RUN_MS * Math.exp(ESTIMATE_SIGMA * drawNormal(random)),
-      jobRemaining: size,
-      resources: undefined,
-      attempt: 0,
-      runMs: Math.min(MAX_RUN_MS, Math.max(MIN_RUN_MS, drawn)),
-    }
-  })
-  return { caller, arrivesAt: at, deadlineAt, tasks }
-}
-
-function idealMs({ tasks }: SimulatedJob, slots: number): number {
-  const sumMs = tasks.reduce((sum, task) => sum + task.runMs, 0)
-  return Math.max(sumMs / slots, ...tasks.map((task) => task.runMs))
-}
-
 /** Runs one queue against one scenario; the same seed gives every queue the same jobs. @internal */
 export function simulateOrder(
   queue: TaskQueue<SimulatedTask>,
@@ -139,7 +74,8 @@
   }
 
   const submit = (at: number, jobId: string, caller: string, size: number): void => {
-    const job = drawJob(scenario, random, jobId, at, caller, size)
+    const deadlineMs = random() < scenario.tightShare ? TIGHT_DEADLINE_MS : scenario.deadlineMs
+    const job = drawJob({ jobId, caller, arrivesAt: at, deadlineMs, size }, random)
     jobs.set(jobId, { job, remaining: size })
     for (const task of job.tasks) queue.push(at, task)
     start(at)
