--- /dev/null
+++ b/packages/owner/src/lib/recovery/LeaseKeeper.test.ts
@@ -0,0 +1,133 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { Outcome, Reason } from '@cherryhitch/protocol'
+import { RunResultKind, StopState } from '../endpointResults'
+import { JOB, OwnerFixture } from '../fixtures/OwnerFixture'
+import { OwnerActionKind } from '../OwnerAction'
+
+function running(tasks = [0], deadlineInMs = 30_000): OwnerFixture {
+  const owner = new OwnerFixture()
+  owner.heartbeat()
+  owner.place(tasks, { deadlineInMs })
+  return owner
+}
+
+describe('leases', () => {
+  it('cost no message for short tasks', () => {
+    const owner = running([0, 1])
+    owner.passWithHeartbeats(1400, {})
+    owner.end(owner.runOf(), RunResultKind.Succeeded)
+    owner.end(owner.runOf(`${JOB}.1`), RunResultKind.Succeeded)
+    owner.passWithHeartbeats(3000, {})
+    assert.equal(owner.machine.counters.renewMessages, 0)
+  })
+
+  it('of long tasks are renewed in one message per endpoint', () => {
+    const owner = running([0, 1, 2])
+    owner.passWithHeartbeats(700, {})
+    owner.place([0], { jobId: 'c1.1.2' })
+    owner.passWithHeartbeats(900, {})
+    const [renewal, ...more] = owner.all(OwnerActionKind.RenewLeases)
+    assert.equal(more.length, 0)
+    const young = renewal?.taskIds.filter((taskId) => !taskId.startsWith(JOB))
+    assert.deepEqual([renewal?.taskIds.length, young], [3, []])
+  })
+
+  it('are renewed for as long as the endpoint knows the task', () => {
+    const owner = running()
+    for (let i = 0; i < 10; i++) {
+      owner.actions = []
+      owner.passWithHeartbeats(1600, {})
+      owner.endRenewal([`${JOB}.0`])
+    }
+    assert.equal(owner.reportsOn().length, 0)
+    assert.equal(owner.openRuns.length, 1)
+    assert.ok(owner.machine.counters.renewMessages <= 12)
+  })
+
+  it('reveal a silent connection: a request that never arrived is tried elsewhere', () => {
+    const owner = running()
+    owner.heartbeat({ endpoint: 'e2' })
+    const silent = owner.runOf()
+    owner.passWithHeartbeats(1600, {}, { endpoint: 'e2' })
+    owner.endRenewal([])
+    assert.equal(owner.all(OwnerActionKind.StopTasks).length, 0, 'the answer may have crossed')
+    owner.passWithHeartbeats(250, {}, { endpoint: 'e2' })
+    owner.endStops(StopState.NeverSeen, 1)
+    owner.passWithHeartbeats(100, {}, { endpoint: 'e2' })
+    assert.equal(owner.runOf().endpoint, 'e2')
+    assert.equal(owner.last(OwnerActionKind.DropRun).run, silent.run)
+  })
+
+  it('are not asked for again once the answer came', () => {
+    const owner = running()
+    owner.passWithHeartbeats(1600, {})
+    owner.endRenewal([])
+    owner.end(owner.runOf(), RunResultKind.Succeeded)
+    owner.passWithHeartbeats(1000, {})
+    assert.equal(owner.machine.counters.stopMessages, 0)
+    assert.equal(owner.reportsOn()[0]?.outcome, Outcome.SUCCEEDED)
+  })
+
+  it('give a slot back only when they ran out', () => {
+    const owner = new OwnerFixture()
+    owner.heartbeat({ slots: 1 })
+    owner.place([0, 1])
+    owner.end(owner.runOf(), RunResultKind.Lost)
+    owner.endProbe(true)
+    owner.pass(50)
+    owner.endRenewal(undefined)
+    owner.endProbe(true)
+    for (let passed = 0; passed < 2900; passed += 100) {
+      owner.passWithHeartbeats(100, { slots: 1 })
+      if (owner.all(OwnerActionKind.RenewLeases).length > 1) owner.endRenewal(undefined)
+    }
+    assert.equal(owner.openRuns.length, 0)
+  })
+})
+
+describe('a deadline', () => {
+  it('ends a queued task as not run, at once', () => {
+    const owner = new OwnerFixture()
+    owner.heartbeat({ slots: 1 })
+    owner.place([0, 1], { deadlineInMs: 400 })
+    owner.pass(450)
+    const [report] = owner.reportsOn(1)
+    assert.deepEqual([report?.outcome, report?.reason], [Outcome.NOT_RUN, Reason.DEADLINE_PASSED])
+  })
+
+  it('that passed before the placement is a refusal', () => {
+    const owner = new OwnerFixture()
+    owner.heartbeat()
+    owner.place([0], { deadlineInMs: 0 })
+    assert.equal(owner.reportsOn()[0]?.reason, Reason.DEADLINE_PASSED)
+    assert.equal(owner.openRuns.length, 0)
+  })
+
+  const ends = [
+    { state: StopState.Stopped, outcome: Outcome.FAILED },
+    { state: StopState.NeverSeen, outcome: Outcome.NOT_RUN },
+    { state: StopState.NoAnswer, outcome: Outcome.UNKNOWN },
+  ]
+  for (const { state, outcome } of ends) {
+    it(`stops a running task and says what is true when the endpoint says ${state}`, () => {
+      const owner = running([0, 1], 400)
+      owner.pass(450)
+      assert.equal(owner.all(OwnerActionKind.StopTasks).length, 1)
+      owner.endStops(state, 1)
+      const [report, ...more] = owner.reportsOn()
+      assert.deepEqual(
+        [report?.outcome, report?.reason, more.length],
+        [outcome, Reason.DEADLINE_PASSED, 0],
+      )
+    })
+  }
+
+  it('leaves the answer of a task that ended in time its chance', () => {
+    const owner = running([0], 400)
+    owner.pass(450)
+    owner.endStops(StopState.Ended, 1)
+    owner.end(owner.runOf(), RunResultKind.Succeeded)
+    assert.equal(owner.reportsOn()[0]?.outcome, Outcome.SUCCEEDED)
+  })
+})
