Look at both ends of outputs before they are joined into an answer

Outputs are joined without being parsed. An empty text, HTML or a cut-off object made a body that was no JSON; now the caller gets a 500 with ran: unknown.

--- a/packages/http-api/src/lib/callers/answerReply.test.ts
+++ b/packages/http-api/src/lib/callers/answerReply.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import type { JobAnswer } from '@cherryhitch/protocol'
 import { JobState, Outcome, Reason } from '@cherryhitch/protocol'
 import { succeeded, unsuccessful } from '../fixtures/FakeServices'
 import { answerReply } from './answerReply'
@@ -69,10 +70,26 @@
     assert.ok(answerReply(succeeded(outputs)).body.endsWith(`"outputs":[${outputs.join(',')}]}`))
   })
 
-  it('gives no partial answer when an output is missing', () => {
-    const partial = { ...succeeded(['1', '2']), tasks: 3 }
-    const reply = answerReply(partial)
-    assert.equal(reply.status, 500)
-    assert.equal((JSON.parse(reply.body) as JobProblem).ran, 'unknown')
-  })
+  for (const output of ['{}', '[]', '""', '-1.5e3', '0', 'true', 'false', 'null']) {
+    it(`passes ${output} on`, () => {
+      assert.equal(answerReply(succeeded([output])).status, 200)
+    })
+  }
+
+  const unfit: readonly (readonly [string, JobAnswer])[] = [
+    ['an output is missing', { ...succeeded(['1', '2']), tasks: 3 }],
+    ['there is one too many', { ...succeeded(['1', '2']), tasks: 1 }],
+    ['there are none', succeeded([])],
+    ['an output is empty', succeeded(['1', ''])],
+    ['an output is HTML', succeeded(['<html></html>'])],
+    ['an output is cut off', succeeded(['{"a":'])],
+    ['an output is plain text', succeeded(['no such claim'])],
+  ]
+  for (const [name, answer] of unfit) {
+    it(`answers 500 rather than 200 when ${name}`, () => {
+      const reply = answerReply(answer)
+      assert.equal(reply.status, 500)
+      assert.equal((JSON.parse(reply.body) as JobProblem).ran, 'unknown')
+    })
+  }
 })
--- a/packages/http-api/src/lib/callers/answerReply.ts
+++ b/packages/http-api/src/lib/callers/answerReply.ts
@@ -34,12 +34,29 @@
   return JobState[state].toLowerCase()
 }
 
+/** First and last characters of JSON texts. */
+const openings = '{["-0123456789tfn'
+const closings = '}]"0123456789el'
+
+/**
+ * A cheap look at both ends of an output. That outputs are JSON is the owners' business: they
+ * write them with `JSON.stringify`. Parsing them here again would cost a tenth of the request
+ * (`docs/design/http-interfaces.md`); this finds empty texts and other formats.
+ */
+function looksLikeJson(output: string): boolean {
+  const first = output.at(0)
+  const last = output.at(-1)
+  if (first === undefined || last === undefined) return false
+  return openings.includes(first) && closings.includes(last)
+}
+
 /**
  * Whether the answer is one that may be given: outputs for every task of a job that
  * succeeded. Anything else would be a partial answer.
  */
 function isWhole(answer: JobAnswer): boolean {
-  return answer.outputs.length > 0 && answer.outputs.length === answer.tasks
+  if (answer.outputs.length === 0 || answer.outputs.length !== answer.tasks) return false
+  return answer.outputs.every(looksLikeJson)
 }
 
 /** The reply that tells how a job ended, or that it has not. @internal */
--- a/packages/http-api/src/lib/exchange/parseJson.ts
+++ b/packages/http-api/src/lib/exchange/parseJson.ts
@@ -3,9 +3,12 @@
 import { formatPointer } from './formatPointer'
 import { Err, Ok } from '../util/results'
 
+/** One value of the body; the links to the parents spell its path when there is a fault. */
 interface Visit {
-  readonly value: unknown
-  readonly path: readonly PropertyKey[]
+  readonly value: object
+  readonly key: string
+  readonly parent: Visit | undefined
+  readonly depth: number
 }
 
 /**
@@ -28,21 +31,37 @@
 
 /** Walks without recursion, so that deep nesting can't exhaust the stack. */
 function findFault(root: unknown, maxDepth: number): string | undefined {
-  const pending: Visit[] = [{ value: root, path: [] }]
-  for (let visit = pending.pop(); visit !== undefined; visit = pending.pop()) {
-    const { value, path } = visit
+  const pending: Visit[] = []
+  const look = (value: unknown, key: string, parent: Visit | undefined): string | undefined => {
     if (typeof value === 'number' && !survivesRewriting(value)) {
-      return `${formatPointer(path)}: the number is too large to be passed on exactly; send it as a string.`
+      const pointer = formatPointer(pathOf(key, parent))
+      return `${pointer}: the number is too large to be passed on exactly; send it as a string.`
+    }
+    if (typeof value === 'object' && value !== null) {
+      pending.push({ value, key, parent, depth: (parent?.depth ?? 0) + 1 })
     }
-    if (typeof value !== 'object' || value === null) continue
-    if (path.length >= maxDepth) return `The body is nested deeper than ${maxDepth} levels.`
-    for (const [key, child] of Object.entries(value)) {
-      if (typeof child === 'number' || typeof child === 'object') {
-        pending.push({ value: child, path: [...path, key] })
-      }
+    return undefined
+  }
+  let fault = look(root, '', undefined)
+  for (let visit = pending.pop(); visit !== undefined; visit = pending.pop()) {
+    if (visit.depth > maxDepth) return `The body is nested deeper than ${maxDepth} levels.`
+    for (const key of Object.keys(visit.value)) {
+      fault ??= look(visit.value[key as keyof typeof visit.value], key, visit)
     }
+    if (fault !== undefined) return fault
+  }
+  return fault
+}
+
+/** The keys from the body down to a value; the body itself has none. */
+function pathOf(key: string, parent: Visit | undefined): readonly string[] {
+  const keys: string[] = []
+  let last = key
+  for (let visit = parent; visit !== undefined; visit = visit.parent) {
+    keys.unshift(last)
+    last = visit.key
   }
-  return undefined
+  return keys
 }
 
 function survivesRewriting(value: number): boolean {
