--- a/packages/owner/src/lib/client/EndpointConnections.ts
+++ b/packages/owner/src/lib/client/EndpointConnections.ts
@@ -45,10 +45,13 @@
     return [this.run, this.kept, this.single].reduce((sum, agent) => sum + countSockets(agent), 0)
   }
 
+  /** A connection whose answer was just read is idle only after this turn. */
   closeIdle(): void {
-    for (const agent of [this.run, this.kept]) {
-      for (const socket of Object.values(agent.freeSockets).flat()) socket?.destroy()
-    }
+    setImmediate(() => {
+      for (const agent of [this.run, this.kept]) {
+        for (const socket of Object.values(agent.freeSockets).flat()) socket?.destroy()
+      }
+    })
   }
 
   close(): void {
