--- a/packages/http-api/src/lib/auth/createAuthenticator.ts
+++ b/packages/http-api/src/lib/auth/createAuthenticator.ts
@@ -14,7 +14,8 @@
 
 /**
  * Tokens where the settings have some for the role; else the header, and for endpoints
- * nothing, because a heartbeat names its endpoint itself.
+ * nothing, because a heartbeat names its endpoint itself. Without tokens operators may read
+ * without a name; changes ask for it, as the record keeps it.
  *
  * @public
  */
@@ -26,9 +27,17 @@
   if (hasTokens) return new BearerAuthenticator(tokens, role)
   switch (role) {
     case AccessRole.Caller:
-      return new HeaderAuthenticator(CALLER_HEADER, isValidName)
+      return new HeaderAuthenticator({
+        header: CALLER_HEADER,
+        isValid: isValidName,
+        optional: false,
+      })
     case AccessRole.Operator:
-      return new HeaderAuthenticator(OPERATOR_HEADER, isOperatorName)
+      return new HeaderAuthenticator({
+        header: OPERATOR_HEADER,
+        isValid: isOperatorName,
+        optional: true,
+      })
     case AccessRole.Endpoint:
       return new OpenAuthenticator()
   }
--- a/packages/http-api/src/lib/operators/changeRoutes.ts
+++ b/packages/http-api/src/lib/operators/changeRoutes.ts
@@ -2,6 +2,8 @@
 import type { Command } from '@cherryhitch/protocol'
 import { Effect } from 'effect'
 import type { Result } from 'ts-results'
+import { OPERATOR_HEADER } from '../auth/createAuthenticator'
+import { missingName } from '../auth/HeaderAuthenticator'
 import type { ApiRequest } from '../exchange/ApiRequest'
 import { bodyDecoder } from '../exchange/decodeBody'
 import { RequestError, RequestErrorKind } from '../problems/RequestError'
@@ -55,6 +57,7 @@
 
 function proposal(operators: OperatorService): (read: CommandReader) => Handler {
   return (read) => (req) => {
+    if (req.sender === '') return Effect.fail(missingName(OPERATOR_HEADER))
     const command = read(req)
     if (command.err) return Effect.fail(command.val)
     return Effect.map(operators.propose(command.val), commandReply)
--- a/packages/http-api/src/lib/operators/startOperatorServer.test.ts
+++ b/packages/http-api/src/lib/operators/startOperatorServer.test.ts
@@ -60,6 +60,15 @@
     assert.equal(proposed.value.operator, 'tanaka')
   })
 
+  it('is refused without a name for the record, though reading needs none', async (t) => {
+    const { server, service } = await openOperatorServer(t)
+    const answer = await send(server.port, '/v1/preset', { method: 'PUT', body: setPreset })
+    assert.equal(answer.status, 400)
+    assert.match(problemOf(answer).detail, /Cherryhitch-Operator/)
+    assert.equal(service.proposed.length, 0)
+    assert.equal((await send(server.port, '/v1/settings')).status, 200)
+  })
+
   it('may define a preset', async (t) => {
     const { server, service } = await openOperatorServer(t)
     const body = { ...change, definition }
