Run the owner under random events

Fake endpoints by the published interface behind a network that loses, delays, repeats and reorders: no id starts twice, and each placed task gets one true report or was cancelled.

--- /dev/null
+++ b/packages/owner/src/lib/OwnerMachine.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { Outcome } from '@cherryhitch/protocol'
+import fc from 'fast-check'
+import { RunResultKind } from './endpointResults'
+import { JOB, OwnerFixture } from './fixtures/OwnerFixture'
+import { OwnerWorld } from './fixtures/OwnerWorld'
+import { OwnerActionKind } from './OwnerAction'
+
+/** Steps of a random run, the usual ones more often than faults. */
+const steps = [
+  ...Array<'place'>(3).fill('place'),
+  ...Array<'deliver'>(5).fill('deliver'),
+  ...Array<'finish'>(4).fill('finish'),
+  ...Array<'wait'>(3).fill('wait'),
+  ...Array<'control'>(4).fill('control'),
+  ...Array<'beat'>(4).fill('beat'),
+  ...Array<'breakRequest'>(2).fill('breakRequest'),
+  'ghostArrives',
+  'cancel',
+  'restart',
+  'repeat',
+  'changePreset',
+] as const
+
+const RUNS = Number(process.env.OWNER_PROPERTY_RUNS ?? 300)
+const SEED = Number(process.env.OWNER_PROPERTY_SEED ?? 20_261_202)
+
+describe('the owner under random events', () => {
+  it('starts no task twice, and reports each placed one once and truly', () => {
+    const step = fc.record({ name: fc.constantFrom(...steps), draw: fc.nat(10_000) })
+    const run = fc.property(fc.array(step, { minLength: 20, maxLength: 200 }), (sequence) => {
+      const world = new OwnerWorld()
+      for (const { name, draw } of sequence) world[name](draw)
+      world.settle()
+      assert.equal(world.owner.machine.tasks, 0)
+      world.check()
+    })
+    fc.assert(run, { seed: SEED, numRuns: RUNS })
+  })
+})
+
+describe('spans', () => {
+  it('cover the wait and the run, and the endpoint gets the one of the run', () => {
+    const owner = new OwnerFixture()
+    owner.heartbeat({ slots: 1 })
+    owner.place([0, 1])
+    const { traceparent } = owner.runOf()
+    owner.now += 200
+    owner.end(owner.runOf(), RunResultKind.Succeeded)
+    owner.end(owner.runOf(`${JOB}.1`), RunResultKind.Failed)
+    const spans = owner.all(OwnerActionKind.Span).map(({ span }) => span)
+    const run = spans.find(({ name }) => name === 'owner.run')
+    assert.equal(traceparent, `00-${'a'.repeat(32)}-${run?.spanId}-01`)
+    assert.deepEqual([run?.endMs, run?.startMs, run?.ok], [1200, 1000, true])
+    assert.equal(new Set(spans.map(({ spanId }) => spanId)).size, 4)
+    assert.deepEqual([...new Set(spans.map(({ parentSpanId }) => parentSpanId))], ['b'.repeat(16)])
+    const waits = spans.filter(({ name }) => name === 'owner.queue')
+    assert.deepEqual(
+      waits.map(({ startMs, endMs }) => endMs - startMs),
+      [0, 200],
+    )
+  })
+})
+
+describe('the offer', () => {
+  it('is announced when free slots come, go, or change by a quarter', () => {
+    const owner = new OwnerFixture()
+    const announced = (): number => owner.all(OwnerActionKind.SummaryChanged).length
+    owner.heartbeat()
+    owner.pass(100)
+    assert.equal(announced(), 1)
+    owner.place([0])
+    owner.passWithHeartbeats(200, {})
+    assert.equal(announced(), 1, 'one of eight slots is no news')
+    owner.place([1, 2, 3, 4, 5, 6, 7])
+    owner.pass(100)
+    assert.equal(announced(), 2)
+    owner.end(owner.runOf(), RunResultKind.Succeeded)
+    owner.pass(100)
+    assert.equal(announced(), 3)
+  })
+
+  it('predicts the wait from the work that is queued', () => {
+    const owner = new OwnerFixture()
+    owner.heartbeat({ slots: 2 })
+    owner.place([...Array(22).keys()])
+    owner.end(owner.runOf(), RunResultKind.Succeeded)
+    const [summary] = owner.machine.summaries(owner.now)
+    assert.deepEqual([summary?.freeSlots, summary?.queuedTasks, summary?.meanRunMs], [0, 19, 100])
+    assert.equal(summary?.waitMs, 1000)
+    assert.equal(owner.reportsOn()[0]?.outcome, Outcome.SUCCEEDED)
+  })
+})
