--- a/packages/coordinator/src/lib/placement/LossWatch.test.ts
+++ b/packages/coordinator/src/lib/placement/LossWatch.test.ts
@@ -119,6 +119,21 @@
     assert.deepEqual(fixture.placed, ['a2:0,1'])
   })
 
+  it('is not believed after it said that it has them: that was its earlier boot', () => {
+    const fixture = placedAtA2()
+    view(fixture, { boot: 2 })
+    fixture.fence('a2', fixture.jobId, FenceState.IN_PROGRESS, 0, 1)
+    fixture.fence('a2', fixture.jobId, FenceState.NEVER_SEEN, 0, 1)
+    fixture.advance(10)
+    view(fixture, { boot: 2 })
+    fixture.advance(3200)
+    assert.deepEqual(fixture.replies('r1'), [])
+    fixture.advance(200)
+    assert.equal(fixture.reply('r1')?.reason, Reason.OWNER_LOST)
+    assert.equal(fixture.reply('r1')?.outcome, Outcome.UNKNOWN)
+    assert.deepEqual(fixture.placed, ['a2:0,1'])
+  })
+
   it('does not speak for the owner that has them', () => {
     const fixture = placedAtA2()
     fixture.fence('b2', fixture.jobId, FenceState.NEVER_SEEN, 0, 1)
--- a/packages/coordinator/src/lib/placement/LossWatch.ts
+++ b/packages/coordinator/src/lib/placement/LossWatch.ts
@@ -7,7 +7,7 @@
 import { JobPhase, TaskPhase } from '../jobs/Job'
 import type { JobEnding } from '../jobs/JobEnding'
 import { problem } from '../jobs/jobAnswers'
-import { newPlacement } from '../jobs/Placement'
+import { adoptedPlacement } from '../jobs/Placement'
 import type { Placement } from '../jobs/Placement'
 import type { MemberChange } from '../members/MemberChange'
 import { MemberChangeKind } from '../members/MemberChange'
@@ -24,6 +24,9 @@
   readonly receivedAt: number
 }
 
+/** Boot of no process: nobody speaks for the task any more. */
+const NO_BOOT = -1
+
 const neverSeen = problem(Reason.OWNER_LOST, 'The message with the task was lost on its way.')
 const ownerLost = problem(
   Reason.OWNER_LOST,
@@ -147,6 +150,10 @@
       if (!task.fencedAt.includes(from)) task.fencedAt = [...task.fencedAt, from]
       return false
     }
+    if (placement.isAdopted) {
+      this.disown(now, task, placement)
+      return false
+    }
     if (from === this.context.options.instance) return true
     const fence = { task, placement, receivedAt: now }
     const present = this.unconfirmed.get(from)
@@ -155,6 +162,17 @@
     return false
   }
 
+  /**
+   * An owner that said it has a task says now that it never saw it: the first word came from an
+   * earlier boot. What that one started is not known, so the task ends as unknown after a lease.
+   */
+  private disown(now: number, task: TaskRecord, { owner, spanId }: Placement): void {
+    const { due, timing } = this.context
+    this.flight.passOn(now, task, adoptedPlacement(now, owner, NO_BOOT, spanId))
+    const at = now + timing.leaseMs + timing.leaseMarginMs
+    due.schedule(at, { kind: DueKind.OwnerGone, owner, boot: NO_BOOT })
+  }
+
   private isKnownOwner(from: string, task: TaskRecord): boolean {
     const { placement } = task
     return placement?.owner === from && placement.boot === this.context.members.bootOf(from)
@@ -163,7 +181,7 @@
   private adoptingPlacement(now: number, job: Job, owner: string): Placement {
     this.context.counters.passedOnReports++
     const spanId = deriveSpanId(`${job.id}/place/${job.placements++}`)
-    return newPlacement(now, owner, this.context.members.bootOf(owner), spanId)
+    return adoptedPlacement(now, owner, this.context.members.bootOf(owner), spanId)
   }
 
   private giveUp(now: number, tasks: readonly TaskRecord[]): void {
