--- a/apps/cherryhitch/src/lib/demo/DemoReport.ts
+++ b/apps/cherryhitch/src/lib/demo/DemoReport.ts
@@ -5,6 +5,8 @@
 export interface DemoReport {
   readonly jobs: number
   readonly answeredJobs: number
+  /** What the callers of the others were told. */
+  readonly unanswered: readonly string[]
   readonly startedTasks: number
   readonly messages: number
   readonly wastedMessages: number
@@ -36,7 +38,8 @@
     ['all promises', report.invariants.holds ? 'hold' : 'BROKEN'],
   ]
   const width = Math.max(...rows.map(([name]) => name.length))
-  return rows.map(([name, text]) => `${name.padEnd(width)}  ${text}`).join('\n')
+  const lines = rows.map(([name, text]) => `${name.padEnd(width)}  ${text}`)
+  return [...lines, ...report.unanswered].join('\n')
 }
 
 function over(first: number, p99: number, name: string): string {
--- a/apps/cherryhitch/src/lib/demo/runDemo.ts
+++ b/apps/cherryhitch/src/lib/demo/runDemo.ts
@@ -23,6 +23,7 @@
 import type { DemoOptions } from './DemoOptions'
 import type { DemoReport } from './DemoReport'
 import { shortJobs, wideJobs } from './demoJobs'
+import { findUnanswered } from './findUnanswered'
 import { mean, percentile } from './percentile'
 
 const { kitaura } = deployments
@@ -150,6 +151,7 @@
   return {
     jobs: callerLedger.attempts.length,
     answeredJobs: callerLedger.attempts.filter((a) => a.outcome === CallerOutcome.Answered).length,
+    unanswered: findUnanswered(callerLedger),
     startedTasks: endpointLedger.runs.length,
     messages: messages.reduce((sum, count) => sum + count.messages, 0),
     wastedMessages: messages.reduce((sum, count) => sum + count.wasted, 0),
