--- a/packages/owner/src/lib/OwnerMachine.test.ts
+++ b/packages/owner/src/lib/OwnerMachine.test.ts
@@ -20,6 +20,8 @@
   'cancel',
   'restart',
   'repeat',
+  'repeat',
+  'placeAgain',
   'changePreset',
 ] as const
 
