Test links against silent, reset and garbage connections

The fixture is a TCP pass-through that stops forwarding without closing. It found two faults. resetAndDestroy on a socket that HTTP/2 has begun to shut down emits an uncaught error, and after the end of the session it leaks the handle, so the process never ended: sockets are now reset first, and only while they are open.

--- /dev/null
+++ b/packages/rpc/src/lib/host/startLinkHost.test.ts
@@ -0,0 +1,253 @@
+import assert from 'node:assert/strict'
+import net from 'node:net'
+import { afterEach, describe, it } from 'node:test'
+import { PassThrough } from '../fixtures/PassThrough'
+import { numbered, range, TestInstance, until } from '../fixtures/TestInstance'
+import type { LinkHostOptions } from './LinkHostOptions'
+
+/** Fast enough for tests; the proportions are those of the defaults. */
+const quick = {
+  silentAfterMs: 150,
+  probeTimeoutMs: 100,
+  keepAliveMs: 40,
+  reconnectMinMs: 5,
+  reconnectMaxMs: 60,
+  staleAfterMs: 400,
+  tickMs: 10,
+}
+const cleanups: (() => unknown)[] = []
+
+async function start(name: string, options: Partial<LinkHostOptions> = {}): Promise<TestInstance> {
+  const instance = await TestInstance.start(name, { ...quick, ...options })
+  cleanups.push(() => instance.close())
+  return instance
+}
+
+/** Two instances; `a` dials `b` through a pass-through. */
+async function startPair(options: Partial<LinkHostOptions> = {}) {
+  const a = await start('a', options)
+  const b = await start('b')
+  const between = await PassThrough.start(b.host.port)
+  cleanups.push(() => {
+    between.close()
+  })
+  a.dial('b', between.port)
+  return { a, b, between }
+}
+
+afterEach(async () => {
+  for (const cleanup of cleanups.splice(0).reverse()) await cleanup()
+})
+
+describe('a link between two instances', { timeout: 30_000 }, () => {
+  it('delivers in order and once, in few batches', async () => {
+    const { a, b } = await startPair()
+    assert.equal(a.sendNumbers('b', 1, 5000), 5000)
+    await until('all arrived', () => b.numbers.length >= 5000)
+    assert.deepEqual(b.numbers, range(1, 5000))
+    await until('all receipts came', () => a.host.outstanding() === 0)
+    assert.ok(a.host.counters().batchesSent < 50)
+    assert.ok(a.host.roundTripMs('b') > 0)
+    assert.deepEqual(a.changes, ['up b'])
+  })
+
+  it('replaces a silent connection without the peer going down, and loses nothing', async () => {
+    const { a, b, between } = await startPair()
+    await until('up', () => a.host.isUp('b'))
+    a.sendNumbers('b', 1, 100)
+    await until('first part arrived', () => b.numbers.length === 100)
+    between.silenceOpen()
+    a.sendNumbers('b', 101, 200)
+    await until('second part arrived', () => b.numbers.length >= 200)
+    a.sendNumbers('b', 201, 300)
+    await until('third part arrived', () => b.numbers.length >= 300)
+    assert.deepEqual(b.numbers, range(1, 300))
+    assert.equal(a.host.counters().silentConnections, 1)
+    assert.deepEqual(a.changes, ['up b'])
+  })
+
+  it('finds an idle connection that went silent', async () => {
+    const { a, between } = await startPair()
+    await until('up', () => a.host.isUp('b'))
+    between.silenceOpen()
+    await until('replaced', () => a.lines.includes('b: silent connection replaced'))
+    assert.deepEqual(a.changes, ['up b'])
+  })
+
+  it('resends after resets in the middle of a load, once each', async () => {
+    const { a, b, between } = await startPair({ maxBatchEnvelopes: 10 })
+    await until('up', () => a.host.isUp('b'))
+    for (let part = 0; part < 5; part++) {
+      a.sendNumbers('b', part * 400 + 1, part * 400 + 400)
+      await until('some arrived', () => b.numbers.length > part * 400 + 50)
+      between.resetOpen()
+    }
+    await until('all arrived', () => b.numbers.length >= 2000)
+    assert.deepEqual(b.numbers, range(1, 2000))
+    assert.ok(a.host.counters().reconnects >= 1)
+  })
+
+  it('reports a peer that answers on no connection, and sends no old messages after it mends', async () => {
+    const { a, b, between } = await startPair()
+    await until('up', () => a.host.isUp('b'))
+    between.silenceNew(true)
+    between.silenceOpen()
+    a.sendNumbers('b', 1, 50)
+    await until('down', () => a.changes.includes('down b'))
+    await until('the old ones were given up', () => a.host.counters().droppedStale === 50)
+    a.sendNumbers('b', 51, 60)
+    between.silenceNew(false)
+    await until('new ones arrived', () => b.numbers.length >= 10)
+    assert.deepEqual(b.numbers, range(51, 60))
+    assert.deepEqual(a.changes, ['up b', 'down b', 'up b'])
+  })
+
+  it('keeps the newest messages for a peer that is down', async () => {
+    const a = await start('a', { maxQueuedEnvelopes: 10, staleAfterMs: 5000 })
+    a.dial('b', 1)
+    assert.equal(a.sendNumbers('b', 1, 25), 25)
+    const b = await start('b')
+    await until('the oldest were dropped', () => a.host.counters().dropped === 15)
+    a.dial('b', b.host.port)
+    a.sendNumbers('b', 26, 30)
+    await until('arrived', () => b.numbers.length >= 5)
+    assert.deepEqual(b.numbers, range(26, 30))
+  })
+
+  it('refuses more than its queue holds while the peer is up', async () => {
+    const { a, b } = await startPair({ maxQueuedEnvelopes: 100 })
+    await until('up', () => a.host.isUp('b'))
+    assert.equal(a.sendNumbers('b', 1, 150), 100)
+    assert.equal(a.host.counters().dropped, 50)
+    await until('arrived', () => b.numbers.length >= 100)
+    assert.deepEqual(b.numbers, range(1, 100))
+  })
+
+  it('goes on to a peer that restarts with a new boot', async () => {
+    const { a, b } = await startPair()
+    a.sendNumbers('b', 1, 10)
+    await until('arrived', () => b.numbers.length === 10 && a.host.outstanding() === 0)
+    const { port } = b.host
+    await b.close()
+    await until('down', () => a.changes.includes('down b'))
+    const next = await start('b', { boot: 2, listen: { host: '127.0.0.1', port } })
+    await until('up again', () => a.host.isUp('b'))
+    a.sendNumbers('b', 11, 20)
+    await until('arrived', () => next.numbers.length >= 10)
+    assert.deepEqual(next.numbers, range(11, 20))
+  })
+
+  it('goes on counting when a peer is removed and comes back', async () => {
+    const { a, b, between } = await startPair()
+    a.sendNumbers('b', 1, 10)
+    await until('arrived', () => b.numbers.length === 10)
+    a.host.setPeers([])
+    assert.equal(a.host.send('b', numbered(11)), false)
+    a.dial('b', between.port)
+    a.sendNumbers('b', 12, 20)
+    await until('arrived', () => b.numbers.length >= 19)
+    assert.deepEqual(b.numbers, [...range(1, 10), ...range(12, 20)])
+  })
+
+  it('delivers to itself, but not before send returns', async () => {
+    const a = await start('a')
+    assert.equal(a.sendNumbers('a', 1, 3), 3)
+    assert.deepEqual(a.numbers, [])
+    await until('arrived', () => a.numbers.length === 3)
+    assert.deepEqual(a.numbers, [1, 2, 3])
+  })
+})
+
+describe('a receiver', { timeout: 30_000 }, () => {
+  it('keeps the stream when a handler throws', async () => {
+    const { a, b } = await startPair()
+    const take = b.onEnvelope
+    b.onEnvelope = (received) => {
+      take(received)
+      if (b.numbers.length === 2) throw new Error('defect')
+    }
+    a.sendNumbers('b', 1, 5)
+    await until('arrived', () => b.numbers.length >= 5)
+    assert.deepEqual(b.numbers, range(1, 5))
+    assert.equal(b.host.counters().handlerErrors, 1)
+    assert.equal(a.host.counters().reconnects, 0)
+  })
+
+  it('refuses an older process once it has seen a newer one', async () => {
+    const b = await start('b')
+    const newer = await start('a', { boot: 7 })
+    newer.dial('b', b.host.port)
+    await until('up', () => newer.host.isUp('b'))
+    const older = await start('a', { boot: 6 })
+    older.dial('b', b.host.port)
+    older.sendNumbers('b', 1, 5)
+    await until('refused', () => b.changes.includes('stale a 6'))
+    newer.sendNumbers('b', 6, 9)
+    await until('arrived', () => b.numbers.length >= 4)
+    assert.deepEqual(b.numbers, range(6, 9))
+    assert.equal(older.host.isUp('b'), false)
+  })
+
+  const tokens = [
+    { name: 'a wrong token', token: 'guess' },
+    { name: 'no token', token: undefined },
+  ]
+  for (const { name, token } of tokens) {
+    it(`refuses ${name}, and serves the others`, async () => {
+      const b = await start('b', { token: 'secret' })
+      const good = await start('a', { token: 'secret' })
+      const bad = await start('c', token === undefined ? {} : { token })
+      bad.dial('b', b.host.port)
+      good.dial('b', b.host.port)
+      bad.sendNumbers('b', 100, 110)
+      good.sendNumbers('b', 1, 5)
+      await until('refused and arrived', () => {
+        return b.host.counters().refusedStreams > 0 && b.numbers.length >= 5
+      })
+      assert.deepEqual(b.numbers, range(1, 5))
+      assert.equal(bad.host.isUp('b'), false)
+    })
+  }
+
+  const garbage = [
+    { name: 'bytes that are not HTTP/2', bytes: Buffer.alloc(4096, 0x5a) },
+    { name: 'an HTTP/1.1 request', bytes: Buffer.from('GET / HTTP/1.1\r\n\r\n') },
+  ]
+  for (const { name, bytes } of garbage) {
+    it(`survives ${name}`, async () => {
+      const { a, b } = await startPair()
+      const socket = net.connect({ host: '127.0.0.1', port: b.host.port })
+      socket.on('error', () => undefined)
+      const closed = new Promise((resolve) => socket.once('close', resolve))
+      // Without a reader the socket never sees that the other end closed it.
+      socket.resume()
+      socket.write(bytes)
+      await closed
+      a.sendNumbers('b', 1, 5)
+      await until('arrived', () => b.numbers.length >= 5)
+      assert.deepEqual(b.numbers, range(1, 5))
+    })
+  }
+
+  it('never gets an envelope above the limit, and those after it arrive', async () => {
+    const { a, b } = await startPair({ maxEnvelopeBytes: 200 })
+    const large = numbered(1)
+    if (large.body.case === 'jobQuery') large.body.value.jobId = 'x'.repeat(300)
+    assert.equal(a.host.send('b', large), false)
+    a.sendNumbers('b', 2, 3)
+    await until('arrived', () => b.numbers.length >= 2)
+    assert.equal(a.host.counters().oversized, 1)
+  })
+
+  it('ends a stream whose batch is above its own limit, and only this one', async () => {
+    const b = await start('b', { maxEnvelopeBytes: 100, maxBatchBytes: 100 })
+    const a = await start('a', { staleAfterMs: 100 })
+    const c = await start('c')
+    a.dial('b', b.host.port)
+    c.dial('b', b.host.port)
+    a.sendNumbers('b', 1, 1000)
+    c.sendNumbers('b', 1, 3)
+    await until('arrived', () => b.numbers.length >= 3)
+    assert.deepEqual(b.numbers, [1, 2, 3])
+  })
+})
--- a/packages/rpc/src/lib/peer/LinkConnection.ts
+++ b/packages/rpc/src/lib/peer/LinkConnection.ts
@@ -84,9 +84,10 @@
   /** Ends the connection with a reset, so that unsent data does not arrive late. */
   close(): void {
     this.#feed.end()
+    // Before the session ends, which would take the handle away from the socket.
+    if (this.#socket !== undefined) resetSocket(this.#socket)
     this.#abort.abort()
     this.#manager.abort()
-    this.#socket?.resetAndDestroy()
   }
 
   #client() {
@@ -121,3 +122,10 @@
     return this.#socket
   }
 }
+
+/** Drops unsent data where the system allows it: on an open TCP socket without TLS. */
+function resetSocket(socket: net.Socket): void {
+  const canReset = socket.readyState === 'open' && !(socket instanceof tls.TLSSocket)
+  if (canReset) socket.resetAndDestroy()
+  else socket.destroy()
+}
