--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -19,6 +19,14 @@
 export { RunTimeEstimator } from './lib/estimates/RunTimeEstimator'
 export type { EstimateSubject } from './lib/estimates/RunTimeEstimator'
 export { AlwaysHealthy } from './lib/health/AlwaysHealthy'
+export {
+  ConsecutiveFailureHealth,
+  defaultConsecutiveFailureOptions,
+} from './lib/health/ConsecutiveFailureHealth'
+export { DecayedScoreHealth, defaultDecayedScoreOptions } from './lib/health/DecayedScoreHealth'
+export type { DecayedScoreOptions } from './lib/health/DecayedScoreHealth'
+export { EjectingHealth } from './lib/health/EjectingHealth'
+export type { EjectingHealthOptions } from './lib/health/EjectingHealth'
 export { createEndpointHealth } from './lib/health/createEndpointHealth'
 export { EndpointHealth, HealthFailure, HealthState } from './lib/health/EndpointHealth'
 export type { HealthObservation } from './lib/health/EndpointHealth'
