--- a/apps/cherryhitch/src/lib/cli/controlCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/controlCommand.ts
@@ -4,6 +4,7 @@
 import { connectionOptions, operatorClient, printAnswer } from './CommandContext'
 import { formatTable } from './formatTable'
 import type { ConnectionFlags, HttpClient } from './httpClient'
+import { initVotersFolder } from './initVotersFolder'
 import type { VotersRow } from './operatorViews'
 import { requireGood } from './problems'
 
@@ -39,6 +40,10 @@
     .example('cherryhitch control init --settings voter-1.jsonc --cluster kitaura-2026')
     .example('cherryhitch control status')
     .action(async (action: string, flags: ControlFlags) => {
+      if (action === 'init') {
+        io.print(await initVotersFolder(flags.settings, flags.cluster))
+        return
+      }
       const client = operatorClient(flags, io)
       if (action === 'status') {
         const voters = requireGood(
--- a/apps/cherryhitch/src/lib/cli/runCli.ts
+++ b/apps/cherryhitch/src/lib/cli/runCli.ts
@@ -6,6 +6,8 @@
 import { registerDemoCommand } from './demoCommand'
 import { ExitCode } from './ExitCode'
 import { registerPresetCommand } from './presetCommand'
+import { registerServeCommand } from './serveCommand'
+import { registerSettingsCommand } from './settingsCommand'
 import { registerSubmitCommands } from './submitCommand'
 import { VERSION } from './version'
 import { registerViewCommands } from './viewCommands'
@@ -20,11 +22,13 @@
 export async function runCli(argv: readonly string[], io: CliIo): Promise<ExitCode> {
   const cli = cac('cherryhitch')
   const context = { cli, io }
+  registerServeCommand(context)
   registerSubmitCommands(context)
   registerViewCommands(context)
   registerPresetCommand(context)
   registerAuditCommand(context)
   registerControlCommand(context)
+  registerSettingsCommand(context)
   registerDemoCommand(context)
   cli.command('version', 'Print the version').action(() => {
     io.print(VERSION)
--- /dev/null
+++ b/apps/cherryhitch/src/lib/cli/serveCommand.ts
@@ -0,0 +1,28 @@
+import { Effect } from 'effect'
+import { DrainEnd } from '../instance/Instance'
+import { serve } from '../serve/serve'
+import { CliError, usageError } from './CliError'
+import type { CommandContext } from './CommandContext'
+import { ExitCode } from './ExitCode'
+import { readSettings, readTokens } from './readSettings'
+
+/** Registers `serve`. @internal */
+export function registerServeCommand({ cli }: CommandContext): void {
+  cli
+    .command('serve', 'Run an instance until SIGTERM')
+    .option('--settings <file>', 'Settings of this instance')
+    .example('cherryhitch serve --settings examples/kitaura/ishikari-1a.jsonc')
+    .action(async ({ settings: file }: { readonly settings?: string }) => {
+      if (file === undefined) {
+        throw usageError('--settings is missing.', 'See the files in examples/.')
+      }
+      const settings = readSettings(file)
+      const end = await Effect.runPromise(serve(settings, readTokens(settings)))
+      if (end === DrainEnd.Complete) return
+      throw new CliError(
+        ExitCode.Failed,
+        'The drain limit was reached, and work in progress was cut off.',
+        'The log says what; see "drainLimitMs" in docs/settings.md.',
+      )
+    })
+}
--- a/apps/cherryhitch/src/lib/cluster/clusterFixture.ts
+++ b/apps/cherryhitch/src/lib/cluster/clusterFixture.ts
@@ -7,7 +7,8 @@
   startStandInEndpoint,
 } from '@cherryhitch/stand-ins'
 import type { CallerPool } from '@cherryhitch/stand-ins'
-import { Effect, Exit, Scope } from 'effect'
+import { Effect, Exit } from 'effect'
+import type { Scope } from 'effect'
 import type { Instance } from '../instance/Instance'
 import { startCluster } from './startCluster'
 
