--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -16,6 +16,8 @@
 export { QueueLimitAdmission } from './lib/admission/QueueLimitAdmission'
 export { createRunTimeEstimator } from './lib/estimates/createRunTimeEstimator'
 export { DeclaredEstimator } from './lib/estimates/DeclaredEstimator'
+export { defaultLearnedEstimatorOptions, LearnedEstimator } from './lib/estimates/LearnedEstimator'
+export type { LearnedEstimatorOptions } from './lib/estimates/LearnedEstimator'
 export { RunTimeEstimator } from './lib/estimates/RunTimeEstimator'
 export type { EstimateSubject } from './lib/estimates/RunTimeEstimator'
 export { AlwaysHealthy } from './lib/health/AlwaysHealthy'
--- a/packages/policy/src/lib/estimates/createRunTimeEstimator.ts
+++ b/packages/policy/src/lib/estimates/createRunTimeEstimator.ts
@@ -1,7 +1,7 @@
-import { DeclaredEstimator } from './DeclaredEstimator'
+import { LearnedEstimator } from './LearnedEstimator'
 import type { RunTimeEstimator } from './RunTimeEstimator'
 
 /** Makes the estimator that coordinators use. @public */
 export function createRunTimeEstimator(): RunTimeEstimator {
-  return new DeclaredEstimator()
+  return new LearnedEstimator()
 }
