Run the log under random faults and test its failures in tables

The same machines run under a clock of their own with delayed, lost and doubled messages, crashes, failing and wiped disks; the invariants are asserted at each step.

--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -25,6 +25,7 @@
 import type { ClientTiming } from './ClientOptions'
 import type { KnownSettings } from './ControlNode'
 import type { ControlNodeOptions } from './ControlNodeOptions'
+import { isVoterMessage } from './isVoterMessage'
 
 /** What waits in the mailbox of an instance's control part. @internal */
 export type NodeEvent =
@@ -83,7 +84,7 @@
   }
 
   receive(from: string, boot: number, body: EnvelopeBody): void {
-    if (this.#isForVoter(body)) {
+    if (this.#parts.voter !== undefined && isVoterMessage(body)) {
       const event = { kind: ControlEventKind.Received as const, from, boot, body }
       this.#parts.tell({ to: NodePart.Voter, event })
     } else {
@@ -185,18 +186,6 @@
     }
   }
 
-  #isForVoter(body: EnvelopeBody): boolean {
-    if (this.#parts.voter === undefined) return false
-    switch (body.case) {
-      case 'proposeReply':
-      case 'readControlReply':
-      case 'settingsNotice':
-        return false
-      default:
-        return true
-    }
-  }
-
   #tellClient(event: ClientEvent): void {
     this.#parts.tell({ to: NodePart.Client, event })
   }
--- /dev/null
+++ b/packages/control/src/lib/soak/SimulatedCluster.ts
@@ -0,0 +1,395 @@
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
+import { EnvelopeSchema, HardStateSchema } from '@cherryhitch/protocol'
+import type { Command, CommandAnswer, Envelope, ReadControlReply } from '@cherryhitch/protocol'
+import { MemoryDisk } from '@cherryhitch/storage'
+import { Effect } from 'effect'
+import type { ClientAction, ClientEvent } from '../node/ClientEvent'
+import { ClientActionKind, ClientEventKind } from '../node/ClientEvent'
+import { ClientMachine } from '../node/ClientMachine'
+import { defaultClientTiming } from '../node/ClientOptions'
+import { isVoterMessage } from '../node/isVoterMessage'
+import { genesisSnapshot } from '../state/genesis'
+import { initVoters, openVoter } from '../store/initVoters'
+import { VoterStore } from '../store/VoterStore'
+import { SeededRandom } from '../util/SeededRandom'
+import { ControlActionKind, VoterRole } from '../voter/ControlAction'
+import type { ControlAction, PersistBatch } from '../voter/ControlAction'
+import { ControlEventKind } from '../voter/ControlEvent'
+import type { ControlEvent } from '../voter/ControlEvent'
+import type { QuorumRules } from '../voter/QuorumRules'
+import { VoterMachine } from '../voter/VoterMachine'
+import type { VoterLimits } from '../voter/VoterOptions'
+import { SoakChecks } from './SoakChecks'
+
+/** How the links of a run behave. @internal */
+export interface LinkBehaviour {
+  readonly maxDelayMs: number
+  readonly loss: number
+  readonly duplication: number
+}
+
+/** @internal */
+export interface SimulationOptions {
+  readonly seed: number
+  readonly voters: readonly string[]
+  /** Instances with an empty disk, which is not in the first set. */
+  readonly spares?: readonly string[]
+  readonly followers: readonly string[]
+  readonly link: LinkBehaviour
+  readonly syncMs: number
+  readonly limits?: Partial<VoterLimits>
+  /** Broken on purpose, to see that the checks notice. */
+  readonly rules?: QuorumRules
+  readonly makeDisk?: (seed: number) => MemoryDisk
+  /** A wiped disk comes back under its old identity, which the program never does. */
+  readonly wipeKeepsId?: boolean
+}
+
+/** One process of the run, with what outlives it: its disk. */
+interface Process {
+  readonly instance: string
+  disk: MemoryDisk | undefined
+  boot: number
+  up: boolean
+  diskId: string
+  version: number
+  client: ClientMachine
+  voter: VoterMachine | undefined
+  store: VoterStore | undefined
+  writing: PersistBatch | undefined
+}
+
+interface Timed {
+  readonly at: number
+  readonly order: number
+  readonly run: () => void
+}
+
+const TICK_MS = 50
+const CLUSTER_ID = 'soak'
+
+/**
+ * The machines of all instances in one process, under a clock of the run's own: messages are
+ * delayed, lost and doubled, processes crash, disks fail, all from one seed. The invariants of
+ * {@link SoakChecks} are asserted at each step.
+ *
+ * @internal
+ */
+export class SimulatedCluster {
+  now = 1_000_000
+  link: LinkBehaviour
+  readonly random: SeededRandom
+  readonly checks = new SoakChecks()
+  readonly answers = new Map<string, CommandAnswer>()
+  readonly lines: string[] = []
+  lastRead: ReadControlReply | undefined
+  /** Links that lose everything, as `from>to`. */
+  readonly #cut = new Set<string>()
+  readonly #options: SimulationOptions
+  readonly #processes = new Map<string, Process>()
+  #queue: Timed[] = []
+  #order = 0
+  #wipes = 0
+
+  constructor(options: SimulationOptions) {
+    this.#options = options
+    this.link = options.link
+    this.random = new SeededRandom(options.seed)
+    const { voters, spares = [], followers } = options
+    for (const instance of [...voters, ...spares, ...followers]) this.#create(instance)
+    for (const { instance } of this.#processes.values()) this.start(instance)
+  }
+
+  get instances(): readonly string[] {
+    return [...this.#processes.keys()]
+  }
+
+  voter(instance: string): VoterMachine | undefined {
+    return this.#get(instance).voter
+  }
+
+  client(instance: string): ClientMachine {
+    return this.#get(instance).client
+  }
+
+  disk(instance: string): MemoryDisk {
+    const { disk } = this.#get(instance)
+    if (disk === undefined) throw new Error(`${instance} has no disk`)
+    return disk
+  }
+
+  diskId(instance: string): string {
+    return this.#get(instance).diskId
+  }
+
+  isUp(instance: string): boolean {
+    return this.#get(instance).up
+  }
+
+  /** The instance that leads in the highest term. */
+  leader(): string | undefined {
+    const leaders = [...this.#processes.values()].filter(({ up, voter }) => {
+      return up && voter?.role === VoterRole.Leader
+    })
+    leaders.sort((a, b) => (b.voter?.term ?? 0) - (a.voter?.term ?? 0))
+    return leaders[0]?.instance
+  }
+
+  start(instance: string): void {
+    const process = this.#get(instance)
+    if (process.up) return
+    process.up = true
+    process.boot++
+    process.writing = undefined
+    const { boot } = process
+    const { voters, seed, limits, rules } = this.#options
+    process.client = new ClientMachine({ instance, boot, voters, timing: defaultClientTiming })
+    if (process.disk !== undefined) {
+      const makeId = (): string => `disk${++this.#wipes}`
+      const opened = Effect.runSync(openVoter(process.disk, instance, makeId))
+      const machineSeed = seed * 1_000 + boot * 10 + this.instances.indexOf(instance)
+      const machine = {
+        instance,
+        seed: machineSeed,
+        ...(limits && { limits }),
+        ...(rules && { rules }),
+      }
+      process.store = opened.store
+      process.diskId = opened.stored.diskId
+      process.voter = new VoterMachine(machine, opened.stored)
+    }
+    this.#after(this.random.between(1, TICK_MS), () => {
+      this.#tick(process, boot)
+    })
+  }
+
+  /** The process dies; a write that runs is left at any point of it. */
+  crash(instance: string): void {
+    const process = this.#get(instance)
+    if (!process.up) return
+    const { disk, store, writing } = process
+    if (disk !== undefined && store !== undefined && writing !== undefined) {
+      disk.haltAfter(Math.floor(this.random.between(0, 12)))
+      Effect.runSyncExit(store.persist(writing))
+    }
+    process.up = false
+    disk?.crash()
+  }
+
+  /** The process dies and its disk is replaced by an empty one. */
+  wipe(instance: string): void {
+    this.crash(instance)
+    const process = this.#get(instance)
+    const { diskId } = process
+    process.disk = this.#makeDisk()
+    if (this.#options.wipeKeepsId !== true) return
+    const { store } = Effect.runSync(VoterStore.open(process.disk))
+    const vote = create(HardStateSchema, { diskId, term: 1 })
+    Effect.runSync(store.initialize(vote, genesisSnapshot(CLUSTER_ID, this.#options.voters)))
+  }
+
+  /** What `control init` does on the empty disk of a first voter. */
+  initialize(instance: string): void {
+    const { voters } = this.#options
+    Effect.runSync(initVoters(this.disk(instance), { instance, voters, clusterId: CLUSTER_ID }))
+  }
+
+  /** The files of a disk as they are synced now. */
+  copyDisk(instance: string): MemoryDisk {
+    const from = this.disk(instance)
+    const to = this.#makeDisk()
+    for (const name of Effect.runSync(from.list())) {
+      const bytes = Effect.runSync(from.read(name)) ?? new Uint8Array()
+      Effect.runSync(to.writeNew(name, bytes))
+      Effect.runSync(to.sync(name))
+    }
+    Effect.runSync(to.syncFolder())
+    return to
+  }
+
+  replaceDisk(instance: string, disk: MemoryDisk): void {
+    this.#get(instance).disk = disk
+  }
+
+  /** Cuts an instance off from all others, in one direction or both, or joins it again. */
+  cut(instance: string, how: { readonly from: boolean; readonly to: boolean }): void {
+    for (const other of this.instances) {
+      if (other === instance) continue
+      this.#setCut(`${instance}>${other}`, how.from)
+      this.#setCut(`${other}>${instance}`, how.to)
+    }
+  }
+
+  propose(instance: string, command: Command, timeoutMs = 5_000): void {
+    this.#tellClient(instance, { kind: ClientEventKind.Propose, command, timeoutMs })
+  }
+
+  read(instance: string): void {
+    const range = { auditFrom: 0, auditLimit: 1_000_000 }
+    this.#tellClient(instance, { kind: ClientEventKind.Read, readId: 'read', ...range })
+  }
+
+  /** Lets time pass. */
+  run(ms: number): void {
+    const end = this.now + ms
+    for (;;) {
+      const next = this.#takeNext(end)
+      if (next === undefined) break
+      this.now = next.at
+      next.run()
+    }
+    this.now = end
+  }
+
+  /** Lets time pass until the condition holds; tells whether it came to hold. */
+  runUntil(condition: () => boolean, limitMs: number): boolean {
+    const end = this.now + limitMs
+    while (!condition() && this.now < end) this.run(TICK_MS)
+    return condition()
+  }
+
+  #create(instance: string): void {
+    const { voters, spares = [] } = this.#options
+    const disk = [...voters, ...spares].includes(instance) ? this.#makeDisk() : undefined
+    const timing = defaultClientTiming
+    const client = new ClientMachine({ instance, boot: 0, voters, timing })
+    const parts = { client, voter: undefined, store: undefined, writing: undefined }
+    const process = { instance, disk, boot: 0, up: false, diskId: '', version: 0, ...parts }
+    this.#processes.set(instance, process)
+    if (voters.includes(instance)) this.initialize(instance)
+  }
+
+  #makeDisk(): MemoryDisk {
+    const seed = Math.floor(this.random.between(1, 1_000_000))
+    return this.#options.makeDisk?.(seed) ?? new MemoryDisk({ seed })
+  }
+
+  #get(instance: string): Process {
+    const process = this.#processes.get(instance)
+    if (process === undefined) throw new Error(`there is no instance ${instance}`)
+    return process
+  }
+
+  #tick(process: Process, boot: number): void {
+    if (!process.up || process.boot !== boot) return
+    if (process.voter !== undefined) this.#runVoter(process, process.voter.tick(this.now))
+    this.#runClient(process, process.client.tick(this.now))
+    const current = process.client.isCurrent(this.now)
+    this.checks.checkCurrent(process.instance, process.version, current)
+    this.#after(TICK_MS, () => {
+      this.#tick(process, boot)
+    })
+  }
+
+  #tellClient(instance: string, event: ClientEvent): void {
+    const process = this.#get(instance)
+    if (process.up) this.#runClient(process, process.client.step(this.now, event))
+  }
+
+  #tellVoter(process: Process, event: ControlEvent): void {
+    if (process.voter !== undefined) this.#runVoter(process, process.voter.step(this.now, event))
+  }
+
+  #runVoter(process: Process, actions: readonly ControlAction[]): void {
+    for (const action of actions) {
+      if (action.kind === ControlActionKind.Send) this.#send(process, action.to, action.envelope)
+      if (action.kind === ControlActionKind.Persist) this.#persist(process, action.batch)
+      if (action.kind === ControlActionKind.Applied) this.checks.noteApplied(action)
+      if (action.kind === ControlActionKind.Log) {
+        this.lines.push(`${this.now} ${process.instance} ${action.line}`)
+      }
+      if (action.kind === ControlActionKind.RoleChanged && action.role === VoterRole.Leader) {
+        this.checks.noteLeader(action.term, process.diskId)
+      }
+      if (action.kind === ControlActionKind.SettingsChanged) {
+        const { settings } = action
+        this.#tellClient(process.instance, { kind: ClientEventKind.LocalSettings, settings })
+      }
+    }
+  }
+
+  #runClient(process: Process, actions: readonly ClientAction[]): void {
+    for (const action of actions) {
+      if (action.kind === ClientActionKind.Send) this.#send(process, action.to, action.envelope)
+      if (action.kind === ClientActionKind.ReadAnswered) this.lastRead = action.reply
+      if (action.kind === ClientActionKind.Answered) {
+        this.checks.noteAnswer(action.answer)
+        this.answers.set(action.answer.commandId, action.answer)
+      }
+      if (action.kind === ClientActionKind.SettingsChanged) {
+        const { settings, current } = action
+        this.checks.noteSettings(process.instance, 0, settings, current)
+        process.version = settings.version
+      }
+    }
+  }
+
+  #persist(process: Process, batch: PersistBatch): void {
+    const { boot, store } = process
+    process.writing = batch
+    this.#after(this.#options.syncMs * this.random.between(0.5, 2), () => {
+      if (!process.up || process.boot !== boot || store === undefined) return
+      process.writing = undefined
+      const { id } = batch
+      const exit = Effect.runSyncExit(store.persist(batch))
+      if (exit._tag === 'Success') {
+        this.#tellVoter(process, { kind: ControlEventKind.Persisted, id })
+      } else {
+        const reason = 'injected'
+        this.#tellVoter(process, { kind: ControlEventKind.PersistFailed, id, reason })
+      }
+    })
+  }
+
+  #send(from: Process, to: string, envelope: Envelope): void {
+    // Encoded at once, as on a real link: what the sender changes later is not in the message.
+    const bytes = toBinary(EnvelopeSchema, envelope)
+    const own = from.instance === to
+    const copies = !own && this.random.chance(this.link.duplication) ? 2 : 1
+    const { boot } = from
+    for (let copy = 0; copy < copies; copy++) {
+      if (!own && this.random.chance(this.link.loss)) continue
+      const delay = own ? 0 : this.random.between(0.2, this.link.maxDelayMs)
+      this.#after(delay, () => {
+        if (!this.#cut.has(`${from.instance}>${to}`)) this.#deliver(from.instance, boot, to, bytes)
+      })
+    }
+  }
+
+  #deliver(from: string, boot: number, to: string, bytes: Uint8Array): void {
+    const process = this.#processes.get(to)
+    const { body } = fromBinary(EnvelopeSchema, bytes)
+    if (process?.up !== true || body.case === undefined) return
+    // Links drop what an earlier boot of the sender sent.
+    if (this.#get(from).boot !== boot) return
+    if (process.voter !== undefined && isVoterMessage(body)) {
+      this.#tellVoter(process, { kind: ControlEventKind.Received, from, boot, body })
+    } else {
+      this.#tellClient(to, { kind: ClientEventKind.Received, from, body })
+    }
+  }
+
+  #setCut(link: string, cut: boolean): void {
+    if (cut) this.#cut.add(link)
+    else this.#cut.delete(link)
+  }
+
+  #after(ms: number, run: () => void): void {
+    const timed = { at: this.now + ms, order: this.#order++, run }
+    let low = 0
+    let high = this.#queue.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      const other = this.#queue[middle]
+      // Latest first, so that the next one is taken from the end.
+      if (other !== undefined && (other.at > timed.at || other.at === timed.at)) low = middle + 1
+      else high = middle
+    }
+    this.#queue.splice(low, 0, timed)
+  }
+
+  #takeNext(end: number): Timed | undefined {
+    const next = this.#queue.at(-1)
+    return next !== undefined && next.at <= end ? this.#queue.pop() : undefined
+  }
+}
--- /dev/null
+++ b/packages/control/src/lib/soak/runControlSoak.ts
@@ -0,0 +1,236 @@
+import { create } from '@bufbuild/protobuf'
+import {
+  ClaimEndSchema,
+  CommandSchema,
+  KeyClaimSchema,
+  VoterChangeKind,
+} from '@cherryhitch/protocol'
+import type { Command, VoterStatus } from '@cherryhitch/protocol'
+import { DiskOperation } from '@cherryhitch/storage'
+import { PresetName } from '../state/presets'
+import { SimulatedCluster } from './SimulatedCluster'
+import type { SimulationOptions } from './SimulatedCluster'
+import { assertThat } from './SoakChecks'
+
+/** @public */
+export interface ControlSoakOptions {
+  readonly seed: number
+  /** Random operations and faults; each takes about half a second of the run's own clock. */
+  readonly steps: number
+  /** Broken on purpose, to see that the checks notice. @internal */
+  readonly broken?: Partial<SimulationOptions>
+}
+
+/** What a run did; a breach of an invariant throws instead. @public */
+export interface ControlSoakReport {
+  readonly simulatedMs: number
+  readonly entries: number
+  readonly answered: number
+  readonly terms: number
+  readonly crashes: number
+  readonly wipes: number
+  readonly diskFaults: number
+}
+
+const voters = ['v1', 'v2', 'v3']
+/** Has an empty disk: a learner, and a voter once it takes the place of a lost one. */
+const spares = ['v4']
+const hosts = [...voters, ...spares]
+const followers = ['f1', 'f2']
+const calmLink = { maxDelayMs: 3, loss: 0, duplication: 0 }
+const roughLink = { maxDelayMs: 120, loss: 0.08, duplication: 0.08 }
+const diskFaults = [DiskOperation.Sync, DiskOperation.Rename, DiskOperation.Append]
+const KEYS = 12
+const HEAL_LIMIT_MS = 60_000
+
+/**
+ * Runs the machines of three voters, a spare one and two followers under random commands and faults, and
+ * asserts the invariants at each step. The same seed gives the same run.
+ *
+ * @throws Error when an invariant is broken, or nothing commits once all faults are over
+ * @public
+ */
+export function runControlSoak({ seed, steps, broken }: ControlSoakOptions): ControlSoakReport {
+  const link = roughLink
+  const limits = { entriesPerMessage: 1, snapshotEvery: 40, entriesKept: 10 }
+  const options = { seed, voters, spares, followers, link, syncMs: 8, limits, ...broken }
+  return new SoakRun(new SimulatedCluster(options)).run(steps)
+}
+
+class SoakRun {
+  readonly #cluster: SimulatedCluster
+  readonly #commands: Command[] = []
+  #crashes = 0
+  #wipes = 0
+  #diskFaults = 0
+  /**
+   * The first start is over once every voter has synced an entry. A voter that never did refuses
+   * its vote to those who have (see `VoterCore.isFresh`), so no disk may be lost before.
+   */
+  #hasStarted = false
+  /** Disk that was wiped and is still among the voters. */
+  #lostDisk: string | undefined
+
+  constructor(cluster: SimulatedCluster) {
+    this.#cluster = cluster
+  }
+
+  run(steps: number): ControlSoakReport {
+    const { random } = this.#cluster
+    for (let step = 0; step < steps; step++) {
+      this.#operate()
+      if (random.chance(0.35)) this.#disturb()
+      this.#repair()
+      this.#cluster.run(random.between(20, 900))
+    }
+    this.#heal()
+    return this.#report()
+  }
+
+  #operate(): void {
+    const { random, instances } = this.#cluster
+    const instance = random.pick(instances)
+    const old = this.#commands.at(-1)
+    const resend = old !== undefined && random.chance(0.25)
+    const command = resend ? random.pick(this.#commands.slice(-5)) : this.#newCommand(instance)
+    this.#cluster.propose(instance, command)
+  }
+
+  #newCommand(instance: string): Command {
+    const { random, now } = this.#cluster
+    const commandId = `op${this.#commands.length}`
+    const atMs = now
+    const key = { caller: 'desk', submissionKey: `k${Math.floor(random.between(0, KEYS))}` }
+    const jobId = `job${this.#commands.length}`
+    let change: Command['change']
+    if (random.chance(0.4)) {
+      const name = random.pick(Object.values(PresetName))
+      const fromVersion = this.#cluster.client(instance).settings?.version ?? 1
+      const fields = { name, fromVersion, operator: instance, reason: 'soak', atMs }
+      change = create(CommandSchema, { change: { case: 'setPreset', value: fields } }).change
+    } else if (random.chance(0.7)) {
+      const claim = create(KeyClaimSchema, { ...key, jobId, contentHash: 'h', atMs })
+      change = create(CommandSchema, {
+        change: { case: 'claimKeys', value: { claims: [claim] } },
+      }).change
+    } else {
+      const ended = `job${Math.floor(random.between(0, this.#commands.length))}`
+      const answer = new Uint8Array(random.chance(0.5) ? 3 : 0)
+      const end = create(ClaimEndSchema, { ...key, jobId: ended, answer, atMs })
+      change = create(CommandSchema, {
+        change: { case: 'endClaims', value: { ends: [end] } },
+      }).change
+    }
+    const command = create(CommandSchema, { commandId, change })
+    this.#commands.push(command)
+    return command
+  }
+
+  #disturb(): void {
+    const { random } = this.#cluster
+    const instance = random.pick(hosts)
+    const fault = Math.floor(random.between(0, 9))
+    if (fault === 0) this.#crash(instance)
+    if (fault === 1) this.#wipe(instance)
+    if (fault === 2) this.#cluster.cut(instance, { from: true, to: random.chance(0.6) })
+    if (fault === 3) this.#cluster.cut(instance, { from: false, to: false })
+    if (fault === 4) this.#cluster.link = random.chance(0.5) ? roughLink : calmLink
+    if (fault >= 6) this.#crashYoungLeader(instance)
+    if (fault === 5 && this.#cluster.isUp(instance)) {
+      this.#diskFaults++
+      this.#cluster.disk(instance).fail({ operation: random.pick(diskFaults) })
+    }
+  }
+
+  #crash(instance: string): void {
+    this.#crashes++
+    this.#cluster.crash(instance)
+  }
+
+  /** Leaders that die soon after their election leave entries of many terms behind. */
+  #crashYoungLeader(otherwise: string): void {
+    this.#cluster.runUntil(() => this.#cluster.leader() !== undefined, 3_000)
+    this.#cluster.run(this.#cluster.random.between(1, 200))
+    this.#crash(this.#cluster.leader() ?? otherwise)
+  }
+
+  /** One disk at a time: the next as soon as the set is whole again, not a moment later. */
+  #wipe(instance: string): void {
+    if (this.#lostDisk !== undefined || !this.#hasStarted) return
+    this.#wipes++
+    this.#lostDisk = this.#cluster.diskId(instance)
+    this.#cluster.wipe(instance)
+    this.#cluster.start(instance)
+  }
+
+  /** What operators and the platform do: restart processes, add new disks. */
+  #repair(): void {
+    for (const instance of hosts) this.#restart(instance)
+    const leader = this.#cluster.leader()
+    const voter = this.#cluster.voter(leader ?? 'v1')
+    const status = voter?.status(this.#cluster.now)
+    if (leader === undefined || voter === undefined || status === undefined) return
+    const { members } = status
+    this.#hasStarted ||= members.every(({ matchIndex }) => matchIndex > 0)
+    if (this.#lostDisk === undefined) return
+    for (const instance of hosts) this.#addDisk(leader, instance, members)
+    const whole = members.filter(({ learner }) => !learner).length >= voters.length
+    const gone = !members.some(({ diskId }) => diskId === this.#lostDisk)
+    if (whole && gone && status.commitIndex === voter.lastIndex) this.#lostDisk = undefined
+  }
+
+  #restart(instance: string): void {
+    const { random } = this.#cluster
+    const broken = this.#cluster.voter(instance)?.isHealthy === false
+    if (broken && random.chance(0.4)) this.#crash(instance)
+    if (!this.#cluster.isUp(instance) && random.chance(0.5)) this.#cluster.start(instance)
+  }
+
+  #addDisk(leader: string, instance: string, members: readonly VoterStatus[]): void {
+    const diskId = this.#cluster.diskId(instance)
+    if (members.some((member) => member.diskId === diskId)) return
+    const value = { kind: VoterChangeKind.ADD_LEARNER, instance, diskId, operator: 'op' }
+    const commandId = `add.${diskId}.${this.#cluster.now}`
+    const change = { case: 'changeVoters' as const, value }
+    this.#cluster.propose(leader, create(CommandSchema, { commandId, change }))
+  }
+
+  /** All faults end: then something must commit, and everything must be there. */
+  #heal(): void {
+    this.#cluster.link = calmLink
+    for (const instance of hosts) {
+      this.#cluster.cut(instance, { from: false, to: false })
+      // Also clears the faults that are still planned for its disk.
+      this.#cluster.crash(instance)
+      this.#cluster.start(instance)
+    }
+    const commandId = 'last'
+    const change = { case: 'noop' as const, value: {} }
+    const last = create(CommandSchema, { commandId, change })
+    this.#cluster.propose('f1', last, HEAL_LIMIT_MS)
+    const committed = (): boolean => this.#cluster.answers.get(commandId) !== undefined
+    const healed = this.#cluster.runUntil(committed, HEAL_LIMIT_MS)
+    assertThat(healed, 'nothing was committed after all faults were over')
+    const { checks } = this.#cluster
+    const atLeast = checks.highestIndex
+    this.#cluster.read('f2')
+    this.#cluster.runUntil(() => this.#cluster.lastRead?.ok === true, HEAL_LIMIT_MS)
+    const read = this.#cluster.lastRead
+    assertThat(read?.ok === true && read.settings !== undefined, 'the last read was not answered')
+    const { commitIndex = 0 } = read.voters ?? {}
+    checks.checkEnd(atLeast, commitIndex, read.audit, read.settings)
+  }
+
+  #report(): ControlSoakReport {
+    const cluster = this.#cluster
+    return {
+      simulatedMs: cluster.now,
+      entries: cluster.checks.highestIndex,
+      answered: cluster.answers.size,
+      terms: Math.max(...hosts.map((instance) => cluster.voter(instance)?.term ?? 0)),
+      crashes: this.#crashes,
+      wipes: this.#wipes,
+      diskFaults: this.#diskFaults,
+    }
+  }
+}
--- a/packages/control/src/lib/store/initVoters.ts
+++ b/packages/control/src/lib/store/initVoters.ts
@@ -60,11 +60,12 @@
 export function openVoter(
   disk: Disk,
   instance: string,
+  makeId: () => string = randomUUID,
 ): Effect.Effect<{ store: VoterStore; stored: StoredVoter }, ControlError> {
   return Effect.gen(function* () {
     const opened = yield* VoterStore.open(disk)
     if (opened.stored !== undefined) return { store: opened.store, stored: opened.stored }
-    const diskId = `${instance}-${randomUUID()}`
+    const diskId = `${instance}-${makeId()}`
     const vote = create(HardStateSchema, { schemaVersion: HARD_STATE_VERSION, diskId })
     yield* opened.store.initialize(vote)
     const stored = { diskId, term: 0, votedFor: '', snapshot: undefined, entries: [] }
--- /dev/null
+++ b/packages/control/src/lib/testing/simulation.ts
@@ -0,0 +1,62 @@
+import { CommandResult } from '@cherryhitch/protocol'
+import type { Command, CommandAnswer } from '@cherryhitch/protocol'
+import { SimulatedCluster } from '../soak/SimulatedCluster'
+import type { SimulationOptions } from '../soak/SimulatedCluster'
+
+const PATIENCE_MS = 30_000
+
+/** Three voters, a spare disk and a follower, under the clock of the test. */
+export function simulate(options: Partial<SimulationOptions> = {}): SimulatedCluster {
+  const cluster = new SimulatedCluster({
+    seed: 7,
+    voters: ['a', 'b', 'c'],
+    spares: [],
+    followers: ['f'],
+    link: { maxDelayMs: 2, loss: 0, duplication: 0 },
+    syncMs: 4,
+    ...options,
+  })
+  awaitLeader(cluster)
+  // By then every instance knows the leader and the settings.
+  cluster.run(2_000)
+  return cluster
+}
+
+/** The instance that leads, once there is one that has committed in its term. */
+export function awaitLeader(cluster: SimulatedCluster, other?: string): string {
+  const found = cluster.runUntil(() => {
+    const leader = cluster.leader()
+    if (leader === undefined || leader === other) return false
+    const { commitIndex = 0, lastIndex = 1 } = cluster.voter(leader) ?? {}
+    return commitIndex === lastIndex
+  }, PATIENCE_MS)
+  const leader = cluster.leader()
+  if (!found || leader === undefined) throw new Error('no leader was found')
+  return leader
+}
+
+/** Proposes and waits for the answer. */
+export function decide(
+  cluster: SimulatedCluster,
+  instance: string,
+  command: Command,
+): CommandAnswer {
+  cluster.answers.delete(command.commandId)
+  cluster.propose(instance, command)
+  const answered = cluster.runUntil(() => cluster.answers.has(command.commandId), PATIENCE_MS)
+  const answer = cluster.answers.get(command.commandId)
+  if (!answered || answer === undefined) throw new Error('no answer came')
+  return answer
+}
+
+/** The names of results as tests read them. */
+export function resultOf(answer: CommandAnswer | undefined): string {
+  return answer === undefined ? 'none' : CommandResult[answer.result]
+}
+
+/** The two voters that do not lead. */
+export function othersThan(leader: string): [string, string] {
+  const [first, second] = ['a', 'b', 'c'].filter((instance) => instance !== leader)
+  if (first === undefined || second === undefined) throw new Error('three voters are needed')
+  return [first, second]
+}
--- /dev/null
+++ b/packages/control/src/lib/voter/VoterMachine.test.ts
@@ -0,0 +1,306 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { VoterChangeKind } from '@cherryhitch/protocol'
+import { DiskOperation } from '@cherryhitch/storage'
+import type { SimulatedCluster } from '../soak/SimulatedCluster'
+import { changeVoters, claimKeys, keyClaim, setPreset } from '../testing/commands'
+import { VoterRole } from './ControlAction'
+import { awaitLeader, decide, othersThan, resultOf, simulate } from '../testing/simulation'
+
+const both = { from: true, to: true }
+const none = { from: false, to: false }
+
+function settingsOf(cluster: SimulatedCluster, instance: string): number | undefined {
+  return cluster.client(instance).settings?.version
+}
+
+function addLearner(cluster: SimulatedCluster, instance: string): string {
+  const diskId = cluster.diskId(instance)
+  const command = changeVoters(`add ${diskId}`, VoterChangeKind.ADD_LEARNER, instance, diskId)
+  assert.equal(resultOf(decide(cluster, 'f', command)), 'APPLIED')
+  return diskId
+}
+
+function votersOf(cluster: SimulatedCluster): string[] {
+  const leader = awaitLeader(cluster)
+  const members = cluster.voter(leader)?.status(cluster.now)?.members ?? []
+  return members.map(({ diskId, learner }) => (learner ? `(${diskId})` : diskId)).sort()
+}
+
+describe('a leader that is cut off silently', () => {
+  for (const how of [both, { from: true, to: false }, { from: false, to: true }]) {
+    it(`steps down and comes back as a follower (${JSON.stringify(how)})`, () => {
+      const cluster = simulate()
+      const old = awaitLeader(cluster)
+      cluster.cut(old, how)
+      const next = awaitLeader(cluster, old)
+      assert.equal(resultOf(decide(cluster, next, setPreset('new', 'peak', 1))), 'APPLIED')
+      cluster.run(3_000)
+      assert.notEqual(cluster.voter(old)?.role, VoterRole.Leader)
+      cluster.cut(old, none)
+      cluster.run(3_000)
+      assert.equal(settingsOf(cluster, old), 2)
+      assert.equal(awaitLeader(cluster), next, 'its return disturbs nobody')
+    })
+  }
+
+  it('answers what it can not commit as unknown, and the log decides later', () => {
+    const cluster = simulate()
+    const old = awaitLeader(cluster)
+    cluster.cut(old, both)
+    assert.equal(resultOf(decide(cluster, old, setPreset('lost', 'peak', 1))), 'UNKNOWN')
+    assert.ok((cluster.voter(old)?.lastIndex ?? 0) > (cluster.voter(old)?.commitIndex ?? 0))
+    const next = awaitLeader(cluster, old)
+    const won = decide(cluster, next, setPreset('won', 'maintenance', 1))
+    assert.equal(resultOf(won), 'APPLIED')
+    cluster.cut(old, none)
+    cluster.run(3_000)
+    assert.equal(resultOf(decide(cluster, old, setPreset('lost', 'peak', 1))), 'CONFLICT')
+  })
+
+  it('keeps the others from claims only until the next one leads; cut off, they fail as not run', () => {
+    const cluster = simulate()
+    const old = awaitLeader(cluster)
+    for (const instance of ['a', 'b', 'c']) cluster.crash(instance)
+    const command = claimKeys('c1', [keyClaim('k', 'job1')])
+    const alone = decide(cluster, 'f', command)
+    assert.equal(resultOf(alone), 'UNKNOWN', 'a message to a dead instance has no answer')
+    for (const instance of ['a', 'b', 'c']) cluster.start(instance)
+    awaitLeader(cluster)
+    assert.equal(resultOf(decide(cluster, 'f', command)), 'APPLIED')
+    assert.ok(old)
+  })
+})
+
+describe('operators', () => {
+  it('who start from equal versions: the first in the log wins, the other hears of it', () => {
+    const cluster = simulate()
+    cluster.propose('a', setPreset('c1', 'peak', 1, 'sato'))
+    cluster.propose('b', setPreset('c2', 'maintenance', 1, 'patel'))
+    cluster.run(1_000)
+    const answers = ['c1', 'c2'].map((id) => cluster.answers.get(id))
+    const results = answers.map(resultOf).sort()
+    assert.deepEqual(results, ['APPLIED', 'CONFLICT'])
+    const loser = answers.find((answer) => resultOf(answer) === 'CONFLICT')
+    const winner = loser?.commandId === 'c1' ? 'patel (c2)' : 'sato (c1)'
+    assert.ok(loser?.detail.includes(winner), loser?.detail)
+    assert.ok(loser?.detail.includes('version 2'))
+  })
+
+  const resends: Record<string, (cluster: SimulatedCluster) => string> = {
+    'to another instance': () => 'b',
+    'after a restart of all voters': (cluster) => {
+      for (const instance of ['a', 'b', 'c']) cluster.crash(instance)
+      for (const instance of ['a', 'b', 'c']) cluster.start(instance)
+      return 'f'
+    },
+    'after a change of the leader': (cluster) => {
+      const old = awaitLeader(cluster)
+      cluster.crash(old)
+      return awaitLeader(cluster, old)
+    },
+    'after other changes': (cluster) => {
+      for (let version = 2; version < 8; version++) {
+        decide(cluster, 'a', setPreset(`other ${version}`, 'peak', version))
+      }
+      return 'c'
+    },
+  }
+  for (const [when, prepare] of Object.entries(resends)) {
+    it(`who resend a command ${when} get the first answer`, () => {
+      const cluster = simulate()
+      const command = setPreset('c1', 'peak', 1)
+      const first = decide(cluster, 'a', command)
+      const conflict = decide(cluster, 'a', setPreset('c2', 'maintenance', 1))
+      const instance = prepare(cluster)
+      assert.deepEqual(decide(cluster, instance, command), first)
+      assert.deepEqual(decide(cluster, instance, setPreset('c2', 'maintenance', 1)), conflict)
+      assert.equal(resultOf(first), 'APPLIED')
+      assert.equal(resultOf(conflict), 'CONFLICT')
+    })
+  }
+})
+
+describe('a voter whose disk was wiped', () => {
+  it('comes back as a learner, takes the place of its old disk, and covers for a second loss', () => {
+    const cluster = simulate()
+    const leader = awaitLeader(cluster)
+    const [lost, second] = othersThan(leader)
+    decide(cluster, leader, setPreset('before', 'peak', 1))
+    cluster.wipe(lost)
+    cluster.start(lost)
+    const diskId = addLearner(cluster, lost)
+    const replaced = [`${second}-soak`, `${leader}-soak`, diskId].sort()
+    const repaired = cluster.runUntil(() => {
+      return JSON.stringify(votersOf(cluster)) === JSON.stringify(replaced)
+    }, 30_000)
+    assert.ok(repaired, votersOf(cluster).join(' '))
+    // A second one is lost in the same moment: the new disk and the third voter hold everything.
+    cluster.wipe(leader)
+    const next = awaitLeader(cluster, leader)
+    assert.equal(cluster.voter(next)?.settings?.version, 2)
+    assert.equal(resultOf(decide(cluster, next, setPreset('after', 'maintenance', 2))), 'APPLIED')
+  })
+
+  it('does not count before the change of the voters is committed', () => {
+    const cluster = simulate()
+    const leader = awaitLeader(cluster)
+    const [lost, second] = othersThan(leader)
+    cluster.wipe(lost)
+    cluster.start(lost)
+    cluster.cut(second, both)
+    const command = changeVoters('add', VoterChangeKind.ADD_LEARNER, lost, cluster.diskId(lost))
+    assert.equal(resultOf(decide(cluster, leader, command)), 'UNKNOWN')
+    assert.equal(cluster.leader(), undefined, 'the leader and an empty disk are no majority')
+    cluster.cut(second, none)
+    awaitLeader(cluster)
+  })
+
+  it('and was initialized a second time does not help a log without the newest entries', () => {
+    const cluster = simulate()
+    const leader = awaitLeader(cluster)
+    const [lost, behind] = othersThan(leader)
+    cluster.cut(behind, both)
+    assert.equal(resultOf(decide(cluster, leader, setPreset('kept', 'peak', 1))), 'APPLIED')
+    cluster.wipe(lost)
+    cluster.initialize(lost)
+    cluster.crash(leader)
+    cluster.cut(behind, none)
+    cluster.start(lost)
+    cluster.run(10_000)
+    assert.equal(cluster.leader(), undefined)
+    cluster.start(leader)
+    assert.equal(awaitLeader(cluster), leader)
+    cluster.run(1_000)
+    assert.equal(settingsOf(cluster, behind), 2)
+  })
+
+  it('restarts from an older snapshot than its promotion and still leads', () => {
+    const cluster = simulate()
+    const leader = awaitLeader(cluster)
+    const [lost, second] = othersThan(leader)
+    cluster.wipe(lost)
+    cluster.start(lost)
+    addLearner(cluster, lost)
+    cluster.run(10_000)
+    cluster.crash(lost)
+    cluster.start(lost)
+    cluster.run(1_000)
+    cluster.crash(leader)
+    cluster.cut(second, { from: true, to: false })
+    cluster.run(5_000)
+    cluster.cut(second, none)
+    const next = awaitLeader(cluster, leader)
+    assert.equal(resultOf(decide(cluster, next, setPreset('c', 'peak', 1))), 'APPLIED')
+  })
+
+  it('and holds an older copy under its own id is found out and removed', () => {
+    const cluster = simulate()
+    const leader = awaitLeader(cluster)
+    const [old] = othersThan(leader)
+    const copy = cluster.copyDisk(old)
+    decide(cluster, leader, setPreset('c1', 'peak', 1))
+    cluster.run(1_000)
+    cluster.crash(old)
+    cluster.replaceDisk(old, copy)
+    cluster.start(old)
+    const removed = cluster.runUntil(() => !votersOf(cluster).includes(`${old}-soak`), 10_000)
+    assert.ok(removed, votersOf(cluster).join(' '))
+    assert.ok(cluster.lines.some((line) => line.includes('not counted')))
+  })
+})
+
+describe('changes of the voters', () => {
+  it('are refused one at a time, when no majority would be left, and before a learner is ready', () => {
+    const cluster = simulate()
+    const leader = awaitLeader(cluster)
+    const [dead, alive] = othersThan(leader)
+    cluster.crash(dead)
+    cluster.run(5_000)
+    const remove = changeVoters('r', VoterChangeKind.REMOVE, alive, `${alive}-soak`)
+    assert.equal(resultOf(decide(cluster, leader, remove)), 'UNAVAILABLE')
+    const promote = changeVoters('p', VoterChangeKind.PROMOTE, 'x', 'unknown')
+    assert.equal(resultOf(decide(cluster, leader, promote)), 'UNAVAILABLE')
+    assert.deepEqual(votersOf(cluster), ['a-soak', 'b-soak', 'c-soak'])
+  })
+})
+
+describe('a voter whose disk fails', () => {
+  for (const operation of [DiskOperation.Sync, DiskOperation.Append]) {
+    it(`acknowledges nothing more until it restarts (${operation})`, () => {
+      const cluster = simulate()
+      const failing = awaitLeader(cluster)
+      cluster.disk(failing).fail({ operation })
+      cluster.propose(failing, setPreset('c1', 'peak', 1))
+      const next = awaitLeader(cluster, failing)
+      assert.equal(cluster.voter(failing)?.isHealthy, false)
+      assert.equal(resultOf(decide(cluster, next, setPreset('c1', 'peak', 1))), 'APPLIED')
+      const [third] = othersThan(failing).filter((instance) => instance !== next)
+      cluster.crash(third ?? '')
+      cluster.run(5_000)
+      assert.equal(cluster.leader(), undefined, 'a failed disk does not make a majority')
+      cluster.crash(failing)
+      cluster.start(failing)
+      awaitLeader(cluster)
+    })
+  }
+
+  for (const [what, operation] of Object.entries({
+    'the rename of its vote': DiskOperation.Rename,
+    'the sync of the folder': DiskOperation.SyncFolder,
+  })) {
+    it(`at ${what} gives no vote and takes over after a restart`, () => {
+      const cluster = simulate()
+      const leader = awaitLeader(cluster)
+      const [failing, third] = othersThan(leader)
+      cluster.disk(failing).fail({ operation })
+      cluster.crash(leader)
+      cluster.run(8_000)
+      assert.equal(cluster.voter(failing)?.isHealthy, false)
+      assert.equal(cluster.leader(), undefined)
+      cluster.crash(failing)
+      cluster.start(failing)
+      assert.ok([failing, third].includes(awaitLeader(cluster)))
+    })
+  }
+
+  it('while it cuts off entries that were never committed', () => {
+    const cluster = simulate()
+    const old = awaitLeader(cluster)
+    cluster.cut(old, both)
+    decide(cluster, old, setPreset('lost', 'peak', 1))
+    const next = awaitLeader(cluster, old)
+    decide(cluster, next, setPreset('won', 'maintenance', 1))
+    // The truncation replaces a file of the log: its rename fails, after the one of the vote.
+    cluster.disk(old).fail({ operation: DiskOperation.Rename, nth: 2 })
+    cluster.cut(old, none)
+    cluster.runUntil(() => cluster.voter(old)?.isHealthy === false, 10_000)
+    assert.equal(cluster.voter(old)?.isHealthy, false)
+    cluster.crash(old)
+    cluster.start(old)
+    cluster.run(3_000)
+    assert.equal(cluster.voter(old)?.settings?.preset, 'maintenance')
+  })
+})
+
+describe('messages', () => {
+  for (const [what, link] of Object.entries({
+    'delayed and reordered': { maxDelayMs: 150, loss: 0, duplication: 0 },
+    doubled: { maxDelayMs: 40, loss: 0, duplication: 0.9 },
+    lost: { maxDelayMs: 20, loss: 0.3, duplication: 0 },
+  })) {
+    it(`${what}: every command is decided once`, () => {
+      const cluster = simulate()
+      cluster.link = link
+      let version = 1
+      for (let change = 0; change < 15; change++) {
+        const answer = decide(cluster, 'f', setPreset(`c${change}`, 'peak', version))
+        if (resultOf(answer) !== 'UNKNOWN') assert.equal(resultOf(answer), 'APPLIED')
+        const again = decide(cluster, 'a', setPreset(`c${change}`, 'peak', version))
+        if (resultOf(again) === 'APPLIED') version++
+        assert.ok(again.version <= version)
+      }
+      assert.ok(version > 10, `only ${version - 1} changes were made`)
+    })
+  }
+})
--- a/packages/control/src/lib/voter/VoterMachine.ts
+++ b/packages/control/src/lib/voter/VoterMachine.ts
@@ -64,6 +64,11 @@
     return this.#core.commitIndex
   }
 
+  /** Last index of the log, committed or not. */
+  get lastIndex(): number {
+    return this.#core.log.lastIndex
+  }
+
   /** False after a failed write: only a restart tells what the disk holds. */
   get isHealthy(): boolean {
     return !this.#core.persist.failed
@@ -225,7 +230,9 @@
 
   /** True once the removal of this disk is committed. */
   #isRemoved(): boolean {
-    const { state, diskId } = this.#core
-    return state !== undefined && !state.voters.some((voter) => voter.diskId === diskId)
+    const { state, diskId, members } = this.#core
+    // After a restart the state may be older than the membership that the log gives.
+    const isMember = [...members, ...(state?.voters ?? [])].some((voter) => voter.diskId === diskId)
+    return !isMember
   }
 }
--- a/packages/control/src/lib/voter/VoterRepair.ts
+++ b/packages/control/src/lib/voter/VoterRepair.ts
@@ -55,14 +55,15 @@
     return this.#change(VoterChangeKind.PROMOTE, learner, now)
   }
 
-  #isLost(now: number, voter: Voter, successor: Voter | undefined): boolean {
-    if (voter.learner || voter.diskId === this.#core.diskId) return false
-    if (this.#replication.hasLostEntries(voter.diskId)) return true
+  #isLost(now: number, member: Voter, successor: Voter | undefined): boolean {
+    if (member.diskId === this.#core.diskId || member === successor) return false
+    if (this.#replication.hasLostEntries(member.diskId)) return true
     if (successor === undefined) return false
     const { electionMaxMs, replaceSilentMs } = this.#core.config.timing
-    const silentMs = this.#replication.silentMs(now, voter.diskId)
+    const silentMs = this.#replication.silentMs(now, member.diskId)
     // An instance has one disk: a new one in its place means that the old one is gone.
-    return silentMs > (voter.instance === successor.instance ? electionMaxMs : replaceSilentMs)
+    if (member.instance === successor.instance) return silentMs > electionMaxMs
+    return !member.learner && silentMs > replaceSilentMs
   }
 
   #hasCaughtUp(now: number, diskId: string): boolean {
