--- a/packages/policy/src/lib/placement/EndpointPicker.ts
+++ b/packages/policy/src/lib/placement/EndpointPicker.ts
@@ -14,12 +14,22 @@
   readonly sameJobInRack: number
 }
 
+/** What the owner expects of the endpoints that are no candidates now. @public */
+export interface PlacementOutlook {
+  /** Expected milliseconds until one of them that is not slow has a free slot. */
+  readonly nextSlotMs: number
+}
+
 /** Chooses the endpoint for a task that is about to start. @public */
 export abstract class EndpointPicker {
-  /** @returns undefined when it is better to wait than to use any of the candidates */
+  /**
+   * @param outlook - left out where the owner does not know it
+   * @returns undefined when it is better to wait than to use any of the candidates
+   */
   abstract pick(
     now: number,
     task: QueuedTask,
     candidates: readonly PlacementCandidate[],
+    outlook?: PlacementOutlook,
   ): PlacementCandidate | undefined
 }
