--- /dev/null
+++ b/packages/rpc/src/lib/server/Inbox.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { Inbox, InboxVerdict } from './Inbox'
+
+const { Deliver, Duplicate, StaleBoot, Superseded, Full } = InboxVerdict
+
+/** boot, stream, sequence, empty?, and what is to become of it. */
+type Step = readonly [number, number, number, boolean, InboxVerdict]
+
+const stories: readonly { name: string; steps: readonly Step[]; highest: number }[] = [
+  {
+    name: 'delivers rising sequences, with gaps',
+    steps: [
+      [1, 1, 1, false, Deliver],
+      [1, 1, 2, false, Deliver],
+      [1, 1, 7, false, Deliver],
+    ],
+    highest: 7,
+  },
+  {
+    name: 'drops what a new stream sends again',
+    steps: [
+      [1, 1, 1, false, Deliver],
+      [1, 1, 2, false, Deliver],
+      [1, 2, 1, false, Duplicate],
+      [1, 2, 2, false, Duplicate],
+      [1, 2, 3, false, Deliver],
+    ],
+    highest: 3,
+  },
+  {
+    name: 'ignores an old stream that comes back to life',
+    steps: [
+      [1, 1, 1, false, Deliver],
+      [1, 2, 1, true, Deliver],
+      [1, 1, 2, false, Superseded],
+    ],
+    highest: 1,
+  },
+  {
+    name: 'never delivers what the sender gave up',
+    steps: [
+      [1, 1, 5, true, Deliver],
+      [1, 1, 4, false, Duplicate],
+      [1, 1, 6, false, Deliver],
+    ],
+    highest: 6,
+  },
+  {
+    name: 'starts anew with the next boot, and refuses the earlier one',
+    steps: [
+      [1, 1, 9, false, Deliver],
+      [2, 2, 1, false, Deliver],
+      [1, 1, 10, false, StaleBoot],
+    ],
+    highest: 1,
+  },
+]
+
+describe('Inbox', () => {
+  for (const { name, steps, highest } of stories) {
+    it(name, () => {
+      const inbox = new Inbox(2)
+      const opened = new Set<number>()
+      for (const [boot, stream, sequence, isEmpty, expected] of steps) {
+        if (!opened.has(stream)) assert.equal(inbox.open('a', boot, stream), Deliver)
+        opened.add(stream)
+        assert.equal(inbox.accept('a', boot, stream, sequence, isEmpty), expected)
+      }
+      assert.equal(inbox.highest('a'), highest)
+    })
+  }
+
+  it('refuses streams of an earlier boot, and senders beyond its limit', () => {
+    const inbox = new Inbox(2)
+    assert.equal(inbox.open('a', 2, 1), Deliver)
+    assert.equal(inbox.open('a', 1, 2), StaleBoot)
+    assert.equal(inbox.open('b', 1, 3), Deliver)
+    assert.equal(inbox.open('c', 1, 4), Full)
+    assert.equal(inbox.open('a', 3, 5), Deliver)
+  })
+})
