--- a/packages/storage/src/lib/bench/measureAppends.ts
+++ b/packages/storage/src/lib/bench/measureAppends.ts
@@ -68,13 +68,23 @@
   }
 })
 
+/** How long recovery takes of what the trial has written. */
+const measureOpen = Effect.fn(function* (disk: SlowDisk, name: string) {
+  const start = performance.now()
+  yield* RecordLog.open(disk, name)
+  return Math.round(performance.now() - start)
+})
+
 const main = Effect.fn(function* (folder: string) {
   const { disk } = yield* openDataFolder(folder)
   const rows: object[] = []
   for (const delay of SYNC_DELAYS_MS) {
     for (const load of loads) {
-      const log: RecordLog = yield* RecordLog.open(new SlowDisk(disk, delay), `log-${rows.length}`)
-      rows.push(yield* measure(log, load, delay))
+      const slowDisk = new SlowDisk(disk, delay)
+      const name = `log-${rows.length}`
+      const log: RecordLog = yield* RecordLog.open(slowDisk, name)
+      const row = yield* measure(log, load, delay)
+      rows.push({ ...row, 'reopen ms': yield* measureOpen(slowDisk, name) })
     }
   }
   console.table(rows)
