Keep the settings in force on disk, and tell unknown claims from refused ones

Newer settings are now stored before they take force.

A claim on a cut off instance ended as unknown, because it was sent to voters that could not answer. Proposals now go only to a leader that answered as one itself, so a claim that found none is truly not made.

--- a/packages/control/src/lib/node/ClientEvent.ts
+++ b/packages/control/src/lib/node/ClientEvent.ts
@@ -13,6 +13,7 @@
   Read = 'read',
   Received = 'received',
   LocalSettings = 'local_settings',
+  SettingsKept = 'settings_kept',
   PeerSeen = 'peer_seen',
 }
 
@@ -37,6 +38,8 @@
     }
   /** The voter of this instance knows these settings to be committed. */
   | { readonly kind: ClientEventKind.LocalSettings; readonly settings: SettingsState }
+  /** The settings are on the disk: from now on a restart does not go behind them. */
+  | { readonly kind: ClientEventKind.SettingsKept; readonly settings: SettingsState }
   /** An instance of the own zone, and the version that it says it has. */
   | {
       readonly kind: ClientEventKind.PeerSeen
@@ -49,6 +52,7 @@
   Send = 'send',
   Answered = 'answered',
   ReadAnswered = 'read_answered',
+  KeepSettings = 'keep_settings',
   SettingsChanged = 'settings_changed',
 }
 
@@ -61,6 +65,8 @@
       readonly readId: string
       readonly reply: ReadControlReply
     }
+  /** Newer settings are to be stored; they take force once they are. */
+  | { readonly kind: ClientActionKind.KeepSettings; readonly settings: SettingsState }
   | {
       readonly kind: ClientActionKind.SettingsChanged
       readonly settings: SettingsState
--- a/packages/control/src/lib/node/ClientMachine.ts
+++ b/packages/control/src/lib/node/ClientMachine.ts
@@ -76,6 +76,8 @@
         return this.#receive(now, event.from, event.body)
       case ClientEventKind.LocalSettings:
         return this.#settings.adopt(now, event.settings)
+      case ClientEventKind.SettingsKept:
+        return this.#settings.onKept(now, event.settings)
       case ClientEventKind.PeerSeen:
         this.#finder.notePeer(event.instance)
         return this.#settings.notePeer(now, event.instance, event.settingsVersion)
@@ -94,9 +96,10 @@
       case 'proposeReply':
         return this.#proposals.onReply(now, from, body.value)
       case 'readControlReply':
-        this.#finder.noteHint(from, body.value.leader)
+        if (body.value.ok) this.#finder.confirm(from)
+        else this.#finder.noteHint(from, body.value.leader)
         return [
-          ...this.#settings.onReadReply(now, from, body.value),
+          ...this.#settings.onReadReply(now, body.value),
           ...this.#onReadReply(now, body.value),
         ]
       case 'settingsNotice':
--- a/packages/control/src/lib/node/ClientOptions.ts
+++ b/packages/control/src/lib/node/ClientOptions.ts
@@ -31,4 +31,6 @@
   /** Instances known from settings to host voters. */
   readonly voters: readonly string[]
   readonly timing: ClientTiming
+  /** True where there is a disk: newer settings are stored before they take force. */
+  readonly keepsSettings: boolean
 }
--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -7,6 +7,7 @@
   EnvelopeBody,
   KeyClaim,
   ReadControlReply,
+  SettingsState,
   VotersStatus,
 } from '@cherryhitch/protocol'
 import { exhaustive } from '@cherryhitch/model'
@@ -53,6 +54,7 @@
   readonly diskId: string | undefined
   readonly tell: (event: NodeEvent) => void
   readonly persist: (batch: PersistBatch) => void
+  readonly keepSettings: (settings: SettingsState) => void
 }
 
 type Done<T> = (value: T) => void
@@ -238,6 +240,9 @@
         this.#reads.get(action.readId)?.(action.reply)
         this.#reads.delete(action.readId)
         return
+      case ClientActionKind.KeepSettings:
+        this.#parts.keepSettings(action.settings)
+        return
       case ClientActionKind.SettingsChanged:
         this.#parts.options.onSettings(action.settings, action.current)
         return
--- a/packages/control/src/lib/node/ProposalClient.ts
+++ b/packages/control/src/lib/node/ProposalClient.ts
@@ -44,7 +44,9 @@
 
   onReply(now: number, from: string, reply: ProposeReply): ClientAction[] {
     const { requestId, answer, leader } = reply
-    this.#finder.noteHint(from, leader)
+    const leads = answer !== undefined && answer.result !== CommandResult.UNKNOWN
+    if (leads) this.#finder.confirm(from)
+    else this.#finder.noteHint(from, leader)
     const proposal = this.#find(requestId)
     if (proposal === undefined) return []
     if (answer?.result === CommandResult.UNKNOWN) {
@@ -54,8 +56,7 @@
     }
     if (answer === undefined || answer.result === CommandResult.UNAVAILABLE) {
       proposal.open.delete(requestId)
-      const hasNewTarget = leader !== '' && leader !== proposal.target
-      if (hasNewTarget) return this.#send(now, proposal)
+      proposal.target = ''
       proposal.dueAt = now + this.#options.timing.retryMs
       return []
     }
@@ -66,7 +67,7 @@
     return [...this.#pending.values()].flatMap((proposal) => {
       if (now >= proposal.deadline) return this.#finish(this.#outcome(proposal))
       if (now < proposal.dueAt) return []
-      if (proposal.open.size > 0) this.#finder.noteSilence(proposal.target)
+      this.#finder.noteSilence(proposal.target)
       return this.#send(now, proposal)
     })
   }
@@ -77,11 +78,11 @@
 
   #send(now: number, proposal: PendingProposal): ClientAction[] {
     const { instance, boot, timing } = this.#options
-    proposal.dueAt = now + timing.attemptMs
-    const to = this.#finder.target()
-    if (to === undefined) return []
-    const requestId = `${instance}.${boot}.${++this.#attempts}`
+    const to = this.#finder.confirmed
     proposal.target = to
+    proposal.dueAt = now + (to === '' ? timing.retryMs : timing.attemptMs)
+    if (to === '') return []
+    const requestId = `${instance}.${boot}.${++this.#attempts}`
     proposal.open.add(requestId)
     const value = { requestId, command: proposal.command }
     const message = envelope({ case: 'propose', value })
--- a/packages/control/src/lib/node/SettingsClient.ts
+++ b/packages/control/src/lib/node/SettingsClient.ts
@@ -16,6 +16,8 @@
   readonly #finder: LeaderFinder
   #settings: SettingsState | undefined
   #appliedAt = 0
+  /** Version that is being stored, or was last. */
+  #kept = 0
   #leaseEndsAt = -Infinity
   #saidCurrent = false
   #voters: VotersStatus | undefined
@@ -41,20 +43,32 @@
     return this.#settings !== undefined && now < this.#leaseEndsAt
   }
 
-  /** Takes settings that are known to be committed, if they are newer. */
+  /** Takes settings that are known to be committed, if they are newer; stores them first. */
   adopt(now: number, settings: SettingsState | undefined): ClientAction[] {
-    if (settings === undefined || settings.version <= (this.#settings?.version ?? 0)) return []
+    const known = Math.max(this.#settings?.version ?? 0, this.#kept)
+    if (settings === undefined || settings.version <= known) return []
+    if (!this.#options.keepsSettings) return this.onKept(now, settings)
+    this.#kept = settings.version
+    return [{ kind: ClientActionKind.KeepSettings, settings }]
+  }
+
+  /** The settings take force here, and the leader gets to know since when. */
+  onKept(now: number, settings: SettingsState): ClientAction[] {
+    if (settings.version <= (this.#settings?.version ?? 0)) return []
     this.#settings = settings
     this.#appliedAt = now
-    return [this.#changed(now)]
+    const { leader } = this.#finder
+    return [this.#changed(now), ...(leader === '' ? [] : this.#confirm(leader))]
   }
 
-  /** The leader tells of settings: it gets to know since when they are in force here. */
+  /** The leader asks whether its settings are in force here. */
   onNotice(now: number, from: string, settings: SettingsState | undefined): ClientAction[] {
-    return [...this.adopt(now, settings), ...this.#confirm(from)]
+    const adopted = this.adopt(now, settings)
+    const known = this.#settings?.version === settings?.version
+    return adopted.length === 0 && known ? this.#confirm(from) : adopted
   }
 
-  onReadReply(now: number, from: string, reply: ReadControlReply): ClientAction[] {
+  onReadReply(now: number, reply: ReadControlReply): ClientAction[] {
     if (reply.requestId !== this.#poll?.requestId) return []
     const { sentAt } = this.#poll
     this.#poll = undefined
@@ -67,11 +81,10 @@
     this.#pollDueAt = now + timing.pollMs
     const adopted = this.adopt(now, reply.settings)
     // The lease counts from the sending, so that it ends no later than the leader reckons.
-    if (reply.settings?.version === this.#settings?.version) {
+    if ((reply.settings?.version ?? 0) <= (this.#settings?.version ?? 0)) {
       this.#leaseEndsAt = sentAt + timing.settingsLeaseMs
     }
-    const confirmed = adopted.length > 0 ? this.#confirm(from) : []
-    return [...adopted, ...confirmed, ...this.#tellCurrent(now)]
+    return [...adopted, ...this.#tellCurrent(now)]
   }
 
   /** A peer has newer settings: they are asked for at once. */
--- a/packages/control/src/lib/node/startControlNode.ts
+++ b/packages/control/src/lib/node/startControlNode.ts
@@ -1,4 +1,5 @@
 import { hash64 } from '@cherryhitch/model'
+import type { SettingsState } from '@cherryhitch/protocol'
 import { systemClock } from '@cherryhitch/runtime'
 import { Effect, Queue, Schedule } from 'effect'
 import type { Scope } from 'effect'
@@ -17,6 +18,8 @@
 import { DEFAULT_TICK_MS } from './ControlNodeOptions'
 import type { ControlNodeOptions } from './ControlNodeOptions'
 import { startPersistPart } from './startPersistPart'
+import { startSettingsKeeper } from './startSettingsKeeper'
+import type { SettingsKeeper } from './startSettingsKeeper'
 
 interface OpenVoter {
   readonly store: VoterStore
@@ -44,12 +47,16 @@
     const opened = yield* openDisk(options)
     const voter = opened && new VoterMachine(machineOptions(options), opened.stored)
     const persist = yield* startPersist(opened, tell)
-    const client = new ClientMachine({ instance, boot, voters, timing })
+    const keeper = yield* startKeeper(options, tell)
+    const keepsSettings = keeper !== undefined
+    const client = new ClientMachine({ instance, boot, voters, timing, keepsSettings })
     const clock = options.clock ?? systemClock
     const diskId = opened?.stored.diskId
-    const host = new ControlHost({ options, clock, timing, client, voter, diskId, tell, persist })
-    const settings = voter?.settings
-    if (settings !== undefined) {
+    const keepSettings = keeper?.keep ?? (() => undefined)
+    const parts = { options, clock, timing, client, voter, diskId, tell, persist, keepSettings }
+    const host = new ControlHost(parts)
+    for (const settings of [keeper?.settings, voter?.settings]) {
+      if (settings === undefined) continue
       tell({ to: NodePart.Client, event: { kind: ClientEventKind.LocalSettings, settings } })
     }
     yield* startMailbox(host, mailbox, options)
@@ -98,6 +105,17 @@
   })
 }
 
+function startKeeper(
+  { disk, log }: ControlNodeOptions,
+  tell: (event: NodeEvent) => void,
+): Effect.Effect<SettingsKeeper | undefined, ControlError, Scope.Scope> {
+  if (disk === undefined) return Effect.succeed(undefined)
+  const kept = (settings: SettingsState): void => {
+    tell({ to: NodePart.Client, event: { kind: ClientEventKind.SettingsKept, settings } })
+  }
+  return startSettingsKeeper(disk, kept, log)
+}
+
 /** The fiber that owns the machines. */
 function startMailbox(
   host: ControlHost,
--- a/packages/control/src/lib/soak/SimulatedCluster.ts
+++ b/packages/control/src/lib/soak/SimulatedCluster.ts
@@ -143,7 +143,8 @@
     process.writing = undefined
     const { boot } = process
     const { voters, seed, limits, rules } = this.#options
-    process.client = new ClientMachine({ instance, boot, voters, timing: defaultClientTiming })
+    const timing = defaultClientTiming
+    process.client = new ClientMachine({ instance, boot, voters, timing, keepsSettings: false })
     if (process.disk !== undefined) {
       const makeId = (): string => `disk${++this.#wipes}`
       const opened = Effect.runSync(openVoter(process.disk, instance, makeId))
@@ -252,7 +253,7 @@
     const { voters, spares = [] } = this.#options
     const disk = [...voters, ...spares].includes(instance) ? this.#makeDisk() : undefined
     const timing = defaultClientTiming
-    const client = new ClientMachine({ instance, boot: 0, voters, timing })
+    const client = new ClientMachine({ instance, boot: 0, voters, timing, keepsSettings: false })
     const parts = { client, voter: undefined, store: undefined, writing: undefined }
     const process = { instance, disk, boot: 0, up: false, diskId: '', version: 0, ...parts }
     this.#processes.set(instance, process)
--- a/packages/control/src/lib/testing/nodeCluster.ts
+++ b/packages/control/src/lib/testing/nodeCluster.ts
@@ -103,16 +103,20 @@
     return running.node
   }
 
-  /** Cuts an instance off from all others, or joins it again. */
-  setCut(instance: string, cut: boolean): void {
-    for (const other of this.#nodes.keys()) {
-      for (const link of [`${instance}>${other}`, `${other}>${instance}`]) {
-        if (cut) this.cut.add(link)
-        else this.cut.delete(link)
-      }
+  /** Cuts every link from one of the first to one of the second, or joins them again. */
+  setCut(from: readonly string[], to: readonly string[], cut: boolean): void {
+    for (const link of from.flatMap((one) => to.map((other) => `${one}>${other}`))) {
+      if (cut) this.cut.add(link)
+      else this.cut.delete(link)
     }
   }
 
+  /** The same in both directions. */
+  setCutBothWays(some: readonly string[], others: readonly string[], cut: boolean): void {
+    this.setCut(some, others, cut)
+    this.setCut(others, some, cut)
+  }
+
   #diskOf(instance: string): MemoryDisk | undefined {
     if (!this.#voters.includes(instance)) return undefined
     const disk = this.disks.get(instance) ?? new MemoryDisk({ seed: this.disks.size + 1 })
