Drain links on shutdown, and give up a batch that ends its streams

A batch above the receiver's own limit was resent on every new connection and blocked all that came after it. What is older than staleAfterMs is now dropped at each change of connection, also when the peer never counted as down.

--- a/packages/rpc/src/lib/host/LinkHost.ts
+++ b/packages/rpc/src/lib/host/LinkHost.ts
@@ -1,5 +1,5 @@
 import type { Envelope } from '@cherryhitch/protocol'
-import { Effect, Exit, Scope } from 'effect'
+import { Effect, Exit, Option, Schedule, Scope } from 'effect'
 import type { RunningPeerLink, StartPeerLinkOptions } from '../peer/startPeerLink'
 import { startPeerLink } from '../peer/startPeerLink'
 import type { LinkCounters } from './LinkCounters'
@@ -9,6 +9,8 @@
 /** What every link of a host has in common. */
 export type SharedLinkOptions = Omit<StartPeerLinkOptions, 'peer' | 'target' | 'firstSequence'>
 
+const DRAIN_POLL_MS = 5
+
 interface PeerEntry {
   readonly target: LinkPeer
   readonly link: RunningPeerLink
@@ -77,6 +79,16 @@
     return total
   }
 
+  /** Waits until all receipts came, or the limit passed; says which. For a graceful shutdown. */
+  drain(limitMs: number): Effect.Effect<boolean> {
+    const isEmpty = Effect.sync(() => this.outstanding() === 0)
+    const wait = Effect.repeat(isEmpty, {
+      schedule: Schedule.spaced(DRAIN_POLL_MS),
+      until: (done) => done,
+    })
+    return Effect.map(Effect.timeoutOption(wait, limitMs), Option.isSome)
+  }
+
   /** A copy of the present counts. */
   counters(): LinkCounters {
     return { ...this.shared.counters }
--- a/packages/rpc/src/lib/peer/PeerLink.ts
+++ b/packages/rpc/src/lib/peer/PeerLink.ts
@@ -194,13 +194,14 @@
     this.#candidate = undefined
     connection.provenAt = now
     this.outbox.rewind()
+    // Also while up: a batch that ends every stream it travels on must not block the rest.
+    this.#dropStale(now)
     if (this.#up) {
       actions.push(
         this.#log(old === undefined ? 'connection renewed' : 'silent connection replaced'),
       )
       return actions
     }
-    this.#dropStale(now)
     this.#up = true
     this.#lastReason = ''
     actions.push({ kind: PeerLinkActionKind.ReportUp, roundTripMs: this.#roundTripMs })
