--- /dev/null
+++ b/apps/bench/src/lib/system/OperatorClient.ts
@@ -0,0 +1,98 @@
+import http from 'node:http'
+
+/** Counters of an instance as its metrics page gives them, by name. */
+export type MetricValues = ReadonlyMap<string, number>
+
+interface HttpAnswer {
+  readonly status: number
+  readonly text: string
+}
+
+const TIMEOUT_MS = 2000
+
+function ask(port: number, method: string, path: string, body?: unknown): Promise<HttpAnswer> {
+  const payload = body === undefined ? undefined : JSON.stringify(body)
+  return new Promise((resolve, reject) => {
+    const headers = {
+      'cherryhitch-operator': 'bench',
+      ...(payload === undefined ? {} : { 'content-type': 'application/json' }),
+    }
+    const options = { host: '127.0.0.1', port, method, path, headers, timeout: TIMEOUT_MS }
+    const req = http.request(options, (res) => {
+      const chunks: Buffer[] = []
+      res.on('data', (chunk: Buffer) => chunks.push(chunk))
+      res.on('error', reject)
+      res.on('end', () => {
+        resolve({ status: res.statusCode ?? 0, text: Buffer.concat(chunks).toString('utf8') })
+      })
+    })
+    req.on('timeout', () => req.destroy(new Error('timeout')))
+    req.on('error', reject)
+    req.end(payload)
+  })
+}
+
+interface InstanceList {
+  readonly instances: readonly {
+    readonly alive: boolean
+    readonly state: string
+    readonly services: readonly { readonly slots: number }[]
+  }[]
+}
+
+interface SettingsView {
+  readonly version: number
+  readonly preset: string
+}
+
+const GOOD = 200
+
+/** The bench's way to the operator interface of one instance. */
+export class OperatorClient {
+  constructor(private readonly port: number) {}
+
+  async isReady(): Promise<boolean> {
+    const answer = await ask(this.port, 'GET', '/readyz').catch(() => undefined)
+    return answer?.status === GOOD
+  }
+
+  /** Slots of all owners that this instance knows. */
+  async knownSlots(): Promise<number> {
+    const answer = await ask(this.port, 'GET', '/v1/instances')
+    const { instances } = JSON.parse(answer.text) as InstanceList
+    const offers = instances.filter(({ alive }) => alive).flatMap(({ services }) => services)
+    return offers.reduce((sum, { slots }) => sum + slots, 0)
+  }
+
+  async settings(): Promise<SettingsView> {
+    const answer = await ask(this.port, 'GET', '/v1/settings')
+    return JSON.parse(answer.text) as SettingsView
+  }
+
+  /** @returns the status of the answer */
+  async setPreset(name: string, fromVersion: number, commandId: string): Promise<number> {
+    const body = { name, fromVersion, reason: 'bench', commandId }
+    return (await ask(this.port, 'PUT', '/v1/preset', body)).status
+  }
+
+  /** @returns the status of the answer */
+  async definePreset(
+    name: string,
+    definition: unknown,
+    fromVersion: number,
+    commandId: string,
+  ): Promise<number> {
+    const body = { definition, fromVersion, reason: 'bench', commandId }
+    return (await ask(this.port, 'PUT', `/v1/presets/${name}`, body)).status
+  }
+
+  async metrics(): Promise<MetricValues> {
+    const answer = await ask(this.port, 'GET', '/metrics').catch(() => ({ status: 0, text: '' }))
+    const values = new Map<string, number>()
+    for (const line of answer.text.split('\n')) {
+      const found = /^([a-zA-Z_:]+)(?:\{[^}]*\})? ([-+0-9.eE]+)$/.exec(line)
+      if (found?.[1] !== undefined) values.set(found[1], Number(found[2]))
+    }
+    return values
+  }
+}
--- a/apps/cherryhitch/src/lib/cli/serveCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/serveCommand.ts
@@ -21,7 +21,7 @@
       if (end === DrainEnd.Complete) return
       throw new CliError(
         ExitCode.Failed,
-        'The drain limit was reached, and work in progress was cut off.',
+        'Draining did not end in time or was hurried, and work in progress was cut off.',
         'The log says what; see "drainLimitMs" in docs/settings.md.',
       )
     })
--- a/apps/cherryhitch/src/lib/instance/startInstance.ts
+++ b/apps/cherryhitch/src/lib/instance/startInstance.ts
@@ -356,9 +356,21 @@
   })
 }
 
+function tellRoundTrips({ parts, options }: StartContext): void {
+  parts.links.use((links) => {
+    parts.membership.use((membership) => {
+      for (const { instance: peer } of options.peers) {
+        const roundTripMs = links.roundTripMs(peer)
+        membership.tell({ kind: MembershipEventKind.RoundTrip, peer, roundTripMs })
+      }
+    })
+  })
+}
+
 /** Tells membership at a steady pace what this instance offers. */
 function startOffers(context: StartContext): Effect.Effect<void, never, Scope.Scope> {
   const tell = Effect.sync(() => {
+    tellRoundTrips(context)
     tellOffer(context, false)
   })
   const repeated = Effect.repeat(tell, Schedule.spaced(context.timing.offerMs))
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -64,6 +64,7 @@
         { considerDefaultExhaustiveForUnions: true },
       ],
       '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
       'max-lines-per-function': ['error', { max: 60, skipBlankLines: true, skipComments: true }],
       complexity: ['error', { max: 15, variant: 'modified' }],
--- a/packages/membership/src/lib/MembershipEvent.ts
+++ b/packages/membership/src/lib/MembershipEvent.ts
@@ -5,6 +5,7 @@
   Heartbeat = 'heartbeat',
   LinkUp = 'link_up',
   LinkDown = 'link_down',
+  RoundTrip = 'round_trip',
   LocalState = 'local_state',
   LocalOffer = 'local_offer',
 }
@@ -23,6 +24,12 @@
       readonly roundTripMs: number
     }
   | { readonly kind: MembershipEventKind.LinkDown; readonly peer: string }
+  /** The link's smoothed round trip, measured anew. */
+  | {
+      readonly kind: MembershipEventKind.RoundTrip
+      readonly peer: string
+      readonly roundTripMs: number
+    }
   | { readonly kind: MembershipEventKind.LocalState; readonly state: InstanceState }
   /** What this instance offers now. `urgent` sends it at once rather than with the next heartbeat. */
   | {
--- a/packages/membership/src/lib/MembershipMachine.ts
+++ b/packages/membership/src/lib/MembershipMachine.ts
@@ -71,6 +71,9 @@
         return this.noteLink(now, event.peer, true, event.roundTripMs)
       case MembershipEventKind.LinkDown:
         return this.noteLink(now, event.peer, false, 0)
+      case MembershipEventKind.RoundTrip:
+        this.peers.get(event.peer)?.noteRoundTrip(event.roundTripMs)
+        return []
       case MembershipEventKind.LocalState:
         this.state = event.state
         this.isUrgent = true
--- a/packages/membership/src/lib/PeerRecord.ts
+++ b/packages/membership/src/lib/PeerRecord.ts
@@ -63,6 +63,11 @@
     if (up) this.roundTripMs = roundTripMs
   }
 
+  /** The first round trip of a link includes its set-up; later ones tell the distance. */
+  noteRoundTrip(roundTripMs: number): void {
+    this.roundTripMs = roundTripMs
+  }
+
   /** Calls the peer lost when it was silent for too long. @returns true when that is new */
   checkSilence(now: number): boolean {
     if (!this.alive) return false
