Keep passed-on tasks out of circles, and weigh when the next slot is free

Two owners without endpoints of a service could hand a task to and fro; a passed-on task that can't be queued is refused as not run now, and fences and cancellations go one owner further at most. The picker is told when a busy endpoint is expected to have a slot. A task that is stopped at its deadline no longer counts against its endpoint. Connections of an old owner whose last word is lost are not held back for good.

--- a/packages/owner/src/lib/OwnerMachine.ts
+++ b/packages/owner/src/lib/OwnerMachine.ts
@@ -167,7 +167,7 @@
         this.placement.place(now, from, message.value)
         return
       case 'cancelTasks':
-        this.cancellation.cancel(now, message.value)
+        this.cancellation.cancel(now, from, message.value)
         return
       case 'fenceTasks':
         this.fencing.fence(now, from, message.value)
--- a/packages/owner/src/lib/OwnerOptions.ts
+++ b/packages/owner/src/lib/OwnerOptions.ts
@@ -44,7 +44,7 @@
   coordinatorLostMs: 10_000,
   settleMs: 600,
   summaryMs: 100,
-  rememberMs: 120_000,
+  rememberMs: 60_000,
 }
 
 /** Bounds of what an owner keeps in memory. @public */
@@ -53,7 +53,10 @@
   readonly rememberedTasks: number
   /** Characters of outputs that are kept to send reports again. */
   readonly rememberedOutput: number
-  /** Endpoints that the picker weighs for one task. */
+  /**
+   * Endpoints that the picker weighs for one task. An owner has about 11 at the users' sizes; the
+   * design note gives the cost of more.
+   */
   readonly candidates: number
 }
 
@@ -61,7 +64,7 @@
 export const defaultOwnerLimits: OwnerLimits = {
   rememberedTasks: 100_000,
   rememberedOutput: 16_000_000,
-  candidates: 64,
+  candidates: 16,
 }
 
 /** @public */
--- a/packages/owner/src/lib/dispatch/Dispatcher.ts
+++ b/packages/owner/src/lib/dispatch/Dispatcher.ts
@@ -10,6 +10,7 @@
 import { queueSpan, runTraceparent } from '../spans/taskSpans'
 import type { TaskRecord } from '../tasks/TaskRecord'
 import { TaskPhase } from '../tasks/TaskRecord'
+import { NextSlotOutlook } from './NextSlotOutlook'
 import type { ServiceLane } from './ServiceLane'
 
 /**
@@ -18,9 +19,13 @@
  */
 const MAX_TRIES = 128
 
+/** After the picker rather let so many tasks wait, it would say the same of those behind them. */
+const MAX_HELD_BACK = 4
+
 /** Starts queued tasks wherever a slot is free. @internal */
 export class Dispatcher {
   private nextRun = 1
+  private heldBack = 0
   private readonly candidates: PlacementCandidate[] = []
 
   constructor(
@@ -57,10 +62,11 @@
     if (this.ctx.draining) return
     while (lane.open.length > 0 && lane.queue.size > 0) {
       let tries = 0
+      this.heldBack = 0
       let place: EndpointRecord | undefined
       const task = lane.queue.pop(now, (next) => {
         if (next.deadlineAt <= now) return true
-        if (++tries > MAX_TRIES) return false
+        if (++tries > MAX_TRIES || this.heldBack >= MAX_HELD_BACK) return false
         place = this.findPlace(now, lane, next)
         return place !== undefined
       })
@@ -93,7 +99,10 @@
       candidates.push(describe(now, lane, record, task))
     }
     if (candidates.length === 0) return undefined
-    const pick = this.ctx.picker.pick(now, task, candidates)
+    const moreOpen = candidates.length === this.ctx.limits.candidates
+    const outlook = new NextSlotOutlook(now, lane, moreOpen)
+    const pick = this.ctx.picker.pick(now, task, candidates, outlook)
+    if (pick === undefined) this.heldBack++
     return pick === undefined ? undefined : this.ctx.endpoints.get(pick.endpoint)
   }
 
@@ -118,6 +127,7 @@
     task.unansweredRenewals = 0
     task.missedAt = undefined
     task.lastChance = undefined
+    task.runSpanId = undefined
     record.occupy(task)
     countAtJob(task, record.endpoint, record.candidate.rack)
     this.ctx.counters.dispatched++
--- a/packages/owner/src/lib/handover/HandOver.test.ts
+++ b/packages/owner/src/lib/handover/HandOver.test.ts
@@ -206,6 +206,28 @@
   })
 })
 
+describe('a task that was passed on', () => {
+  it('is refused where it can not be queued, not passed on again', () => {
+    const owner = busy()
+    owner.members(SELF, makeMember(WINNER))
+    owner.actions = []
+    owner.place([7], { from: WINNER })
+    assert.equal(owner.sent('placeTasks').length, 0)
+    assert.equal(owner.reportsOn(7)[0]?.reason, Reason.NO_ENDPOINT)
+  })
+
+  it('is asked about one owner further at most', () => {
+    const owner = busy()
+    owner.members(SELF, makeMember(WINNER))
+    const value = create(FenceTasksSchema, { jobId: JOB, indexes: [1] })
+    owner.message({ case: 'fenceTasks', value }, WINNER)
+    const jobs = [{ jobId: JOB, reason: Reason.CANCELLED }]
+    const cancel = create(CancelTasksSchema, { jobs })
+    owner.message({ case: 'cancelTasks', value: cancel }, WINNER)
+    assert.equal(owner.sent('fenceTasks').length + owner.sent('cancelTasks').length, 0)
+  })
+})
+
 describe('draining', () => {
   it('hands everything over and ends with the last dispatched task', () => {
     const owner = new OwnerFixture()
--- a/packages/owner/src/lib/handover/HandOver.ts
+++ b/packages/owner/src/lib/handover/HandOver.ts
@@ -97,10 +97,12 @@
 
   /** Slots whose holders neither ended nor were listed again are free after their time. */
   expireHeld(now: number, record: EndpointRecord): void {
-    if (record.held.size === 0) return
+    if (record.held.size === 0 && record.heldConnections === 0) return
     for (const [taskId, slot] of record.held) {
       if (slot.until <= now) record.held.delete(taskId)
     }
+    // Without tasks there, the old owner has no use for connections; its word of it may be lost.
+    if (record.held.size === 0) record.heldConnections = 0
     this.ctx.refresh(record)
   }
 
@@ -141,6 +143,7 @@
 
 /** Connections that this owner still holds to an endpoint, those for renewals and stops included. */
 function connectionsOf(record: EndpointRecord): number {
-  if (record.running.size === 0 && record.openRuns.size === 0) return 0
+  // Requests that are still open without a task were dropped, and close on their own.
+  if (record.running.size === 0) return 0
   return record.openRuns.size + CONTROL_CONNECTIONS
 }
--- a/packages/owner/src/lib/intake/Cancellation.ts
+++ b/packages/owner/src/lib/intake/Cancellation.ts
@@ -1,3 +1,4 @@
+import { parseJobId } from '@cherryhitch/model'
 import type { CancelledJob, CancelTasks } from '@cherryhitch/protocol'
 import { Outcome, Reason } from '@cherryhitch/protocol'
 import type { TaskEnds } from '../outcomes/TaskEnds'
@@ -12,10 +13,12 @@
     private readonly ends: TaskEnds,
   ) {}
 
-  cancel(now: number, cancel: CancelTasks): void {
+  cancel(now: number, from: string, cancel: CancelTasks): void {
     const elsewhere = new Map<string, CancelledJob[]>()
     for (const cancelled of cancel.jobs) {
       this.cancelJob(now, cancelled)
+      // Only what comes from the coordinator itself goes one owner further, never in circles.
+      if (parseJobId(cancelled.jobId)?.coordinator !== from) continue
       for (const owner of this.ctx.memory.passedTo(cancelled.jobId)) {
         const jobs = elsewhere.get(owner)
         if (jobs === undefined) elsewhere.set(owner, [cancelled])
--- a/packages/owner/src/lib/intake/Fencing.ts
+++ b/packages/owner/src/lib/intake/Fencing.ts
@@ -23,6 +23,8 @@
     for (const index of fence.indexes) {
       const known = this.ctx.memory.get(formatTaskId(fence.jobId, index))
       if (known?.passedTo !== undefined) {
+        // The coordinator was told by each new owner; a question goes one owner further at most.
+        if (from !== asker) continue
         elsewhere.set(known.passedTo, [...(elsewhere.get(known.passedTo) ?? []), index])
       } else {
         const state = this.fenceTask(now, asker, fence.jobId, index)
--- a/packages/owner/src/lib/intake/Placement.ts
+++ b/packages/owner/src/lib/intake/Placement.ts
@@ -23,21 +23,25 @@
       this.ctx.counters.fencedPlacements += placement.tasks.length
       return
     }
-    const fresh = placement.tasks.filter((placed) => this.isFresh(from, placement.jobId, placed))
-    if (fresh.length === 0) return
     const coordinator = placement.coordinator === '' ? from : placement.coordinator
+    const { jobId } = placement
+    const passedOn = from !== coordinator
+    const fresh = placement.tasks.filter((placed) => this.isFresh(jobId, placed, passedOn))
+    if (fresh.length === 0) return
     const job = this.ctx.book.openJob(placement, coordinator)
     const deadlineAt = now + placement.deadlineInMs
     const tasks = fresh.map((placed) => makeTask(now, job, placed, deadlineAt))
     this.ctx.counters.placed += tasks.length
     this.ctx.retries.noteFresh(now, fresh.filter((placed) => placed.attempt === 0).length)
-    if (from !== coordinator) this.announceMove(job, fresh)
-    for (const [service, group] of groupByService(tasks)) this.take(now, service, group)
+    if (passedOn) this.announceMove(job, fresh)
+    for (const [service, group] of groupByService(tasks)) {
+      this.take(now, service, group, passedOn)
+    }
     this.ctx.book.closeJob(job)
   }
 
   /** Whether nothing is known of the task that speaks against queueing it. */
-  private isFresh(from: string, jobId: string, placed: PlacedTask): boolean {
+  private isFresh(jobId: string, placed: PlacedTask, passedOn: boolean): boolean {
     const taskId = formatTaskId(jobId, placed.index)
     const known = this.ctx.memory.get(taskId)
     if (known?.attempt === Infinity) {
@@ -45,8 +49,8 @@
       return false
     }
     const queuedHere = this.ctx.book.get(taskId) !== undefined
-    // A task that comes back from the owner it was passed on to keeps its attempt.
-    const comesBack = known?.passedTo === from
+    // A task that was passed on may come back, from whichever owner had it last.
+    const comesBack = passedOn && known?.passedTo !== undefined
     const anew = known === undefined || (known.notRun && placed.attempt > known.attempt)
     if (!queuedHere && (comesBack || anew)) return true
     this.ctx.counters.duplicatePlacements++
@@ -60,9 +64,14 @@
     this.ctx.outbox.send(job.coordinator, { case: 'fenceReports', value })
   }
 
-  private take(now: number, service: string, tasks: readonly TaskRecord[]): void {
+  private take(
+    now: number,
+    service: string,
+    tasks: readonly TaskRecord[],
+    passedOn: boolean,
+  ): void {
     const lane = this.ctx.lane(service)
-    const refusal = this.refusalOf(now, lane, tasks)
+    const refusal = this.refusalOf(now, lane, tasks, passedOn)
     for (const task of tasks) {
       const end = refusal ?? refusalOfTask(now, lane, task)
       if (end === undefined) this.accept(now, task)
@@ -82,10 +91,12 @@
     now: number,
     lane: ServiceLane,
     tasks: readonly TaskRecord[],
+    passedOn: boolean,
   ): TaskEnd | undefined {
-    if (lane.endpoints.size === 0) {
-      // A queue that moves is emptied at the end of the step, towards the new owner.
-      return this.ctx.canPassOn(lane.service) ? undefined : this.noEndpoint()
+    if (lane.endpoints.size === 0 || this.ctx.draining) {
+      // A queue that moves is emptied at the end of the step, towards the new owner. What was
+      // passed on before is not passed on at once again: two owners could go on like that.
+      return !passedOn && this.ctx.canPassOn(lane.service) ? undefined : this.noEndpoint()
     }
     if (lane.isDeserted(now, this.ctx.timing)) return this.noEndpoint()
     return this.refusalByLimits(lane, tasks)
--- a/packages/owner/src/lib/outcomes/RunAnswers.ts
+++ b/packages/owner/src/lib/outcomes/RunAnswers.ts
@@ -52,6 +52,8 @@
         this.refused(now, record, task, result)
         return
       case RunResultKind.Unknown:
+        if (!task.muted)
+          this.ctx.health.recordFailure(now, observe(record, task), HealthFailure.Lost)
         this.forgotten(now, task, result.detail)
         return
       case RunResultKind.Lost:
@@ -74,11 +76,10 @@
   private failed(now: number, at: EndpointRecord, task: TaskRecord, result: RunResult): void {
     at.refusals = 0
     // A task that was told to stop fails through no fault of its endpoint.
-    if (!task.muted) {
-      this.ctx.health.recordFailure(now, observe(at, task), HealthFailure.TaskFailed)
-    }
+    const stopped = task.phase === TaskPhase.Stopping
+    if (!stopped) this.ctx.health.recordFailure(now, observe(at, task), HealthFailure.TaskFailed)
     const { detail, runMs } = result
-    const reason = Reason.TASK_FAILED
+    const reason = stopped ? Reason.DEADLINE_PASSED : Reason.TASK_FAILED
     this.ends.settle(now, task, { outcome: Outcome.FAILED, reason, detail, runMs })
   }
 
--- a/packages/owner/src/lib/recovery/LeaseKeeper.test.ts
+++ b/packages/owner/src/lib/recovery/LeaseKeeper.test.ts
@@ -123,6 +123,14 @@
     })
   }
 
+  it('is the reason when the request of the stopped task fails first', () => {
+    const owner = running([0], 400)
+    owner.pass(450)
+    owner.end(owner.runOf(), RunResultKind.Failed)
+    const [report] = owner.reportsOn()
+    assert.deepEqual([report?.outcome, report?.reason], [Outcome.FAILED, Reason.DEADLINE_PASSED])
+  })
+
   it('leaves the answer of a task that ended in time its chance', () => {
     const owner = running([0], 400)
     owner.pass(450)
--- a/packages/owner/src/lib/spans/taskSpans.ts
+++ b/packages/owner/src/lib/spans/taskSpans.ts
@@ -6,7 +6,8 @@
 
 /** The run of a task at an endpoint; the endpoint's own spans are its children. */
 function runSpanId(task: TaskRecord): string {
-  return deriveSpanId(`${task.taskId}/run/${task.attempt}/${task.retries}`)
+  task.runSpanId ??= deriveSpanId(`${task.taskId}/run/${task.attempt}/${task.retries}`)
+  return task.runSpanId
 }
 
 /** W3C trace context for the endpoint; empty when the job came without one. @internal */
--- a/packages/owner/src/lib/tasks/TaskRecord.ts
+++ b/packages/owner/src/lib/tasks/TaskRecord.ts
@@ -75,6 +75,8 @@
   /** The endpoint that refused it last, and until when it is tried elsewhere if there is one. */
   refusedBy: string | undefined
   refusedUntil = 0
+  /** Span of the present dispatch, once it was asked for. */
+  runSpanId: string | undefined
   /** Endpoints where its id is fenced. */
   fencedAt: readonly string[] = []
   readonly jobRemaining: number
