--- a/packages/policy/src/lib/order/RankedQueue.ts
+++ b/packages/policy/src/lib/order/RankedQueue.ts
@@ -7,7 +7,7 @@
 import { WaitingJob } from './WaitingJob'
 
 /** Jobs asked per group of equal resources when the first ones do not fit. */
-const PROBES_PER_GROUP = 4
+const PROBES_PER_GROUP = 8
 
 /**
  * A queue that orders whole jobs by a rank and takes tasks from the first job that fits.
--- a/packages/policy/src/lib/retries/ShareRetryBudget.ts
+++ b/packages/policy/src/lib/retries/ShareRetryBudget.ts
@@ -27,6 +27,9 @@
   maxDelayMs: 2000,
 }
 
+/** Ten tenths add up to a little less than 1. */
+const ROUNDING = 1e-9
+
 /**
  * Token bucket that fresh work fills, so that retries stay a bounded share of it however much
  * fails; delays grow exponentially with full jitter.
@@ -49,8 +52,8 @@
 
   override takeRetry(_now: number, attempt: number, draw: number): number | undefined {
     const { maxAttempts, baseDelayMs, maxDelayMs } = this.options
-    if (attempt >= maxAttempts || this.saved < 1) return undefined
-    this.saved -= 1
+    if (attempt >= maxAttempts || this.saved < 1 - ROUNDING) return undefined
+    this.saved = Math.max(0, this.saved - 1)
     return draw * Math.min(maxDelayMs, baseDelayMs * 2 ** attempt)
   }
 }
--- a/packages/policy/src/lib/routing/MeasuredWaitRouter.ts
+++ b/packages/policy/src/lib/routing/MeasuredWaitRouter.ts
@@ -6,10 +6,15 @@
 export interface MeasuredWaitRouterOptions {
   /** Wait that is borne at home before a task leaves its zone, beyond the way, in milliseconds. */
   readonly spillMarginMs: number
+  /** The same for each millisecond of the task's estimated run time. */
+  readonly spillMarginPerRun: number
 }
 
 /** @public */
-export const defaultMeasuredWaitRouterOptions: MeasuredWaitRouterOptions = { spillMarginMs: 20 }
+export const defaultMeasuredWaitRouterOptions: MeasuredWaitRouterOptions = {
+  spillMarginMs: 3,
+  spillMarginPerRun: 0.3,
+}
 
 /**
  * Sends tasks to the owner where they are predicted to end first, in the own zone unless another
@@ -31,8 +36,9 @@
     tasks: readonly RoutedTask[],
     offers: readonly OwnerOffer[],
   ): readonly RouteAssignment[] {
-    const extraCostMs = (offer: OwnerOffer): number =>
-      offer.zone === ownZone ? 0 : this.options.spillMarginMs
+    const { spillMarginMs, spillMarginPerRun } = this.options
+    const extraCostMs = (offer: OwnerOffer, task: RoutedTask): number =>
+      offer.zone === ownZone ? 0 : spillMarginMs + spillMarginPerRun * task.estimateMs
     return fillOwners(tasks, offers, extraCostMs).map(({ task, offer }) => ({
       index: task.index,
       instance: offer.instance,
--- a/packages/policy/src/lib/routing/fillOwners.ts
+++ b/packages/policy/src/lib/routing/fillOwners.ts
@@ -24,27 +24,28 @@
 export function fillOwners(
   tasks: readonly RoutedTask[],
   offers: readonly OwnerOffer[],
-  extraCostMs: (offer: OwnerOffer) => number,
+  extraCostMs: ExtraCost,
 ): readonly FilledTask[] {
   return [...new Set(tasks.map((task) => task.service))].flatMap((service) => {
     const mine = tasks.filter((task) => task.service === service)
     const meanMs = mine.reduce((sum, task) => sum + task.estimateMs, 0) / mine.length
     const loads = offers
       .filter((offer) => offer.service === service && offer.slots > 0)
-      .map((offer) => ({ load: new OwnerLoad(offer, meanMs), extraMs: extraCostMs(offer) }))
-    return fillService(mine, loads)
+      .map((offer) => new OwnerLoad(offer, meanMs))
+    return fillService(mine, loads, extraCostMs)
   })
 }
 
-interface PricedLoad {
-  readonly load: OwnerLoad
-  readonly extraMs: number
-}
+type ExtraCost = (offer: OwnerOffer, task: RoutedTask) => number
 
-function fillService(tasks: readonly RoutedTask[], loads: readonly PricedLoad[]): FilledTask[] {
+function fillService(
+  tasks: readonly RoutedTask[],
+  loads: readonly OwnerLoad[],
+  extraCostMs: ExtraCost,
+): FilledTask[] {
   const longestFirst = [...tasks].sort((a, b) => b.estimateMs - a.estimateMs)
   return longestFirst.flatMap((task) => {
-    const load = cheapest(task, loads)
+    const load = cheapest(task, loads, extraCostMs)
     if (load === undefined) return []
     const finishMs = load.waitMs + task.estimateMs
     load.add(task.estimateMs)
@@ -52,12 +53,16 @@
   })
 }
 
-function cheapest(task: RoutedTask, loads: readonly PricedLoad[]): OwnerLoad | undefined {
+function cheapest(
+  task: RoutedTask,
+  loads: readonly OwnerLoad[],
+  extraCostMs: ExtraCost,
+): OwnerLoad | undefined {
   let best: OwnerLoad | undefined
   let bestCost = Infinity
-  for (const { load, extraMs } of loads) {
+  for (const load of loads) {
     if (!canHold(load.offer.largest, task.resources)) continue
-    const cost = load.waitMs + extraMs
+    const cost = load.waitMs + extraCostMs(load.offer, task)
     const tied = Math.abs(cost - bestCost) < TIE_MS
     const better = tied && best !== undefined ? load.freeShare > best.freeShare : cost < bestCost
     if (!better) continue
