Wait for owners on the move, and for answers not fetched while draining

A task refused because its owner drained or lost its endpoints failed its job when the new owner's offer was not heard yet; it looks again for a second now. A draining coordinator holds asynchronous answers for up to 5 s, because no other instance has them.

--- a/packages/coordinator/src/lib/CoordinatorMachine.random.test.ts
+++ b/packages/coordinator/src/lib/CoordinatorMachine.random.test.ts
@@ -19,7 +19,7 @@
           for (const move of chosen) world.move(move)
           world.finish()
         }),
-        { seed, numRuns: RUNS },
+        { seed, numRuns: RUNS, endOnFailure: true },
       )
     })
   }
--- a/packages/coordinator/src/lib/CoordinatorMachine.test.ts
+++ b/packages/coordinator/src/lib/CoordinatorMachine.test.ts
@@ -238,6 +238,23 @@
   })
 })
 
+describe('a draining coordinator', () => {
+  for (const isRead of [true, false]) {
+    it(`waits for answers to be fetched, for a while: ${isRead ? 'fetched' : 'not fetched'}`, () => {
+      const fixture = new CoordinatorFixture()
+      fixture.members({ instance: 'a2' })
+      const jobId = fixture.reply(fixture.submit(makeSpec(), true))?.jobId ?? ''
+      fixture.step({ kind: CoordinatorEventKind.Drain })
+      fixture.report('a2', jobId, succeeded(0))
+      fixture.advance(1000)
+      assert.equal(fixture.of(CoordinatorActionKind.Drained).length, 0)
+      if (isRead) assert.equal(fixture.reply(fixture.query(jobId))?.state, JobState.SUCCEEDED)
+      else fixture.advance(4000)
+      assert.equal(fixture.of(CoordinatorActionKind.Drained).length, 1)
+    })
+  }
+})
+
 describe('placing by offers', () => {
   it('counts what it placed until a new summary holds it', () => {
     const fixture = new CoordinatorFixture()
--- a/packages/coordinator/src/lib/CoordinatorMachine.ts
+++ b/packages/coordinator/src/lib/CoordinatorMachine.ts
@@ -46,6 +46,7 @@
   private readonly retries: Retries
   private readonly reports: ReportDesk
   private readonly losses: LossWatch
+  private readonly keeper: AnswerKeeper
   private saidDrained = false
 
   constructor(options: CoordinatorOptions) {
@@ -62,8 +63,9 @@
     this.forwarding = new Forwarding(this.context)
     this.claims = new ClaimDesk(this.context, this.desk, ending, this.forwarding)
     this.keyed = new KeyDesk(this.context, this.desk, this.claims, this.forwarding)
-    this.queries = new QueryDesk(this.context, ending, this.claims, this.forwarding)
-    const keeper = new AnswerKeeper(this.context)
+    this.keeper = new AnswerKeeper(this.context)
+    const { keeper } = this
+    this.queries = new QueryDesk(this.context, ending, this.claims, this.forwarding, keeper)
     ending.listen((now, job, answer, before) => {
       keeper.jobEnded(now, job, answer, before)
     })
@@ -95,11 +97,12 @@
   override tick(now: number): readonly CoordinatorAction[] {
     for (const item of this.context.due.takeDue(now)) this.handleDue(now, item)
     this.context.answers.expire(now)
+    this.keeper.expire(now)
     return this.finish(now)
   }
 
   private finish(now: number): readonly CoordinatorAction[] {
-    const isBusy = this.context.jobs.size + this.forwarding.size > 0
+    const isBusy = this.context.jobs.size + this.forwarding.size + this.keeper.unread > 0
     const isLast = this.desk.draining && !this.saidDrained && !isBusy
     if (isLast) {
       this.saidDrained = true
@@ -222,7 +225,7 @@
         return
       case DueKind.Retry:
         this.withJob(item.sequence, (job) => {
-          this.retries.placeAgain(now, job, item.indexes)
+          this.retries.placeAgain(now, job, item.indexes, item.giveUpAt)
         })
         return
       case DueKind.OwnerGone:
--- a/packages/coordinator/src/lib/CoordinatorOptions.ts
+++ b/packages/coordinator/src/lib/CoordinatorOptions.ts
@@ -43,6 +43,10 @@
   readonly answerRetentionMs: number
   /** How long another instance may take before it is asked again. */
   readonly forwardTimeoutMs: number
+  /** How long a task whose owner drains or lost its endpoints waits for another owner. */
+  readonly ownerPatienceMs: number
+  /** While it drains, an answer that nobody fetched yet is held for this long. */
+  readonly drainAnswersMs: number
   /** A task this much later than expected is asked after at its owner. */
   readonly askAfterMs: number
   /** Longest time between two such questions about one job. */
@@ -61,6 +65,8 @@
   ownerDeadlineMarginMs: 25,
   answerRetentionMs: 300_000,
   forwardTimeoutMs: 2000,
+  ownerPatienceMs: 1000,
+  drainAnswersMs: 5000,
   askAfterMs: 1000,
   askEveryMaxMs: 8000,
   cancelBatchMs: 20,
--- a/packages/coordinator/src/lib/answers/AnswerKeeper.ts
+++ b/packages/coordinator/src/lib/answers/AnswerKeeper.ts
@@ -12,11 +12,31 @@
  * @internal
  */
 export class AnswerKeeper {
+  /** Asynchronous jobs whose answer nobody has yet, by the time of their end. */
+  private readonly unreadSince = new Map<string, number>()
+
   constructor(private readonly context: CoordinatorContext) {}
 
+  /** Answers that a draining instance waits for a while to give. */
+  get unread(): number {
+    return this.unreadSince.size
+  }
+
+  noteRead(jobId: string): void {
+    this.unreadSince.delete(jobId)
+  }
+
+  expire(now: number): void {
+    for (const [jobId, endedAt] of this.unreadSince) {
+      if (now - endedAt < this.context.timing.drainAnswersMs) return
+      this.unreadSince.delete(jobId)
+    }
+  }
+
   jobEnded(now: number, job: Job, answer: JobAnswer, before: JobPhase): void {
     if (!job.respondAsync && !job.isKeyed) return
     const keyId = job.isKeyed ? formatKeyId(job.caller, job.spec.submissionKey) : ''
+    if (job.respondAsync && job.waiters.length === 0) this.unreadSince.set(job.id, now)
     this.context.answers.keep(now, { jobId: job.id, caller: job.caller, answer, keyId })
     const entry = this.context.keys.get(keyId)
     if (entry?.jobId !== job.id) return
--- a/packages/coordinator/src/lib/forwarding/QueryDesk.ts
+++ b/packages/coordinator/src/lib/forwarding/QueryDesk.ts
@@ -3,6 +3,7 @@
 import type { JobIdParts } from '@cherryhitch/model'
 import type { JobAnswer } from '@cherryhitch/protocol'
 import { JobAnswerSchema, JobQuerySchema, JobState, Outcome, Reason } from '@cherryhitch/protocol'
+import type { AnswerKeeper } from '../answers/AnswerKeeper'
 import type { CoordinatorContext } from '../CoordinatorContext'
 import type { JobEnding } from '../jobs/JobEnding'
 import type { JobProblem } from '../jobs/jobAnswers'
@@ -41,6 +42,7 @@
     private readonly ending: JobEnding,
     private readonly claims: ClaimDesk,
     private readonly forwarding: Forwarding,
+    private readonly keeper: AnswerKeeper,
   ) {}
 
   /** A caller of this instance asks. */
@@ -83,7 +85,10 @@
 
   private keptAnswer(now: number, { jobId, caller }: QueryRequest): JobAnswer | undefined {
     const kept = this.context.answers.get(now, jobId)
-    if (kept?.caller === caller) return kept.answer
+    if (kept?.caller === caller) {
+      this.keeper.noteRead(jobId)
+      return kept.answer
+    }
     return this.claims.abandonedAnswer(jobId, caller)
   }
 
--- /dev/null
+++ b/packages/coordinator/src/lib/members/UnreportedTasks.test.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { UnreportedTasks } from './UnreportedTasks'
+
+describe('tasks that an owner has not reported yet', () => {
+  it('are forgotten with the first summary that can hold them', () => {
+    const tasks = new UnreportedTasks()
+    tasks.add(100, 3)
+    tasks.add(110, 2)
+    tasks.forgetBefore(105)
+    assert.equal(tasks.count, 2)
+    tasks.forgetBefore(111)
+    assert.equal(tasks.count, 0)
+  })
+
+  it('are taken back when they end before any summary', () => {
+    const tasks = new UnreportedTasks()
+    tasks.add(100, 1)
+    tasks.add(110, 1)
+    tasks.takeBack(110)
+    tasks.takeBack(100)
+    assert.equal(tasks.count, 0)
+  })
+
+  it('are not taken back twice: neither after a summary, nor beyond their number', () => {
+    const tasks = new UnreportedTasks()
+    tasks.add(100, 1)
+    tasks.add(120, 2)
+    tasks.forgetBefore(110)
+    tasks.takeBack(100)
+    assert.equal(tasks.count, 2)
+    for (let i = 0; i < 5; i++) tasks.takeBack(120)
+    assert.equal(tasks.count, 0)
+  })
+})
--- a/packages/coordinator/src/lib/placement/ReportDesk.test.ts
+++ b/packages/coordinator/src/lib/placement/ReportDesk.test.ts
@@ -103,6 +103,17 @@
     assert.deepEqual(fixture.placed, ['a2:0,1,2,3,4', 'a3:0,1,2,3,4'])
   })
 
+  it('waits a little for the new owner when its endpoints are on the move', () => {
+    const fixture = withOwners('a2')
+    const request = fixture.submit(makeSpec())
+    fixture.report('a2', fixture.jobId, notRun(0, Reason.DRAINING))
+    fixture.advance(600)
+    assert.deepEqual(fixture.replies(request), [])
+    fixture.members({ instance: SELF, slots: 0 }, { instance: 'a3' })
+    fixture.advance(200)
+    assert.deepEqual(fixture.placed, ['a2:0', 'a3:0'])
+  })
+
   it('never goes back to an owner that had it, so an old report can not stand for a new one', () => {
     const fixture = withOwners('a2', 'a3')
     const request = fixture.submit(makeSpec())
--- a/packages/coordinator/src/lib/placement/Retries.ts
+++ b/packages/coordinator/src/lib/placement/Retries.ts
@@ -24,6 +24,21 @@
   Reason.OWNER_LOST,
 ])
 
+/** Reasons of owners whose endpoints are about to be offered by another one. */
+const movedAway: ReadonlySet<Reason> = new Set([
+  Reason.DRAINING,
+  Reason.NO_ENDPOINT,
+  Reason.OWNER_LOST,
+])
+
+/** Half of the time between two heartbeats of an instance. */
+const LOOK_AGAIN_MS = 100
+
+const noOtherOwner = problem(
+  Reason.NO_ENDPOINT,
+  'No other owner of the service takes a task that did not run.',
+)
+
 /** Places tasks again that truly did not run, as far as the budget goes. @internal */
 export class Retries {
   constructor(
@@ -43,6 +58,7 @@
       this.ending.fail(now, job, why)
       return
     }
+    const patienceMs = movedAway.has(why.reason) ? this.context.timing.ownerPatienceMs : 0
     const due = new Map<number, TaskRecord[]>()
     for (const task of tasks) {
       const delayMs = this.delayMs(now, job, task)
@@ -58,26 +74,32 @@
       if (present === undefined) due.set(delayMs, [task])
       else present.push(task)
     }
-    for (const [delayMs, group] of due) this.schedule(now, job, group, delayMs)
+    for (const [delayMs, group] of due) {
+      const indexes = group.map((task) => task.index)
+      const at = now + delayMs
+      if (delayMs > 0) this.schedule(at, job, indexes, at + patienceMs)
+      else this.placeAgain(now, job, indexes, now + patienceMs)
+    }
   }
 
   /** The delay of some tasks is over. */
-  placeAgain(now: number, job: Job, indexes: readonly number[]): void {
+  placeAgain(now: number, job: Job, indexes: readonly number[], giveUpAt: number): void {
     if (job.phase !== JobPhase.Running) return
     const waiting = indexes.flatMap((index) => job.tasks[index] ?? []).filter(isWaiting)
     const groups = groupBy(waiting, (task) => task.refusedBy.join(' '))
-    const planned = []
     for (const group of groups.values()) {
       const routes = this.placement.route(now, job, group)
-      if (routes === undefined) {
-        const detail = 'No other owner of the service takes a task that did not run.'
-        this.ending.fail(now, job, problem(Reason.NO_ENDPOINT, detail))
+      if (routes !== undefined) {
+        this.context.counters.tasksPlacedAgain += group.length
+        this.placement.send(now, job, routes)
+      } else if (now + LOOK_AGAIN_MS < Math.min(giveUpAt, job.deadlineAt)) {
+        const left = group.map((task) => task.index)
+        this.schedule(now + LOOK_AGAIN_MS, job, left, giveUpAt)
+      } else {
+        this.ending.fail(now, job, noOtherOwner)
         return
       }
-      planned.push(routes)
     }
-    this.context.counters.tasksPlacedAgain += waiting.length
-    for (const routes of planned) this.placement.send(now, job, routes)
   }
 
   private delayMs(now: number, job: Job, task: TaskRecord): number | undefined {
@@ -85,14 +107,9 @@
     return this.context.policies.retries.takeRetry(now, retried, draw(`${job.id}/${task.attempt}`))
   }
 
-  private schedule(now: number, job: Job, tasks: readonly TaskRecord[], delayMs: number): void {
-    const indexes = tasks.map((task) => task.index)
-    if (delayMs <= 0) {
-      this.placeAgain(now, job, indexes)
-      return
-    }
-    const item = { kind: DueKind.Retry, sequence: job.sequence, indexes } as const
-    this.context.due.schedule(now + delayMs, item)
+  private schedule(at: number, job: Job, indexes: readonly number[], giveUpAt: number): void {
+    const item = { kind: DueKind.Retry, sequence: job.sequence, indexes, giveUpAt } as const
+    this.context.due.schedule(at, item)
   }
 }
 
--- a/packages/coordinator/src/lib/timers/DueItem.ts
+++ b/packages/coordinator/src/lib/timers/DueItem.ts
@@ -15,6 +15,8 @@
       readonly kind: DueKind.Retry
       readonly sequence: number
       readonly indexes: readonly number[]
+      /** Until then it waits for an owner when there is none. */
+      readonly giveUpAt: number
     }
   /** The leases of a lost owner's boot have run out. */
   | { readonly kind: DueKind.OwnerGone; readonly owner: string; readonly boot: number }
