Add logs, metrics and traces

Logs are bunyan lines with the part's name as prefix; a flood of the same sentence is counted and summed up. Metrics read the counters of each part at the scrape. Spans go to a file and to an OTLP collector from a bounded queue with one request under way. Nothing waits: what does not fit is counted.

Tests found that a field named level or time overwrote that of the line; such names are now written as field_level and so on.

--- /dev/null
+++ b/packages/telemetry/src/lib/files/openLineFile.ts
@@ -0,0 +1,15 @@
+import fs from 'node:fs/promises'
+import { Effect } from 'effect'
+import type { Scope } from 'effect'
+import { TelemetryError, TelemetryErrorKind } from '../errors/TelemetryError'
+import { LineWriter } from './LineWriter'
+
+/** Opens a file to append lines to. It is flushed and closed with the scope. @internal */
+export function openLineFile(file: string): Effect.Effect<LineWriter, TelemetryError, Scope.Scope> {
+  const open = Effect.tryPromise({
+    try: async () => new LineWriter((await fs.open(file, 'a')).createWriteStream()),
+    catch: (err) =>
+      new TelemetryError(TelemetryErrorKind.File, `cannot open ${file}: ${String(err)}`, err),
+  })
+  return Effect.acquireRelease(open, (writer) => Effect.promise(() => writer.close()))
+}
