--- a/apps/cherryhitch/src/lib/cli/CliIo.ts
+++ b/apps/cherryhitch/src/lib/cli/CliIo.ts
@@ -1,3 +1,6 @@
+import { Effect } from 'effect'
+import { awaitSignal } from '../serve/awaitSignal'
+
 /** What a command may use of the process; tests give their own. @public */
 export interface CliIo {
   readonly print: (text: string) => void
@@ -5,9 +8,13 @@
   /** Whether a person watches: progress is shown only then. */
   readonly isTerminal: boolean
   readonly env: Readonly<Record<string, string | undefined>>
+  /** Milliseconds since the epoch. */
+  readonly now: () => number
+  /** Ends when the process is asked to stop. */
+  readonly awaitStop: () => Promise<string>
 }
 
-/** The process's own streams and environment. @public */
+/** The process's own streams, environment, clock and signals. @public */
 export function processIo(): CliIo {
   return {
     print: (text) => {
@@ -18,5 +25,7 @@
     },
     isTerminal: process.stderr.isTTY,
     env: process.env,
+    now: () => Date.now(),
+    awaitStop: () => Effect.runPromise(awaitSignal),
   }
 }
--- a/apps/cherryhitch/src/lib/cli/CommandContext.ts
+++ b/apps/cherryhitch/src/lib/cli/CommandContext.ts
@@ -1,14 +1,17 @@
 import type { CAC } from 'cac'
 import type { CliIo } from './CliIo'
-import type { ConnectionFlags } from './httpClient'
-import { HttpClient } from './httpClient'
+import type { ConnectionFlags } from './http/HttpClient'
+import { HttpClient } from './http/HttpClient'
 
-/** Environment variable with the URL of an instance's operator interface. */
-const OPERATORS_VARIABLE = 'CHERRYHITCH_OPERATORS_URL'
-/** Environment variable with the URL of an instance's, or the balancer's, caller interface. */
-const CALLERS_VARIABLE = 'CHERRYHITCH_CALLERS_URL'
-const DEFAULT_OPERATORS_URL = 'http://127.0.0.1:7103'
-const DEFAULT_CALLERS_URL = 'http://127.0.0.1:7101'
+/** Ports of the first instance in `examples/kitaura`. */
+const operators = {
+  variable: 'CHERRYHITCH_OPERATORS_URL',
+  fallback: 'http://127.0.0.1:7113',
+} as const
+const callers = {
+  variable: 'CHERRYHITCH_CALLERS_URL',
+  fallback: 'http://127.0.0.1:7111',
+} as const
 
 /** What commands are registered with. @internal */
 export interface CommandContext {
@@ -16,20 +19,32 @@
   readonly io: CliIo
 }
 
+/** @internal */
+export type CliCommand = ReturnType<CAC['command']>
+
 /** Opens the operator interface that the flags or the environment name. @internal */
 export function operatorClient(flags: ConnectionFlags, io: CliIo): HttpClient {
-  return HttpClient.open(flags, io, OPERATORS_VARIABLE, DEFAULT_OPERATORS_URL)
+  return HttpClient.open(flags, io, operators)
 }
 
 /** Opens the caller interface that the flags or the environment name. @internal */
 export function callerClient(flags: ConnectionFlags, io: CliIo): HttpClient {
-  return HttpClient.open(flags, io, CALLERS_VARIABLE, DEFAULT_CALLERS_URL)
+  return HttpClient.open(flags, io, callers)
+}
+
+/** Adds the options of a command that asks an instance for operators. @internal */
+export function operatorOptions(command: CliCommand): CliCommand {
+  return connectionOptions(command, operators)
+}
+
+/** Adds the options of a command that asks an instance as a caller. @internal */
+export function callerOptions(command: CliCommand): CliCommand {
+  return connectionOptions(command, callers)
 }
 
-/** Adds the options of a command that asks an instance. @internal */
-export function connectionOptions(command: ReturnType<CAC['command']>): ReturnType<CAC['command']> {
+function connectionOptions(command: CliCommand, source: typeof operators | typeof callers) {
   return command
-    .option('--url <url>', 'Interface of an instance; else from the environment')
+    .option('--url <url>', `Interface of an instance; else ${source.variable}, ${source.fallback}`)
     .option('--token-file <file>', 'File with the bearer token; else CHERRYHITCH_TOKEN_FILE')
     .option('--json', 'Print JSON for scripts')
 }
--- /dev/null
+++ b/apps/cherryhitch/src/lib/cli/commands/audit/readAuditRows.ts
@@ -0,0 +1,78 @@
+import { CliError, usageError } from '../../CliError'
+import { ExitCode } from '../../ExitCode'
+import { wholeNumber } from '../../flags/wholeNumber'
+import type { ConnectionFlags, HttpClient } from '../../http/HttpClient'
+import type { AuditRow } from '../../http/operatorViews'
+import { requireGood } from '../../http/problems'
+import { readAuditFile } from './readAuditFile'
+
+/** @internal */
+export interface AuditFlags extends ConnectionFlags {
+  readonly from: string
+  readonly limit?: string
+  readonly file?: string
+  readonly against?: string
+  readonly instance?: string
+  readonly at?: string
+}
+
+/** An instance gives 1000 at most. */
+const PAGE = 500
+
+/** Reads records from a file, or page by page from an instance. @internal */
+export async function readAuditRows(
+  flags: AuditFlags,
+  openClient: () => HttpClient,
+): Promise<readonly AuditRow[]> {
+  const from = wholeNumber(flags.from, '--from')
+  const limit =
+    flags.limit === undefined ? Number.POSITIVE_INFINITY : wholeNumber(flags.limit, '--limit')
+  if (flags.file !== undefined) {
+    return readAuditFile(flags.file)
+      .filter(({ position }) => position >= from)
+      .slice(0, limit)
+  }
+  const client = openClient()
+  const rows: AuditRow[] = []
+  while (rows.length < limit) {
+    const page = await readPage(client, from + rows.length, Math.min(PAGE, limit - rows.length))
+    if (page.length === 0) break
+    rows.push(...page)
+  }
+  return rows
+}
+
+/** Reads one record. @throws CliError when there is none at the position @internal */
+export async function readAuditRow(
+  position: string | undefined,
+  flags: AuditFlags,
+  openClient: () => HttpClient,
+): Promise<AuditRow> {
+  if (position === undefined) throw usageError('No record is named.', 'Try "audit show 0".')
+  const wanted = wholeNumber(position, 'audit show')
+  const rows =
+    flags.file === undefined
+      ? await readPage(openClient(), wanted, 1)
+      : readAuditFile(flags.file).filter((row) => row.position === wanted)
+  const row = rows[0]
+  if (row !== undefined) return row
+  throw usageError(`There is no record ${position}.`, 'See cherryhitch audit list.')
+}
+
+async function readPage(
+  client: HttpClient,
+  from: number,
+  limit: number,
+): Promise<readonly AuditRow[]> {
+  const path = `/v1/audit?from=${from}&limit=${limit}`
+  const page = requireGood(await client.ask({ method: 'GET', path })) as {
+    readonly current: boolean
+    readonly records: readonly AuditRow[]
+  }
+  if (page.current) return page.records
+  throw new CliError(
+    ExitCode.Unreachable,
+    'The quorum of voters can not be reached, so the record can not be read.',
+    'Ask again later, or an instance of another zone.',
+  )
+}
--- a/apps/cherryhitch/src/lib/cli/initVotersFolder.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/control/initVotersFolder.ts
@@ -1,9 +1,10 @@
 import { initVoters } from '@cherryhitch/control'
 import { openDataFolder } from '@cherryhitch/storage'
 import { Effect, Exit } from 'effect'
-import { CliError, usageError } from './CliError'
-import { ExitCode } from './ExitCode'
-import { readSettings } from './readSettings'
+import { CliError, usageError } from '../../CliError'
+import { ExitCode } from '../../ExitCode'
+import { describeExit } from '../describeExit'
+import { readSettings } from '../readSettings'
 
 /**
  * Makes the data folder of one of the first voters.
@@ -33,14 +34,7 @@
   if (Exit.isSuccess(exit)) return `${dataFolder}: voter ${exit.value} is made`
   throw new CliError(
     ExitCode.Failed,
-    `${dataFolder} was not initialized: ${describeCause(exit)}.`,
+    `${dataFolder} was not initialized: ${describeExit(exit)}.`,
     'A folder is initialized once only; a wiped one joins as a learner (docs/operators.md).',
   )
 }
-
-function describeCause(exit: Exit.Failure<unknown, unknown>): string {
-  for (const reason of exit.cause.reasons) {
-    if (reason._tag === 'Fail' && reason.error instanceof Error) return reason.error.message
-  }
-  return String(exit.cause)
-}
--- a/apps/cherryhitch/src/lib/cli/readSettings.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/readSettings.ts
@@ -1,6 +1,6 @@
 import type { Settings, SettingsProblem, Tokens } from '@cherryhitch/settings'
 import { formatSettingsProblem, loadSettings, loadTokens } from '@cherryhitch/settings'
-import { usageError } from './CliError'
+import { usageError } from '../CliError'
 
 const HINT = 'docs/settings.md lists all settings; check a file with "cherryhitch settings check".'
 
--- a/apps/cherryhitch/src/lib/cli/serveCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/serveCommand.ts
@@ -1,9 +1,10 @@
-import { Effect } from 'effect'
-import { DrainEnd } from '../instance/Instance'
-import { serve } from '../serve/serve'
-import { CliError, usageError } from './CliError'
-import type { CommandContext } from './CommandContext'
-import { ExitCode } from './ExitCode'
+import { Effect, Exit } from 'effect'
+import { DrainEnd } from '../../instance/Instance'
+import { serve } from '../../serve/serve'
+import { CliError, usageError } from '../CliError'
+import type { CommandContext } from '../CommandContext'
+import { ExitCode } from '../ExitCode'
+import { describeExit } from './describeExit'
 import { readSettings, readTokens } from './readSettings'
 
 /** Registers `serve`. @internal */
@@ -17,8 +18,12 @@
         throw usageError('--settings is missing.', 'See the files in examples/.')
       }
       const settings = readSettings(file)
-      const end = await Effect.runPromise(serve(settings, readTokens(settings)))
-      if (end === DrainEnd.Complete) return
+      const exit = await Effect.runPromiseExit(serve(settings, readTokens(settings)))
+      if (Exit.isFailure(exit)) {
+        const message = `${settings.instance} does not run: ${describeExit(exit)}`
+        throw new CliError(ExitCode.Failed, message, 'See also its log.')
+      }
+      if (exit.value === DrainEnd.Complete) return
       throw new CliError(
         ExitCode.Failed,
         'Draining did not end in time or was hurried, and work in progress was cut off.',
--- a/apps/cherryhitch/src/lib/cli/settingsCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/settingsCommand.ts
@@ -1,5 +1,5 @@
-import { usageError } from './CliError'
-import type { CommandContext } from './CommandContext'
+import { usageError } from '../CliError'
+import type { CommandContext } from '../CommandContext'
 import { readSettings, readTokens } from './readSettings'
 
 /** Registers `settings check`. @internal */
--- a/apps/cherryhitch/src/lib/cli/operatorViews.ts
+++ b/apps/cherryhitch/src/lib/cli/http/operatorViews.ts
@@ -50,12 +50,18 @@
   readonly settingsVersion: number
 }
 
+/** A preset with all members of its definition. @internal */
+export interface PresetRow {
+  readonly name: string
+  readonly description: string
+}
+
 /** @internal */
 export interface SettingsRow {
   readonly version: number
   readonly preset: string
   readonly current: boolean
-  readonly presets: readonly { readonly name: string; readonly description: string }[]
+  readonly presets: readonly PresetRow[]
 }
 
 /** @internal */
--- a/apps/cherryhitch/src/lib/cli/problems.ts
+++ b/apps/cherryhitch/src/lib/cli/http/problems.ts
@@ -1,9 +1,12 @@
-import { CliError } from './CliError'
-import { ExitCode } from './ExitCode'
-import type { HttpAnswer } from './httpClient'
+import { CliError } from '../CliError'
+import { ExitCode } from '../ExitCode'
+import type { HttpAnswer } from './HttpClient'
 
 const HTTP_ERRORS_FROM = 400
+const UNAUTHENTICATED = 401
+const FORBIDDEN = 403
 const CONFLICT = 409
+const UNPROCESSABLE = 422
 
 interface ProblemFields {
   readonly title?: unknown
@@ -23,14 +26,22 @@
   return ExitCode.Failed
 }
 
-function hintOf(problem: ProblemFields): string {
+function hintOf(status: number, problem: ProblemFields): string {
   if (problem.ran === 'unknown') return 'It may have run: find out before you send it again.'
   if (typeof problem.retryAfter === 'number') {
     return `It did not run; come back in ${problem.retryAfter} s.`
   }
+  if (status === UNAUTHENTICATED) return 'It did not run; give your token with --token-file.'
+  if (status === FORBIDDEN) return 'It did not run; the token is for another interface.'
+  if (status === UNPROCESSABLE) return 'It did not run, and sending the same again does not help.'
   return 'It did not run.'
 }
 
+function detailOf(status: number, { title, detail }: ProblemFields): string {
+  const texts = [title, detail].filter((text) => typeof text === 'string' && text !== '')
+  return texts.length > 0 ? texts.join(' ') : `HTTP ${status}`
+}
+
 /**
  * Passes good answers on.
  *
@@ -38,8 +49,12 @@
  * @internal
  */
 export function requireGood(answer: HttpAnswer): unknown {
-  if (answer.status < HTTP_ERRORS_FROM) return answer.body
+  const { status } = answer
+  if (status < HTTP_ERRORS_FROM) return answer.body
   const problem = isProblem(answer.body) ? answer.body : {}
-  const detail = typeof problem.detail === 'string' ? problem.detail : `HTTP ${answer.status}`
-  throw new CliError(exitCodeOf(answer.status, problem.ran), detail, hintOf(problem))
+  throw new CliError(
+    exitCodeOf(status, problem.ran),
+    detailOf(status, problem),
+    hintOf(status, problem),
+  )
 }
--- a/apps/cherryhitch/src/lib/cli/runCli.ts
+++ b/apps/cherryhitch/src/lib/cli/runCli.ts
@@ -1,16 +1,9 @@
-import { cac } from 'cac'
-import { registerAuditCommand } from './auditCommand'
+import type { CAC } from 'cac'
 import { CliError } from './CliError'
 import type { CliIo } from './CliIo'
-import { registerControlCommand } from './controlCommand'
-import { registerDemoCommand } from './demoCommand'
+import { createCli } from './createCli'
 import { ExitCode } from './ExitCode'
-import { registerPresetCommand } from './presetCommand'
-import { registerServeCommand } from './serveCommand'
-import { registerSettingsCommand } from './settingsCommand'
-import { registerSubmitCommands } from './submitCommand'
-import { VERSION } from './version'
-import { registerViewCommands } from './viewCommands'
+import { keepAsTyped } from './flags/flagsAsTyped'
 
 /**
  * Runs one command line.
@@ -20,29 +13,16 @@
  * @public
  */
 export async function runCli(argv: readonly string[], io: CliIo): Promise<ExitCode> {
-  const cli = cac('cherryhitch')
-  const context = { cli, io }
-  registerServeCommand(context)
-  registerSubmitCommands(context)
-  registerViewCommands(context)
-  registerPresetCommand(context)
-  registerAuditCommand(context)
-  registerControlCommand(context)
-  registerSettingsCommand(context)
-  registerDemoCommand(context)
-  cli.command('version', 'Print the version').action(() => {
-    io.print(VERSION)
-  })
-  cli.help()
-  cli.version(VERSION)
+  const cli = createCli(io)
   try {
     cli.parse([...argv], { run: false })
     if (cli.options.help === true || cli.options.version === true) return ExitCode.Ok
     if (cli.matchedCommand === undefined) return explainMissing(cli.args[0], io)
+    keepAsTyped(cli, argv)
     await cli.runMatchedCommand()
     return ExitCode.Ok
   } catch (err) {
-    return explain(err, io)
+    return explain(err, cli, io)
   }
 }
 
@@ -52,16 +32,19 @@
   return ExitCode.Usage
 }
 
-function explain(err: unknown, io: CliIo): ExitCode {
+function explain(err: unknown, cli: CAC, io: CliIo): ExitCode {
   if (err instanceof CliError) {
     io.printError(err.message)
     io.printError(err.hint)
     return err.exitCode
   }
   if (err instanceof Error && err.name === 'CACError') {
+    const command = cli.matchedCommandName ?? ''
     io.printError(`${err.message}.`)
-    io.printError('See cherryhitch --help.')
+    io.printError(`See cherryhitch ${command} --help.`)
     return ExitCode.Usage
   }
-  throw err
+  io.printError(`A fault of the program: ${err instanceof Error ? err.stack : String(err)}`)
+  io.printError('Report this message.')
+  return ExitCode.Failed
 }
