--- a/packages/owner/src/lib/client/EndpointClient.test.ts
+++ b/packages/owner/src/lib/client/EndpointClient.test.ts
@@ -102,6 +102,21 @@
     })
   }
 
+  it('carries the token that guarded endpoints ask for', async () => {
+    const seen: unknown[] = []
+    server.handler = (req, _body, res) => {
+      seen.push(req.headers.authorization)
+      res.end('{"output":1,"runMs":1,"running":[]}')
+    }
+    const guarded = new EndpointClient(mailbox.tell, { token: 'secret' })
+    guarded.perform(makeRun(server.address))
+    await mailbox.next(OwnerEventKind.RunEnded)
+    guarded.perform({ kind: OwnerActionKind.Probe, endpoint: 'e1', address: server.address })
+    await mailbox.next(OwnerEventKind.ProbeEnded)
+    guarded.close()
+    assert.deepEqual(seen, ['Bearer secret', 'Bearer secret'])
+  })
+
   it('that was refused a connection was not run', async () => {
     const { address } = server
     await server.close()
--- a/packages/owner/src/lib/client/EndpointClient.ts
+++ b/packages/owner/src/lib/client/EndpointClient.ts
@@ -21,6 +21,8 @@
   readonly controlTimeoutMs: number
   /** Longest output of a task, in bytes. */
   readonly maxOutputBytes: number
+  /** Bearer token that guarded endpoints ask for. */
+  readonly token: string | undefined
 }
 
 /** @public */
@@ -28,6 +30,7 @@
   connectTimeoutMs: 500,
   controlTimeoutMs: 800,
   maxOutputBytes: 4_000_000,
+  token: undefined,
 }
 
 /** Totals of the client. @public */
@@ -56,16 +59,15 @@
 interface ControlRequest<T> {
   readonly endpoint: string
   readonly address: string
+  readonly method: string
   readonly path: string
   readonly body: string
   readonly read: (reply: HttpReply) => Result<T, string>
 }
 
-const JSON_HEADERS = { 'content-type': 'application/json' }
 /** Beyond the deadline the owner has ended the task by itself; the request is only cleaned up. */
 const AFTER_DEADLINE_MS = 10_000
-/** Of no meaning without tasks, but a lease has to be above 0. */
-const PROBE_LEASE_MS = 1
+const PROBE_PATH = '/v1/health'
 /** Connections of an endpoint that nothing was asked of for this long are forgotten. */
 const FORGET_AFTER_MS = 60_000
 
@@ -84,6 +86,7 @@
   private readonly endpoints = new Map<string, { pool: EndpointConnections; usedAt: number }>()
   private readonly runs = new Map<number, Fiber.Fiber<void>>()
   private readonly options: EndpointClientOptions
+  private readonly headers: Record<string, string> = { 'content-type': 'application/json' }
   private closed = false
 
   constructor(
@@ -91,6 +94,8 @@
     options: Partial<EndpointClientOptions> = {},
   ) {
     this.options = { ...defaultEndpointClientOptions, ...options }
+    const { token } = this.options
+    if (token !== undefined) this.headers.authorization = `Bearer ${token}`
   }
 
   perform(action: EndpointAction): void {
@@ -132,7 +137,7 @@
     this.counters.requests++
     const pool = this.pool(action.endpoint)
     pool.setShare(action.maxConnections)
-    const headers: Record<string, string> = { ...JSON_HEADERS }
+    const headers = { ...this.headers }
     if (action.traceparent !== '') headers.traceparent = action.traceparent
     const request = exchange({
       method: 'PUT',
@@ -179,7 +184,14 @@
 
   private stop(endpoint: string, address: string, taskIds: readonly string[]): void {
     const body = JSON.stringify({ taskIds })
-    const request = { endpoint, address, path: '/v1/stops', body, read: readStopsReply }
+    const request = {
+      endpoint,
+      address,
+      method: 'POST',
+      path: '/v1/stops',
+      body,
+      read: readStopsReply,
+    }
     this.control(request, true, (reply) => {
       const asked = new Set(taskIds)
       const results = reply?.results.filter((result) => asked.has(result.taskId)) ?? []
@@ -195,7 +207,14 @@
     leaseMs: number,
   ): void {
     const body = JSON.stringify({ leaseMs, taskIds })
-    const request = { endpoint, address, path: '/v1/leases', body, read: readLeasesReply }
+    const request = {
+      endpoint,
+      address,
+      method: 'POST',
+      path: '/v1/leases',
+      body,
+      read: readLeasesReply,
+    }
     this.control(request, true, (reply) => {
       const asked = new Set(taskIds)
       const known = reply?.running.filter((taskId) => asked.has(taskId))
@@ -204,11 +223,10 @@
     })
   }
 
-  /** An empty renewal on a new connection; whatever is answered, it is alive. */
+  /** On a new connection; whatever is answered, the endpoint is alive. */
   private probe(endpoint: string, address: string): void {
-    const body = JSON.stringify({ leaseMs: PROBE_LEASE_MS, taskIds: [] })
     const read = (): Result<true, string> => Ok(true)
-    const request = { endpoint, address, path: '/v1/leases', body, read }
+    const request = { endpoint, address, method: 'GET', path: PROBE_PATH, body: '', read }
     this.control(request, false, (reply) => {
       this.tell({ kind: OwnerEventKind.ProbeEnded, endpoint, alive: reply !== undefined })
     })
@@ -240,10 +258,10 @@
   private ask<T>(request: ControlRequest<T>, kept: boolean): Effect.Effect<T, string> {
     const pool = this.pool(request.endpoint)
     const answer = exchange({
-      method: 'POST',
+      method: request.method,
       address: request.address,
       path: request.path,
-      headers: JSON_HEADERS,
+      headers: this.headers,
       body: request.body,
       agent: kept ? pool.control : pool.fresh,
       connectTimeoutMs: this.options.connectTimeoutMs,
