--- a/apps/bench/src/lib/system/BenchSystem.ts
+++ b/apps/bench/src/lib/system/BenchSystem.ts
@@ -118,10 +118,23 @@
     })
     return Effect.timeoutOrElse(wait, {
       duration: READY_LIMIT_MS,
-      orElse: () => Effect.die(new Error(`the system did not get ready; see ${this.folder}`)),
+      orElse: () => Effect.promise(() => this.explainUnready()),
     })
   }
 
+  /** Says what is missing; always fails. */
+  private async explainUnready(): Promise<never> {
+    const states = await Promise.all(
+      this.daemons.map(async (daemon) => {
+        const operator = this.operator(daemon)
+        const ready = await operator.isReady()
+        const slots = await operator.knownSlots().catch(() => Number.NaN)
+        return `${daemon.place.instance}: ready ${String(ready)}, ${slots} slots known`
+      }),
+    )
+    throw new Error(`the system did not get ready; ${states.join('; ')}; see ${this.folder}`)
+  }
+
   private tellLinks(
     kind: LinkCommandKind.Cut | LinkCommandKind.Heal | LinkCommandKind.Silence,
     zone: string,
--- /dev/null
+++ b/apps/cherryhitch/src/lib/instance/becomeReady.ts
@@ -0,0 +1,37 @@
+import type { ControlNode } from '@cherryhitch/control'
+import { MembershipEventKind } from '@cherryhitch/membership'
+import { InstanceState } from '@cherryhitch/protocol'
+import { systemClock } from '@cherryhitch/runtime'
+import { Effect } from 'effect'
+import { InstancePhase } from './Readiness'
+import type { StartContext } from './StartContext'
+import { logOf } from './StartContext'
+import type { MembershipPart } from './startMembership'
+
+const SETTINGS_POLL_MS = 50
+
+/**
+ * Ready means that the settings in force are known, or that no quorum could be reached for them.
+ *
+ * @internal
+ */
+export function becomeReady(
+  { options, timing, parts }: StartContext,
+  control: ControlNode,
+  membership: MembershipPart,
+): Effect.Effect<void> {
+  const log = logOf(options, 'instance')
+  return Effect.gen(function* () {
+    const startedAt = systemClock.now()
+    while (control.settings()?.current !== true) {
+      if (systemClock.now() - startedAt >= timing.settingsWaitMs) {
+        log('no quorum confirms the settings, serving under the newest known ones')
+        break
+      }
+      yield* Effect.sleep(SETTINGS_POLL_MS)
+    }
+    membership.tell({ kind: MembershipEventKind.LocalState, state: InstanceState.SERVING })
+    parts.readiness.enter(InstancePhase.Serving)
+    log('ready')
+  })
+}
--- /dev/null
+++ b/apps/cherryhitch/src/lib/instance/startCoordinatorPart.ts
@@ -0,0 +1,53 @@
+import type { CoordinatorPart } from '@cherryhitch/coordinator'
+import { startCoordinator } from '@cherryhitch/coordinator'
+import type { KeyClaim } from '@cherryhitch/protocol'
+import { Effect } from 'effect'
+import type { Scope } from 'effect'
+import { claimThrough } from './claimThrough'
+import type { InstanceParts } from './InstanceParts'
+import type { StartContext } from './StartContext'
+import { firstPreset, logOf } from './StartContext'
+
+/** @internal */
+export function startCoordinatorPart(
+  context: StartContext,
+): Effect.Effect<CoordinatorPart, never, Scope.Scope> {
+  const { options, timing, boot, parts } = context
+  const { instance, zone, telemetry } = options
+  const coordinator = startCoordinator({
+    instance,
+    zone,
+    boot,
+    preset: firstPreset(),
+    timing: { leaseMs: timing.leaseMs },
+    send: parts.send,
+    claim: (claim) => {
+      claimKey(parts, claim)
+    },
+    endClaim: (end) => {
+      parts.control.use((control) => {
+        control.endClaim(end)
+      })
+    },
+    onSpan: (span) => {
+      telemetry.recordSpan(span)
+    },
+    onDrained: () => {
+      context.coordinatorDrained.set()
+    },
+    log: logOf(options, 'coordinator'),
+  })
+  return Effect.tap(coordinator, (part) =>
+    Effect.sync(() => {
+      parts.coordinator.bind(part)
+    }),
+  )
+}
+
+function claimKey(parts: InstanceParts, claim: KeyClaim): void {
+  parts.control.use((control) => {
+    parts.coordinator.use((coordinator) => {
+      Effect.runFork(claimThrough(control, claim, coordinator.tell))
+    })
+  })
+}
