Take results from whoever had a task, and keep passed-on tasks from going back

A result from an owner that refused the task before was dropped, although the task may have been passed on to it since; only its "not run" is a repetition. An owner that passed a task on is not chosen for it again.

--- a/packages/coordinator/src/lib/jobs/Job.ts
+++ b/packages/coordinator/src/lib/jobs/Job.ts
@@ -28,8 +28,8 @@
    * of an earlier attempt can't be taken for one of the present attempt.
    */
   refusedBy: readonly string[]
-  /** Instances that fenced its id without ever having had it: they would refuse it. */
-  fencedAt: readonly string[]
+  /** Instances that would not queue it: they fenced its id, or passed it on to another one. */
+  avoided: readonly string[]
 }
 
 /** Where a job stands with its coordinator. @internal */
@@ -103,7 +103,7 @@
       attempt: 0,
       output: '',
       refusedBy: NOBODY,
-      fencedAt: NOBODY,
+      avoided: NOBODY,
     }))
   }
 
--- a/packages/coordinator/src/lib/placement/LossWatch.test.ts
+++ b/packages/coordinator/src/lib/placement/LossWatch.test.ts
@@ -2,7 +2,13 @@
 import { describe, it } from 'node:test'
 import { FenceState, JobState, Outcome, Reason } from '@cherryhitch/protocol'
 import type { MemberInit } from '../fixtures/CoordinatorFixture'
-import { CoordinatorFixture, makeSpec, SELF, succeeded } from '../fixtures/CoordinatorFixture'
+import {
+  CoordinatorFixture,
+  makeSpec,
+  notRun,
+  SELF,
+  succeeded,
+} from '../fixtures/CoordinatorFixture'
 
 /** Lease, margin and a tick. */
 const LEASE_END_MS = 3320
@@ -81,6 +87,18 @@
   })
 })
 
+describe('an owner that passed tasks on', () => {
+  it('does not get them back when the next one refuses them', () => {
+    const fixture = placedAtA2()
+    const members = [self, { instance: 'a2' }, { instance: 'a3' }, { instance: 'b2', zone: 'b' }]
+    fixture.members(...members)
+    fixture.fence('a3', fixture.jobId, FenceState.IN_PROGRESS, 0, 1)
+    fixture.report('a3', fixture.jobId, notRun(0), notRun(1))
+    fixture.advance(RETRY_MS)
+    assert.deepEqual(fixture.placed, ['a2:0,1', 'b2:0,1'])
+  })
+})
+
 describe('an owner that never saw the tasks', () => {
   it('is believed once a later view shows the boot that was asked', () => {
     const fixture = placedAtA2()
--- a/packages/coordinator/src/lib/placement/LossWatch.ts
+++ b/packages/coordinator/src/lib/placement/LossWatch.ts
@@ -108,6 +108,9 @@
       if (state === FenceState.NEVER_SEEN && this.isNeverSeen(now, from, task)) notRun.push(task)
       if (state !== FenceState.IN_PROGRESS || this.isKnownOwner(from, task)) continue
       adopted ??= this.adoptingPlacement(now, job, from)
+      if (task.placement !== undefined && task.placement.owner !== from) {
+        avoid(task, task.placement.owner)
+      }
       this.flight.passOn(now, task, adopted)
     }
     this.withdraw(now, job, notRun, from)
@@ -147,7 +150,7 @@
     const { placement } = task
     if (placement === undefined) return false
     if (placement.owner !== from) {
-      if (!task.fencedAt.includes(from)) task.fencedAt = [...task.fencedAt, from]
+      avoid(task, from)
       return false
     }
     if (placement.isAdopted) {
@@ -218,6 +221,10 @@
   }
 }
 
+function avoid(task: TaskRecord, instance: string): void {
+  if (!task.avoided.includes(instance)) task.avoided = [...task.avoided, instance]
+}
+
 function ownerOf(task: TaskRecord): string {
   return task.placement?.owner ?? ''
 }
--- a/packages/coordinator/src/lib/placement/ReportDesk.test.ts
+++ b/packages/coordinator/src/lib/placement/ReportDesk.test.ts
@@ -186,6 +186,17 @@
     assert.equal(fixture.machine.counters.lateReports, 1)
   })
 
+  it('but a result does, from whoever had the task before', () => {
+    const fixture = withOwners('a2')
+    const request = fixture.submit(makeSpec())
+    fixture.report('a2', fixture.jobId, notRun(0, Reason.DRAINING))
+    fixture.members({ instance: SELF, slots: 0 }, { instance: 'a3' })
+    fixture.advance(RETRY_MS)
+    assert.deepEqual(fixture.placed, ['a2:0', 'a3:0'])
+    fixture.report('a2', fixture.jobId, succeeded(0))
+    assert.equal(fixture.reply(request)?.state, JobState.SUCCEEDED)
+  })
+
   it('but one from an owner that the task was passed on to does', () => {
     const fixture = withOwners('a2')
     const request = fixture.submit(makeSpec())
--- a/packages/coordinator/src/lib/placement/ReportDesk.ts
+++ b/packages/coordinator/src/lib/placement/ReportDesk.ts
@@ -50,7 +50,7 @@
     let failure: JobProblem | undefined
     const notRun: NotRun[] = []
     for (const report of reports) {
-      const task = this.findTask(job, from, report.index)
+      const task = this.findTask(job, from, report)
       if (task === undefined) continue
       if (report.outcome === Outcome.NOT_RUN) {
         this.flight.withdraw(now, task, from)
@@ -92,15 +92,17 @@
     )
   }
 
-  private findTask(job: Job, from: string, index: number): TaskRecord | undefined {
+  private findTask(job: Job, from: string, report: TaskReport): TaskRecord | undefined {
     const { counters } = this.context
-    const task = job.tasks[index]
+    const task = job.tasks[report.index]
     if (task === undefined) {
       counters.foreignReports++
       return undefined
     }
-    // One that said "not run" before repeats itself: the task is with another owner now.
-    if (task.phase !== TaskPhase.InFlight || task.refusedBy.includes(from)) {
+    // One that said "not run" before may repeat itself: the task is with another owner now. Any
+    // other word of it counts, as the task may have been passed on to it since.
+    const isRepeated = report.outcome === Outcome.NOT_RUN && task.refusedBy.includes(from)
+    if (task.phase !== TaskPhase.InFlight || isRepeated) {
       counters.repeatedReports++
       return undefined
     }
--- a/packages/coordinator/src/lib/placement/TaskPlacement.ts
+++ b/packages/coordinator/src/lib/placement/TaskPlacement.ts
@@ -99,12 +99,12 @@
   }
 }
 
-/** No owner that said "not run", or where the id is fenced, gets the task again. */
+/** No owner that said "not run", fenced the id or passed the task on gets it again. */
 function withoutRefusing(
   offers: readonly OwnerOffer[],
   tasks: readonly TaskRecord[],
 ): readonly OwnerOffer[] {
-  const refusing = new Set(tasks.flatMap((task) => [...task.refusedBy, ...task.fencedAt]))
+  const refusing = new Set(tasks.flatMap((task) => [...task.refusedBy, ...task.avoided]))
   if (refusing.size === 0) return offers
   return offers.filter((offer) => !refusing.has(offer.instance))
 }
