Handle requests in bounded turns, so that new connections are accepted under load

Node accepts one connection in a turn of the event loop, and a turn handled all requests that were ready. Requests now wait in a queue of which each turn takes 1 ms; the waiting comes off the job's deadline, and what a client that has gone left waiting is not begun.

--- a/packages/http-api/src/lib/callers/createJobSpec.ts
+++ b/packages/http-api/src/lib/callers/createJobSpec.ts
@@ -8,16 +8,22 @@
   readonly caller: string
   readonly submissionKey: string
   readonly traceparent: string
-  /** Deadline when the body states none, in milliseconds from now. */
+  /** Deadline when the body states none, in milliseconds. */
   readonly defaultDeadlineMs: number
+  /** How long the request has been here already, in milliseconds. */
+  readonly waitedMs: number
 }
 
+/** A deadline that has passed is passed on as this: 0 could be read as none. */
+const SHORTEST_DEADLINE_MS = 1
+
 /** Makes the message of a job from its checked body. @internal */
 export function createJobSpec(body: JobBody, context: JobContext): JobSpec {
+  const deadlineMs = body.deadlineMs ?? context.defaultDeadlineMs
   return create(JobSpecSchema, {
     caller: context.caller,
     submissionKey: context.submissionKey,
-    deadlineInMs: body.deadlineMs ?? context.defaultDeadlineMs,
+    deadlineInMs: Math.max(SHORTEST_DEADLINE_MS, deadlineMs - context.waitedMs),
     idempotent: body.idempotent,
     tasks: body.tasks.map(createTaskSpec),
     traceparent: context.traceparent,
--- a/packages/http-api/src/lib/callers/submitJob.ts
+++ b/packages/http-api/src/lib/callers/submitJob.ts
@@ -44,6 +44,7 @@
       submissionKey: key,
       traceparent: readTraceparent(req.headers) ?? nextTraceparent(),
       defaultDeadlineMs: limits.defaultDeadlineMs,
+      waitedMs: req.now - req.receivedAt,
     })
     const respondAsync = prefersAsync(req.headers)
     return Effect.map(jobs.submit(spec, respondAsync), (answer) =>
--- a/packages/http-api/src/lib/exchange/ApiRequest.ts
+++ b/packages/http-api/src/lib/exchange/ApiRequest.ts
@@ -10,6 +10,8 @@
   readonly sender: string
   /** Text of the body; empty when the route takes none. */
   readonly body: string
-  /** When the body was received, in milliseconds since the epoch. */
+  /** When its head was received, in milliseconds since the epoch. */
+  readonly receivedAt: number
+  /** The present time, in milliseconds since the epoch. */
   readonly now: number
 }
--- a/packages/http-api/src/lib/exchange/Exchange.ts
+++ b/packages/http-api/src/lib/exchange/Exchange.ts
@@ -28,6 +28,7 @@
   private fiber: Fiber.Fiber<Reply, RequestError> | undefined
   private body: BodyReader | undefined
   private ended = false
+  private readonly receivedAt: number
 
   constructor(
     private readonly host: ExchangeHost,
@@ -35,6 +36,7 @@
     private readonly res: ServerResponse,
     private readonly place: ExchangePlace,
   ) {
+    this.receivedAt = host.clock.now()
     // A write to a connection that has just closed; `abandon` follows.
     res.on('error', (err) => {
       host.log(`an answer could not be sent: ${err.message}`)
@@ -52,8 +54,11 @@
       this.refuse(admitted.val)
       return
     }
-    if (!admitted.val.route.takesBody) {
-      this.run(admitted.val, '')
+    const { route } = admitted.val
+    if (!route.takesBody) {
+      // Probes are answered at once: they ask whether this process keeps up.
+      if (route.open === true) this.run(admitted.val, '')
+      else this.await(admitted.val, '')
       return
     }
     const fault = checkBodyHead(this.req, this.host.limits)
@@ -97,17 +102,25 @@
   private receiveBody(admitted: Admitted): void {
     const { limits, budget } = this.host
     this.body = new BodyReader(this.req, limits, budget, (result) => {
-      if (result.ok) this.run(admitted, result.val)
+      if (result.ok) this.await(admitted, result.val)
       else this.refuse(result.val)
     })
   }
 
+  /** Waits for a turn. The client may be gone before it comes. */
+  private await(admitted: Admitted, body: string): void {
+    this.host.turns.add(() => {
+      this.run(admitted, body)
+    })
+  }
+
   private run({ route, params, query, sender }: Admitted, body: string): void {
     if (this.ended) return
     this.body?.release()
     const now = this.host.clock.now()
     const { headers } = this.req
-    const request = { params, query, headers, sender, body, now }
+    const { receivedAt } = this
+    const request = { params, query, headers, sender, body, receivedAt, now }
     // Suspended, so that a handler that throws ends as a defect of the fiber.
     this.fiber = Effect.runFork(Effect.suspend(() => route.handle(request)))
     this.fiber.addObserver((exit) => {
--- a/packages/http-api/src/lib/measure/measureSteps.ts
+++ b/packages/http-api/src/lib/measure/measureSteps.ts
@@ -18,7 +18,13 @@
 const ROUNDS = 5
 const MICROS = 1000
 const note = 'x'.repeat(120)
-const context = { caller: 'desk', submissionKey: '', traceparent: '', defaultDeadlineMs: 1000 }
+const context = {
+  caller: 'desk',
+  submissionKey: '',
+  traceparent: '',
+  defaultDeadlineMs: 1000,
+  waitedMs: 0,
+}
 
 /** Shortest mean of several rounds, as other work on the machine only ever adds. */
 function measure(turns: number, step: () => unknown): number {
--- a/packages/http-api/src/lib/server/HttpServerOptions.ts
+++ b/packages/http-api/src/lib/server/HttpServerOptions.ts
@@ -1,3 +1,5 @@
+import { performance } from 'node:perf_hooks'
+
 /** Bounds on what one client, and all of them together, may ask of an HTTP server. @public */
 export interface HttpLimits {
   /** Largest request body, in bytes. */
@@ -20,6 +22,8 @@
   readonly connections: number
   /** Requests of one connection that are not answered yet (HTTP pipelining). */
   readonly pipelinedRequests: number
+  /** Time for handling requests in one turn of the event loop, in milliseconds. */
+  readonly turnBudgetMs: number
   /** Deadline of a job whose caller states none, in milliseconds. */
   readonly defaultDeadlineMs: number
   /** Longest deadline that a caller may state, in milliseconds. */
@@ -43,6 +47,7 @@
   lingerMs: 1000,
   connections: 10_000,
   pipelinedRequests: 16,
+  turnBudgetMs: 1,
   defaultDeadlineMs: 60_000,
   maxDeadlineMs: 3_600_000,
 }
@@ -77,7 +82,12 @@
   return { ...defaultHttpLimits, ...options.limits }
 }
 
+/** Wall clock at the start of the process, moved on by the monotonic clock. */
+const monotonicClock: HttpClock = {
+  now: () => performance.timeOrigin + performance.now(),
+}
+
 /** The clock of the options, or the machine's. @internal */
 export function resolveClock(options: HttpServerOptions): HttpClock {
-  return options.clock ?? Date
+  return options.clock ?? monotonicClock
 }
--- a/packages/http-api/src/lib/server/ServerHost.ts
+++ b/packages/http-api/src/lib/server/ServerHost.ts
@@ -1,11 +1,13 @@
 import type http from 'node:http'
 import https from 'node:https'
 import type { Socket } from 'node:net'
+import { performance } from 'node:perf_hooks'
 import { Effect } from 'effect'
 import type { Authenticator } from '../auth/Authenticator'
 import { BodyBudget } from '../exchange/BodyBudget'
 import { Exchange } from '../exchange/Exchange'
 import type { ExchangeHost } from '../exchange/ExchangeHost'
+import { TurnQueue } from '../exchange/TurnQueue'
 import { RequestError, RequestErrorKind } from '../problems/RequestError'
 import type { Router } from '../routing/Router'
 import { ConnectionTable } from './ConnectionTable'
@@ -28,6 +30,7 @@
 export class ServerHost implements ExchangeHost, HttpServer {
   readonly limits: HttpLimits
   readonly budget: BodyBudget
+  readonly turns: TurnQueue
   readonly router: Router
   readonly auth: Authenticator
   readonly clock: HttpClock
@@ -46,6 +49,8 @@
     this.clock = options.clock
     this.log = options.log
     this.budget = new BodyBudget(options.limits.bufferedBytes)
+    const monotonic = (): number => performance.now()
+    this.turns = new TurnQueue(options.limits.turnBudgetMs, monotonic, setImmediate)
     this.whenIdle = Effect.callback<undefined>((resume) => {
       const giveUp = this.table.whenIdle(() => {
         resume(Effect.succeed(undefined))
