Believe "never seen" only while owners remember what ended

Owners forget ended tasks after 60 s. With a long expected wait the first question about a late task came later than that, and an owner that had forgotten the task would have got it placed a second time elsewhere.

--- a/packages/coordinator/src/lib/CoordinatorOptions.ts
+++ b/packages/coordinator/src/lib/CoordinatorOptions.ts
@@ -49,6 +49,13 @@
   readonly drainAnswersMs: number
   /** A task this much later than expected is asked after at its owner. */
   readonly askAfterMs: number
+  /** The first question comes after this at the latest, however long the wait is expected to be. */
+  readonly askAfterMaxMs: number
+  /**
+   * An owner's "never seen" counts for tasks placed this lately. It has to be shorter than owners
+   * remember ended tasks, which is 60 s: one that forgot a task would seem never to have seen it.
+   */
+  readonly fenceTrustMs: number
   /** Longest time between two such questions about one job. */
   readonly askEveryMaxMs: number
   /** Least time between two messages of cancellations to one owner; waves are sent together. */
@@ -68,6 +75,8 @@
   ownerPatienceMs: 1000,
   drainAnswersMs: 5000,
   askAfterMs: 1000,
+  askAfterMaxMs: 20_000,
+  fenceTrustMs: 50_000,
   askEveryMaxMs: 8000,
   cancelBatchMs: 20,
 }
--- a/packages/coordinator/src/lib/placement/LossWatch.test.ts
+++ b/packages/coordinator/src/lib/placement/LossWatch.test.ts
@@ -152,6 +152,20 @@
     assert.deepEqual(fixture.placed, ['a2:0,1'])
   })
 
+  it('is not believed when it may have forgotten them', () => {
+    const fixture = new CoordinatorFixture()
+    fixture.members(self, { instance: 'a2' })
+    const request = fixture.submit(makeSpec({ deadlineInMs: 100_000 }))
+    fixture.advance(51_000)
+    fixture.members(self, { instance: 'a2' }, { instance: 'b2', zone: 'b' })
+    fixture.fence('a2', fixture.jobId, FenceState.NEVER_SEEN, 0)
+    fixture.advance(10)
+    view(fixture, {})
+    fixture.advance(LEASE_END_MS)
+    assert.deepEqual(fixture.placed, ['a2:0'])
+    assert.equal(fixture.reply(request)?.outcome, Outcome.UNKNOWN)
+  })
+
   it('does not speak for the owner that has them', () => {
     const fixture = placedAtA2()
     fixture.fence('b2', fixture.jobId, FenceState.NEVER_SEEN, 0, 1)
--- a/packages/coordinator/src/lib/placement/LossWatch.ts
+++ b/packages/coordinator/src/lib/placement/LossWatch.ts
@@ -153,7 +153,8 @@
       avoid(task, from)
       return false
     }
-    if (placement.isAdopted) {
+    const isTooOld = now - placement.placedAt > this.context.timing.fenceTrustMs
+    if (placement.isAdopted || isTooOld) {
       this.disown(now, task, placement)
       return false
     }
@@ -166,8 +167,9 @@
   }
 
   /**
-   * An owner that said it has a task says now that it never saw it: the first word came from an
-   * earlier boot. What that one started is not known, so the task ends as unknown after a lease.
+   * An owner's "never seen" proves nothing. It may have forgotten the task; or it said before that
+   * it has the task, which was an earlier boot of it then. What was started is not known, so the
+   * task ends as unknown after a lease.
    */
   private disown(now: number, task: TaskRecord, { owner, spanId }: Placement): void {
     const { due, timing } = this.context
--- a/packages/coordinator/src/lib/placement/TaskPlacement.ts
+++ b/packages/coordinator/src/lib/placement/TaskPlacement.ts
@@ -92,7 +92,9 @@
   }
 
   private scheduleQuestion(now: number, job: Job, expectedMs: number): void {
-    const at = now + Math.max(this.context.timing.askAfterMs, LATE_FACTOR * expectedMs)
+    const { askAfterMs, askAfterMaxMs } = this.context.timing
+    const lateMs = Math.min(Math.max(askAfterMs, LATE_FACTOR * expectedMs), askAfterMaxMs)
+    const at = now + lateMs
     if (at >= job.deadlineAt || job.questionDue) return
     job.questionDue = true
     this.context.due.schedule(at, { kind: DueKind.AskAfterLate, sequence: job.sequence })
@@ -104,7 +106,11 @@
   offers: readonly OwnerOffer[],
   tasks: readonly TaskRecord[],
 ): readonly OwnerOffer[] {
-  const refusing = new Set(tasks.flatMap((task) => [...task.refusedBy, ...task.avoided]))
+  const refusing = new Set<string>()
+  for (const task of tasks) {
+    for (const instance of task.refusedBy) refusing.add(instance)
+    for (const instance of task.avoided) refusing.add(instance)
+  }
   if (refusing.size === 0) return offers
   return offers.filter((offer) => !refusing.has(offer.instance))
 }
