--- a/apps/cherryhitch/src/lib/cli/commands/audit/auditCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/audit/auditCommand.ts
@@ -74,7 +74,7 @@
     headings,
     rows.map((row) => [
       row.position,
-      row.at,
+      row.atMs === 0 ? UNTIMED : row.at,
       row.kind,
       row.version,
       shorten(row.from),
@@ -86,6 +86,8 @@
   )
 }
 
+/** The first record: each of the first voters makes it by itself, and all have to make the same. */
+const UNTIMED = 'first start'
 const MAX_CELL_LENGTH = 40
 
 /** Definitions of presets are long; `audit show` prints them whole. */
--- a/apps/cherryhitch/src/lib/cli/commands/audit/readAuditRows.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/audit/readAuditRows.ts
@@ -1,9 +1,8 @@
-import { CliError, usageError } from '../../CliError'
-import { ExitCode } from '../../ExitCode'
+import { usageError } from '../../CliError'
 import { wholeNumber } from '../../flags/wholeNumber'
 import type { ConnectionFlags, HttpClient } from '../../http/HttpClient'
 import type { AuditRow } from '../../http/operatorViews'
-import { requireGood } from '../../http/problems'
+import { requireRead, unreachableQuorum } from '../../http/problems'
 import { readAuditFile } from './readAuditFile'
 
 /** @internal */
@@ -65,14 +64,10 @@
   limit: number,
 ): Promise<readonly AuditRow[]> {
   const path = `/v1/audit?from=${from}&limit=${limit}`
-  const page = requireGood(await client.ask({ method: 'GET', path })) as {
+  const page = requireRead(await client.ask({ method: 'GET', path })) as {
     readonly current: boolean
     readonly records: readonly AuditRow[]
   }
   if (page.current) return page.records
-  throw new CliError(
-    ExitCode.Unreachable,
-    'The quorum of voters can not be reached, so the record can not be read.',
-    'Ask again later, or an instance of another zone.',
-  )
+  throw unreachableQuorum('The quorum of voters can not be reached, so the record can not be read.')
 }
--- a/apps/cherryhitch/src/lib/cli/commands/changes.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/changes.ts
@@ -51,6 +51,7 @@
   if (reason === undefined || reason.trim() === '') {
     throw usageError('--reason is missing.', 'Auditors read it: say why.')
   }
+  requireOperator(flags, io)
   const commandId = flags.commandId ?? randomUUID()
   io.printError(`command id ${commandId}`)
   const { method, path } = change
@@ -63,6 +64,14 @@
   }
 }
 
+/** The record names who made a change: the token says it, or else the operator does. */
+function requireOperator({ operator, tokenFile }: ChangeFlags, { env }: CliIo): void {
+  if (operator !== undefined) return
+  if (tokenFile !== undefined || env.CHERRYHITCH_TOKEN_FILE !== undefined) return
+  const hint = 'Give --operator NAME, or --token-file where the settings have tokens.'
+  throw usageError('Nobody is named for the audit record.', hint)
+}
+
 /** Tells how to learn what became of the change, or what to read before the next one. */
 function withAdvice(err: unknown, commandId: string): unknown {
   if (!(err instanceof CliError)) return err
--- a/apps/cherryhitch/src/lib/cli/commands/control/controlCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/control/controlCommand.ts
@@ -3,7 +3,7 @@
 import type { CommandContext } from '../../CommandContext'
 import { operatorClient, operatorOptions, printAnswer } from '../../CommandContext'
 import type { VotersRow } from '../../http/operatorViews'
-import { requireGood } from '../../http/problems'
+import { requireRead } from '../../http/problems'
 import type { ChangeFlags } from '../changes'
 import { changeOptions, proposeChange } from '../changes'
 import { describeVoters } from './describeVoters'
@@ -46,7 +46,7 @@
   }
   if (action === 'status') {
     const question = { method: 'GET', path: '/v1/voters' } as const
-    const voters = requireGood(await operatorClient(flags, io).ask(question)) as VotersRow
+    const voters = requireRead(await operatorClient(flags, io).ask(question)) as VotersRow
     printAnswer(io, flags, voters, () => describeVoters(voters))
     return
   }
--- a/apps/cherryhitch/src/lib/cli/commands/presets/presetCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/presets/presetCommand.ts
@@ -5,7 +5,7 @@
 import { wholeNumber } from '../../flags/wholeNumber'
 import type { HttpClient } from '../../http/HttpClient'
 import type { SettingsRow } from '../../http/operatorViews'
-import { requireGood } from '../../http/problems'
+import { requireRead } from '../../http/problems'
 import type { ChangeFlags } from '../changes'
 import { changeOptions, proposeChange } from '../changes'
 import { describePreset, describeSettings, presetTable } from './describePresets'
@@ -55,7 +55,7 @@
 }
 
 async function readSettings(client: HttpClient): Promise<SettingsRow> {
-  return requireGood(await client.ask({ method: 'GET', path: '/v1/settings' })) as SettingsRow
+  return requireRead(await client.ask({ method: 'GET', path: '/v1/settings' })) as SettingsRow
 }
 
 async function showInForce(flags: PresetFlags, io: CliIo): Promise<void> {
--- a/apps/cherryhitch/src/lib/cli/commands/viewCommands.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/viewCommands.ts
@@ -3,7 +3,7 @@
 import { operatorClient, operatorOptions, printAnswer } from '../CommandContext'
 import type { ConnectionFlags } from '../http/HttpClient'
 import type { EndpointRow, InstanceRow, JobRow } from '../http/operatorViews'
-import { requireGood } from '../http/problems'
+import { requireRead } from '../http/problems'
 import { endpointTable, instanceTable, jobTable } from './viewTables'
 
 /** Registers the commands by which operators look at the system. @internal */
@@ -33,5 +33,5 @@
 }
 
 async function read(path: string, flags: ConnectionFlags, io: CliIo): Promise<unknown> {
-  return requireGood(await operatorClient(flags, io).ask({ method: 'GET', path }))
+  return requireRead(await operatorClient(flags, io).ask({ method: 'GET', path }))
 }
--- a/apps/cherryhitch/src/lib/cli/http/operatorViews.ts
+++ b/apps/cherryhitch/src/lib/cli/http/operatorViews.ts
@@ -74,6 +74,8 @@
   readonly to: string
   readonly version: number
   readonly at: string
+  /** Milliseconds since the epoch. */
+  readonly atMs: number
   readonly instance: string
   readonly hash: string
 }
--- a/apps/cherryhitch/src/lib/cli/http/problems.ts
+++ b/apps/cherryhitch/src/lib/cli/http/problems.ts
@@ -7,6 +7,7 @@
 const FORBIDDEN = 403
 const CONFLICT = 409
 const UNPROCESSABLE = 422
+const UNAVAILABLE = 503
 
 interface ProblemFields {
   readonly title?: unknown
@@ -58,3 +59,24 @@
     hintOf(status, problem),
   )
 }
+
+/**
+ * The same for a read by an operator, where nothing could have run.
+ *
+ * @throws CliError
+ * @internal
+ */
+export function requireRead(answer: HttpAnswer): unknown {
+  if (answer.status !== UNAVAILABLE) return requireGood(answer)
+  const problem = isProblem(answer.body) ? answer.body : {}
+  throw unreachableQuorum(detailOf(answer.status, problem))
+}
+
+/** What can only be read through the quorum can't be read now. @internal */
+export function unreachableQuorum(message: string): CliError {
+  return new CliError(
+    ExitCode.Unreachable,
+    message,
+    'Ask again later, or an instance of another zone.',
+  )
+}
