Find silent connections by the ids that heartbeats list

A running task that a heartbeat leaves out is asked about 200 ms later, not when its lease is half over.

--- a/packages/owner/src/lib/dispatch/Dispatcher.ts
+++ b/packages/owner/src/lib/dispatch/Dispatcher.ts
@@ -126,6 +126,8 @@
     task.dispatchedAt = now
     task.unansweredRenewals = 0
     task.missedAt = undefined
+    task.doubtedAt = undefined
+    task.vouched = false
     task.lastChance = undefined
     task.runSpanId = undefined
     record.occupy(task)
--- a/packages/owner/src/lib/endpoints/EndpointDirectory.ts
+++ b/packages/owner/src/lib/endpoints/EndpointDirectory.ts
@@ -6,8 +6,11 @@
 import type { OwnerContext } from '../OwnerContext'
 import type { TaskRecord } from '../tasks/TaskRecord'
 import { TaskPhase } from '../tasks/TaskRecord'
+import { CROSSING_MS } from '../recovery/crossing'
 import { EndpointReach, EndpointRecord } from './EndpointRecord'
 
+/** By then a request has reached its endpoint, and the next heartbeat lists it. */
+const ARRIVAL_MS = 300
 /** Endpoints that were passed on lately are remembered up to this number. */
 const MAX_FORWARDED = 10_000
 
@@ -101,6 +104,7 @@
     // It sends, so it may be reached again as well.
     if (record.reach === EndpointReach.Unreachable) record.nextProbeAt = now
     this.confirmFences(now, record)
+    this.doubtUnlisted(now, record)
     this.hold(now, record)
     this.ctx.refresh(record)
   }
@@ -146,6 +150,23 @@
     }
   }
 
+  /**
+   * A running task that a heartbeat does not list has ended or never arrived: its connection may
+   * be silent. It is looked into once its answer had time to come; that costs no message before.
+   */
+  private doubtUnlisted(now: number, record: EndpointRecord): void {
+    if (record.running.size === 0) return
+    const listed = new Set(record.announcement.runningTaskIds)
+    for (const task of record.running.values()) {
+      const arrived = now - task.dispatchedAt >= ARRIVAL_MS
+      if (listed.has(task.taskId)) task.doubtedAt = undefined
+      else if (arrived && task.phase === TaskPhase.Running && !task.vouched) {
+        task.doubtedAt ??= now
+        record.due(task.doubtedAt + CROSSING_MS)
+      }
+    }
+  }
+
   /** Running tasks that were not dispatched from here hold slots too. */
   private hold(now: number, record: EndpointRecord): void {
     const until = now + this.ctx.timing.endpointTimeoutMs
--- a/packages/owner/src/lib/recovery/LeaseKeeper.test.ts
+++ b/packages/owner/src/lib/recovery/LeaseKeeper.test.ts
@@ -59,6 +59,34 @@
     assert.equal(owner.last(OwnerActionKind.DropRun).run, silent.run)
   })
 
+  it('are asked for early when a heartbeat does not list a task', () => {
+    const owner = running([0, 1])
+    owner.heartbeat({ endpoint: 'e2' })
+    const missing = owner.openRuns.find((run) => run.endpoint === 'e1')
+    const others = owner.openRuns.filter((run) => run !== missing)
+    const runningTaskIds = others.map((run) => run.taskId)
+    owner.pass(400)
+    owner.heartbeat({ runningTaskIds })
+    owner.pass(150)
+    assert.equal(owner.all(OwnerActionKind.RenewLeases).length, 0, 'its answer may be on its way')
+    owner.pass(100)
+    assert.deepEqual(owner.last(OwnerActionKind.RenewLeases).taskIds, [missing?.taskId])
+    owner.endRenewal([])
+    owner.endStops(StopState.Ended, 1)
+    assert.equal(owner.runOf(missing?.taskId).join, true)
+    assert.equal(owner.all(OwnerActionKind.CloseIdle).length, 1)
+  })
+
+  it('that are renewed count for more than what heartbeats list', () => {
+    const owner = running()
+    owner.pass(400)
+    owner.heartbeat({ runningTaskIds: [] })
+    owner.pass(250)
+    owner.endRenewal([`${JOB}.0`])
+    owner.passWithHeartbeats(1200, { runningTaskIds: [] })
+    assert.equal(owner.machine.counters.renewMessages, 1)
+  })
+
   it('are not asked for again once the answer came', () => {
     const owner = running()
     owner.passWithHeartbeats(1600, {})
--- a/packages/owner/src/lib/recovery/LeaseKeeper.ts
+++ b/packages/owner/src/lib/recovery/LeaseKeeper.ts
@@ -7,6 +7,7 @@
 import type { OwnerContext } from '../OwnerContext'
 import type { TaskRecord } from '../tasks/TaskRecord'
 import { TaskPhase } from '../tasks/TaskRecord'
+import { CROSSING_MS } from './crossing'
 import type { LostTasks } from './LostTasks'
 
 /** A task whose renewals stay without answer this often is left to run out. */
@@ -98,13 +99,8 @@
     if (record.renewAsked !== undefined || record.reach === EndpointReach.Unreachable) return
     const { leaseMs } = this.ctx.timing
     const wanted = [...record.running.values()].filter((task) => this.mayRenew(now, task))
-    const urgent = wanted.some(
-      (task) => task.phase === TaskPhase.Checking || now - task.leasedAt >= leaseMs / 2,
-    )
-    if (!urgent) return
-    const old = wanted.filter(
-      (task) => task.phase === TaskPhase.Checking || now - task.leasedAt >= leaseMs / 3,
-    )
+    if (!wanted.some((task) => isUnclear(now, task) || now - task.leasedAt >= leaseMs / 2)) return
+    const old = wanted.filter((task) => isUnclear(now, task) || now - task.leasedAt >= leaseMs / 3)
     const taskIds = old.map((task) => task.taskId)
     record.renewAsked = taskIds
     record.renewAskedAt = now
@@ -124,7 +120,9 @@
     let at = this.ctx.leaseEnd(task)
     if (task.lastChance !== undefined) at = Math.min(at, task.lastChance.until)
     if (!task.muted && task.deadlineAt > now) at = Math.min(at, task.deadlineAt)
-    const renewAt = Math.max(task.leasedAt + leaseMs / 2, task.recheckAt)
+    let renewAt = task.leasedAt + leaseMs / 2
+    if (task.doubtedAt !== undefined) renewAt = Math.min(renewAt, task.doubtedAt + CROSSING_MS)
+    renewAt = Math.max(renewAt, task.recheckAt)
     if (task.phase === TaskPhase.Running) return Math.min(at, renewAt)
     return Math.min(at, Math.max(task.recheckAt, now))
   }
@@ -140,3 +138,9 @@
     }
   }
 }
+
+/** Whether it has to be asked for at once whether the task runs. */
+function isUnclear(now: number, task: TaskRecord): boolean {
+  if (task.phase === TaskPhase.Checking) return true
+  return task.doubtedAt !== undefined && now - task.doubtedAt >= CROSSING_MS
+}
--- a/packages/owner/src/lib/recovery/LostTasks.ts
+++ b/packages/owner/src/lib/recovery/LostTasks.ts
@@ -11,10 +11,9 @@
 import { OwnerActionKind } from '../OwnerAction'
 import type { OwnerContext } from '../OwnerContext'
 import type { TaskRecord } from '../tasks/TaskRecord'
+import { CROSSING_MS } from './crossing'
 import { TaskPhase } from '../tasks/TaskRecord'
 
-/** An answer that crossed with the question gets this long before the question is believed. */
-const CROSSING_MS = 200
 /** A heartbeat that confirms a fence has to come this much later, so that none from before counts. */
 const CONFIRM_MARGIN_MS = 100
 
@@ -41,6 +40,8 @@
     task.leasedAt = record.renewAskedAt
     task.unansweredRenewals = 0
     task.missedAt = undefined
+    task.doubtedAt = undefined
+    task.vouched = true
     task.recheckAt = 0
     if (boot !== undefined) task.endpointBoot = boot
     if (task.phase === TaskPhase.Checking) this.dispatcher.join(now, task)
@@ -49,7 +50,9 @@
   /** The endpoint answered the renewal, but does not run the task. */
   missed(now: number, task: TaskRecord): void {
     task.unansweredRenewals = 0
+    const doubted = task.doubtedAt !== undefined && now - task.doubtedAt >= CROSSING_MS
     if (task.phase === TaskPhase.Checking) this.fence(task)
+    else if (task.phase === TaskPhase.Running && doubted) this.fence(task)
     else if (task.phase === TaskPhase.Running) {
       task.missedAt ??= now
       task.recheckAt = now + CROSSING_MS
@@ -181,8 +184,16 @@
     this.ends.settle(now, task, { outcome: Outcome.UNKNOWN, reason, detail })
   }
 
+  /** Idle connections to where one fell silent may be as dead. */
+  private closeSilent(task: TaskRecord): void {
+    const endpoint = task.endpoint?.endpoint
+    if (endpoint === undefined || task.requests.size === 0) return
+    this.ctx.outbox.push({ kind: OwnerActionKind.CloseIdle, endpoint })
+  }
+
   private fence(task: TaskRecord): void {
     task.phase = TaskPhase.Fencing
+    this.closeSilent(task)
     this.ctx.askToStop(task)
   }
 }
--- a/packages/owner/src/lib/tasks/TaskRecord.ts
+++ b/packages/owner/src/lib/tasks/TaskRecord.ts
@@ -60,6 +60,10 @@
   unansweredRenewals = 0
   /** A renewal said that it does not run, though its answer has not come. */
   missedAt: number | undefined
+  /** A heartbeat did not list it, though its answer has not come. */
+  doubtedAt: number | undefined
+  /** A renewal was answered for it, which counts for more than what heartbeats list. */
+  vouched = false
   /** Earliest instant of the next question about it. */
   recheckAt = 0
   /** Set when its answer, if it comes at all, is on its way already. */
