--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -76,3 +76,5 @@
   totalSlots,
 } from './lib/deployment/Deployment'
 export type { Deployment, PlacedEndpoint, PlacedInstance } from './lib/deployment/Deployment'
+export { LinkMesh, PartitionKind, defaultLinkMeshOptions, startLinkMesh } from './lib/link/LinkMesh'
+export type { LinkMeshOptions, MeshSource, MeshTarget } from './lib/link/LinkMesh'
--- a/packages/stand-ins/src/lib/endpoint/HeartbeatSender.ts
+++ b/packages/stand-ins/src/lib/endpoint/HeartbeatSender.ts
@@ -81,11 +81,11 @@
   }
 
   private send(address: string): Effect.Effect<void> {
-    const { endpoint, token, heartbeatTimeoutMs, networkDelayMs } = this.options
+    const { endpoint, token, heartbeatTimeoutMs, networkDelayMs, via } = this.options
     const request = Effect.suspend(() =>
       requestJson({
         method: 'POST',
-        address,
+        address: via(address),
         path: `/v1/endpoints/${endpoint}/heartbeat`,
         headers: token === undefined ? {} : { authorization: `Bearer ${token}` },
         body: this.announcement(),
--- a/packages/stand-ins/src/lib/endpoint/StandInEndpoint.ts
+++ b/packages/stand-ins/src/lib/endpoint/StandInEndpoint.ts
@@ -75,25 +75,31 @@
   }
 }
 
-function makeAnnouncement(
+/** Makes announcements one after the other; each reports the usage of the one before. */
+function announcer(
   options: StandInEndpointOptions,
   runner: TaskRunner,
   address: string,
-  boot: number,
-): HeartbeatBody {
+): () => HeartbeatBody {
   const { service, zone, rack, slots, connections, capacity } = options
-  return {
-    service,
-    zone,
-    rack,
-    address: options.announcedAddress ?? address,
-    slots,
-    connections,
-    capacity,
-    usage: runner.usage(),
-    boot,
-    runningTaskIds: runner.runningIds(),
-    state: runner.leaving ? 'leaving' : 'serving',
+  const boot = options.boot ?? Date.now()
+  let usage = runner.usage()
+  return () => {
+    const lagging = usage
+    usage = runner.usage()
+    return {
+      service,
+      zone,
+      rack,
+      address: options.announcedAddress ?? address,
+      slots,
+      connections,
+      capacity,
+      usage: lagging,
+      boot,
+      runningTaskIds: runner.runningIds(),
+      state: runner.leaving ? 'leaving' : 'serving',
+    }
   }
 }
 
@@ -116,9 +122,7 @@
       }),
     )
     const address = server.address
-    const boot = options.boot ?? Date.now()
-    const announce = (): HeartbeatBody => makeAnnouncement(options, runner, address, boot)
-    const heartbeats = yield* HeartbeatSender.start(options, announce)
+    const heartbeats = yield* HeartbeatSender.start(options, announcer(options, runner, address))
     return new StandInEndpoint(runner, server, heartbeats, options.endpoint, address)
   })
 }
--- a/packages/stand-ins/src/lib/endpoint/StandInEndpointOptions.ts
+++ b/packages/stand-ins/src/lib/endpoint/StandInEndpointOptions.ts
@@ -22,6 +22,8 @@
   readonly announcedAddress: string | undefined
   /** Addresses ("host:port") of the instances' endpoint interfaces. */
   readonly instances: readonly string[]
+  /** Turns an instance's address into the one to use, where links stand in between. */
+  readonly via: (address: string) => string
   /** Milliseconds between heartbeats until an instance says otherwise. */
   readonly heartbeatMs: number
   readonly heartbeatTimeoutMs: number
@@ -56,6 +58,7 @@
   port: 0,
   announcedAddress: undefined,
   instances: [],
+  via: (address) => address,
   heartbeatMs: 1000,
   heartbeatTimeoutMs: 500,
   token: undefined,
--- a/packages/stand-ins/src/lib/link/FaultyLink.ts
+++ b/packages/stand-ins/src/lib/link/FaultyLink.ts
@@ -6,6 +6,7 @@
 import { splitAddress } from '../util/splitAddress'
 import { SeededRandom } from '../util/SeededRandom'
 import { LinkPipe } from './LinkPipe'
+import { resetSocket } from './resetSocket'
 
 /** @public */
 export interface FaultyLinkOptions {
@@ -154,7 +155,7 @@
 
   private connect(near: Socket): void {
     if (this.resets) {
-      near.resetAndDestroy()
+      resetSocket(near)
       return
     }
     const far = net.connect({
@@ -187,8 +188,8 @@
 
   private resetOpen(): void {
     for (const { near, far } of this.pairs) {
-      near.resetAndDestroy()
-      far.resetAndDestroy()
+      resetSocket(near)
+      resetSocket(far)
     }
   }
 }
