--- /dev/null
+++ b/packages/coordinator/src/lib/bench/soakMachine.ts
@@ -0,0 +1,26 @@
+/**
+ * Long randomised runs of a coordinator among fake owners, with its promises asserted. Takes the
+ * first seed and the number of seeds; prints what the runs went through.
+ */
+import fc from 'fast-check'
+import { FakeWorld } from '../fixtures/FakeWorld'
+import { randomMoves } from '../fixtures/randomMoves'
+
+const RUNS_PER_SEED = 1500
+const DEFAULT_SEEDS = 5
+
+const first = Number(process.argv[2] ?? 1)
+const seeds = Number(process.argv[3] ?? DEFAULT_SEEDS)
+const totals: Record<string, number> = {}
+for (let seed = first; seed < first + seeds; seed++) {
+  const property = fc.property(randomMoves, (moves) => {
+    const world = new FakeWorld()
+    for (const move of moves) world.move(move)
+    world.finish()
+    for (const [name, count] of Object.entries(world.fixture.machine.counters)) {
+      totals[name] = (totals[name] ?? 0) + count
+    }
+  })
+  fc.assert(property, { seed, numRuns: RUNS_PER_SEED, endOnFailure: true })
+}
+console.log(`${seeds * RUNS_PER_SEED} runs`, totals)
