Measure the service's rate, so that fairness fits queues of any size

A fixed penalty for a caller's excess fitted 88 slots only. The queue now measures how fast work is handed out under backlog. Histories of jobs in the health rules share one empty list.

--- a/packages/policy/src/lib/bench/orderBench.ts
+++ b/packages/policy/src/lib/bench/orderBench.ts
@@ -67,8 +67,9 @@
   'stretch 3': dueTime({ stretch: 3 }),
   'no deadlines': dueTime({ urgencyMs: -Infinity }),
   'urgency 2 s': dueTime({ urgencyMs: 2000 }),
-  'excess 0': dueTime({ excessStretch: 0 }),
-  'excess 0.1': dueTime({ excessStretch: 0.1 }),
+  'slowdown 0': dueTime({ excessSlowdown: 0 }),
+  'slowdown 1': dueTime({ excessSlowdown: 1 }),
+  'slowdown 4': dueTime({ excessSlowdown: 4 }),
 }
 
 const scenarios: Record<string, OrderScenario> = {
@@ -78,6 +79,20 @@
   '90 % load, half the deadlines 3 s': { ...base, tightShare: 0.5 },
   '97 % load, half the deadlines 3 s': { ...base, load: 0.97, tightShare: 0.5 },
   '60 % load, one caller sends 4,000 enquiries at once': { ...base, load: 0.6, flood: 4000 },
+  '60 % load of 24 slots, one caller sends 1,000 enquiries at once': {
+    ...base,
+    slots: 24,
+    load: 0.6,
+    jobs: 3000,
+    flood: 1000,
+  },
+  '60 % load of 264 slots, one caller sends 10,000 enquiries at once': {
+    ...base,
+    slots: 264,
+    load: 0.6,
+    jobs: 12_000,
+    flood: 10_000,
+  },
   '90 % load, one caller sends half': { ...base, heavyShare: 0.5 },
   '110 % load, one caller sends half, deadline 10 s': {
     ...base,
--- a/packages/policy/src/lib/health/JobFailures.ts
+++ b/packages/policy/src/lib/health/JobFailures.ts
@@ -5,9 +5,12 @@
 
 interface JobHistory {
   succeeded: boolean
-  readonly failedAt: Set<string>
+  failedAt: readonly string[]
 }
 
+/** Shared by the many jobs that fail nowhere. */
+const nowhere: readonly string[] = []
+
 /** Remembers where jobs failed, to tell a job that fails everywhere. @internal */
 export class JobFailures {
   private readonly jobs = new LruMap<string, JobHistory>(MAX_JOBS)
@@ -17,19 +20,20 @@
   }
 
   noteFailure(jobId: string, endpoint: string): void {
-    this.historyOf(jobId).failedAt.add(endpoint)
+    const history = this.historyOf(jobId)
+    if (!history.failedAt.includes(endpoint)) history.failedAt = [...history.failedAt, endpoint]
   }
 
   /** Where a job failed that succeeded nowhere; none for a job that did. */
   failedOnlyAt(jobId: string): readonly string[] {
     const history = this.jobs.get(jobId)
-    return history === undefined || history.succeeded ? [] : [...history.failedAt]
+    return history === undefined || history.succeeded ? nowhere : history.failedAt
   }
 
   private historyOf(jobId: string): JobHistory {
     const known = this.jobs.get(jobId)
     if (known !== undefined) return known
-    const history = { succeeded: false, failedAt: new Set<string>() }
+    const history = { succeeded: false, failedAt: nowhere }
     this.jobs.set(jobId, history)
     return history
   }
--- a/packages/policy/src/lib/order/RankedQueue.ts
+++ b/packages/policy/src/lib/order/RankedQueue.ts
@@ -43,11 +43,11 @@
   protected abstract postpone(now: number, job: WaitingJob<T>): boolean
 
   /** Called when the first task of a job arrives. */
-  protected abstract noteArrival(job: WaitingJob<T>): void
+  protected abstract noteArrival(now: number, job: WaitingJob<T>): void
 
-  override push(_now: number, task: T): void {
+  override push(now: number, task: T): void {
     if (this.byId.has(task.taskId)) return
-    const job = this.jobOf(task)
+    const job = this.jobOf(now, task)
     this.byId.set(task.taskId, task)
     this.tally.add(task)
     this.earliestDeadline = Math.min(this.earliestDeadline, task.deadlineAt)
@@ -139,12 +139,12 @@
     return found
   }
 
-  private jobOf(task: T): WaitingJob<T> {
+  private jobOf(now: number, task: T): WaitingJob<T> {
     const known = this.jobs.get(task.jobId)
     if (known !== undefined) return known
     const job = new WaitingJob<T>(task.jobId, task.caller)
     this.jobs.set(task.jobId, job)
-    this.noteArrival(job)
+    this.noteArrival(now, job)
     return job
   }
 
--- a/packages/policy/src/lib/order/TaskQueue.test.ts
+++ b/packages/policy/src/lib/order/TaskQueue.test.ts
@@ -5,6 +5,7 @@
 import fc from 'fast-check'
 import { DeadlineFairQueue, FifoQueue, LeastWorkQueue } from '../../index'
 import type { QueuedTask, TaskQueue } from '../../index'
+import { ServiceRate } from './ServiceRate'
 
 const anything = (): boolean => true
 
@@ -117,6 +118,22 @@
   })
 }
 
+describe('the rate of a service', () => {
+  it('is about its slots, whatever filled them at first', () => {
+    const rate = new ServiceRate()
+    for (let n = 0; n < 24; n++) rate.noteTaken(0, 200, true)
+    for (let now = 1; now <= 2400; now++) if (now % 25 === 0) rate.noteTaken(now, 200, true)
+    assert.ok(Math.abs(rate.read(2400) - 8) < 0.1, `${rate.read(2400)}`)
+  })
+
+  it('learns nothing while nobody waits', () => {
+    const rate = new ServiceRate()
+    const before = rate.read(0)
+    for (let now = 0; now < 10_000; now += 50) rate.noteTaken(now, 200, false)
+    assert.equal(rate.read(10_000), before)
+  })
+})
+
 describe('the order by due time', () => {
   it('lets a single enquiry pass a job of many tasks', () => {
     const queue = new DeadlineFairQueue<QueuedTask>()
