--- a/packages/coordinator/src/lib/startCoordinator.ts
+++ b/packages/coordinator/src/lib/startCoordinator.ts
@@ -27,6 +27,8 @@
   /** No job is in flight any more; called once, after Drain. */
   readonly onDrained: () => void
   readonly log: (line: string) => void
+  /** Called when the coordinator stopped because of a fault in the program; it answers no more. */
+  readonly onDefect?: (defect: unknown) => void
   readonly clock?: Clock
 }
 
@@ -126,6 +128,7 @@
       },
       onDefect: (defect) => {
         options.log(`coordinator: stopped by a defect: ${String(defect)}`)
+        options.onDefect?.(defect)
       },
     })
     const ask = (makeEvent: (requestId: string) => CoordinatorEvent) =>
