--- a/packages/rpc/src/lib/host/startLinkHost.test.ts
+++ b/packages/rpc/src/lib/host/startLinkHost.test.ts
@@ -151,6 +151,21 @@
     assert.deepEqual(b.numbers, [...range(1, 10), ...range(12, 20)])
   })
 
+  it('outlives handlers that throw when a peer comes and goes', async () => {
+    const fail = (): void => {
+      throw new Error('defect')
+    }
+    const { a, b, between } = await startPair({ onLinkUp: fail, onLinkDown: fail })
+    await until('up', () => a.host.isUp('b'))
+    between.silenceNew(true)
+    between.resetOpen()
+    await until('down', () => !a.host.isUp('b'))
+    between.silenceNew(false)
+    a.sendNumbers('b', 1, 5)
+    await until('arrived', () => b.numbers.length >= 5)
+    assert.ok(a.host.counters().handlerErrors >= 3)
+  })
+
   it('delivers to itself, but not before send returns', async () => {
     const a = await start('a')
     assert.equal(a.sendNumbers('a', 1, 3), 3)
--- a/packages/rpc/src/lib/peer/startPeerLink.ts
+++ b/packages/rpc/src/lib/peer/startPeerLink.ts
@@ -136,10 +136,14 @@
         this.#connections.get(action.connection)?.send(action.sequence, action.envelopes)
         return
       case PeerLinkActionKind.ReportUp:
-        handlers.onLinkUp(peer, action.roundTripMs)
+        this.#callHandler(() => {
+          handlers.onLinkUp(peer, action.roundTripMs)
+        })
         return
       case PeerLinkActionKind.ReportDown:
-        handlers.onLinkDown(peer)
+        this.#callHandler(() => {
+          handlers.onLinkDown(peer)
+        })
         return
       case PeerLinkActionKind.Log:
         handlers.log(action.line)
@@ -149,6 +153,16 @@
     }
   }
 
+  /** A handler that throws must not end the fiber of the link. */
+  #callHandler(call: () => void): void {
+    try {
+      call()
+    } catch (err) {
+      this.options.counters.handlerErrors += 1
+      this.options.handlers.log(`handler of ${this.options.peer} failed: ${String(err)}`)
+    }
+  }
+
   #dial(id: number): void {
     const { target, instance, boot, token, tls } = this.options
     const connection = new LinkConnection({
