--- a/apps/cherryhitch/src/lib/cli/commands/viewTables.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/viewTables.ts
@@ -71,7 +71,7 @@
     row.settingsVersion,
   ])
   const running = jobs.filter(({ state }) => state === 'running').length
-  const summary = `${running} running, ${jobs.length - running} that ended lately`
+  const summary = `${running} running, ${jobs.length - running} ended`
   return withSummary(formatTable(headings, rows), summary)
 }
 
