--- a/packages/owner/src/lib/OwnerAction.ts
+++ b/packages/owner/src/lib/OwnerAction.ts
@@ -62,7 +62,7 @@
   readonly taskId: string
   /** Number of this request, unique in this process; RunEnded names it. */
   readonly run: number
-  /** Boot of the endpoint that the owner means: another one must not take it for a join. */
+  /** Boot of the endpoint that the owner means; another process there must refuse the request. */
   readonly endpointBoot: number
   readonly service: string
   readonly payload: string
--- a/packages/owner/src/lib/client/runTaskBody.ts
+++ b/packages/owner/src/lib/client/runTaskBody.ts
@@ -5,8 +5,9 @@
 /**
  * The body of `PUT /v1/tasks/{id}`. The payload is JSON text already and goes in as it is.
  *
- * A request that joins says so and names the boot it means: another process at the endpoint must
- * refuse it rather than start the task a second time.
+ * It names the boot of the endpoint that the owner means: another process there must refuse it
+ * with `ran: no`, since the old one may have started the task. A request that joins says so, and
+ * must start nothing.
  *
  * @internal
  */
@@ -16,7 +17,8 @@
     leaseMs: action.leaseMs,
     deadlineInMs: action.deadlineInMs,
     ...(action.resources === undefined ? {} : { resources: toBody(action.resources) }),
-    ...(action.join ? { join: true, boot: action.endpointBoot } : {}),
+    boot: action.endpointBoot,
+    ...(action.join ? { join: true } : {}),
   }
   const payload = action.payload === '' ? 'null' : action.payload
   return `${JSON.stringify(body).slice(0, -1)},"payload":${payload}}`
