Do not take one large job on an idle service for a burst

An instance that had placed 120 tasks since the last report took the other six to have done the same, and refused what came next on an idle service. Below half of the slots in use, only what is known counts.

--- a/packages/policy/src/lib/admission/JobAtDoor.ts
+++ b/packages/policy/src/lib/admission/JobAtDoor.ts
@@ -1,7 +1,7 @@
 import { fillOwners } from '../routing/fillOwners'
 import type { OwnerOffer, RoutedTask } from '../routing/OwnerRouter'
 import type { AdmissionRequest } from './Admission'
-import { describeService } from './describeService'
+import { describeService, IDLE_SHARE } from './describeService'
 import type { ServiceCapacity } from './describeService'
 
 /** A request with what the decisions derive from it. @internal */
@@ -58,8 +58,11 @@
 /** An offer as it will be once what all instances placed since has arrived. */
 function foresee(offer: OwnerOffer, waitFactor: number, instances: number): OwnerOffer {
   if (waitFactor === 0) return { ...offer, waitMs: 0, freeSlots: offer.slots, unreported: 0 }
-  // The others are taken to have placed as much as this instance since the owner reported.
-  const unreported = offer.unreported * instances
+  // The others are taken to have placed as much as this instance since the owner reported,
+  // unless it was idle then: one large job is no sign of a burst.
+  const reported = offer.slots - offer.freeSlots + offer.queuedTasks
+  const isIdle = reported < IDLE_SHARE * offer.slots
+  const unreported = offer.unreported * (isIdle ? 1 : instances)
   return { ...offer, waitMs: offer.waitMs * waitFactor, unreported }
 }
 
--- a/packages/policy/src/lib/admission/PredictedFinishAdmission.test.ts
+++ b/packages/policy/src/lib/admission/PredictedFinishAdmission.test.ts
@@ -127,6 +127,12 @@
     assert.equal(refusal.reason, Reason.QUEUE_FULL)
   })
 
+  it('does not share out the places of an idle service', () => {
+    const idle = { ...offer, freeSlots: 8, unreported: 40 }
+    const request = { offers: [idle], instances: 7, tasks: tasks(20), deadlineAt: 2500 }
+    assert.equal(decide(request).admitted, true)
+  })
+
   it('tells a burst of refused callers to come back one after the other', () => {
     const admission = new PredictedFinishAdmission()
     const delays = Array.from({ length: 20 }, () => {
--- a/packages/policy/src/lib/admission/PredictedFinishAdmission.ts
+++ b/packages/policy/src/lib/admission/PredictedFinishAdmission.ts
@@ -1,7 +1,7 @@
 import { Reason } from '@cherryhitch/protocol'
 import { Admission } from './Admission'
 import type { AdmissionDecision, AdmissionRequest } from './Admission'
-import { couldEverRun } from './describeService'
+import { couldEverRun, IDLE_SHARE } from './describeService'
 import type { ServiceCapacity } from './describeService'
 import { JobAtDoor } from './JobAtDoor'
 import { ReturnTimes } from './ReturnTimes'
@@ -172,10 +172,11 @@
   instances: number,
 ): number {
   const over = count + capacity.tasksThere - places
-  if (capacity.unreported === 0) return over
+  const reported = capacity.tasksThere - capacity.unreported
+  if (capacity.unreported === 0 || reported < IDLE_SHARE * capacity.slots) return over
   // The others may have placed as much as this instance since the owners reported, so each
   // takes no more than its part of what was left then.
-  const left = places - capacity.tasksThere + capacity.unreported
+  const left = places - reported
   return Math.max(over, count + capacity.unreported - left / Math.max(1, instances))
 }
 
--- a/packages/policy/src/lib/admission/describeService.ts
+++ b/packages/policy/src/lib/admission/describeService.ts
@@ -1,6 +1,9 @@
 import { canHold } from '../util/canHold'
 import type { OwnerOffer, RoutedTask } from '../routing/OwnerRouter'
 
+/** A service that reports fewer tasks than this share of its slots is idle. @internal */
+export const IDLE_SHARE = 0.5
+
 /** What all owners together offer for the service of some tasks. @internal */
 export interface ServiceCapacity {
   readonly slots: number
