Compare answers with the ideal, name boots, and keep connections clean

Owners name the endpoint's boot in a run and say when a run may only join; the stand-in refuses another boot, starts nothing for a join of an unknown id and fences it, and names boot and task in its answers.

Requests over a kept connection left a listener on it each time; now only a connecting socket gets one.

Answered jobs are set beside the ideal schedule of just that work.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -78,3 +78,5 @@
 export type { Deployment, PlacedEndpoint, PlacedInstance } from './lib/deployment/Deployment'
 export { LinkMesh, PartitionKind, defaultLinkMeshOptions, startLinkMesh } from './lib/link/LinkMesh'
 export type { LinkMeshOptions, MeshSource, MeshTarget } from './lib/link/LinkMesh'
+export { compareToIdeal } from './lib/ideal/compareToIdeal'
+export type { ResponseComparison } from './lib/ideal/compareToIdeal'
--- a/packages/stand-ins/src/lib/endpoint/EndpointServer.ts
+++ b/packages/stand-ins/src/lib/endpoint/EndpointServer.ts
@@ -154,6 +154,6 @@
       answer(problemReply(400, ProblemRan.No, 'malformed renewal'))
       return
     }
-    answer({ status: OK, body: { running: this.runner.renew(taskIds, leaseMs) } })
+    answer({ status: OK, body: this.runner.renew(taskIds, leaseMs) })
   }
 }
--- a/packages/stand-ins/src/lib/endpoint/StandInEndpoint.test.ts
+++ b/packages/stand-ins/src/lib/endpoint/StandInEndpoint.test.ts
@@ -38,6 +38,7 @@
       service: 'trace',
       zone: 'z1',
       rack: 'r1',
+      boot: 7,
       ledger,
       ...input,
     })
@@ -167,6 +168,28 @@
       }))
   }
 
+  const additions: [string, object, number, string | undefined][] = [
+    ['a run meant for this process starts', { boot: 7 }, 200, undefined],
+    ['a run meant for an earlier process is refused', { boot: 6 }, 409, 'no'],
+    ['a run that only joins starts nothing', { join: true }, 409, 'no'],
+  ]
+  for (const [name, addition, status, expectedRan] of additions) {
+    it(`answers PUT: ${name}`, () =>
+      withEndpoint({}, async ({ send, ledger }) => {
+        const body = { service: 'trace', payload: {}, leaseMs: LONG_MS, deadlineInMs: LONG_MS }
+        const response = await send('PUT', '/v1/tasks/t', { ...body, ...addition })
+        assert.deepEqual([response.status, ran(response)], [status, expectedRan])
+        assert.equal(ledger.trace('t').starts, status === 200 ? 1 : 0)
+      }))
+  }
+
+  it('fences what it was asked to join and does not know', () =>
+    withEndpoint({}, async ({ put, send }) => {
+      const body = { service: 'trace', payload: {}, leaseMs: LONG_MS, deadlineInMs: LONG_MS }
+      await send('PUT', '/v1/tasks/t', { ...body, join: true })
+      assert.equal((await put('t')).status, 409)
+    }))
+
   it('stops a task whose lease runs out, and keeps one that is renewed', () =>
     withEndpoint({}, async ({ put, send, ledger }) => {
       const lost = put('lost', LONG_MS, 30)
@@ -174,7 +197,7 @@
       await started(ledger, 2)
       const renewal = { leaseMs: LONG_MS, taskIds: ['kept', 'never'] }
       const renewed = await send('POST', '/v1/leases', renewal)
-      assert.deepEqual(renewed.body, { running: ['kept'] })
+      assert.deepEqual(renewed.body, { running: ['kept'], boot: 7 })
       assert.equal((await lost).status, 500)
       assert.equal((await kept).status, 200)
       assert.equal(ledger.runs.find((run) => run.taskId === 'lost')?.end, RunEnd.LeaseRanOut)
--- a/packages/stand-ins/src/lib/endpoint/StandInEndpoint.ts
+++ b/packages/stand-ins/src/lib/endpoint/StandInEndpoint.ts
@@ -80,9 +80,9 @@
   options: StandInEndpointOptions,
   runner: TaskRunner,
   address: string,
+  boot: number,
 ): () => HeartbeatBody {
   const { service, zone, rack, slots, connections, capacity } = options
-  const boot = options.boot ?? Date.now()
   let usage = runner.usage()
   return () => {
     const lagging = usage
@@ -113,7 +113,8 @@
 ): Effect.Effect<StandInEndpoint, ListenError, Scope.Scope> {
   const options: StandInEndpointOptions = { ...defaultStandInEndpointOptions, ...input }
   return Effect.gen(function* () {
-    const runner = new TaskRunner(options)
+    const boot = options.boot ?? Date.now()
+    const runner = new TaskRunner(options, boot)
     const server = new EndpointServer(options, runner)
     yield* Effect.acquireRelease(server.listen(), () =>
       Effect.sync(() => {
@@ -122,7 +123,10 @@
       }),
     )
     const address = server.address
-    const heartbeats = yield* HeartbeatSender.start(options, announcer(options, runner, address))
+    const heartbeats = yield* HeartbeatSender.start(
+      options,
+      announcer(options, runner, address, boot),
+    )
     return new StandInEndpoint(runner, server, heartbeats, options.endpoint, address)
   })
 }
--- a/packages/stand-ins/src/lib/endpoint/TaskRunner.ts
+++ b/packages/stand-ins/src/lib/endpoint/TaskRunner.ts
@@ -1,5 +1,5 @@
 import { ProblemRan, StopAnswerState, exhaustive } from '@cherryhitch/model'
-import type { ResourcesBody, RunTaskBody, StopsAnswer } from '@cherryhitch/model'
+import type { LeasesAnswer, ResourcesBody, StopsAnswer } from '@cherryhitch/model'
 import type { JsonReply } from '../http/serverReplies'
 import { problemReply } from '../http/serverReplies'
 import { OveruseKind, RunEnd } from '../ledger/EndpointLedger'
@@ -11,9 +11,15 @@
 import type { TaskBehaviour } from './TaskBehaviour'
 import { AdmitVerdict, TaskTable } from './TaskTable'
 import { readPayload } from './readRunBody'
+import type { RunRequest } from './readRunBody'
 
 type Answerer = (reply: JsonReply) => void
 
+/** Answers name the boot, so that an owner knows which process said it. */
+interface Booted {
+  readonly boot: number
+}
+
 interface RunningTask {
   readonly run: TaskRun
   readonly resources: ResourcesBody
@@ -22,6 +28,11 @@
   leaseTimer: NodeJS.Timeout | undefined
 }
 
+function wasteOf(verdict: AdmitVerdict): Waste {
+  if (verdict === AdmitVerdict.Fenced) return Waste.RunAfterFence
+  return verdict === AdmitVerdict.NothingToJoin ? Waste.NothingToJoin : Waste.RefusedFull
+}
+
 const STATUS = { ok: 200, conflict: 409, gone: 410, full: 429, failed: 500, leaving: 503 }
 
 /** Holds slots with timers, obeys leases and answers PUTs; owns an endpoint's tasks. @internal */
@@ -32,7 +43,10 @@
   private readonly ledger: EndpointLedger
   private behaviour: TaskBehaviour
 
-  constructor(private readonly options: StandInEndpointOptions) {
+  constructor(
+    private readonly options: StandInEndpointOptions,
+    private readonly boot: number,
+  ) {
     this.table = new TaskTable(options)
     this.random = new SeededRandom(options.seed)
     this.ledger = options.ledger
@@ -69,8 +83,14 @@
   }
 
   /** Takes a PUT in and answers it once, now or when the task ends. */
-  run(taskId: string, body: RunTaskBody, answer: Answerer): void {
-    const verdict = this.table.admit(presentTime(), taskId, body.leaseMs)
+  run(taskId: string, body: RunRequest, answer: Answerer): void {
+    if (body.boot !== undefined && body.boot !== this.boot) {
+      this.ledger.recordMessage(MessageKind.Run, Waste.WrongBoot)
+      this.ledger.recordRefusal(taskId)
+      answer(problemReply(STATUS.conflict, ProblemRan.No, 'another process was meant'))
+      return
+    }
+    const verdict = this.table.admit(presentTime(), taskId, body.leaseMs, body.join === true)
     switch (verdict) {
       case AdmitVerdict.Start:
         this.ledger.recordMessage(MessageKind.Run)
@@ -91,6 +111,7 @@
       case AdmitVerdict.Full:
       case AdmitVerdict.Fenced:
       case AdmitVerdict.Leaving:
+      case AdmitVerdict.NothingToJoin:
         this.noteRefusal(taskId, verdict)
         answer(this.refusal(verdict))
         return
@@ -100,18 +121,18 @@
   }
 
   /** Stops what runs and fences what was never seen. */
-  stop(taskIds: readonly string[]): StopsAnswer {
+  stop(taskIds: readonly string[]): StopsAnswer & Booted {
     const states = taskIds.map((taskId) => ({ taskId, state: this.stopOne(taskId) }))
     const useful = states.some(({ state }) => state === StopAnswerState.Stopped)
     this.ledger.recordMessage(MessageKind.Stop, useful ? undefined : Waste.StopWithoutTask)
-    return { states }
+    return { states, boot: this.boot }
   }
 
-  renew(taskIds: readonly string[], leaseMs: number): string[] {
+  renew(taskIds: readonly string[], leaseMs: number): LeasesAnswer & Booted {
     const running = this.table.renew(presentTime(), taskIds, leaseMs)
     const useful = running.length > 0
     this.ledger.recordMessage(MessageKind.Lease, useful ? undefined : Waste.LeaseWithoutTask)
-    return running
+    return { running, boot: this.boot }
   }
 
   /** The worker dies: every run ends unheard. */
@@ -124,7 +145,7 @@
     this.tasks.clear()
   }
 
-  private start(taskId: string, body: RunTaskBody, answer: Answerer): void {
+  private start(taskId: string, body: RunRequest, answer: Answerer): void {
     const now = presentTime()
     const payload = readPayload(body.payload)
     const run = this.ledger.recordStart(taskId, payload.token, this.options.endpoint, now)
@@ -171,7 +192,7 @@
   private endReply(run: TaskRun, end: RunEnd, now: number): JsonReply {
     if (end !== RunEnd.Succeeded) return problemReply(STATUS.failed, ProblemRan.Yes, `task ${end}`)
     const output = { token: run.token, taskId: run.taskId, endpoint: run.endpoint }
-    return { status: STATUS.ok, body: { output, runMs: now - run.startedAt } }
+    return { status: STATUS.ok, body: { taskId: run.taskId, output, runMs: now - run.startedAt } }
   }
 
   private stopOne(taskId: string): StopAnswerState {
@@ -188,8 +209,7 @@
   }
 
   private noteRefusal(taskId: string, verdict: AdmitVerdict): void {
-    const fenced = verdict === AdmitVerdict.Fenced
-    this.ledger.recordMessage(MessageKind.Run, fenced ? Waste.RunAfterFence : Waste.RefusedFull)
+    this.ledger.recordMessage(MessageKind.Run, wasteOf(verdict))
     this.ledger.recordRefusal(taskId)
     if (verdict !== AdmitVerdict.Leaving) return
     this.noteOveruse(OveruseKind.WorkAfterLeaving, taskId, 1, 0)
@@ -199,6 +219,8 @@
     switch (verdict) {
       case AdmitVerdict.Fenced:
         return problemReply(STATUS.conflict, ProblemRan.No, 'the task id is fenced')
+      case AdmitVerdict.NothingToJoin:
+        return problemReply(STATUS.conflict, ProblemRan.No, 'the task is not known, and fenced now')
       case AdmitVerdict.Leaving:
         return problemReply(STATUS.leaving, ProblemRan.No, 'the endpoint is leaving')
       case AdmitVerdict.Forgotten:
--- a/packages/stand-ins/src/lib/endpoint/TaskTable.ts
+++ b/packages/stand-ins/src/lib/endpoint/TaskTable.ts
@@ -13,6 +13,8 @@
   /** The same id ended here, and its answer is not kept any more. */
   Forgotten = 'forgotten',
   Leaving = 'leaving',
+  /** It was to join a task that is not known here; the id is fenced, since "not run" is said. */
+  NothingToJoin = 'nothing_to_join',
 }
 
 /** @public */
@@ -64,9 +66,13 @@
   }
 
   /** Takes a PUT in; Start occupies a slot and begins the lease. */
-  admit(now: number, taskId: string, leaseMs: number): AdmitVerdict {
+  admit(now: number, taskId: string, leaseMs: number, joinOnly = false): AdmitVerdict {
     const known = this.recognize(taskId)
     if (known !== undefined) return known
+    if (joinOnly) {
+      this.past.set(taskId, PastKind.Fenced)
+      return AdmitVerdict.NothingToJoin
+    }
     if (this.refusesWork(now)) return AdmitVerdict.Leaving
     if (this.leases.size >= this.options.slots) return AdmitVerdict.Full
     this.leases.set(taskId, now + leaseMs)
--- a/packages/stand-ins/src/lib/http/requestJson.ts
+++ b/packages/stand-ins/src/lib/http/requestJson.ts
@@ -68,12 +68,6 @@
   })
 }
 
-/** Tells whether the request's bytes may have left: its socket was connected once. */
-function wasConnected(req: http.ClientRequest): boolean {
-  const socket = req.socket
-  return socket !== null && !socket.connecting && socket.remotePort !== undefined
-}
-
 /**
  * Sends one request and gathers the JSON answer. Interrupting the effect destroys the
  * connection, as a caller does who hangs up.
@@ -94,7 +88,9 @@
       req.destroy()
     }, request.timeoutMs)
     req.on('socket', (socket) => {
-      connected = wasConnected(req)
+      connected = !socket.connecting
+      // A kept socket never connects again, so a listener on it would stay for good.
+      if (connected) return
       socket.once('connect', () => {
         connected = true
       })
--- a/packages/stand-ins/src/lib/ledger/messageCounts.ts
+++ b/packages/stand-ins/src/lib/ledger/messageCounts.ts
@@ -14,6 +14,10 @@
   RunAfterFence = 'run_after_fence',
   /** A run of an id that runs here or has ended. */
   DuplicateRun = 'duplicate_run',
+  /** A run that was to join a task not known here. */
+  NothingToJoin = 'nothing_to_join',
+  /** A run that was meant for an earlier process of the endpoint. */
+  WrongBoot = 'wrong_boot',
   /** A malformed or foreign request. */
   Rejected = 'rejected',
   /** A stop none of whose tasks was running. */
