--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -71,6 +71,7 @@
 } from './lib/workload/WorkloadOptions'
 export {
   deployments,
+  networkFloorMs,
   placeEndpoints,
   placeInstances,
   totalSlots,
--- a/packages/stand-ins/src/lib/deployment/Deployment.ts
+++ b/packages/stand-ins/src/lib/deployment/Deployment.ts
@@ -98,3 +98,13 @@
 export function totalSlots({ workers, slots }: Deployment): number {
   return workers * slots
 }
+
+/**
+ * The network's own part of every response, in milliseconds: from the caller to the system and
+ * back. Endpoints of the same availability zone are taken to be no distance away.
+ *
+ * @public
+ */
+export function networkFloorMs({ callerDelayMs }: Deployment): number {
+  return 2 * callerDelayMs
+}
--- a/packages/stand-ins/src/lib/measure/measureStandIns.ts
+++ b/packages/stand-ins/src/lib/measure/measureStandIns.ts
@@ -68,14 +68,11 @@
 function measureEndpoints(agent: http.Agent): Measured {
   return Effect.gen(function* () {
     const ledger = new EndpointLedger()
-    const before = process.memoryUsage().rss
     const addresses: string[] = []
     for (const placed of placeEndpoints(deployment)) {
       const endpoint = yield* startStandInEndpoint({ ...placed, service: place.service, ledger })
       addresses.push(endpoint.address)
     }
-    const startedMb = (process.memoryUsage().rss - before) / 1e6
-    print(`${addresses.length} endpoints took ${startedMb.toFixed(0)} MB`)
     let sequence = 0
     const endAt = performance.now() + LOAD_MS
     const worker = (address: string): Effect.Effect<void, HttpFailure> =>
