--- a/packages/http-api/src/lib/measure/measureSubmit.ts
+++ b/packages/http-api/src/lib/measure/measureSubmit.ts
@@ -3,7 +3,7 @@
  * reads the same body and sends the same answer. The clients run in a thread of their own, so
  * that the busy time of the main thread is the server's alone.
  *
- * Run: npx tsx packages/http-api/src/lib/measure/measureSubmit.ts
+ * Run: npx tsx packages/http-api/src/lib/measure/measureSubmit.ts [budget of a turn in ms]
  */
 import http from 'node:http'
 import type { AddressInfo } from 'node:net'
@@ -14,6 +14,7 @@
 import { createAuthenticator } from '../auth/createAuthenticator'
 import { startCallerServer } from '../callers/startCallerServer'
 import { FakeJobService, succeeded } from '../fixtures/FakeServices'
+import { defaultHttpLimits } from '../server/HttpServerOptions'
 
 interface LoadPlan {
   readonly port: number
@@ -124,6 +125,12 @@
   })
 }
 
+/** Budget of a turn in milliseconds; endless is how the server was before it had one. */
+function readBudget(): number {
+  const text = process.argv[2]
+  return text === undefined ? defaultHttpLimits.turnBudgetMs : Number(text)
+}
+
 async function measureTasks(tasks: number): Promise<void> {
   const answer = succeeded(Array.from({ length: tasks }, () => '{"found":true}'))
   const jobs = new FakeJobService()
@@ -135,6 +142,7 @@
   const started = startCallerServer({
     host: '127.0.0.1',
     port: 0,
+    limits: { turnBudgetMs: readBudget() },
     log: console.log,
     jobs,
     auth: createAuthenticator(AccessRole.Caller, []),
