Refuse requests that waited longer than 3 s for their turn

An instance that is behind spent its time on reading jobs whose callers had waited for seconds already.

--- a/packages/http-api/src/lib/exchange/Exchange.ts
+++ b/packages/http-api/src/lib/exchange/Exchange.ts
@@ -107,10 +107,14 @@
     })
   }
 
-  /** Waits for a turn. The client may be gone before it comes. */
+  /** Waits for a turn. The client may be gone before it comes, or have waited too long. */
   private await(admitted: Admitted, body: string): void {
-    this.host.turns.add(() => {
-      this.run(admitted, body)
+    const { clock, limits, turns } = this.host
+    const queuedAt = clock.now()
+    turns.add(() => {
+      const waitedMs = clock.now() - queuedAt
+      if (waitedMs <= limits.queueWaitMs) this.run(admitted, body)
+      else this.refuse(waitedTooLong(waitedMs))
     })
   }
 
@@ -167,3 +171,9 @@
   const cut = target.indexOf('?')
   return cut < 0 ? [target] : [target.slice(0, cut), target.slice(cut + 1)]
 }
+
+/** Refused unread: reading is what an instance that is behind has no time for. */
+function waitedTooLong(waitedMs: number): RequestError {
+  const message = `The request waited ${Math.round(waitedMs)} ms for its turn; try another instance.`
+  return new RequestError(RequestErrorKind.Overloaded, message, { 'Retry-After': '1' })
+}
--- a/packages/http-api/src/lib/server/HttpServerOptions.ts
+++ b/packages/http-api/src/lib/server/HttpServerOptions.ts
@@ -24,6 +24,8 @@
   readonly pipelinedRequests: number
   /** Time for handling requests in one turn of the event loop, in milliseconds. */
   readonly turnBudgetMs: number
+  /** Requests that waited longer for their turn are refused, in milliseconds. */
+  readonly queueWaitMs: number
   /** Deadline of a job whose caller states none, in milliseconds. */
   readonly defaultDeadlineMs: number
   /** Longest deadline that a caller may state, in milliseconds. */
@@ -48,6 +50,7 @@
   connections: 10_000,
   pipelinedRequests: 16,
   turnBudgetMs: 1,
+  queueWaitMs: 3000,
   defaultDeadlineMs: 60_000,
   maxDeadlineMs: 3_600_000,
 }
