Let links stall, so that bytes arrive late after a partition

Silence loses what was sent; a short partition does not, since TCP sends it again. A stalled link holds all bytes and closes back until it heals.

--- a/packages/stand-ins/src/lib/link/FaultyLink.test.ts
+++ b/packages/stand-ins/src/lib/link/FaultyLink.test.ts
@@ -134,6 +134,37 @@
       assert.equal(during.heard(), '')
     }))
 
+  it('stalls: bytes of open and new connections arrive late, in order, once it heals', () =>
+    withLink({ delayMs: 1 }, async ({ link, open, received }) => {
+      const before = await open()
+      before.socket.write('a')
+      await before.hear('a')
+      link.stall()
+      before.socket.write('b')
+      const during = await open()
+      during.socket.write('c')
+      await sleep(SETTLE_MS)
+      before.socket.write('d')
+      assert.equal(received(), 'a')
+      await Effect.runPromise(link.heal())
+      await before.hear('abd')
+      await during.hear('c')
+    }))
+
+  it('passes a close on late when it stalled', () =>
+    withLink({}, async ({ link, open: connect }) => {
+      const { socket } = await connect()
+      socket.write('a')
+      await once(socket, 'data')
+      link.stall()
+      socket.destroy()
+      await sleep(SETTLE_MS)
+      const open = (): number => link.openConnections
+      assert.equal(open(), 1)
+      await Effect.runPromise(link.heal())
+      while (open() > 0) await sleep(1)
+    }))
+
   it('silences one direction alone', () =>
     withLink({}, async ({ link, open, received }) => {
       link.silence(LinkScope.All, LinkDirection.FromTarget)
--- a/packages/stand-ins/src/lib/link/FaultyLink.ts
+++ b/packages/stand-ins/src/lib/link/FaultyLink.ts
@@ -70,6 +70,7 @@
   private jitterMs: number
   private resets = false
   private silentFor: LinkDirection | undefined
+  private stalled = false
   private listenPort: number
   private closed = false
 
@@ -105,6 +106,15 @@
     if (scope === LinkScope.All) this.silentFor = direction
   }
 
+  /**
+   * Holds back all bytes and closes, on open connections and new ones, until the link heals;
+   * then they arrive late, as after a partition that TCP outlasts.
+   */
+  stall(): void {
+    this.stalled = true
+    for (const pair of this.pairs) stallPair(pair)
+  }
+
   /** Silences a share of the open connections, drawn by the seed; returns how many. */
   silenceSome(share: number): number {
     const chosen = [...this.pairs].filter(() => this.random.chance(share))
@@ -119,11 +129,16 @@
     if (kind === CutKind.Refuse) this.server.close()
   }
 
-  /** New connections work again. */
+  /** New connections work again, and stalled ones go on. */
   heal(): Effect.Effect<void, ListenError> {
     return Effect.suspend(() => {
       this.resets = false
       this.silentFor = undefined
+      this.stalled = false
+      for (const { towards, from } of this.pairs) {
+        towards.goOn()
+        from.goOn()
+      }
       return this.closed || this.server.listening ? Effect.void : this.listen()
     })
   }
@@ -173,6 +188,7 @@
     this.pairs.add(pair)
     this.forgetWhenClosed(pair)
     if (this.silentFor !== undefined) silencePair(pair, this.silentFor)
+    if (this.stalled) stallPair(pair)
   }
 
   private forgetWhenClosed(pair: LinkedPair): void {
@@ -194,6 +210,11 @@
   }
 }
 
+function stallPair({ towards, from }: LinkedPair): void {
+  towards.stall()
+  from.stall()
+}
+
 function silencePair(pair: LinkedPair, direction: LinkDirection): void {
   if (direction !== LinkDirection.FromTarget) pair.towards.silence()
   if (direction !== LinkDirection.TowardsTarget) pair.from.silence()
--- a/packages/stand-ins/src/lib/link/LinkMesh.ts
+++ b/packages/stand-ins/src/lib/link/LinkMesh.ts
@@ -41,6 +41,8 @@
   Silent = 'silent',
   /** Connections are reset and new ones refused. */
   Refused = 'refused',
+  /** Nothing passes until the mesh heals; then what was sent arrives late. */
+  Stalled = 'stalled',
 }
 
 interface MeshLink {
@@ -97,6 +99,9 @@
     case PartitionKind.Refused:
       link.cut(CutKind.Refuse)
       return
+    case PartitionKind.Stalled:
+      link.stall()
+      return
     default:
       exhaustive(kind)
   }
--- a/packages/stand-ins/src/lib/link/LinkPipe.ts
+++ b/packages/stand-ins/src/lib/link/LinkPipe.ts
@@ -15,6 +15,7 @@
   private readonly held: HeldAct[] = []
   private heldBytes = 0
   private silent = false
+  private stalled = false
 
   /** @param delayMs - asked anew for each chunk */
   constructor(
@@ -44,6 +45,19 @@
     this.source.resume()
   }
 
+  /** Holds back all that comes, closes included, until it goes on. */
+  stall(): void {
+    this.stalled = true
+    this.settleFlow()
+  }
+
+  goOn(): void {
+    if (!this.stalled) return
+    this.stalled = false
+    this.releaseReady()
+    this.settleFlow()
+  }
+
   private take(chunk: Buffer): void {
     if (this.silent) return
     this.heldBytes += chunk.length
@@ -57,7 +71,8 @@
 
   private settleFlow(): void {
     if (this.silent) return
-    const blocked = this.sink.writableNeedDrain || this.heldBytes > MAX_HELD_BYTES
+    const full = this.sink.writableNeedDrain || this.heldBytes > MAX_HELD_BYTES
+    const blocked = this.stalled || full
     if (blocked) this.source.pause()
     else if (this.source.isPaused()) this.source.resume()
   }
@@ -65,7 +80,7 @@
   private later(act: () => void): void {
     if (this.silent) return
     const wait = this.timer.round(this.delayMs())
-    if (wait === 0 && this.held.length === 0) {
+    if (wait === 0 && this.held.length === 0 && !this.stalled) {
       act()
       return
     }
@@ -77,6 +92,10 @@
   /** A later chunk with a shorter wait must not overtake, so only the head is let go. */
   private readonly release = (entry: HeldAct): void => {
     entry.ready = true
-    while (this.held[0]?.ready === true) this.held.shift()?.act()
+    this.releaseReady()
+  }
+
+  private releaseReady(): void {
+    while (!this.stalled && this.held[0]?.ready === true) this.held.shift()?.act()
   }
 }
