--- a/apps/cherryhitch/src/lib/serve/serve.ts
+++ b/apps/cherryhitch/src/lib/serve/serve.ts
@@ -8,6 +8,7 @@
 import { InstancePhase } from '../instance/Readiness'
 import type { InstanceError } from '../instance/startInstance'
 import { startInstance } from '../instance/startInstance'
+import type { TelemetryError } from '@cherryhitch/telemetry'
 import { awaitSignal } from './awaitSignal'
 import { openTelemetry } from './openTelemetry'
 import { toInstanceOptions } from './toInstanceOptions'
@@ -23,7 +24,7 @@
 export function serve(
   settings: Settings,
   tokens: Tokens | undefined,
-): Effect.Effect<DrainEnd, InstanceError | StorageError> {
+): Effect.Effect<DrainEnd, InstanceError | StorageError | TelemetryError> {
   const running = Effect.gen(function* () {
     const telemetry = yield* openTelemetry(settings)
     const disk = yield* openDisk(settings)
