Send answers whole when a server stops

Node's http.Server.close takes a connection for idle as soon as its answer was ended, and destroyed it while an answer of 8 MB was being sent; so did the end of the scope.

--- a/packages/http-api/src/lib/exchange/Exchange.ts
+++ b/packages/http-api/src/lib/exchange/Exchange.ts
@@ -43,6 +43,11 @@
     })
   }
 
+  /** Whether it was answered or abandoned. */
+  isEnded(): boolean {
+    return this.ended
+  }
+
   /**
    * Starts work on the request.
    *
--- a/packages/http-api/src/lib/server/ConnectionTable.ts
+++ b/packages/http-api/src/lib/server/ConnectionTable.ts
@@ -61,6 +61,24 @@
     return () => this.idleWaiters.delete(callback)
   }
 
+  /** Requests that nothing was written for yet. */
+  unanswered(): number {
+    const all = [...this.exchanges.values()].flatMap((pending) => [...pending])
+    return all.filter((exchange) => !exchange.isEnded()).length
+  }
+
+  /** Closes the connections on which no answer is awaited or being sent. */
+  closeIdle(): void {
+    for (const [socket, pending] of this.exchanges) {
+      if (pending.size === 0) closeWhenSent(socket)
+    }
+  }
+
+  /** Closes each connection once what was written to it has been sent. */
+  closeAll(): void {
+    for (const socket of this.exchanges.keys()) closeWhenSent(socket)
+  }
+
   destroyAll(): void {
     for (const socket of this.sockets) socket.destroy()
   }
@@ -87,3 +105,10 @@
     for (const wake of waiters) wake()
   }
 }
+
+/** Ends both directions: a request that came after it could not be answered. */
+function closeWhenSent(socket: Duplex): void {
+  socket.end(() => {
+    socket.destroy()
+  })
+}
--- a/packages/http-api/src/lib/server/ServerHost.ts
+++ b/packages/http-api/src/lib/server/ServerHost.ts
@@ -1,5 +1,6 @@
 import type http from 'node:http'
 import https from 'node:https'
+import net from 'node:net'
 import type { Socket } from 'node:net'
 import { performance } from 'node:perf_hooks'
 import { Effect } from 'effect'
@@ -16,6 +17,9 @@
 import type { HttpClock, HttpLimits } from './HttpServerOptions'
 import { refuseUnparsed } from './refuseUnparsed'
 
+/** How long a client may take to read answers when the server ends, in milliseconds. */
+const FLUSH_MS = 250
+
 /** @internal */
 export interface ServerHostOptions {
   readonly node: http.Server
@@ -87,16 +91,23 @@
 
   stopAccepting(): void {
     this.closing = true
-    this.node.close()
-    this.node.closeIdleConnections()
+    // The close of `http` would destroy connections whose answer was ended but is still being
+    // sent: it takes them for idle. The one below it only stops listening.
+    net.Server.prototype.close.call(this.node)
+    this.table.closeIdle()
   }
 
-  /** Ends everything; says what was cut off. */
+  /** Ends everything; says what was cut off. Answers that were written are still sent. */
   shutDown(): void {
-    const cutOff = this.table.requestsInProgress()
+    const cutOff = this.table.unanswered()
     if (cutOff > 0) this.log(`cut off ${cutOff} requests in progress`)
     this.stopAccepting()
-    this.table.destroyAll()
+    this.table.closeAll()
+    setTimeout(() => {
+      this.table.destroyAll()
+      // Ends Node's own timer for heads.
+      this.node.close()
+    }, FLUSH_MS).unref()
   }
 
   countAnswer(status: number): void {
--- a/packages/http-api/src/lib/server/openServer.test.ts
+++ b/packages/http-api/src/lib/server/openServer.test.ts
@@ -234,6 +234,28 @@
     assert.equal(service.interrupted, 0)
   })
 
+  it('closes idle connections when it stops accepting, but none that is being answered', async (t) => {
+    const { server, service } = await openCallerServer(t)
+    const large = `"${'x'.repeat(8_000_000)}"`
+    service.answer = () => Effect.succeed(succeeded([large]))
+    const idle = net.connect(server.port, '127.0.0.1')
+    const busy = net.connect(server.port, '127.0.0.1').pause()
+    let length = 0
+    busy.on('data', (chunk) => (length += chunk.length))
+    busy.write(rawJob(body))
+    await eventually(() => server.counters().answers.get(200) === 1 && server.connections() === 2)
+    server.stopAccepting()
+    idle.resume()
+    await eventually(() => idle.destroyed)
+    assert.ok(idle.destroyed)
+    assert.equal(server.requestsInProgress(), 1)
+    busy.resume()
+    await Effect.runPromise(server.whenIdle)
+    await eventually(() => length > large.length)
+    assert.ok(length > large.length)
+    busy.destroy()
+  })
+
   it('finishes what is in progress, and takes nothing new', async (t) => {
     const { server, service, logged, close } = await openCallerServer(t)
     const { answer, open } = gate()
@@ -250,6 +272,23 @@
     assert.deepEqual(logged, [])
   })
 
+  it('still sends an answer that was written just before the end', async (t) => {
+    const { server, service, logged, close } = await openCallerServer(t)
+    const large = `"${'x'.repeat(8_000_000)}"`
+    service.answer = () => Effect.succeed(succeeded([large]))
+    const socket = net.connect(server.port, '127.0.0.1').pause()
+    let length = 0
+    socket.on('data', (chunk) => (length += chunk.length))
+    socket.write(rawJob(body))
+    await eventually(() => server.counters().answers.get(200) === 1)
+    assert.equal(server.requestsInProgress(), 1)
+    await close()
+    socket.resume()
+    await eventually(() => socket.destroyed)
+    assert.ok(length > large.length)
+    assert.deepEqual(logged, [])
+  })
+
   it('says how many requests it cut off', async (t) => {
     const { server, service, logged, close } = await openCallerServer(t)
     service.answer = () => Effect.never
