Hold slots that a fenced id may use, and hand over no silent endpoint

A new owner ignored the slot of a task that the coordinator had fenced there while a dead owner's request still ran. A silent endpoint looked fresh to its new owner.

--- a/packages/owner/src/lib/OwnerMachine.ts
+++ b/packages/owner/src/lib/OwnerMachine.ts
@@ -201,21 +201,21 @@
   private setMembers(now: number, members: readonly InstanceView[]): void {
     const changed = this.ctx.ownership.setMembers(now, members)
     this.handOver.forgetDeadHolders()
-    if (changed) this.handOver.rebalance()
+    if (changed) this.handOver.rebalance(now)
     this.coordinators.membersChanged(now, members)
   }
 
   private setPreset(now: number, preset: PresetDefinition): void {
     const moved = this.ctx.ownership.setShards(preset.ownerShards)
     this.ctx.usePreset(now, preset)
-    if (moved) this.handOver.rebalance()
+    if (moved) this.handOver.rebalance(now)
   }
 
   private drain(now: number): void {
     if (this.ctx.draining) return
     this.ctx.draining = true
     this.ctx.ownership.leave(now)
-    this.handOver.rebalance()
+    this.handOver.rebalance(now)
     for (const lane of this.ctx.lanes.values()) this.ctx.dirtyLanes.add(lane)
   }
 
--- a/packages/owner/src/lib/dispatch/Dispatcher.ts
+++ b/packages/owner/src/lib/dispatch/Dispatcher.ts
@@ -140,7 +140,7 @@
 
   private request(now: number, task: TaskRecord, record: EndpointRecord, join: boolean): void {
     const run = this.nextRun++
-    task.requests.add(run)
+    task.requests = [...task.requests, run]
     record.openRuns.add(run)
     if (!join) task.leasedAt = now
     this.ctx.outbox.push({
@@ -178,7 +178,7 @@
   candidate.slots = record.slots
   candidate.busySlots = record.busySlots
   candidate.slowness = lane.pace.slowness(now, record.endpoint)
-  candidate.sameJobHere = task.job.perEndpoint.get(record.endpoint) ?? 0
-  candidate.sameJobInRack = task.job.perRack.get(record.candidate.rack) ?? 0
+  candidate.sameJobHere = task.job.spread?.atEndpoint(record.endpoint) ?? 0
+  candidate.sameJobInRack = task.job.spread?.inRack(record.candidate.rack) ?? 0
   return candidate
 }
--- a/packages/owner/src/lib/handover/HandOver.test.ts
+++ b/packages/owner/src/lib/handover/HandOver.test.ts
@@ -94,6 +94,14 @@
     )
   })
 
+  it('does not pass a silent endpoint off as a fresh one', () => {
+    const owner = busy()
+    owner.pass(3000)
+    owner.members(SELF, makeMember(WINNER))
+    assert.equal(owner.sent('handOverEndpoints').length, 0)
+    assert.equal(owner.machine.summaries(owner.now).length, 0)
+  })
+
   it('takes an endpoint back when the new owner dies', () => {
     const owner = busy()
     owner.members(SELF, makeMember(WINNER))
@@ -170,6 +178,8 @@
   it('of a dead one takes what the endpoint lists as busy', () => {
     const owner = taker()
     owner.members(SELF, makeMember('o2', { alive: false }))
+    const fence = create(FenceTasksSchema, { jobId: 'c1.1.9', indexes: [0] })
+    owner.message({ case: 'fenceTasks', value: fence })
     owner.heartbeat({ slots: 2, runningTaskIds: ['c1.1.9.0'] })
     owner.place([0, 1])
     assert.equal(owner.openRuns.length, 1)
--- a/packages/owner/src/lib/handover/HandOver.ts
+++ b/packages/owner/src/lib/handover/HandOver.ts
@@ -25,14 +25,18 @@
   ) {}
 
   /** Hands over each endpoint whose owner is another instance by now. */
-  rebalance(): void {
+  rebalance(now: number): void {
     const moved = new Map<string, HandedEndpoint[]>()
     for (const record of this.ctx.endpoints.values()) {
       if (!record.owned) continue
       const owner = this.ownerOf(record)
       if (owner === undefined || owner === this.ctx.instance) continue
+      const silentMs = now - record.lastHeartbeatAt
+      const endpoint = this.handOver(record, owner)
+      // The new owner would take a silent endpoint for a fresh one.
+      if (silentMs >= this.ctx.timing.endpointTimeoutMs) continue
       const handed = moved.get(owner) ?? []
-      handed.push(this.handOver(record, owner))
+      handed.push(endpoint)
       moved.set(owner, handed)
     }
     for (const [owner, endpoints] of moved) {
@@ -68,7 +72,7 @@
       this.ctx.refresh(record)
     }
     // This instance may leave, or know better: then the endpoint moves on.
-    if (this.ctx.draining) this.rebalance()
+    if (this.ctx.draining) this.rebalance(now)
   }
 
   /** Tasks of the old owner ended. */
--- a/packages/owner/src/lib/handover/QueueMover.ts
+++ b/packages/owner/src/lib/handover/QueueMover.ts
@@ -79,7 +79,7 @@
       notRun: true,
       coordinator: task.job.coordinator,
       report: undefined,
-      released: true,
+      released: false,
       passedTo: target,
     })
   }
--- a/packages/owner/src/lib/intake/Fencing.ts
+++ b/packages/owner/src/lib/intake/Fencing.ts
@@ -75,7 +75,8 @@
     notRun: true,
     coordinator,
     report: undefined,
-    released: true,
+    // Another owner may have dispatched it.
+    released: false,
     passedTo: undefined,
   }
 }
--- a/packages/owner/src/lib/outcomes/RunAnswers.ts
+++ b/packages/owner/src/lib/outcomes/RunAnswers.ts
@@ -33,7 +33,7 @@
     const record = this.ctx.endpoints.get(end.endpoint)
     if (record?.openRuns.delete(end.run) === true) this.ctx.refresh(record)
     const task = this.ctx.book.get(end.taskId)
-    if (record === undefined || task?.endpoint !== record || !task.requests.delete(end.run)) {
+    if (record === undefined || task?.endpoint !== record || !task.closeRequest(end.run)) {
       this.ctx.counters.lateAnswers++
       return
     }
@@ -84,7 +84,7 @@
   }
 
   private refused(now: number, at: EndpointRecord, task: TaskRecord, result: RunResult): void {
-    if (task.requests.size > 0) return
+    if (task.requests.length > 0) return
     this.ctx.health.recordFailure(now, observe(at, task), HealthFailure.Refused)
     this.probes.refused(now, at)
     if (!result.answered) this.probes.suspect(now, at)
@@ -102,7 +102,7 @@
 
   /** No word came back. The endpoint is asked before anything is concluded. */
   private lost(now: number, at: EndpointRecord, task: TaskRecord): void {
-    if (task.requests.size > 0) return
+    if (task.requests.length > 0) return
     if (!task.muted) this.ctx.health.recordFailure(now, observe(at, task), HealthFailure.Lost)
     this.probes.suspect(now, at)
     if (task.lastChance !== undefined) {
--- a/packages/owner/src/lib/outcomes/TaskEnds.ts
+++ b/packages/owner/src/lib/outcomes/TaskEnds.ts
@@ -4,6 +4,7 @@
 import { OwnerActionKind } from '../OwnerAction'
 import type { OwnerContext } from '../OwnerContext'
 import { runSpan } from '../spans/taskSpans'
+import { JobSpread } from '../tasks/JobSpread'
 import type { TaskRecord } from '../tasks/TaskRecord'
 import type { TaskEnd } from './TaskEnd'
 
@@ -38,7 +39,7 @@
     if (span !== undefined) this.ctx.outbox.push({ kind: OwnerActionKind.Span, span })
     record.vacate(task)
     for (const run of task.requests) this.dropRun(task, run)
-    task.requests.clear()
+    task.requests = []
     task.endpoint = undefined
     uncountAtJob(task, record.endpoint)
     if (!record.owned) this.noteReleased(record.endpoint, task.taskId)
@@ -117,22 +118,15 @@
 
 /** Counts a running task of a job with several at its endpoint and rack. @internal */
 export function countAtJob(task: TaskRecord, endpoint: string, rack: string): void {
-  if (task.job.remaining <= 1) return
-  const { perEndpoint, perRack } = task.job
+  const { job } = task
+  if (job.remaining <= 1) return
+  job.spread ??= new JobSpread()
+  job.spread.add(endpoint, rack)
   task.countedRack = rack
-  perEndpoint.set(endpoint, (perEndpoint.get(endpoint) ?? 0) + 1)
-  perRack.set(rack, (perRack.get(rack) ?? 0) + 1)
 }
 
 function uncountAtJob(task: TaskRecord, endpoint: string): void {
   if (task.countedRack === undefined) return
-  lower(task.job.perEndpoint, endpoint)
-  lower(task.job.perRack, task.countedRack)
+  task.job.spread?.remove(endpoint, task.countedRack)
   task.countedRack = undefined
 }
-
-function lower(counts: Map<string, number>, key: string): void {
-  const count = counts.get(key) ?? 0
-  if (count <= 1) counts.delete(key)
-  else counts.set(key, count - 1)
-}
--- a/packages/owner/src/lib/recovery/LostTasks.ts
+++ b/packages/owner/src/lib/recovery/LostTasks.ts
@@ -163,7 +163,7 @@
 
   /** Its answer, if one is still open, may come yet; nobody waits long for it. */
   private endedBeforeStop(now: number, task: TaskRecord): void {
-    if (task.muted || task.requests.size === 0) this.ends.settle(now, task, pastDeadline)
+    if (task.muted || task.requests.length === 0) this.ends.settle(now, task, pastDeadline)
     else {
       const until = now + CROSSING_MS
       task.lastChance = { until, end: pastDeadline }
@@ -187,7 +187,7 @@
   /** Idle connections to where one fell silent may be as dead. */
   private closeSilent(task: TaskRecord): void {
     const endpoint = task.endpoint?.endpoint
-    if (endpoint === undefined || task.requests.size === 0) return
+    if (endpoint === undefined || task.requests.length === 0) return
     this.ctx.outbox.push({ kind: OwnerActionKind.CloseIdle, endpoint })
   }
 
--- a/packages/owner/src/lib/tasks/TaskBook.ts
+++ b/packages/owner/src/lib/tasks/TaskBook.ts
@@ -44,8 +44,7 @@
       trace: parseTraceparent(placement.traceparent),
       remaining: placement.jobRemaining,
       tasks: new Map(),
-      perEndpoint: new Map(),
-      perRack: new Map(),
+      spread: undefined,
     }
     this.jobs.set(job.jobId, job)
     this.index(job)
--- a/packages/owner/src/lib/tasks/TaskRecord.ts
+++ b/packages/owner/src/lib/tasks/TaskRecord.ts
@@ -3,6 +3,7 @@
 import type { PlacedTask, Resources, TaskSpec } from '@cherryhitch/protocol'
 import type { TaskEnd } from '../outcomes/TaskEnd'
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
+import type { JobSpread } from './JobSpread'
 
 /** Where a task stands at its owner. @internal */
 export enum TaskPhase {
@@ -33,9 +34,8 @@
   /** Tasks of the whole job without a result, as far as it is known here. */
   remaining: number
   readonly tasks: Map<number, TaskRecord>
-  /** Running tasks per endpoint and per rack; kept for jobs of several tasks only. */
-  readonly perEndpoint: Map<string, number>
-  readonly perRack: Map<string, number>
+  /** Made with the first dispatch of a job that has several tasks left. */
+  spread: JobSpread | undefined
 }
 
 /** How a task ends when its answer does not come until an instant. @internal */
@@ -51,8 +51,8 @@
   endpoint: EndpointRecord | undefined
   /** Boot of the endpoint when the task was dispatched. */
   endpointBoot = 0
-  /** Numbers of the requests that are open for it. */
-  readonly requests = new Set<number>()
+  /** Numbers of the requests that are open for it: one, or two while it is joined. */
+  requests: readonly number[] = []
   dispatchedAt = 0
   /** When the message left that granted its lease last, heard or not. */
   leasedAt = 0
@@ -120,4 +120,11 @@
   get resources(): Resources | undefined {
     return this.spec.resources
   }
+
+  /** @returns whether the request was open */
+  closeRequest(run: number): boolean {
+    if (!this.requests.includes(run)) return false
+    this.requests = this.requests.filter((open) => open !== run)
+    return true
+  }
 }
