--- a/apps/cherryhitch/src/lib/cli/pages.test.ts
+++ b/apps/cherryhitch/src/lib/cli/pages.test.ts
@@ -183,10 +183,12 @@
     const { body } = await metrics.render()
     metrics.close()
     const exposed = [...body.matchAll(/^# TYPE (cherryhitch_\w+)/gm)].map((match) => match[1] ?? '')
-    assert.deepEqual(
-      documentedMetrics(rows),
-      exposed.filter((name) => !name.startsWith('cherryhitch_metrics_')).sort(),
-    )
+    const counted = exposed.filter((name) => !name.startsWith('cherryhitch_metrics_'))
+    const documented = documentedMetrics(rows)
+    const missing = counted.filter((name) => !documented.includes(name))
+    assert.deepEqual(missing, [], `explain them in ${OPERATORS_PAGE}`)
+    const gone = documented.filter((name) => !counted.includes(name))
+    assert.deepEqual(gone, [], `${OPERATORS_PAGE} explains what is not there`)
   })
 })
 
@@ -202,5 +204,5 @@
     else if (prefix === undefined || !ends.every((end) => /^[a-z_]+$/.test(end))) prefix = undefined
     else names.push(...ends.map((end) => `${prefix}${end}`))
   }
-  return names.sort()
+  return names
 }
