Run owners that come and drain at random

Three owners of a zone with links that delay, sound endpoints, and a coordinator that places again what was not run: each task succeeds once, and no request meets a full endpoint.

--- a/packages/owner/src/lib/OwnerContext.ts
+++ b/packages/owner/src/lib/OwnerContext.ts
@@ -21,6 +21,7 @@
 /** The state that the managers of one owner share, and the policies of its preset. @internal */
 export class OwnerContext {
   readonly instance: string
+  readonly boot: number
   readonly zone: string
   readonly timing: OwnerTiming
   readonly limits: OwnerLimits
@@ -48,6 +49,7 @@
 
   constructor(options: OwnerMachineOptions) {
     this.instance = options.instance
+    this.boot = options.boot
     this.zone = options.zone
     this.timing = { ...defaultOwnerTiming, ...options.timing }
     this.limits = { ...defaultOwnerLimits, ...options.limits }
--- a/packages/owner/src/lib/OwnerCounters.ts
+++ b/packages/owner/src/lib/OwnerCounters.ts
@@ -5,6 +5,8 @@
   duplicatePlacements: number
   /** Placed after they were fenced or their job was cancelled: ignored. */
   fencedPlacements: number
+  /** Placed with an earlier process of this instance, which may have started them: ignored. */
+  misdirectedPlacements: number
   dispatched: number
   /** Requests that fetch the answer of a task that was dispatched before. */
   joined: number
@@ -41,6 +43,7 @@
     placed: 0,
     duplicatePlacements: 0,
     fencedPlacements: 0,
+    misdirectedPlacements: 0,
     dispatched: 0,
     joined: 0,
     succeeded: 0,
--- a/packages/owner/src/lib/OwnerMachine.test.ts
+++ b/packages/owner/src/lib/OwnerMachine.test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check'
 import { RunResultKind } from './endpointResults'
 import { JOB, OwnerFixture } from './fixtures/OwnerFixture'
+import { OwnerGroup } from './fixtures/OwnerGroup'
 import { OwnerWorld } from './fixtures/OwnerWorld'
 import { OwnerActionKind } from './OwnerAction'
 
@@ -26,6 +27,8 @@
 ] as const
 
 const RUNS = Number(process.env.OWNER_PROPERTY_RUNS ?? 300)
+/** Tasks of a run with several owners. */
+const JOBS = 100
 const SEED = Number(process.env.OWNER_PROPERTY_SEED ?? 20_261_202)
 
 describe('the owner under random events', () => {
@@ -42,6 +45,24 @@
   })
 })
 
+describe('owners that come and drain', () => {
+  it('run each task once, and never more than an endpoint has slots', () => {
+    const run = fc.property(fc.nat(), fc.constantFrom(1, 4), (seed, shards) => {
+      const group = new OwnerGroup(seed, shards)
+      group.runUntil(1500)
+      for (let job = 0; job < JOBS; job++) {
+        group.place(`c1.1.${job.toString(36)}`)
+        if (job % 20 === 0) group.flip()
+        group.runUntil(group.now + 60)
+      }
+      group.runUntil(group.now + 20_000)
+      assert.deepEqual([group.succeeded, group.starts.size, group.refused], [JOBS, JOBS, 0])
+      assert.ok([...group.starts.values()].every((starts) => starts === 1))
+    })
+    fc.assert(run, { seed: SEED, numRuns: RUNS / 10 })
+  })
+})
+
 describe('spans', () => {
   it('cover the wait and the run, and the endpoint gets the one of the run', () => {
     const owner = new OwnerFixture()
--- a/packages/owner/src/lib/endpoints/OwnershipView.ts
+++ b/packages/owner/src/lib/endpoints/OwnershipView.ts
@@ -58,6 +58,11 @@
     return this.members.some((member) => member.instance === instance && member.alive)
   }
 
+  /** Boot of a live instance; 0 when it is not known. */
+  bootOf(instance: string): number {
+    return this.members.find((member) => member.instance === instance)?.boot ?? 0
+  }
+
   private pick(
     endpoint: string,
     service: string,
--- a/packages/owner/src/lib/handover/QueueMover.ts
+++ b/packages/owner/src/lib/handover/QueueMover.ts
@@ -66,6 +66,7 @@
         tasks: tasks.map(toPlaced),
         traceparent: job.traceparent,
         coordinator: job.coordinator,
+        ownerBoot: this.ctx.ownership.bootOf(target),
       },
     })
   }
--- a/packages/owner/src/lib/intake/Placement.ts
+++ b/packages/owner/src/lib/intake/Placement.ts
@@ -19,6 +19,10 @@
   ) {}
 
   place(now: number, from: string, placement: PlaceTasks): void {
+    if (placement.ownerBoot !== 0 && placement.ownerBoot !== this.ctx.boot) {
+      this.ctx.counters.misdirectedPlacements += placement.tasks.length
+      return
+    }
     if (this.ctx.memory.isCancelled(placement.jobId)) {
       this.ctx.counters.fencedPlacements += placement.tasks.length
       return
--- a/packages/owner/src/lib/startOwner.ts
+++ b/packages/owner/src/lib/startOwner.ts
@@ -18,8 +18,6 @@
 /** Fine enough for leases and silences of seconds; an idle tick costs microseconds. */
 const TICK_MS = 25
 
-const LOG_PREFIX = 'owner:'
-
 /** What the owner needs of the process it runs in. Callbacks must return at once. @public */
 export interface OwnerPartOptions extends OwnerMachineOptions {
   /** Sends a message to an instance; the own one included. */
@@ -81,7 +79,7 @@
         perform(options, client, action)
       },
       onDefect: (defect) => {
-        options.log(`${LOG_PREFIX} stopped by a defect: ${String(defect)}`)
+        options.log(`stopped by a defect: ${String(defect)}`)
         options.onDefect?.(defect)
       },
       tickMs: TICK_MS,
@@ -113,7 +111,7 @@
       options.onSpan(action.span)
       return
     case OwnerActionKind.Drained:
-      options.log(`${LOG_PREFIX} drained.`)
+      options.log('drained')
       options.onDrained()
       return
     case OwnerActionKind.RunTask:
