--- a/apps/cherryhitch/src/lib/cli/commands/audit/auditCommand.test.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/audit/auditCommand.test.ts
@@ -57,6 +57,11 @@
     ['some at most', ['--limit', '2'], [0, 1]],
     ['some at most from a position', ['--from', '1', '--limit', '2'], [1, 2]],
     ['beyond the end', ['--from', '9'], []],
+    ['the newest', ['--last', '2'], [4, 5]],
+    ['no more than there are', ['--last', '99'], [0, 1, 2, 3, 4, 5]],
+    ['none of the newest', ['--last', '0'], []],
+    ['changes alone', ['--changes'], [0, 3]],
+    ['the newest change', ['--last', '1', '--changes'], [3]],
   ]
   for (const [what, flags, positions] of parts) {
     it(`lists ${what}, live and from a file`, async (t) => {
@@ -76,6 +81,20 @@
     })
   }
 
+  it('finds the newest end of a long record without reading it whole', async (t) => {
+    const fake = await serveRows(t, longStory)
+    const { out } = await runWith(['audit', 'list', '--json', '--last', '3', '--url', fake.url])
+    assert.deepEqual(JSON.parse(out), longStory.slice(-3))
+    const sizes = fake.seen.map((req) =>
+      Number(new URL(req.path, 'http://a').searchParams.get('limit')),
+    )
+    assert.deepEqual(
+      sizes.filter((size) => size > 1),
+      [500],
+    )
+    assert.ok(sizes.length < 30, `${sizes.length} requests`)
+  })
+
   it('shows one record with one small request', async (t) => {
     const fake = await serveRows(t, longStory)
     const { out } = await runWith(['audit', 'show', '1100', '--url', fake.url])
--- a/apps/cherryhitch/src/lib/cli/commands/audit/auditCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/audit/auditCommand.ts
@@ -6,7 +6,7 @@
 import { formatTable } from '../../output/formatTable'
 import { answerInForce, describeInForce } from './answerInForce'
 import type { AuditFlags } from './readAuditRows'
-import { readAuditRow, readAuditRows } from './readAuditRows'
+import { readAuditRow, readAuditRows, readListedRows } from './readAuditRows'
 import { describeAgreement, requireUnbroken } from './verifyAuditRows'
 
 const ACTIONS = 'list, show, verify, export or in-force'
@@ -20,10 +20,13 @@
   operatorOptions(command)
     .option('--from <position>', 'list, export: first record', { default: '0' })
     .option('--limit <n>', 'list, export: records at most')
+    .option('--last <n>', 'list: the newest records instead')
+    .option('--changes', 'list: without the records of when a version took force')
     .option('--file <file>', 'Read an exported file instead of the live record')
     .option('--against <file>', 'verify: the record must begin with this earlier export')
     .option('--instance <name>', 'in-force: at this instance; else for the whole system')
     .option('--at <time>', 'in-force: at this time, with an offset; else now')
+    .example('cherryhitch audit list --last 10 --changes')
     .example('cherryhitch audit list --from 120')
     .example('cherryhitch audit export > audit.jsonl')
     .example('cherryhitch audit verify --against audit.jsonl')
@@ -42,7 +45,7 @@
   const openClient = () => operatorClient(flags, io)
   switch (action) {
     case 'list': {
-      const rows = await readAuditRows(flags, openClient)
+      const rows = await readListedRows(flags, openClient)
       printAnswer(io, flags, rows, () => auditTable(rows))
       return
     }
--- a/apps/cherryhitch/src/lib/cli/commands/audit/readAuditRows.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/audit/readAuditRows.ts
@@ -4,11 +4,14 @@
 import type { AuditRow } from '../../http/operatorViews'
 import { requireRead, unreachableQuorum } from '../../http/problems'
 import { readAuditFile } from './readAuditFile'
+import { readLastRows } from './readLastRows'
 
 /** @internal */
 export interface AuditFlags extends ConnectionFlags {
   readonly from: string
   readonly limit?: string
+  readonly last?: string
+  readonly changes?: boolean
   readonly file?: string
   readonly against?: string
   readonly instance?: string
@@ -41,6 +44,22 @@
   return rows
 }
 
+/** Reads what `audit list` shows: a part of the record, or its newest end. @internal */
+export async function readListedRows(
+  flags: AuditFlags,
+  openClient: () => HttpClient,
+): Promise<readonly AuditRow[]> {
+  const isWanted = (row: AuditRow) => flags.changes !== true || row.kind !== 'in_force'
+  if (flags.last === undefined) return (await readAuditRows(flags, openClient)).filter(isWanted)
+  const count = wholeNumber(flags.last, '--last')
+  if (flags.file !== undefined) {
+    const rows = readAuditFile(flags.file).filter(isWanted)
+    return rows.slice(Math.max(0, rows.length - count))
+  }
+  const client = openClient()
+  return readLastRows((from, limit) => readPage(client, from, limit), count, isWanted, PAGE)
+}
+
 /** Reads one record. @throws CliError when there is none at the position @internal */
 export async function readAuditRow(
   position: string | undefined,
--- a/apps/cherryhitch/src/lib/cli/commands/presets/presetCommand.test.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/presets/presetCommand.test.ts
@@ -102,6 +102,40 @@
   })
 })
 
+describe('preset set --wait', () => {
+  const set = ['preset', 'set', 'peak', '--from', '12', '--reason', 'r', '--operator', 'mori']
+
+  /** Instance b1 takes the new version only when it has been asked after so many times. */
+  function startSlowInstance(t: TestContext, questions: number): Promise<FakeInstance> {
+    let asked = 0
+    return FakeInstance.start(t, ({ method }) => {
+      if (method === 'PUT') return { status: 200, body: { commandId: 'c', version: 13 } }
+      asked += 1
+      const b1 = { instance: 'b1', alive: true, settingsVersion: asked > questions ? 13 : 12 }
+      const a1 = { instance: 'a1', alive: true, settingsVersion: 13 }
+      const dead = { instance: 'c1', alive: false, settingsVersion: 12 }
+      return { status: 200, body: { instances: [a1, b1, dead] } }
+    })
+  }
+
+  it('ends when every living instance works under the version', async (t) => {
+    const fake = await startSlowInstance(t, 2)
+    const run = await runWith([...set, '--wait', '--url', fake.url])
+    assert.equal(run.exitCode, ExitCode.Ok, run.err)
+    assert.match(run.err, /version 13 is in use at all 2 instances.*; 1 can't be heard/)
+  })
+
+  it('names the instances that lack it after a while', async (t) => {
+    const fake = await startSlowInstance(t, Infinity)
+    let now = 0
+    const io = { now: () => (now += 6000) }
+    const run = await runWith([...set, '--wait', '--url', fake.url], io)
+    assert.equal(run.exitCode, ExitCode.Failed)
+    assert.equal(run.out, 'committed as version 13: preset peak')
+    assert.match(run.err, /committed, but not yet in use at b1\.\n.*never reverts/)
+  })
+})
+
 describe('preset define', () => {
   const cases: readonly (readonly [string, unknown, RegExp])[] = [
     ['is not JSON', '{"name"', /can't be read as JSON.*\n.*preset show NAME --json/],
--- a/apps/cherryhitch/src/lib/cli/commands/presets/presetCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/presets/presetCommand.ts
@@ -6,13 +6,15 @@
 import type { HttpClient } from '../../http/HttpClient'
 import type { SettingsRow } from '../../http/operatorViews'
 import { requireRead } from '../../http/problems'
-import type { ChangeFlags } from '../changes'
+import type { Change, ChangeFlags } from '../changes'
 import { changeOptions, proposeChange } from '../changes'
+import { awaitVersion } from './awaitVersion'
 import { describePreset, describeSettings, presetTable } from './describePresets'
 import { readDefinition } from './readDefinition'
 
 interface PresetFlags extends ChangeFlags {
   readonly from?: string
+  readonly wait?: boolean
 }
 
 const ACTIONS = 'show, list, set or define'
@@ -25,6 +27,7 @@
   )
   changeOptions(operatorOptions(command))
     .option('--from <version>', 'Version that the change starts from; see "preset show"')
+    .option('--wait', 'Wait until every living instance works under the new version')
     .example('cherryhitch preset show')
     .example('cherryhitch preset set peak --from 12 --reason "filing window closes on Friday"')
     .example('cherryhitch preset show peak --json > month-end.json')
@@ -81,8 +84,7 @@
   if (name === undefined) throw usageError('No preset is named.', 'See cherryhitch preset list.')
   const body = { name, fromVersion: fromVersion(flags) }
   const change = { method: 'PUT', path: '/v1/preset', body } as const
-  const answer = await proposeChange(operatorClient(flags, io), change, flags, io)
-  printAnswer(io, flags, answer, () => `committed as version ${answer.version}: preset ${name}`)
+  await makeChange(change, `preset ${name}`, flags, io)
 }
 
 async function definePreset(
@@ -97,10 +99,19 @@
   const body = { fromVersion: fromVersion(flags), definition }
   const path = `/v1/presets/${encodeURIComponent(name)}`
   const change = { method: 'PUT', path, body } as const
-  const answer = await proposeChange(operatorClient(flags, io), change, flags, io)
-  printAnswer(io, flags, answer, () => {
-    return `committed as version ${answer.version}: definition of ${name}`
-  })
+  await makeChange(change, `definition of ${name}`, flags, io)
+}
+
+async function makeChange(
+  change: Change,
+  what: string,
+  flags: PresetFlags,
+  io: CliIo,
+): Promise<void> {
+  const client = operatorClient(flags, io)
+  const answer = await proposeChange(client, change, flags, io)
+  printAnswer(io, flags, answer, () => `committed as version ${answer.version}: ${what}`)
+  if (flags.wait === true) io.printError(await awaitVersion(client, answer.version, io))
 }
 
 function fromVersion({ from }: PresetFlags): number {
