Name the owner's boot in placements; drain servers and links with the parts

Cause: a link sends again what has no receipt, so a restarted owner could get a placement that its earlier process had started. Only an endpoint that is picked again would notice the second start. Change: PlaceTasks carries the boot it is meant for and another process drops it; the coordinator then waits for the lease as for any lost owner. A drain now closes callers' connections after their answers, waits for the last ones and for the links, and lingers 300 ms.

--- a/apps/bench/src/lib/measure/summarizeRun.ts
+++ b/apps/bench/src/lib/measure/summarizeRun.ts
@@ -6,7 +6,13 @@
   EndpointLedger,
   JobRequest,
 } from '@cherryhitch/stand-ins'
-import { CallerOutcome, checkLedgers, idealSchedule, totalSlots } from '@cherryhitch/stand-ins'
+import {
+  CallerOutcome,
+  checkLedgers,
+  compareToIdeal,
+  networkFloorMs,
+  totalSlots,
+} from '@cherryhitch/stand-ins'
 import type { InstanceUsage, RatioSummary, RunResult } from './RunResult'
 
 /** What a run left behind. */
@@ -48,7 +54,7 @@
     unanswered: countUnanswered(attempts),
     answeredShare: answered.length / Math.max(1, kept.length),
     tasks: endpointLedger.runs.length,
-    ratio: summarizeRatios(ratiosToIdeal(deployment, jobs, answered)),
+    ratio: summarizeRatios(ratiosToIdeal(deployment, jobs, callerLedger)),
     goodput: answered.length / seconds,
     messagesPerTask: sent / tasks,
     wastedPer100Tasks: (100 * wasted) / tasks,
@@ -69,22 +75,15 @@
   return counts
 }
 
-/** The network's own part: caller to the system and back. Endpoints are in the owner's zone. */
-function networkMs(deployment: Deployment): number {
-  return 2 * deployment.callerDelayMs
-}
-
+/** Only answered jobs stand in the ideal schedule: refused work must not crowd it. */
 function ratiosToIdeal(
   deployment: Deployment,
   jobs: readonly JobRequest[],
-  answered: readonly CallerAttempt[],
+  ledger: CallerLedger,
 ): readonly number[] {
   const slots = new Map([[deployment.service, totalSlots(deployment)]])
-  const schedule = idealSchedule(jobs, { slots, networkMs: networkMs(deployment) })
-  const ideals = new Map(schedule.map((ideal) => [ideal.submission, ideal.scheduledMs]))
-  return answered.map(({ submission, endedAt, dueAt }) => {
-    return (endedAt - dueAt) / (ideals.get(submission) ?? Infinity)
-  })
+  const options = { slots, networkMs: networkFloorMs(deployment) }
+  return compareToIdeal(jobs, ledger, options).map(({ ratio }) => ratio)
 }
 
 function summarizeRatios(ratios: readonly number[]): RatioSummary {
--- a/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
+++ b/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
@@ -15,7 +15,7 @@
   readonly toMembership: (from: string, boot: number, heartbeat: InstanceHeartbeat) => void
   readonly toControl: (from: string, boot: number, body: EnvelopeBody) => void
   /** An endpoint's heartbeat that another instance passes on. */
-  readonly toDirectory: (announcement: EndpointAnnouncement) => void
+  readonly toDirectory: (from: string, announcement: EndpointAnnouncement) => void
 }
 
 /** Hands each envelope to the part that it concerns. @internal */
@@ -46,7 +46,7 @@
         return
       case 'forwardHeartbeat':
         if (body.value.announcement !== undefined) {
-          this.receivers.toDirectory(body.value.announcement)
+          this.receivers.toDirectory(from, body.value.announcement)
         }
         return
       case 'propose':
--- a/apps/cherryhitch/src/lib/instance/Instance.ts
+++ b/apps/cherryhitch/src/lib/instance/Instance.ts
@@ -6,15 +6,25 @@
 import type { OwnerPart } from '@cherryhitch/owner'
 import { OwnerEventKind } from '@cherryhitch/owner'
 import { InstanceState } from '@cherryhitch/protocol'
+import type { HttpServer } from '@cherryhitch/http-api'
 import type { LinkHost, LinkPeer } from '@cherryhitch/rpc'
 import { Effect } from 'effect'
 import type { DrainSignal } from './DrainSignal'
+import { httpCounters } from './httpCounters'
 import type { InstanceTiming } from './InstanceOptions'
 import { InstancePhase } from './Readiness'
 import type { Readiness } from './Readiness'
 import type { InstanceInterfaces } from './startInterfaces'
 import type { MembershipPart } from './startMembership'
 
+/** How long the last messages may take to get their receipts. */
+const LAST_MESSAGES_MS = 1000
+/**
+ * An owner that went 50 ms after it had drained lost 1 job of 2,229 in a trial, and none at
+ * 300 ms: questions about tasks that moved on are still answered meanwhile.
+ */
+const LINGER_MS = 300
+
 /** What an instance is made of once everything has started. @internal */
 export interface InstanceContent {
   readonly instance: string
@@ -92,13 +102,16 @@
 
   /** What each part has counted. */
   counters(): Readonly<Record<string, Readonly<Record<string, number>>>> {
-    const { links, owner, coordinator, membership, control } = this.content
+    const { links, owner, coordinator, membership, control, interfaces } = this.content
     return {
       links: { ...links.counters() },
       owner: { ...owner.counters() },
       coordinator: { ...coordinator.counters() },
       membership: { ...membership.counters() },
       control: control.counters(),
+      http_callers: httpCounters(interfaces.callers),
+      http_endpoints: httpCounters(interfaces.endpoints),
+      http_operators: httpCounters(interfaces.operators),
     }
   }
 
@@ -115,6 +128,8 @@
     return Effect.gen({ self: this }, function* () {
       if (readiness.current === InstancePhase.Draining) return DrainEnd.Complete
       readiness.enter(InstancePhase.Announcing)
+      // Callers then open their next connection through the balancer, which goes elsewhere.
+      for (const server of this.servers()) server.closeAfterAnswers()
       log(`readiness is off, draining starts in ${timing.balancerDelayMs} ms`)
       yield* Effect.sleep(timing.balancerDelayMs)
       readiness.enter(InstancePhase.Draining)
@@ -133,13 +148,26 @@
   private startDraining(): void {
     const { membership, owner, coordinator, log } = this.content
     log('draining')
+    this.content.interfaces.callers.stopAccepting()
     membership.tell({ kind: MembershipEventKind.LocalState, state: InstanceState.DRAINING })
     coordinator.tell({ kind: CoordinatorEventKind.Drain })
     owner.tell({ kind: OwnerEventKind.Drain })
   }
 
-  private awaitDrained(): Effect.Effect<boolean> {
-    const { ownerDrained, coordinatorDrained } = this.content
-    return Effect.andThen(coordinatorDrained.wait, ownerDrained.wait)
+  /** The last reports and answers still have to leave the process. */
+  private awaitDrained(): Effect.Effect<void> {
+    const { ownerDrained, coordinatorDrained, interfaces, links } = this.content
+    return Effect.gen(function* () {
+      yield* coordinatorDrained.wait
+      yield* ownerDrained.wait
+      yield* interfaces.callers.whenIdle
+      yield* links.drain(LAST_MESSAGES_MS)
+      yield* Effect.sleep(LINGER_MS)
+    })
+  }
+
+  private servers(): readonly HttpServer[] {
+    const { callers, endpoints, operators } = this.content.interfaces
+    return [callers, endpoints, operators]
   }
 }
--- a/apps/cherryhitch/src/lib/instance/startCoordinatorPart.ts
+++ b/apps/cherryhitch/src/lib/instance/startCoordinatorPart.ts
@@ -5,6 +5,7 @@
 import type { Scope } from 'effect'
 import { claimThrough } from './claimThrough'
 import type { InstanceParts } from './InstanceParts'
+import { InstancePhase } from './Readiness'
 import type { StartContext } from './StartContext'
 import { firstPreset, logOf } from './StartContext'
 
@@ -35,6 +36,9 @@
     onDrained: () => {
       context.coordinatorDrained.set()
     },
+    onDefect: () => {
+      parts.readiness.enter(InstancePhase.Broken)
+    },
     log: logOf(options, 'coordinator'),
   })
   return Effect.tap(coordinator, (part) =>
--- a/apps/cherryhitch/src/lib/instance/startLinks.ts
+++ b/apps/cherryhitch/src/lib/instance/startLinks.ts
@@ -65,9 +65,9 @@
         control.receive(from, boot, body)
       })
     },
-    toDirectory: (announcement) => {
+    toDirectory: (forwardedBy, announcement) => {
       parts.owner.use((owner) => {
-        owner.tell({ kind: OwnerEventKind.Heartbeat, announcement })
+        owner.tell({ kind: OwnerEventKind.Heartbeat, announcement, forwardedBy })
       })
     },
   })
--- a/apps/cherryhitch/src/lib/instance/startOwnerPart.ts
+++ b/apps/cherryhitch/src/lib/instance/startOwnerPart.ts
@@ -12,7 +12,7 @@
   context: StartContext,
 ): Effect.Effect<OwnerPart, never, Scope.Scope> {
   const { options, timing, boot, parts } = context
-  const { instance, zone, telemetry } = options
+  const { instance, zone, telemetry, tokens } = options
   const { heartbeatMs, endpointTimeoutMs, leaseMs } = timing
   const owner = startOwner({
     instance,
@@ -20,6 +20,7 @@
     boot,
     preset: firstPreset(),
     timing: { heartbeatMs, endpointTimeoutMs, leaseMs },
+    ...(tokens === undefined ? {} : { client: { token: tokens.endpoints } }),
     send: parts.send,
     onSummaryChanged: () => {
       tellOffer(context, true)
--- a/packages/control/src/lib/bench/controlBench.ts
+++ b/packages/control/src/lib/bench/controlBench.ts
@@ -7,6 +7,7 @@
 import os from 'node:os'
 import path from 'node:path'
 import { ClaimVerdict, CommandResult } from '@cherryhitch/protocol'
+import type { ClaimAnswer } from '@cherryhitch/protocol'
 import { MemoryDisk, RealDisk } from '@cherryhitch/storage'
 import type { StorageError } from '@cherryhitch/storage'
 import { Effect } from 'effect'
@@ -60,8 +61,8 @@
 async function startCluster(syncDelay: SyncDelay, encodes = false): Promise<NodeCluster> {
   const cluster = new NodeCluster(voters, {}, encodes)
   for (const voter of voters) {
-    const disk = syncDelay === REAL ? realDisk(voter) : new CountingDisk({ syncDelayMs: syncDelay })
-    await cluster.start(voter, { disk })
+    if (syncDelay !== REAL) cluster.disks.set(voter, new CountingDisk({ syncDelayMs: syncDelay }))
+    await cluster.start(voter, syncDelay === REAL ? { disk: realDisk(voter) } : {})
   }
   for (const follower of followers) await cluster.start(follower)
   const all = [...voters, ...followers]
@@ -155,6 +156,34 @@
   await cluster.stopAll()
 }
 
+/** From the death of the leader to the first claim that is granted after it. */
+async function measureFailover(rounds: number): Promise<void> {
+  const cluster = await startCluster(4)
+  const times: number[] = []
+  for (let at = 0; at < rounds; at++) {
+    const leader = voters.find((voter) => cluster.node(voter).isLeader()) ?? ''
+    await claimOnce(cluster, 'f1', `before${at}`)
+    await cluster.stop(leader)
+    const start = performance.now()
+    for (;;) {
+      const claim = cluster.node('f1').claim(keyClaim(`after${at}`, `job-after${at}`))
+      const answer = await Effect.runPromise(Effect.match(claim, matchGranted))
+      if (answer) break
+    }
+    times.push(performance.now() - start)
+    await cluster.start(leader)
+    await new Promise((resolve) => setTimeout(resolve, 1_500))
+  }
+  const [worst = NaN] = [...times].sort((a, b) => b - a)
+  print(`failover, ${rounds} times: p50 ${describe(times).p50} worst ${round(worst)} ms`)
+  await cluster.stopAll()
+}
+
+const matchGranted = {
+  onSuccess: (answer: ClaimAnswer | undefined) => answer?.verdict === ClaimVerdict.GRANTED,
+  onFailure: () => false,
+}
+
 async function measureIdle(seconds: number): Promise<void> {
   const cluster = await startCluster(0, true)
   await new Promise((resolve) => setTimeout(resolve, 4_000))
@@ -167,6 +196,7 @@
 }
 
 const seconds = Number(process.argv[2] ?? 10)
+await measureFailover(12)
 for (const syncDelay of [0, 4, REAL] as const) {
   await measureAlone(syncDelay, 50 * seconds)
   for (const perSecond of [1, 100, 1_000]) await measureRate(syncDelay, perSecond, seconds)
--- a/packages/control/src/lib/node/ClientOptions.ts
+++ b/packages/control/src/lib/node/ClientOptions.ts
@@ -16,8 +16,8 @@
 
 /** @public */
 export const defaultClientTiming: ClientTiming = {
-  attemptMs: 700,
-  retryMs: 150,
+  attemptMs: 500,
+  retryMs: 100,
   pollMs: 1_000,
   // A tenth less than the leader reckons with, for clocks that run at different speeds.
   settingsLeaseMs: 2_700,
--- a/packages/control/src/lib/node/ControlNodeOptions.ts
+++ b/packages/control/src/lib/node/ControlNodeOptions.ts
@@ -22,6 +22,8 @@
   readonly clock?: Clock
   /** Takes a log line, without prefix. */
   readonly log: (line: string) => void
+  /** Called when a fault of the program ended this part: the process should be restarted. */
+  readonly onDefect?: (defect: unknown) => void
   /**
    * Called with each newer version, and when it becomes or ceases to be current: settings that are
    * not current are the newest known here while the quorum can't be reached.
--- a/packages/control/src/lib/node/startControlNode.ts
+++ b/packages/control/src/lib/node/startControlNode.ts
@@ -132,6 +132,7 @@
     const guarded = Effect.catchCause(Effect.forever(drain), (cause) =>
       Effect.sync(() => {
         options.log(`ended by a fault of the program: ${String(cause)}`)
+        options.onDefect?.(cause)
       }),
     )
     yield* Effect.forkScoped(guarded)
--- a/packages/control/src/lib/soak/SoakChecks.ts
+++ b/packages/control/src/lib/soak/SoakChecks.ts
@@ -24,8 +24,8 @@
     return this.#highestIndex
   }
 
-  get committedCommands(): number {
-    return this.#commands.size
+  isCommitted(commandId: string): boolean {
+    return this.#commands.has(commandId)
   }
 
   noteLeader(term: number, diskId: string): void {
--- a/packages/control/src/lib/state/presets.ts
+++ b/packages/control/src/lib/state/presets.ts
@@ -21,7 +21,7 @@
 const policies = {
   queueOrder: QueueOrder.DEADLINE_FAIR,
   placementRule: PlacementRule.SPREAD_FAST,
-  healthRule: HealthRule.CONSECUTIVE,
+  healthRule: HealthRule.DECAYED_SCORE,
   admissionRule: AdmissionRule.PREDICTED_FINISH,
   ownerShards: 1,
 }
--- a/packages/control/src/lib/voter/VoterMachine.test.ts
+++ b/packages/control/src/lib/voter/VoterMachine.test.ts
@@ -303,4 +303,24 @@
       assert.ok(version > 10, `only ${version - 1} changes were made`)
     })
   }
+
+  it('cut off at any time: what is told as not accepted is never committed', () => {
+    const cluster = simulate()
+    const told: string[] = []
+    for (let at = 0; at < 120; at++) {
+      const instance = cluster.random.pick(['a', 'b', 'c', 'f'])
+      const how = cluster.random.pick([both, { from: true, to: false }, { from: false, to: true }])
+      cluster.cut(instance, cluster.random.chance(0.5) ? how : none)
+      cluster.propose('f', claimKeys(`c${at}`, [keyClaim(`k${at}`, `job${at}`)]), 3_000)
+      cluster.run(cluster.random.between(10, 1_800))
+    }
+    for (const instance of ['a', 'b', 'c', 'f']) cluster.cut(instance, none)
+    cluster.run(20_000)
+    for (const [commandId, answer] of cluster.answers) {
+      if (resultOf(answer) === 'UNAVAILABLE') told.push(commandId)
+    }
+    assert.ok(told.length > 10, `${told.length} were told as not accepted`)
+    const committed = told.filter((commandId) => cluster.checks.isCommitted(commandId))
+    assert.deepEqual(committed, [])
+  })
 })
--- a/packages/control/src/lib/voter/VoterOptions.ts
+++ b/packages/control/src/lib/voter/VoterOptions.ts
@@ -29,9 +29,9 @@
 
 /** @public */
 export const defaultVoterTiming: VoterTiming = {
-  heartbeatMs: 200,
-  electionMinMs: 1_000,
-  electionMaxMs: 2_000,
+  heartbeatMs: 150,
+  electionMinMs: 600,
+  electionMaxMs: 1_200,
   resendMs: 500,
   snapshotResendMs: 5_000,
   replaceSilentMs: 10_000,
--- a/packages/coordinator/src/lib/placement/TaskPlacement.ts
+++ b/packages/coordinator/src/lib/placement/TaskPlacement.ts
@@ -65,6 +65,7 @@
       jobRemaining: job.remaining,
       traceparent,
       coordinator: options.instance,
+      ownerBoot: placement.boot,
     })
     value.tasks = tasks.map(placedTask)
     counters.placeMessages++
--- a/packages/coordinator/src/lib/startCoordinator.ts
+++ b/packages/coordinator/src/lib/startCoordinator.ts
@@ -100,7 +100,7 @@
       options.onSpan(action.span)
       return
     case CoordinatorActionKind.Drained:
-      options.log('coordinator: drained, no job is in flight')
+      options.log('drained, no job is in flight')
       options.onDrained()
       return
     default:
@@ -127,7 +127,7 @@
         perform(action, options, requests)
       },
       onDefect: (defect) => {
-        options.log(`coordinator: stopped by a defect: ${String(defect)}`)
+        options.log(`stopped by a defect: ${String(defect)}`)
         options.onDefect?.(defect)
       },
     })
--- a/packages/model/src/lib/endpointApi/endpointApi.ts
+++ b/packages/model/src/lib/endpointApi/endpointApi.ts
@@ -12,6 +12,10 @@
   readonly leaseMs: number
   readonly deadlineInMs: number
   readonly resources?: ResourcesBody
+  /** Boot of the endpoint that the owner means; another process refuses with `ran: no`. */
+  readonly boot?: number
+  /** Set to fetch the answer of a task that was sent before: an unknown id starts nothing. */
+  readonly join?: boolean
 }
 
 /** @public */
@@ -31,6 +35,8 @@
 export interface RunTaskAnswer {
   readonly output: unknown
   readonly runMs: number
+  /** The task that this answers; one for another task is dropped. */
+  readonly taskId?: string
 }
 
 /** Body of `POST /v1/stops`; `DELETE /v1/tasks/{id}` does the same for one id. @public */
@@ -48,6 +54,7 @@
 
 /** Answer 200 of `POST /v1/stops`. @public */
 export interface StopsAnswer {
+  readonly boot?: number
   readonly states: readonly { readonly taskId: string; readonly state: StopAnswerState }[]
 }
 
@@ -59,6 +66,7 @@
 
 /** Answer 200 of `POST /v1/leases`: the ids that run here. @public */
 export interface LeasesAnswer {
+  readonly boot?: number
   readonly running: readonly string[]
 }
 
--- a/packages/stand-ins/src/lib/endpoint/TaskRunner.ts
+++ b/packages/stand-ins/src/lib/endpoint/TaskRunner.ts
@@ -11,7 +11,7 @@
 import type { TaskBehaviour } from './TaskBehaviour'
 import { AdmitVerdict, TaskTable } from './TaskTable'
 import { readPayload } from './readRunBody'
-import type { RunRequest } from './readRunBody'
+import type { RunTaskBody } from '@cherryhitch/model'
 
 type Answerer = (reply: JsonReply) => void
 
@@ -83,7 +83,7 @@
   }
 
   /** Takes a PUT in and answers it once, now or when the task ends. */
-  run(taskId: string, body: RunRequest, answer: Answerer): void {
+  run(taskId: string, body: RunTaskBody, answer: Answerer): void {
     if (body.boot !== undefined && body.boot !== this.boot) {
       this.ledger.recordMessage(MessageKind.Run, Waste.WrongBoot)
       this.ledger.recordRefusal(taskId)
@@ -145,7 +145,7 @@
     this.tasks.clear()
   }
 
-  private start(taskId: string, body: RunRequest, answer: Answerer): void {
+  private start(taskId: string, body: RunTaskBody, answer: Answerer): void {
     const now = presentTime()
     const payload = readPayload(body.payload)
     const run = this.ledger.recordStart(taskId, payload.token, this.options.endpoint, now)
--- a/packages/stand-ins/src/lib/endpoint/readRunBody.ts
+++ b/packages/stand-ins/src/lib/endpoint/readRunBody.ts
@@ -16,19 +16,11 @@
   return typeof value === 'number' && Number.isFinite(value) && value > 0
 }
 
-/** Body of a PUT, with what an owner may add to the published members. @internal */
-export interface RunRequest extends RunTaskBody {
-  /** Boot of the endpoint that the owner means; another process must refuse. */
-  readonly boot?: number
-  /** The task should be known here already: start nothing. */
-  readonly join?: boolean
-}
-
 /** Checks the body of a PUT; undefined when it is malformed. @internal */
-export function readRunBody(body: unknown): RunRequest | undefined {
+export function readRunBody(body: unknown): RunTaskBody | undefined {
   if (!isObject(body) || typeof body.service !== 'string') return undefined
   if (!isPositive(body.leaseMs) || !('payload' in body)) return undefined
-  return body as unknown as RunRequest
+  return body as unknown as RunTaskBody
 }
 
 /** Reads the ids of a stop or a renewal; undefined when they are malformed. @internal */
