--- /dev/null
+++ b/packages/control/src/lib/voter/Replication.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { VoterChangeKind } from '@cherryhitch/protocol'
+import { changeVoters } from '../testing/commands'
+import { DirectVoter } from '../testing/DirectVoter'
+
+function startLeader(): DirectVoter {
+  const voter = new DirectVoter()
+  voter.lead()
+  return voter
+}
+
+function isDistrusted(voter: DirectVoter): boolean {
+  return voter.lines.some((line) => line.includes('not counted'))
+}
+
+describe('a member that refuses entries behind what it had synced', () => {
+  it('is trusted when its answer is older than the one that told of the sync', () => {
+    const voter = startLeader()
+    const { round, lastIndex } = voter.lastAppendTo('b')
+    voter.run(200)
+    const later = voter.lastAppendTo('b').round
+    voter.appendReply('b', true, lastIndex, round)
+    // Both were sent before the leader knew, and were answered in another order.
+    voter.appendReply('b', false, lastIndex - 1, later)
+    voter.appendReply('b', false, lastIndex - 1, round)
+    assert.ok(!isDistrusted(voter))
+    assert.equal(voter.machine.commitIndex, lastIndex)
+  })
+
+  it('is not counted when it was asked after that', () => {
+    const voter = startLeader()
+    const { round, lastIndex } = voter.lastAppendTo('b')
+    voter.appendReply('b', true, lastIndex, round)
+    voter.run(200)
+    voter.appendReply('b', false, lastIndex - 1, voter.lastAppendTo('b').round)
+    assert.ok(isDistrusted(voter))
+  })
+})
+
+describe('a new leader', () => {
+  it('removes nobody before it has heard of a majority of the rest', () => {
+    const voter = startLeader()
+    const { round, lastIndex } = voter.lastAppendTo('b')
+    voter.appendReply('b', true, lastIndex, round)
+    // Only `b` was heard, so without it `a` and the silent `c` would be left.
+    const command = changeVoters('r', VoterChangeKind.REMOVE, 'b', 'b-test')
+    voter.receive('x', { case: 'propose', value: { requestId: '1', command } })
+    const [reply] = voter.sent.filter(({ to }) => to === 'x')
+    assert.ok(reply?.envelope.body.case === 'proposeReply')
+    assert.match(reply.envelope.body.value.answer?.detail ?? '', /no majority/)
+    assert.equal(voter.machine.lastIndex, lastIndex)
+  })
+})
--- a/packages/control/src/lib/voter/Replication.ts
+++ b/packages/control/src/lib/voter/Replication.ts
@@ -13,6 +13,8 @@
   sentSnapshot: boolean
   /** Highest round that it answered. */
   ackedRound: number
+  /** Last round that was sent before `match` was known: older answers may contradict it. */
+  matchedRound: number
   heardAt: number
   /** It once acknowledged entries that it has no more: its disk must not be trusted. */
   lostEntries: boolean
@@ -72,11 +74,10 @@
     const progress = this.#members.get(reply.diskId)
     if (progress === undefined) return
     progress.heardAt = now
-    const stale = reply.round < progress.ackedRound
     progress.ackedRound = Math.max(progress.ackedRound, reply.round)
     if (reply.round >= progress.sentRound) progress.sentAt = undefined
     if (reply.accepted) this.#advance(progress, reply.matchIndex)
-    else if (!stale) this.#goBack(progress, reply.matchIndex)
+    else this.#goBack(progress, reply)
   }
 
   /** The last index that a majority has synced. */
@@ -120,20 +121,26 @@
   }
 
   #advance(progress: Progress, matchIndex: number): void {
-    progress.match = Math.max(progress.match, matchIndex)
+    if (matchIndex > progress.match) {
+      progress.match = matchIndex
+      progress.matchedRound = this.#round
+    }
     progress.next = Math.max(progress.next, progress.match + 1)
     if (progress.sentAt === undefined) progress.next = progress.match + 1
   }
 
-  #goBack(progress: Progress, hint: number): void {
-    if (hint < progress.match && !progress.lostEntries) {
+  #goBack(progress: Progress, { matchIndex, round }: AppendReply): void {
+    const contradicts = matchIndex < progress.match
+    // Only an answer to what was sent after the match was known tells of a loss; others are late.
+    if (contradicts && round <= progress.matchedRound) return
+    if (contradicts && !progress.lostEntries) {
       progress.lostEntries = true
       const { diskId, match } = progress
       this.#core.say(
-        `disk ${diskId} had synced up to ${match} and now ends at ${hint}: not counted`,
+        `disk ${diskId} had synced up to ${match}, now ends at ${matchIndex}: not counted`,
       )
     }
-    progress.next = Math.max(0, hint + 1)
+    progress.next = Math.max(0, matchIndex + 1)
     progress.sentAt = undefined
   }
 
@@ -200,6 +207,7 @@
     sentRound: 0,
     sentSnapshot: false,
     ackedRound: 0,
+    matchedRound: 0,
     heardAt: now,
     lostEntries: false,
   }
--- a/packages/control/src/lib/voter/VoterRepair.ts
+++ b/packages/control/src/lib/voter/VoterRepair.ts
@@ -75,7 +75,9 @@
   #isReachable(now: number, members: readonly Voter[]): boolean {
     const { electionMinMs } = this.#core.config.timing
     const reachable = members.filter(({ diskId, learner }) => {
-      return !learner && this.#replication.silentMs(now, diskId) <= electionMinMs
+      // Being newly elected is no sign of a member: it must have accepted something in this term.
+      if (learner || this.#replication.matchOf(diskId) < 0) return false
+      return this.#replication.silentMs(now, diskId) <= electionMinMs
     })
     return reachable.length >= majorityOf(members)
   }
