Run the machines together, and soak them beside the programs

Each package was tried at random on its own; nothing ran coordinators, owners and membership against each other with restarts, cuts and drains, and `npm run soak` had no program behind it.

--- /dev/null
+++ b/apps/bench/src/soak.ts
@@ -0,0 +1,108 @@
+/** Randomised runs with invariants asserted inside: `npm run soak -- --seed 1 --minutes 10`. */
+import { cac } from 'cac'
+import { deployments } from '@cherryhitch/stand-ins'
+import { runControlPart, runJointPart } from './lib/soak/runMachineSoak'
+import { runProgramSoak } from './lib/soak/runProgramSoak'
+import type { SoakVerdict } from './lib/soak/SoakVerdict'
+import { buildPrograms } from './lib/system/buildPrograms'
+
+interface Flags {
+  readonly seed: number
+  readonly minutes: number
+  readonly only?: string
+  readonly help?: boolean
+}
+
+/** The parts of a round, by their names on the command line. */
+enum Part {
+  Joint = 'joint',
+  Control = 'control',
+  Program = 'program',
+}
+
+const MS_PER_MINUTE = 60_000
+const JOINT_STEPS = 300
+const CONTROL_STEPS = 200
+const RUNS_OF_MACHINES = 5
+const LOAD_SECONDS = 18
+/** A run of the programs that would end after the limit is not begun. */
+const PROGRAM_RUN_MS = 40_000
+
+interface Run {
+  readonly name: string
+  readonly seed: number
+  readonly isLong: boolean
+  readonly start: () => SoakVerdict | Promise<SoakVerdict>
+}
+
+function runsOfMachines(part: Part.Joint | Part.Control, seed: number): readonly Run[] {
+  const run = part === Part.Joint ? runJointPart : runControlPart
+  const steps = part === Part.Joint ? JOINT_STEPS : CONTROL_STEPS
+  return Array.from({ length: RUNS_OF_MACHINES }, (_, index) => {
+    const own = seed + index
+    return { name: part, seed: own, isLong: false, start: () => run(own, steps) }
+  })
+}
+
+/** One round, whose seeds begin with the one given. */
+async function makeRound(seed: number, only: string | undefined): Promise<readonly Run[]> {
+  const wants = (part: string): boolean => only === undefined || only === part
+  const machines = ([Part.Joint, Part.Control] as const).filter(wants)
+  const runs = machines.flatMap((part) => runsOfMachines(part, seed))
+  if (!wants(Part.Program)) return runs
+  const programs = await buildPrograms()
+  const programRuns = Object.values(deployments).map((deployment) => ({
+    name: `${Part.Program} ${deployment.name}`,
+    seed,
+    isLong: true,
+    start: () => runProgramSoak({ deployment, seed, seconds: LOAD_SECONDS, programs }),
+  }))
+  return [...runs, ...programRuns]
+}
+
+function say(line: string): void {
+  process.stdout.write(`${line}\n`)
+}
+
+/** @returns whether every promise held */
+async function runOne({ name, seed, start }: Run): Promise<boolean> {
+  const startedAt = Date.now()
+  const { summary, violations, details, folder } = await start()
+  const seconds = ((Date.now() - startedAt) / 1000).toFixed(1)
+  const holds = violations.length === 0
+  say(`soak: ${name} seed ${seed}: ${holds ? 'holds' : 'VIOLATED'} (${seconds} s) ${summary}`)
+  if (holds) return true
+  for (const violation of violations.slice(0, 10)) say(`soak:   ${violation}`)
+  for (const detail of details) say(`soak:   ${detail}`)
+  if (folder !== undefined) say(`soak:   kept ${folder}`)
+  return false
+}
+
+async function main(): Promise<void> {
+  const cli = cac('soak')
+  cli
+    .option('--seed <n>', 'Seed of the first round; each round takes the next ones', { default: 1 })
+    .option('--minutes <n>', 'No run begins after this time', { default: 10 })
+    .option('--only <part>', `Only one of ${Object.values(Part).join(', ')}`)
+  cli.help()
+  const flags = cli.parse().options as Flags
+  if (flags.help === true) return
+  // The folder of a run is removed by the run itself, when nothing was found.
+  process.env.CHERRYHITCH_BENCH_KEEP = '1'
+  const until = Date.now() + flags.minutes * MS_PER_MINUTE
+  for (let seed = flags.seed; Date.now() < until; seed += RUNS_OF_MACHINES) {
+    for (const run of await makeRound(seed, flags.only)) {
+      if (Date.now() + (run.isLong ? PROGRAM_RUN_MS : 0) >= until) continue
+      if (await runOne(run)) continue
+      process.exitCode = 1
+      return
+    }
+    // Nothing of this round fits into the time that is left.
+    if (flags.only === String(Part.Program) && Date.now() + PROGRAM_RUN_MS >= until) return
+  }
+}
+
+main().catch((err: unknown) => {
+  say(err instanceof Error ? err.message : String(err))
+  process.exitCode = 2
+})
