--- a/apps/cherryhitch/src/lib/cli/commands/audit/auditCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/audit/auditCommand.ts
@@ -2,6 +2,7 @@
 import type { CliIo } from '../../CliIo'
 import type { CommandContext } from '../../CommandContext'
 import { operatorClient, operatorOptions, printAnswer } from '../../CommandContext'
+import { refuseStrayFlags } from '../../flags/refuseStrayFlags'
 import type { AuditRow } from '../../http/operatorViews'
 import { formatTable } from '../../output/formatTable'
 import { answerInForce, describeInForce } from './answerInForce'
@@ -9,6 +10,14 @@
 import { readAuditRow, readAuditRows, readListedRows } from './readAuditRows'
 import { describeAgreement, requireUnbroken } from './verifyAuditRows'
 
+/** What each action may be told besides the connection. */
+const actionFlags: ReadonlyMap<string, readonly string[]> = new Map([
+  ['list', ['from', 'limit', 'last', 'changes', 'file']],
+  ['show', ['file']],
+  ['export', ['from', 'limit', 'file']],
+  ['verify', ['file', 'against']],
+  ['in-force', ['file', 'instance', 'at']],
+])
 const ACTIONS = 'list, show, verify, export or in-force'
 
 /** Registers `audit list|show|verify|export|in-force`. @internal */
@@ -18,7 +27,7 @@
     'The audit record (list, show N, verify, export, in-force)',
   )
   operatorOptions(command)
-    .option('--from <position>', 'list, export: first record', { default: '0' })
+    .option('--from <position>', 'list, export: first record; else 0')
     .option('--limit <n>', 'list, export: records at most')
     .option('--last <n>', 'list: the newest records instead')
     .option('--changes', 'list: without the records of when a version took force')
@@ -42,6 +51,7 @@
   flags: AuditFlags,
   io: CliIo,
 ): Promise<void> {
+  refuseStrayFlags(flags, actionFlags.get(action) ?? Object.keys(flags), `audit ${action}`)
   const openClient = () => operatorClient(flags, io)
   switch (action) {
     case 'list': {
--- a/apps/cherryhitch/src/lib/cli/commands/audit/readAuditRows.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/audit/readAuditRows.ts
@@ -8,7 +8,7 @@
 
 /** @internal */
 export interface AuditFlags extends ConnectionFlags {
-  readonly from: string
+  readonly from?: string
   readonly limit?: string
   readonly last?: string
   readonly changes?: boolean
@@ -26,7 +26,7 @@
   flags: AuditFlags,
   openClient: () => HttpClient,
 ): Promise<readonly AuditRow[]> {
-  const from = wholeNumber(flags.from, '--from')
+  const from = wholeNumber(flags.from ?? '0', '--from')
   const limit =
     flags.limit === undefined ? Number.POSITIVE_INFINITY : wholeNumber(flags.limit, '--limit')
   if (flags.file !== undefined) {
@@ -52,6 +52,9 @@
   const isWanted = (row: AuditRow) => flags.changes !== true || row.kind !== 'in_force'
   if (flags.last === undefined) return (await readAuditRows(flags, openClient)).filter(isWanted)
   const count = wholeNumber(flags.last, '--last')
+  if (flags.from !== undefined || flags.limit !== undefined) {
+    throw usageError('--last goes with neither --from nor --limit.', 'Give one or the other.')
+  }
   if (flags.file !== undefined) {
     const rows = readAuditFile(flags.file).filter(isWanted)
     return rows.slice(Math.max(0, rows.length - count))
--- a/apps/cherryhitch/src/lib/cli/commands/control/controlCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/control/controlCommand.ts
@@ -2,6 +2,7 @@
 import type { CliIo } from '../../CliIo'
 import type { CommandContext } from '../../CommandContext'
 import { operatorClient, operatorOptions, printAnswer } from '../../CommandContext'
+import { refuseStrayFlags } from '../../flags/refuseStrayFlags'
 import type { VotersRow } from '../../http/operatorViews'
 import { requireRead } from '../../http/problems'
 import type { ChangeFlags } from '../changes'
@@ -16,6 +17,12 @@
   readonly diskId?: string
 }
 
+/** What actions that change no member may be told besides the connection. */
+const actionFlags: ReadonlyMap<string, readonly string[]> = new Map([
+  ['init', ['settings', 'cluster']],
+  ['status', []],
+])
+
 /** Actions that change the set of voters, and their words in the operator interface. */
 const changeKinds: ReadonlyMap<string, string> = new Map([
   ['add', 'add_learner'],
@@ -40,6 +47,8 @@
 }
 
 async function runAction(action: string, flags: ControlFlags, io: CliIo): Promise<void> {
+  const own = actionFlags.get(action) ?? ['instance', 'diskId', 'reason', 'commandId']
+  refuseStrayFlags(flags, own, `control ${action}`)
   if (action === 'init') {
     io.print(await initVotersFolder(flags.settings, flags.cluster))
     return
--- a/apps/cherryhitch/src/lib/cli/commands/jobs/readJobBody.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/jobs/readJobBody.ts
@@ -5,7 +5,7 @@
 /** Flags that make up a job of one task. @internal */
 export interface JobBodyFlags {
   readonly service?: string
-  readonly payload: string
+  readonly payload?: string
   readonly deadlineMs?: string
   readonly nonIdempotent?: boolean
 }
@@ -38,7 +38,7 @@
   }
   const deadline =
     deadlineMs === undefined ? {} : { deadlineMs: wholeNumber(deadlineMs, '--deadline-ms') }
-  const tasks = [{ service, payload: parsePayload(payload) }]
+  const tasks = [{ service, payload: parsePayload(payload ?? 'null') }]
   return { idempotent: nonIdempotent !== true, ...deadline, tasks }
 }
 
--- a/apps/cherryhitch/src/lib/cli/commands/jobs/submitCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/jobs/submitCommand.ts
@@ -4,6 +4,7 @@
 import type { CommandContext } from '../../CommandContext'
 import { callerClient, callerOptions, printAnswer } from '../../CommandContext'
 import { ExitCode } from '../../ExitCode'
+import { refuseStrayFlags } from '../../flags/refuseStrayFlags'
 import type { ConnectionFlags, HttpClient } from '../../http/HttpClient'
 import { requireGood } from '../../http/problems'
 import { awaitJob } from './awaitJob'
@@ -13,6 +14,9 @@
 import type { JobBody, JobBodyFlags } from './readJobBody'
 import { readJobBody } from './readJobBody'
 
+/** With a file, the file alone says what the job is. */
+const FILE_FLAGS = ['caller', 'key', 'detach']
+
 interface SubmitFlags extends ConnectionFlags, JobBodyFlags {
   readonly caller?: string
   readonly key?: string
@@ -23,7 +27,7 @@
 export function registerSubmitCommand({ cli, io }: CommandContext): void {
   callerOptions(cli.command('submit [file]', 'Submit a job and print its whole answer'))
     .option('--service <name>', 'Instead of a file: one task of this service')
-    .option('--payload <json>', 'Payload of that task', { default: 'null' })
+    .option('--payload <json>', 'Payload of that task; else null')
     .option('--deadline-ms <ms>', 'Deadline of that job')
     .option('--non-idempotent', 'That job runs at most once; a key is made when none is given')
     .option('--caller <name>', 'Caller, where no tokens are set')
@@ -32,6 +36,7 @@
     .example('cherryhitch submit job.json --caller desk-1 --key 2026-000117')
     .example('cherryhitch submit --service tracing --payload \'{"runMs":100}\'')
     .action(async (file: string | undefined, flags: SubmitFlags) => {
+      if (file !== undefined) refuseStrayFlags(flags, FILE_FLAGS, 'submit FILE')
       const body = readJobBody(file, flags)
       const client = callerClient(flags, io)
       const started = await startJob(client, body, flags, io)
--- a/apps/cherryhitch/src/lib/cli/commands/presets/presetCommand.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/presets/presetCommand.ts
@@ -2,6 +2,7 @@
 import type { CliIo } from '../../CliIo'
 import type { CommandContext } from '../../CommandContext'
 import { operatorClient, operatorOptions, printAnswer } from '../../CommandContext'
+import { refuseStrayFlags } from '../../flags/refuseStrayFlags'
 import { wholeNumber } from '../../flags/wholeNumber'
 import type { HttpClient } from '../../http/HttpClient'
 import type { SettingsRow } from '../../http/operatorViews'
@@ -17,6 +18,7 @@
   readonly wait?: boolean
 }
 
+const CHANGE_FLAGS = ['from', 'reason', 'commandId', 'wait']
 const ACTIONS = 'show, list, set or define'
 
 /** Registers `preset show|list|set|define`. @internal */
@@ -43,6 +45,8 @@
   flags: PresetFlags,
   io: CliIo,
 ): Promise<void> {
+  const reads = action === 'show' || action === 'list'
+  refuseStrayFlags(flags, reads ? [] : CHANGE_FLAGS, `preset ${action}`)
   switch (action) {
     case 'show':
       return name === undefined ? showInForce(flags, io) : showPreset(name, flags, io)
--- a/apps/cherryhitch/src/lib/cli/runCli.test.ts
+++ b/apps/cherryhitch/src/lib/cli/runCli.test.ts
@@ -60,6 +60,23 @@
       /not JSON/,
     ],
     ['stand-in-endpoint: no zone', ['stand-in-endpoint', '--service', 's'], /--zone are needed/],
+    ['submit: a file and a service', ['submit', 'job.json', '--service', 's'], /--service has no/],
+    [
+      'submit: a file and a deadline',
+      ['submit', 'j', '--deadline-ms', '9'],
+      /--deadline-ms has no/,
+    ],
+    ['audit in-force: a part', ['audit', 'in-force', '--limit', '5'], /--limit has no meaning/],
+    ['audit verify: a part', ['audit', 'verify', '--from', '5'], /--from has no meaning/],
+    ['audit list: a time', ['audit', 'list', '--at', 'x'], /--at has no meaning for "audit list"/],
+    [
+      'audit list: two parts',
+      ['audit', 'list', '--last', '5', '--from', '1'],
+      /neither --from nor/,
+    ],
+    ['preset show: a version', ['preset', 'show', '--from', '3'], /--from has no meaning/],
+    ['control status: a disk', ['control', 'status', '--disk-id', 'd'], /--disk-id has no meaning/],
+    ['control add: a cluster', ['control', 'add', '--cluster', 'c'], /--cluster has no meaning/],
     ['demo: a seed that is none', ['demo', '--seed', 'x'], /--seed x is not a whole number/],
   ]
   for (const [what, argv, says] of cases) {
