Measure owners with a full memory of ended tasks, and shards

An owner's cost depends on whether its memory of ended tasks is full, so both are measured. Placements came from the measured instance's own name and looked passed on; they name another coordinator now.

--- a/apps/bench/src/capacity/measureInstances.ts
+++ b/apps/bench/src/capacity/measureInstances.ts
@@ -1,5 +1,5 @@
 import { startCluster } from '@cherryhitch/app'
-import type { Instance } from '@cherryhitch/app'
+import type { Instance, InstanceTiming } from '@cherryhitch/app'
 import { Effect, Exit, Scope } from 'effect'
 import { head, heapBytes, median, row } from './measuring'
 
@@ -35,10 +35,10 @@
   return (user + system) / US_PER_S / ((performance.now() - startedAt) / 1000)
 }
 
-async function measureCluster(count: number): Promise<void> {
+async function measureCluster(count: number, timing: Partial<InstanceTiming>): Promise<void> {
   const before = heapBytes()
   const scope = await Effect.runPromise(Scope.make())
-  const started = startCluster({ instances: membersOf(count) })
+  const started = startCluster({ instances: membersOf(count), timing })
   const instances = await Effect.runPromise(Scope.provide(scope)(started))
   await pause(SETTLE_MS)
   const sent = totalOf(instances, 'links', 'sent')
@@ -50,6 +50,7 @@
   const perSecond = (now: number, then: number): number => (now - then) / seconds / count
   row(
     count,
+    `${timing.partTickMs ?? 'default'}, ${timing.offerMs ?? 'default'}`,
     (median(shares) / count) * 100,
     perSecond(totalOf(instances, 'links', 'sent'), sent),
     perSecond(totalOf(instances, 'links', 'batchesSent'), batches),
@@ -61,7 +62,17 @@
 
 /** Prints what whole instances cost while there is no work, all of them in this process. */
 export async function measureInstances(): Promise<void> {
-  const columns = ['% of a core', 'envelopes sent/s', 'batches sent/s', 'bytes sent/s', 'heap kB']
+  const columns = [
+    'part tick, offer ms',
+    '% of a core',
+    'envelopes sent/s',
+    'batches sent/s',
+    'bytes sent/s',
+    'heap kB',
+  ]
   head('Idle instances, each of them', 'instances', ...columns)
-  for (const count of [3, 7, 14, 28]) await measureCluster(count)
+  for (const count of [3, 7, 14, 28]) await measureCluster(count, {})
+  for (const pace of [50, 100, 200]) {
+    await measureCluster(7, { partTickMs: pace, offerMs: Math.max(pace, 200) })
+  }
 }
--- a/apps/bench/src/capacity/measureOwnerSlopes.ts
+++ b/apps/bench/src/capacity/measureOwnerSlopes.ts
@@ -9,10 +9,11 @@
 import { shippedPresets } from '@cherryhitch/control'
 import type { PresetDefinition } from '@cherryhitch/protocol'
 import { head, heldBytes, medianOf, processorUs, row, slopeOf } from './measuring'
-import { instanceName, makeAnnouncement, makeMembers, makePlacement, ZONE } from './samples'
+import { instanceName, makeAnnouncement, makeMembers, makePlacement, PLACER, ZONE } from './samples'
 
 const NOW = 1_000_000
-const TASKS = 12_000
+const TASKS = 9600
+const FULL_AT_ENDPOINTS = 30
 const RUNNING_PER_ENDPOINT = 22
 
 function ordinaryPreset(): PresetDefinition {
@@ -24,11 +25,15 @@
 function makeOwner(endpoints: number): OwnerMachine {
   const owner = { instance: instanceName(0), zone: ZONE, boot: 1 }
   const machine = new OwnerMachine({ ...owner, preset: ordinaryPreset() })
+  hearAll(machine, endpoints, NOW)
+  return machine
+}
+
+function hearAll(machine: OwnerMachine, endpoints: number, at: number): void {
   for (let n = 0; n < endpoints; n++) {
     const announcement = makeAnnouncement(n)
-    machine.step(NOW, { kind: OwnerEventKind.Heartbeat, announcement })
+    machine.step(at, { kind: OwnerEventKind.Heartbeat, announcement })
   }
-  return machine
 }
 
 function startsIn(actions: readonly OwnerAction[]): RunTaskAction[] {
@@ -37,7 +42,7 @@
 
 /** Job ids must not come again, since an owner ignores what it knows. */
 let jobNumber = 0
-/** Moves on with each job, but not so far that endpoints would count as silent. */
+/** Moves on with each job; endpoints send a heartbeat before each pass, so none falls silent. */
 let now = NOW
 const MS_PER_JOB = 0.01
 
@@ -58,7 +63,7 @@
     for (const value of placements) {
       now += MS_PER_JOB
       const message = { case: 'placeTasks', value } as const
-      take(machine.step(now, { kind: OwnerEventKind.Message, from: instanceName(1), message }))
+      take(machine.step(now, { kind: OwnerEventKind.Message, from: PLACER, message }))
       for (let run = open.pop(); run !== undefined; run = open.pop()) take(endRun(machine, run))
     }
   })
@@ -80,14 +85,33 @@
 }
 
 function measureTasks(): void {
-  const columns = ['endpoints', 'tasks a job', 'µs a task', 'messages out a task']
+  const columns = ['endpoints', 'tasks a job', 'memory of ended tasks', 'µs a task', 'messages out']
   head('Owner: processor per task, placement to report', ...columns)
   for (const endpoints of [10, 30, 100, 300]) {
-    const machine = makeOwner(endpoints)
     for (const perJob of [1, 8, 120]) {
-      const { messages } = passTasks(machine, perJob)
-      const us = medianOf(() => passTasks(machine, perJob).us)
-      row(endpoints, perJob, us, messages)
+      const machine = makeOwner(endpoints)
+      const pass = (): { us: number; messages: number } => {
+        hearAll(machine, endpoints, now)
+        return passTasks(machine, perJob)
+      }
+      const { messages } = pass()
+      row(
+        endpoints,
+        perJob,
+        'filling',
+        medianOf(() => pass().us),
+        messages,
+      )
+      if (endpoints !== FULL_AT_ENDPOINTS) continue
+      // More than an owner remembers, so that each end makes it forget another one.
+      for (let n = 0; n < defaultOwnerLimits.rememberedTasks / TASKS; n++) pass()
+      row(
+        endpoints,
+        perJob,
+        'full',
+        medianOf(() => pass().us),
+        messages,
+      )
     }
   }
 }
@@ -117,7 +141,7 @@
   const machine = makeOwner(endpoints)
   for (let placed = 0; placed < tasks; placed += 8) {
     const message = { case: 'placeTasks', value: makePlacement(placed, 8) } as const
-    machine.step(NOW, { kind: OwnerEventKind.Message, from: instanceName(1), message })
+    machine.step(NOW, { kind: OwnerEventKind.Message, from: PLACER, message })
   }
   if (machine.tasks < tasks) throw new Error(`only ${machine.tasks} of ${tasks} tasks are held`)
   return machine
@@ -141,7 +165,7 @@
   if (count > value) throw new Error('more than an owner remembers')
   for (let n = 0; n < count / 8; n++) {
     const message = { case: 'placeTasks', value: makePlacement(n, 8) } as const
-    const event = { kind: OwnerEventKind.Message, from: instanceName(1), message } as const
+    const event = { kind: OwnerEventKind.Message, from: PLACER, message } as const
     for (const run of startsIn(machine.step(NOW, event))) endRun(machine, run)
   }
   return machine
--- a/apps/bench/src/capacity/measureSlopes.ts
+++ b/apps/bench/src/capacity/measureSlopes.ts
@@ -3,7 +3,7 @@
  * state machines, driven directly, and the size of encoded messages.
  *
  * Run: npx tsx apps/bench/src/capacity/measureSlopes.ts [part...]
- * Parts: owner, coordinator, membership, control, wire, link, http, instances; all without an argument.
+ * Parts: owner, coordinator, membership, control, wire, link, http, shards, instances; all without an argument.
  */
 import { cpus, loadavg } from 'node:os'
 import { measureControlSlopes } from './measureControlSlopes'
@@ -13,6 +13,7 @@
 import { measureLinkSlopes } from './measureLinkSlopes'
 import { measureMembershipSlopes } from './measureMembershipSlopes'
 import { measureOwnerSlopes } from './measureOwnerSlopes'
+import { measureShards } from './measureShards'
 import { measureWire } from './measureWire'
 import { REPETITIONS } from './measuring'
 
@@ -24,6 +25,7 @@
   wire: measureWire,
   link: measureLinkSlopes,
   http: measureHttp,
+  shards: measureShards,
   instances: measureInstances,
 }
 
--- a/apps/bench/src/capacity/samples.ts
+++ b/apps/bench/src/capacity/samples.ts
@@ -18,6 +18,8 @@
 
 export const ZONE = 'ishikari-1'
 export const COORDINATOR = 'ishikari-1-a17'
+/** The coordinator of placements, another instance than the one that is measured. */
+export const PLACER = 'instance-10'
 const TRACEPARENT = `00-${'a'.repeat(32)}-${'b'.repeat(16)}-01`
 const PAYLOAD = `"${'x'.repeat(200)}"`
 const BOOT = 1_764_700_000_000
@@ -65,7 +67,7 @@
       estimateMs: 300,
     })),
     traceparent: TRACEPARENT,
-    coordinator: COORDINATOR,
+    coordinator: PLACER,
   })
 }
 
