Keep one wrapper of ts-results, and no claim limits in local settings

The wrapper stood in four packages; model has it now. Limits of claims were read by no part, and different values on two voters would have let their states differ: the log applies them. Metrics carried the program's name twice.

--- a/apps/cherryhitch/src/lib/instance/InstanceOptions.ts
+++ b/apps/cherryhitch/src/lib/instance/InstanceOptions.ts
@@ -82,8 +82,6 @@
     readonly headerBytes?: number
     readonly tasksPerJob?: number
     readonly requestTimeoutMs?: number
-    readonly claimsKept?: number
-    readonly claimRetentionMs?: number
   }
   readonly timing?: Partial<InstanceTiming>
   readonly telemetry: InstanceTelemetry
--- a/apps/cherryhitch/src/lib/serve/ServedTelemetry.ts
+++ b/apps/cherryhitch/src/lib/serve/ServedTelemetry.ts
@@ -3,8 +3,6 @@
 import type { MetricsText } from '../instance/InstanceTelemetry'
 import { InstanceTelemetry } from '../instance/InstanceTelemetry'
 
-const METRIC_PREFIX = 'cherryhitch'
-
 /** Logs, metrics and traces of a daemon. @internal */
 export class ServedTelemetry extends InstanceTelemetry {
   constructor(
@@ -25,7 +23,7 @@
 
   override registerCounters(part: string, read: () => Readonly<Record<string, number>>): void {
     const help = `Counted by the part ${part}; see docs/operators.md.`
-    this.metrics.registerCounters(`${METRIC_PREFIX}_${part}`, help, read)
+    this.metrics.registerCounters(part, help, read)
   }
 
   override renderMetrics(): Promise<MetricsText> {
--- a/apps/cherryhitch/src/lib/serve/toInstanceOptions.ts
+++ b/apps/cherryhitch/src/lib/serve/toInstanceOptions.ts
@@ -3,8 +3,6 @@
 import type { InstanceOptions } from '../instance/InstanceOptions'
 import type { InstanceTelemetry } from '../instance/InstanceTelemetry'
 
-const MS_PER_HOUR = 3_600_000
-
 /** What an instance needs besides its settings. @internal */
 export interface InstanceSurroundings {
   readonly tokens: Tokens | undefined
@@ -17,14 +15,13 @@
   settings: Settings,
   { tokens, disk, telemetry }: InstanceSurroundings,
 ): InstanceOptions {
-  const { instance, zone, interfaces, peers, timing } = settings
-  const { claimRetentionHours, ...limits } = settings.limits
+  const { instance, zone, interfaces, peers, limits, timing } = settings
   return {
     instance,
     zone,
     ...interfaces,
     peers,
-    limits: { ...limits, claimRetentionMs: claimRetentionHours * MS_PER_HOUR },
+    limits,
     timing,
     telemetry,
     ...(disk === undefined ? {} : { disk }),
--- a/packages/http-api/src/lib/auth/BearerAuthenticator.ts
+++ b/packages/http-api/src/lib/auth/BearerAuthenticator.ts
@@ -4,7 +4,7 @@
 import { RequestError, RequestErrorKind } from '../problems/RequestError'
 import type { AccessRole, AccessToken } from './Authenticator'
 import { Authenticator } from './Authenticator'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 const bearerPattern = /^Bearer +([\x21-\x7e]+) *$/i
 
--- a/packages/http-api/src/lib/auth/OpenAuthenticator.ts
+++ b/packages/http-api/src/lib/auth/OpenAuthenticator.ts
@@ -1,6 +1,6 @@
 import type { Result } from 'ts-results'
 import { Authenticator } from './Authenticator'
-import { Ok } from '../util/results'
+import { Ok } from '@cherryhitch/model'
 
 /** Lets everybody in, without a name. @public */
 export class OpenAuthenticator extends Authenticator {
--- a/packages/http-api/src/lib/callers/askJob.ts
+++ b/packages/http-api/src/lib/callers/askJob.ts
@@ -6,7 +6,7 @@
 import type { Reply } from '../exchange/Reply'
 import { problemReply, problemType } from '../problems/problemReply'
 import { RequestError, RequestErrorKind } from '../problems/RequestError'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 const NOT_FOUND = 404
 
--- a/packages/http-api/src/lib/callers/queryJob.ts
+++ b/packages/http-api/src/lib/callers/queryJob.ts
@@ -6,7 +6,7 @@
 import type { JobQuestion, JobService } from '../services/JobService'
 import { answerReply } from './answerReply'
 import { readJobId, unknownJobReply, withRead } from './askJob'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 /** Handles `GET /v1/jobs/{id}`: the answer that the submission would have got. @internal */
 export function queryJob(jobs: JobService): Handler {
--- a/packages/http-api/src/lib/callers/submissionKey.ts
+++ b/packages/http-api/src/lib/callers/submissionKey.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Result } from 'ts-results'
 import { RequestError, RequestErrorKind } from '../problems/RequestError'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 /** Longest submission key, in characters. */
 const MAX_KEY_LENGTH = 128
--- a/packages/http-api/src/lib/callers/submitJob.ts
+++ b/packages/http-api/src/lib/callers/submitJob.ts
@@ -15,7 +15,7 @@
 import { jobBodySchema } from './jobBody'
 import type { JobBody } from './jobBody'
 import { checkKeyNeed, readSubmissionKey } from './submissionKey'
-import { Ok } from '../util/results'
+import { Ok } from '@cherryhitch/model'
 
 interface Submission {
   readonly body: JobBody
--- a/packages/http-api/src/lib/exchange/BodyReader.ts
+++ b/packages/http-api/src/lib/exchange/BodyReader.ts
@@ -4,7 +4,7 @@
 import { RequestError, RequestErrorKind } from '../problems/RequestError'
 import type { HttpLimits } from '../server/HttpServerOptions'
 import type { BodyBudget } from './BodyBudget'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 /** @internal */
 export type BodyResult = Result<string, RequestError>
--- a/packages/http-api/src/lib/exchange/Exchange.ts
+++ b/packages/http-api/src/lib/exchange/Exchange.ts
@@ -10,7 +10,7 @@
 import type { ExchangeHost, ExchangePlace } from './ExchangeHost'
 import type { Reply } from './Reply'
 import { sendReply } from './sendReply'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 /** A request that may be handled once its body is there. */
 interface Admitted extends RouteMatch {
--- a/packages/http-api/src/lib/exchange/decodeBody.ts
+++ b/packages/http-api/src/lib/exchange/decodeBody.ts
@@ -3,7 +3,7 @@
 import { RequestError, RequestErrorKind } from '../problems/RequestError'
 import { formatPointer } from './formatPointer'
 import { parseJson } from './parseJson'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 /** Turns a body's text into a checked value, or says where it is wrong. @internal */
 export type BodyDecoder<T> = (text: string) => Result<T, RequestError>
--- a/packages/http-api/src/lib/exchange/parseJson.ts
+++ b/packages/http-api/src/lib/exchange/parseJson.ts
@@ -1,7 +1,7 @@
 import type { Result } from 'ts-results'
 import { RequestError, RequestErrorKind } from '../problems/RequestError'
 import { formatPointer } from './formatPointer'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 /** One value of the body; the links to the parents spell its path when there is a fault. */
 interface Visit {
--- a/packages/http-api/src/lib/operators/changeRoutes.ts
+++ b/packages/http-api/src/lib/operators/changeRoutes.ts
@@ -15,7 +15,7 @@
 import { commandReply } from './commandReply'
 import type { Proposer } from './createCommand'
 import { createChangeVoters, createDefinePreset, createSetPreset } from './createCommand'
-import { Err } from '../util/results'
+import { Err } from '@cherryhitch/model'
 
 type CommandReader = (req: ApiRequest) => Result<Command, RequestError>
 
--- a/packages/http-api/src/lib/operators/readRoutes.ts
+++ b/packages/http-api/src/lib/operators/readRoutes.ts
@@ -10,7 +10,7 @@
 import { Method } from '../routing/Router'
 import type { OperatorService } from '../services/OperatorService'
 import { viewAudit, viewEndpoint, viewInstance, viewJob, viewSettings, viewVoters } from './views'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 const OK = 200
 const UNAVAILABLE = 503
--- a/packages/http-api/src/lib/routing/Router.ts
+++ b/packages/http-api/src/lib/routing/Router.ts
@@ -3,7 +3,7 @@
 import type { ApiRequest } from '../exchange/ApiRequest'
 import type { Reply } from '../exchange/Reply'
 import { RequestError, RequestErrorKind } from '../problems/RequestError'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 /** @internal */
 export enum Method {
--- a/packages/http-api/src/lib/server/createNodeServer.ts
+++ b/packages/http-api/src/lib/server/createNodeServer.ts
@@ -4,7 +4,7 @@
 import type { Result } from 'ts-results'
 import { HttpServerError, HttpServerErrorKind } from './HttpServerError'
 import type { HttpLimits, TlsFiles } from './HttpServerOptions'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 /** TCP keepalive: finds peers that are gone while a long request waits, in milliseconds. */
 const TCP_KEEP_ALIVE_MS = 15_000
--- a/packages/settings/src/lib/parse/loadSettings.ts
+++ b/packages/settings/src/lib/parse/loadSettings.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'ts-results'
 import type { SettingsProblem } from '../problems/SettingsProblem'
 import type { Settings } from '../schema/Settings'
-import { Err } from '../util/results'
+import { Err } from '@cherryhitch/model'
 import { parseSettings } from './parseSettings'
 
 /** Reads the settings file of an instance; see {@link parseSettings}. @public */
--- a/packages/settings/src/lib/parse/parseSettings.ts
+++ b/packages/settings/src/lib/parse/parseSettings.ts
@@ -5,7 +5,7 @@
 import { completeSettings } from '../schema/completeSettings'
 import type { Settings } from '../schema/Settings'
 import type { SettingsFile } from '../schema/settingsSchema'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 import { checkShape } from './checkShape'
 import { SettingsText } from './SettingsText'
 
--- a/packages/settings/src/lib/tokens/loadTokens.ts
+++ b/packages/settings/src/lib/tokens/loadTokens.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'ts-results'
 import type { SettingsProblem } from '../problems/SettingsProblem'
 import type { TokenSettings } from '../schema/Settings'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 /** Shorter ones can be guessed. */
 const MIN_TOKEN_LENGTH = 16
--- a/packages/storage/src/lib/log/scanSegment.ts
+++ b/packages/storage/src/lib/log/scanSegment.ts
@@ -1,5 +1,5 @@
 import { Effect } from 'effect'
-import { Err, Ok } from '../errors/results'
+import { Err, Ok } from '@cherryhitch/model'
 import type { Result } from 'ts-results'
 import type { Disk } from '../disk/Disk'
 import { StorageErrorKind, storageError } from '../errors/StorageError'
--- a/packages/storage/src/lib/migrations/runMigrations.ts
+++ b/packages/storage/src/lib/migrations/runMigrations.ts
@@ -1,4 +1,4 @@
-import { Err, Ok } from '../errors/results'
+import { Err, Ok } from '@cherryhitch/model'
 import type { Result } from 'ts-results'
 import { StorageErrorKind, storageError } from '../errors/StorageError'
 import type { StorageError } from '../errors/StorageError'
