--- a/apps/bench/src/lib/soak/RandomScenario.ts
+++ b/apps/bench/src/lib/soak/RandomScenario.ts
@@ -37,8 +37,6 @@
   override readonly description: string
   /** What the run's own checks found, beside those of the ledgers. */
   readonly violations: string[] = []
-  /** Folder with settings, data and logs, once the run has started. */
-  folder: string | undefined
   private readonly random: SeededRandom
 
   constructor(seed: number) {
@@ -60,7 +58,6 @@
 
   override events(system: BenchSystem, durationMs: number): readonly BenchEvent[] {
     const { random } = this
-    this.folder = system.folder
     const watch = new SettingsWatch(system, this.violations)
     const draws = this.draws(system, watch)
     const faults = random.integer(MIN_FAULTS, MAX_FAULTS)
--- a/apps/bench/src/lib/soak/runProgramSoak.ts
+++ b/apps/bench/src/lib/soak/runProgramSoak.ts
@@ -1,4 +1,6 @@
 import fs from 'node:fs'
+import os from 'node:os'
+import path from 'node:path'
 import type { Deployment } from '@cherryhitch/stand-ins'
 import { Effect } from 'effect'
 import { ORDINARY } from '../policies'
@@ -25,6 +27,9 @@
  */
 export async function runProgramSoak(options: ProgramSoakOptions): Promise<SoakVerdict> {
   const { deployment, seed, seconds, programs } = options
+  const folder = fs.mkdtempSync(
+    path.join(os.tmpdir(), `cherryhitch-soak-${deployment.name}-${seed}-`),
+  )
   const scenario = new RandomScenario(seed)
   const events: string[] = []
   const say = (line: string): void => {
@@ -39,7 +44,7 @@
   const violations: string[] = []
   let summary = ''
   try {
-    const run = await Effect.runPromise(bounded)
+    const run = await within(folder, () => Effect.runPromise(bounded))
     const broken = run.invariants.violations.map((found) => JSON.stringify(found))
     violations.push(...broken, ...scenario.violations)
     if (run.answered === 0) violations.push('no job was answered')
@@ -48,9 +53,24 @@
   } catch (err) {
     violations.push(err instanceof Error ? err.message : String(err), ...scenario.violations)
   }
-  const { folder } = scenario
-  if (violations.length === 0 && folder !== undefined) {
-    fs.rmSync(folder, { recursive: true, force: true })
-  }
+  if (violations.length === 0) fs.rmSync(folder, { recursive: true, force: true })
   return { summary, violations, details: events, folder }
 }
+
+/** The bench puts the run's settings, data and logs into the folder, and leaves them there. */
+async function within<T>(folder: string, run: () => Promise<T>): Promise<T> {
+  const { TMPDIR, CHERRYHITCH_BENCH_KEEP } = process.env
+  Object.assign(process.env, { TMPDIR: folder, CHERRYHITCH_BENCH_KEEP: '1' })
+  try {
+    return await run()
+  } finally {
+    restore('TMPDIR', TMPDIR)
+    restore('CHERRYHITCH_BENCH_KEEP', CHERRYHITCH_BENCH_KEEP)
+  }
+}
+
+function restore(name: string, value: string | undefined): void {
+  // Setting a variable to undefined would set it to that word.
+  if (value === undefined) Reflect.deleteProperty(process.env, name)
+  else process.env[name] = value
+}
--- a/apps/bench/src/soak.ts
+++ b/apps/bench/src/soak.ts
@@ -20,6 +20,7 @@
   Program = 'program',
 }
 
+const PROGRAM_ONLY: string = Part.Program
 const MS_PER_MINUTE = 60_000
 const JOINT_STEPS = 300
 const CONTROL_STEPS = 200
@@ -87,8 +88,6 @@
   cli.help()
   const flags = cli.parse().options as Flags
   if (flags.help === true) return
-  // The folder of a run is removed by the run itself, when nothing was found.
-  process.env.CHERRYHITCH_BENCH_KEEP = '1'
   const until = Date.now() + flags.minutes * MS_PER_MINUTE
   for (let seed = flags.seed; Date.now() < until; seed += RUNS_OF_MACHINES) {
     for (const run of await makeRound(seed, flags.only)) {
@@ -98,7 +97,7 @@
       return
     }
     // Nothing of this round fits into the time that is left.
-    if (flags.only === String(Part.Program) && Date.now() + PROGRAM_RUN_MS >= until) return
+    if (flags.only === PROGRAM_ONLY && Date.now() + PROGRAM_RUN_MS >= until) return
   }
 }
 
