--- a/apps/bench/src/lib/runScenario.ts
+++ b/apps/bench/src/lib/runScenario.ts
@@ -30,7 +30,6 @@
 }
 
 const MS_PER_SECOND = 1000
-const GOOD = 200
 /** After the load: leases run out, late answers arrive, stops are carried out. */
 const SETTLE_MS = 1500
 const CALLERS = [
@@ -131,10 +130,7 @@
     const operator = system.operator(daemon)
     const { version } = await operator.settings()
     const defined = await operator.definePreset(name, body, version, `define-${name}`)
-    if (defined !== GOOD) throw new Error(`defining ${name}: HTTP ${defined}`)
-    const next = (await operator.settings()).version
-    const set = await operator.setPreset(name, next, `set-${name}`)
-    if (set !== GOOD) throw new Error(`setting ${name}: HTTP ${set}`)
+    await operator.setPreset(name, defined, `set-${name}`)
     for (const each of system.daemons) await awaitPreset(system, each, name)
   })
 }
--- a/apps/bench/src/lib/scenarios/instanceScenarios.ts
+++ b/apps/bench/src/lib/scenarios/instanceScenarios.ts
@@ -6,8 +6,6 @@
 import type { BenchEvent } from './Scenario'
 import { Scenario } from './Scenario'
 
-const GOOD = 200
-
 /** Scenarios with faults of instances run under the same load. */
 abstract class InstanceScenario extends Scenario {
   override workload(): Partial<WorkloadOptions> {
@@ -49,8 +47,7 @@
     if (daemon === undefined) return
     const operator = system.operator(daemon)
     const { version } = await operator.settings()
-    const status = await operator.setPreset(name, version, `bench-${name}-${version}`)
-    if (status !== GOOD) throw new Error(`preset ${name}: HTTP ${status}`)
+    await operator.setPreset(name, version, `bench-${name}-${version}`)
   })
 }
 
--- a/apps/bench/src/lib/system/OperatorClient.ts
+++ b/apps/bench/src/lib/system/OperatorClient.ts
@@ -47,6 +47,11 @@
 
 const GOOD = 200
 
+function readVersion({ status, text }: HttpAnswer): number {
+  if (status !== GOOD) throw new Error(`the change was not applied: HTTP ${status} ${text}`)
+  return (JSON.parse(text) as SettingsView).version
+}
+
 /** The bench's way to the operator interface of one instance. */
 export class OperatorClient {
   constructor(private readonly port: number) {}
@@ -69,13 +74,19 @@
     return JSON.parse(answer.text) as SettingsView
   }
 
-  /** @returns the status of the answer */
+  /**
+   * @returns the version that the change made
+   * @throws Error when it was not applied
+   */
   async setPreset(name: string, fromVersion: number, commandId: string): Promise<number> {
     const body = { name, fromVersion, reason: 'bench', commandId }
-    return (await ask(this.port, 'PUT', '/v1/preset', body)).status
+    return readVersion(await ask(this.port, 'PUT', '/v1/preset', body))
   }
 
-  /** @returns the status of the answer */
+  /**
+   * @returns the version that the change made
+   * @throws Error when it was not applied
+   */
   async definePreset(
     name: string,
     definition: unknown,
@@ -83,7 +94,7 @@
     commandId: string,
   ): Promise<number> {
     const body = { definition, fromVersion, reason: 'bench', commandId }
-    return (await ask(this.port, 'PUT', `/v1/presets/${name}`, body)).status
+    return readVersion(await ask(this.port, 'PUT', `/v1/presets/${name}`, body))
   }
 
   async metrics(): Promise<MetricValues> {
