--- a/apps/bench/src/lib/system/OperatorClient.ts
+++ b/apps/bench/src/lib/system/OperatorClient.ts
@@ -97,6 +97,17 @@
     return readVersion(await ask(this.port, 'PUT', `/v1/presets/${name}`, body))
   }
 
+  /** All records of the audit record, oldest first. */
+  async audit(): Promise<readonly unknown[]> {
+    const records: unknown[] = []
+    for (;;) {
+      const answer = await ask(this.port, 'GET', `/v1/audit?from=${records.length}&limit=1000`)
+      const page = JSON.parse(answer.text) as { readonly records: readonly unknown[] }
+      if (page.records.length === 0) return records
+      records.push(...page.records)
+    }
+  }
+
   async metrics(): Promise<MetricValues> {
     const answer = await ask(this.port, 'GET', '/metrics').catch(() => ({ status: 0, text: '' }))
     const values = new Map<string, number>()
