--- a/apps/bench/src/capacity/measureSlopes.ts
+++ b/apps/bench/src/capacity/measureSlopes.ts
@@ -3,12 +3,13 @@
  * state machines, driven directly, and the size of encoded messages.
  *
  * Run: npx tsx apps/bench/src/capacity/measureSlopes.ts [part...]
- * Parts: owner, coordinator, membership, control, wire, link, http, shards, instances; all without an argument.
+ * Parts: owner, coordinator, membership, control, wire, link, idleLinks, http, shards, instances; all without an argument.
  */
 import { cpus, loadavg } from 'node:os'
 import { measureControlSlopes } from './measureControlSlopes'
 import { measureCoordinatorSlopes } from './measureCoordinatorSlopes'
 import { measureHttp } from './measureHttp'
+import { measureIdleLinks } from './measureIdleLinks'
 import { measureInstances } from './measureInstances'
 import { measureLinkSlopes } from './measureLinkSlopes'
 import { measureMembershipSlopes } from './measureMembershipSlopes'
@@ -24,6 +25,7 @@
   control: measureControlSlopes,
   wire: measureWire,
   link: measureLinkSlopes,
+  idleLinks: measureIdleLinks,
   http: measureHttp,
   shards: measureShards,
   instances: measureInstances,
