Show that placements have to name the process they are for

A placement whose receipt was lost comes again to the next process of its owner. Runs draw more crashes with a quick restart for it, and more faults in some runs.

--- a/apps/bench/src/joint/JointCluster.ts
+++ b/apps/bench/src/joint/JointCluster.ts
@@ -1,16 +1,16 @@
 import type { CoordinatorAction } from '@cherryhitch/coordinator'
 import { CoordinatorActionKind, CoordinatorEventKind } from '@cherryhitch/coordinator'
 import { shippedPresets } from '@cherryhitch/control'
-import type { OwnerAction, OwnerEvent, RunTaskAction } from '@cherryhitch/owner'
-import { OwnerActionKind, OwnerEventKind, RunResultKind, StopState } from '@cherryhitch/owner'
+import { OwnerEventKind } from '@cherryhitch/owner'
 import type { Envelope, KeyClaim, PresetDefinition } from '@cherryhitch/protocol'
 import { SeededRandom } from '@cherryhitch/stand-ins'
 import { Agenda } from './Agenda'
 import { breakEnvelope } from './breakEnvelope'
 import { JointChecks, assertThat } from './JointChecks'
-import { JointEndpoint, runResult } from './JointEndpoint'
+import { JointEndpoint } from './JointEndpoint'
 import type { JointMessage } from './JointNetwork'
 import { JointNetwork } from './JointNetwork'
+import { EndpointRequests } from './EndpointRequests'
 import { JointProcess } from './JointProcess'
 import { JointQuorum } from './JointQuorum'
 import { JointRule } from './JointRule'
@@ -22,8 +22,6 @@
 const TICK_MS = 25
 const OFFER_MS = 100
 const HEARTBEAT_MS = 500
-const NO_ANSWER_MS = 1000
-const HANG_POLL_MS = 100
 
 function zoneOf(name: string): string {
   return name.slice(0, 1)
@@ -44,7 +42,7 @@
   private boots = 100
   private readonly quorum: JointQuorum
   private readonly targets = new Map<string, string>()
-  private readonly outstanding = new Map<string, () => void>()
+  private readonly requests: EndpointRequests
 
   constructor(
     seed: number,
@@ -60,6 +58,7 @@
       },
     })
     this.endpoints = ENDPOINTS.map((name) => this.makeEndpoint(name))
+    this.requests = new EndpointRequests(this.agenda, this.random, this.endpoints)
     for (const instance of INSTANCES) this.start(instance)
     this.repeat(TICK_MS, () => {
       for (const endpoint of this.endpoints) if (!endpoint.hangs) endpoint.tick(this.agenda.now)
@@ -100,7 +99,7 @@
     const process: JointProcess = new JointProcess({
       ...{ instance, zone: zoneOf(instance), boot, preset: this.preset, peers, now, send },
       toEndpoint: (action) => {
-        this.toEndpoint(() => process, action)
+        this.requests.perform(process, action)
       },
       onCoordinator: (action) => {
         this.performCoordinator(process, action)
@@ -221,91 +220,6 @@
     return this.broken === undefined ? envelope : breakEnvelope(this.broken, envelope)
   }
 
-  private toEndpoint(getProcess: () => JointProcess, action: OwnerAction): void {
-    if (!('endpoint' in action) || action.kind === OwnerActionKind.CloseIdle) return
-    const process = getProcess()
-    const tell = (event: OwnerEvent): void => {
-      this.agenda.after(this.random.between(0.1, 2), () => {
-        process.act(() => {
-          process.tellOwner(event)
-        })
-      })
-    }
-    if (action.kind === OwnerActionKind.RunTask) this.runTask(process, action, tell)
-    else if (action.kind === OwnerActionKind.DropRun) {
-      this.outstanding.get(requestName(process, action.run))?.()
-    } else this.askEndpoint(action, tell)
-  }
-
-  /** Whatever becomes of the request, the owner hears of its end once. */
-  private runTask(
-    process: JointProcess,
-    run: RunTaskAction,
-    tell: (event: OwnerEvent) => void,
-  ): void {
-    const name = requestName(process, run.run)
-    const answer = (event: OwnerEvent): void => {
-      if (this.outstanding.delete(name)) tell(event)
-    }
-    const { endpoint, taskId } = run
-    const fail = (kind: RunResultKind): void => {
-      const result = { ...runResult(kind), answered: false }
-      answer({ kind: OwnerEventKind.RunEnded, endpoint, taskId, run: run.run, result })
-    }
-    this.outstanding.set(name, () => {
-      fail(RunResultKind.Lost)
-    })
-    const target = this.endpoint(endpoint)
-    const isOnTheWay = this.random.chance(0.02)
-    this.agenda.after(this.random.between(0.1, isOnTheWay ? 4000 : 2), () => {
-      this.arrive(target, run, answer, fail)
-    })
-    // A connection that breaks early leaves its request on the way.
-    if (isOnTheWay)
-      this.agenda.after(5, () => {
-        fail(RunResultKind.Lost)
-      })
-  }
-
-  private arrive(
-    target: JointEndpoint,
-    run: RunTaskAction,
-    answer: (event: OwnerEvent) => void,
-    fail: (kind: RunResultKind) => void,
-  ): void {
-    if (!target.up) fail(RunResultKind.NotRun)
-    else if (!target.hangs) target.take(this.agenda.now, run, answer)
-    else {
-      const { boot } = target
-      this.agenda.after(HANG_POLL_MS, () => {
-        if (target.boot === boot && target.up) this.arrive(target, run, answer, fail)
-        else fail(RunResultKind.Lost)
-      })
-    }
-  }
-
-  private askEndpoint(
-    action: Extract<OwnerAction, { address: string }>,
-    tell: (event: OwnerEvent) => void,
-  ): void {
-    const target = this.endpoint(action.endpoint)
-    this.agenda.after(this.random.between(0.1, 2), () => {
-      const isHeard = target.up && !target.hangs
-      // A question may do its work and its answer be lost.
-      if (isHeard) target.take(this.agenda.now, action, this.random.chance(0.97) ? tell : ignore)
-      if (!isHeard)
-        this.agenda.after(NO_ANSWER_MS, () => {
-          tell(noAnswer(action))
-        })
-    })
-  }
-
-  private endpoint(name: string): JointEndpoint {
-    const endpoint = this.endpoints.find(({ options }) => options.name === name)
-    if (endpoint === undefined) throw new Error(`no endpoint ${name}`)
-    return endpoint
-  }
-
   private performCoordinator(process: JointProcess, action: CoordinatorAction): void {
     if (action.kind === CoordinatorActionKind.Reply) {
       this.checks.noteReply(action.requestId, action.answer)
@@ -336,27 +250,3 @@
     })
   }
 }
-
-function requestName(process: JointProcess, run: number): string {
-  return `${process.options.instance}.${process.options.boot}.${run}`
-}
-
-function ignore(): void {
-  // The answer is lost.
-}
-
-function noAnswer(action: Extract<OwnerAction, { address: string }>): OwnerEvent {
-  const { endpoint } = action
-  switch (action.kind) {
-    case OwnerActionKind.StopTasks: {
-      const results = action.taskIds.map((taskId) => ({ taskId, state: StopState.NoAnswer }))
-      return { kind: OwnerEventKind.StopEnded, endpoint, results }
-    }
-    case OwnerActionKind.RenewLeases: {
-      const asked = action.taskIds
-      return { kind: OwnerEventKind.LeasesRenewed, endpoint, asked, known: undefined }
-    }
-    default:
-      return { kind: OwnerEventKind.ProbeEnded, endpoint, alive: false }
-  }
-}
--- a/apps/bench/src/joint/JointRule.ts
+++ b/apps/bench/src/joint/JointRule.ts
@@ -6,6 +6,8 @@
   BootsDiffer = 'boots_differ',
   /** "Never seen" is said only of tasks that were not seen. */
   FencesAreTrue = 'fences_are_true',
+  /** Placements name the process that they are for. */
+  PlacementsNameBoots = 'placements_name_boots',
   /** A key is granted once. */
   KeysAreExclusive = 'keys_are_exclusive',
   /** Owners pass on what the endpoint said: what ran is not called "not run". */
--- a/apps/bench/src/joint/breakEnvelope.ts
+++ b/apps/bench/src/joint/breakEnvelope.ts
@@ -10,6 +10,8 @@
   if (rule === JointRule.FencesAreTrue && body.case === 'fenceReports') {
     for (const report of body.value.reports) report.state = FenceState.NEVER_SEEN
   }
+  const namesNone = rule === JointRule.PlacementsNameBoots
+  if (namesNone && body.case === 'placeTasks') body.value.ownerBoot = 0
   if (body.case === 'taskReports') {
     for (const { reports } of body.value.jobs) {
       if (rule === JointRule.ReportsAreTrue) for (const report of reports) denyRun(report)
--- a/apps/bench/src/joint/joint.test.ts
+++ b/apps/bench/src/joint/joint.test.ts
@@ -55,6 +55,11 @@
     { rule: JointRule.OneReply, name: 'a second reply', says: /was answered 2 times/ },
     { rule: JointRule.TasksEnd, name: 'slots that stay held', says: /holds \d+ slots of/ },
   ]
+  it('placements that name no process, and reach the next one again', () => {
+    const broken = JointRule.PlacementsNameBoots
+    assert.throws(() => runJointSoak({ seed: 4, steps: 300, broken }), startedTwice)
+  })
+
   for (const { rule, name, says } of cases) {
     it(name, () => {
       for (const seed of [1, 2]) {
--- a/apps/bench/src/joint/runJointSoak.ts
+++ b/apps/bench/src/joint/runJointSoak.ts
@@ -62,6 +62,9 @@
   constructor(private readonly cluster: JointCluster) {
     this.startedAt = cluster.agenda.now
     this.faults = [
+      () => {
+        this.crash()
+      },
       () => {
         this.crash()
       },
@@ -103,11 +106,12 @@
 
   run(steps: number): JointSoakReport {
     const { random, agenda } = this.cluster
+    const faultShare = random.between(0.1, 0.6)
     agenda.run(1500)
     for (let step = 0; step < steps; step++) {
       const submissions = random.integer(0, 5)
       for (let i = 0; i < submissions; i++) this.submit()
-      if (random.chance(0.25)) random.pick(this.faults)()
+      if (random.chance(faultShare)) random.pick(this.faults)()
       this.endDrained()
       agenda.run(random.between(20, 600))
     }
@@ -195,7 +199,7 @@
     const instance = random.pick(instances)
     this.crashes++
     this.cluster.crash(instance)
-    agenda.after(random.pick([20, 200, 1500, 5000]), () => {
+    agenda.after(random.pick([5, 20, 200, 1500, 5000]), () => {
       this.cluster.start(instance)
     })
   }
