--- a/apps/bench/src/lib/soak/SettingsWatch.ts
+++ b/apps/bench/src/lib/soak/SettingsWatch.ts
@@ -1,10 +1,16 @@
-import type { BenchSystem } from '../system/BenchSystem'
 import type { Daemon } from '../system/Daemon'
+import type { OperatorClient } from '../system/OperatorClient'
 
 const AGREE_LIMIT_MS = 10_000
 const POLL_MS = 200
 const GOOD = 200
 
+/** What the watch needs of a system. */
+export interface WatchedSystem {
+  readonly daemons: readonly Daemon[]
+  operator(daemon: Daemon): Pick<OperatorClient, 'settings' | 'setPreset'>
+}
+
 interface Seen {
   readonly process: number
   readonly version: number
@@ -20,8 +26,9 @@
   private acceptedVersion = 0
 
   constructor(
-    private readonly system: BenchSystem,
+    private readonly system: WatchedSystem,
     private readonly violations: string[],
+    private readonly agreeLimitMs = AGREE_LIMIT_MS,
   ) {}
 
   /** The instance has ended or ends; what the next process says is not compared. */
@@ -52,7 +59,7 @@
 
   /** Every instance is there and gives the same version, and no accepted one is lost. */
   async awaitAgreement(now: () => number): Promise<void> {
-    const until = now() + AGREE_LIMIT_MS
+    const until = now() + this.agreeLimitMs
     for (;;) {
       const versions = await Promise.all(this.system.daemons.map((each) => this.lookAt(each)))
       const [first = 0] = versions
