Trim the owner's memory in steps, and join views that come close together

Cause: a Map walks over its deleted entries to find the oldest one, so an owner whose memory of ended tasks was full spent a quarter of its time there. Ruled out: the cost of remembering itself, which is the same while the memory fills. Membership made a view for each heartbeat with news; now at most one in 10 ms.

--- a/apps/cherryhitch/src/lib/instance/InstanceOptions.ts
+++ b/apps/cherryhitch/src/lib/instance/InstanceOptions.ts
@@ -57,7 +57,7 @@
   balancerDelayMs: 2000,
   drainLimitMs: 60_000,
   settingsWaitMs: 3000,
-  partTickMs: 50,
+  partTickMs: 25,
   offerMs: 100,
 }
 
--- a/packages/membership/src/lib/MembershipMachine.test.ts
+++ b/packages/membership/src/lib/MembershipMachine.test.ts
@@ -128,3 +128,19 @@
     assert.equal(a.counters.heartbeatsForeign, 1)
   })
 })
+
+describe('views of MembershipMachine', () => {
+  it('joins news that come close together', () => {
+    const a = machineOf('a', 'z1')
+    const b = machineOf('b', 'z1')
+    hear(a, 0, heartbeatOf(b.tick(0), 'a'))
+    const news = [1, 2, 3].map((at) => {
+      const state = at % 2 === 0 ? InstanceState.SERVING : InstanceState.DRAINING
+      const actions = b.step(at * 100, { kind: MembershipEventKind.LocalState, state })
+      return hear(a, at, heartbeatOf(actions, 'a'))
+    })
+    assert.deepEqual(news, [[], [], []])
+    assert.ok(kinds(a.tick(20)).includes(MembershipActionKind.ViewChanged))
+    assert.ok(!kinds(a.tick(21)).includes(MembershipActionKind.ViewChanged))
+  })
+})
--- a/packages/membership/src/lib/MembershipMachine.ts
+++ b/packages/membership/src/lib/MembershipMachine.ts
@@ -51,6 +51,7 @@
   private farDueAt = 0
   private urgentSentAt = Number.NEGATIVE_INFINITY
   private isUrgent = false
+  private hasNews = false
   private viewedAt = Number.NEGATIVE_INFINITY
 
   constructor(private readonly options: MembershipOptions) {
@@ -95,7 +96,7 @@
       instance: peer.known.instance,
       boot: peer.currentBoot,
     }))
-    if (lost.length > 0) actions.push(this.viewChanged(now))
+    if (lost.length > 0 || this.hasNews) actions.push(this.viewChanged(now))
     actions.push(...this.sendDue(now))
     return actions
   }
@@ -125,7 +126,7 @@
       case HeartbeatVerdict.Same:
         return []
       case HeartbeatVerdict.Changed:
-        return [this.viewChanged(now)]
+        return this.spreadNews(now)
       case HeartbeatVerdict.Found:
         return [
           { kind: MembershipActionKind.InstanceFound, instance: from, boot },
@@ -164,6 +165,13 @@
     return [...view, ...this.sendDue(now)]
   }
 
+  /** News of many instances that come close together make one view. */
+  private spreadNews(now: number): readonly MembershipAction[] {
+    if (now - this.viewedAt >= this.timing.viewGapMs) return [this.viewChanged(now)]
+    this.hasNews = true
+    return []
+  }
+
   private sendDue(now: number): readonly MembershipAction[] {
     const isUrgentDue = this.isUrgent && now - this.urgentSentAt >= this.timing.urgentGapMs
     const isNearDue = isUrgentDue || now >= this.nearDueAt
@@ -206,6 +214,7 @@
 
   private viewChanged(now: number): MembershipAction {
     this.viewedAt = now
+    this.hasNews = false
     return { kind: MembershipActionKind.ViewChanged, members: this.view(now) }
   }
 
--- a/packages/membership/src/lib/MembershipOptions.ts
+++ b/packages/membership/src/lib/MembershipOptions.ts
@@ -18,6 +18,8 @@
   readonly urgentGapMs: number
   /** The view is told again after this without a change: coordinators weigh its age. */
   readonly viewMs: number
+  /** Least time between two views for what heartbeats tell; news wait for the next tick. */
+  readonly viewGapMs: number
 }
 
 /**
@@ -33,6 +35,7 @@
   linkDownTimeoutMs: 1000,
   urgentGapMs: 20,
   viewMs: 250,
+  viewGapMs: 10,
 }
 
 /** @public */
--- a/packages/owner/src/lib/tasks/TaskMemory.ts
+++ b/packages/owner/src/lib/tasks/TaskMemory.ts
@@ -104,16 +104,24 @@
   }
 
   private enforceBounds(): void {
+    if (this.entries.size > this.options.tasks) this.trimEntries(afterTrim(this.options.tasks))
+    if (this.outputSize > this.options.output) this.trimReports(afterTrim(this.options.output))
+    trimOldest(this.cancelledJobs, this.options.tasks)
+    trimOldest(this.passedJobs, this.options.tasks)
+  }
+
+  private trimEntries(limit: number): void {
     for (const entry of this.entries.values()) {
-      if (this.entries.size <= this.options.tasks) break
+      if (this.entries.size <= limit) return
       this.forget(entry.taskId)
     }
+  }
+
+  private trimReports(limit: number): void {
     for (const entry of this.withReports.values()) {
-      if (this.outputSize <= this.options.output) break
+      if (this.outputSize <= limit) return
       this.dropReport(entry)
     }
-    trimOldest(this.cancelledJobs, this.options.tasks)
-    trimOldest(this.passedJobs, this.options.tasks)
   }
 
   private dropReport(entry: RememberedTask): void {
@@ -123,9 +131,22 @@
   }
 }
 
+/** Share of a full memory that is freed at once. */
+const TRIMMED_SHARE = 1 / 20
+
+/**
+ * What is left after a trim. A Map walks over the places of deleted entries to find its oldest one,
+ * so to drop one entry each time made the owner three times slower (docs/CAPACITY.md).
+ */
+function afterTrim(limit: number): number {
+  return limit - Math.floor(limit * TRIMMED_SHARE)
+}
+
 function trimOldest(map: Map<string, unknown>, limit: number): void {
+  if (map.size <= limit) return
+  const left = afterTrim(limit)
   for (const key of map.keys()) {
-    if (map.size <= limit) return
+    if (map.size <= left) return
     map.delete(key)
   }
 }
