--- a/apps/bench/src/joint/runJointSoak.ts
+++ b/apps/bench/src/joint/runJointSoak.ts
@@ -93,7 +93,7 @@
         this.cluster.quorumReachable = this.cluster.random.chance(0.6)
       },
       () => {
-        this.cluster.setPreset(this.cluster.random.pick(shippedPresets))
+        this.changePreset()
       },
       () => {
         this.cluster.network.maxDelayMs = this.cluster.random.pick([3, 3, 60, 400])
@@ -213,6 +213,13 @@
     })
   }
 
+  /** A shipped preset, with a drawn number of owners for each zone. */
+  private changePreset(): void {
+    const { random } = this.cluster
+    const ownerShards = random.integer(1, 3)
+    this.cluster.setPreset({ ...random.pick(shippedPresets), ownerShards })
+  }
+
   /** What finished draining ends, and its next process starts. */
   private endDrained(): void {
     for (const process of [...this.cluster.processes.values()]) {
