Keep a listener on every link's session, so that no peer's answer ends the process

Cause: the session manager of the library drops its listeners when it is aborted; a session that fails after that tells its error to nobody, and Node.js ends the process. Ruled out: a later abort, which only moves the moment. Change: a session of our own whose listener stays.

--- a/apps/bench/src/lib/scenarios/instanceScenarios.ts
+++ b/apps/bench/src/lib/scenarios/instanceScenarios.ts
@@ -6,6 +6,8 @@
 import type { BenchEvent } from './Scenario'
 import { Scenario } from './Scenario'
 
+const MAX_ATTEMPTS = 5
+
 /** Scenarios with faults of instances run under the same load. */
 abstract class InstanceScenario extends Scenario {
   override workload(): Partial<WorkloadOptions> {
@@ -47,7 +49,16 @@
     if (daemon === undefined) return
     const operator = system.operator(daemon)
     const { version } = await operator.settings()
-    await operator.setPreset(name, version, `bench-${name}-${version}`)
+    const commandId = `bench-${name}-${version}`
+    // The leader may be lost just then: the same command id is sent again until it is answered.
+    for (let attempt = 1; ; attempt++) {
+      try {
+        await operator.setPreset(name, version, commandId)
+        return
+      } catch (err) {
+        if (attempt === MAX_ATTEMPTS) throw err
+      }
+    }
   })
 }
 
--- a/packages/rpc/src/lib/peer/LinkConnection.ts
+++ b/packages/rpc/src/lib/peer/LinkConnection.ts
@@ -4,9 +4,10 @@
 import { EnvelopeBatchSchema, LinkService } from '@cherryhitch/protocol'
 import type { Envelope, EnvelopeBatch } from '@cherryhitch/protocol'
 import { Code, ConnectError, createClient } from '@connectrpc/connect'
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import { createConnectTransport } from '@connectrpc/connect-node'
 import type { LinkPeer, LinkTls } from '../host/LinkHostOptions'
 import { BatchFeed } from './BatchFeed'
+import { LinkSession } from './LinkSession'
 
 /** @internal */
 export interface LinkConnectionOptions {
@@ -40,19 +41,15 @@
 export class LinkConnection {
   readonly #feed = new BatchFeed<EnvelopeBatch>()
   readonly #abort = new AbortController()
-  readonly #manager: Http2SessionManager
+  readonly #authority: string
+  #session: LinkSession | undefined
   #socket: net.Socket | undefined
 
   constructor(private readonly options: LinkConnectionOptions) {
     const { peer } = options
     const scheme = options.tls === undefined ? 'http' : 'https'
     const host = net.isIPv6(peer.host) ? `[${peer.host}]` : peer.host
-    const authority = `${scheme}://${host}:${peer.port}`
-    this.#manager = new Http2SessionManager(
-      authority,
-      {},
-      { createConnection: () => this.#openSocket() },
-    )
+    this.#authority = `${scheme}://${host}:${peer.port}`
   }
 
   /** Dials and reads receipts until the connection ends, for whatever cause. */
@@ -87,17 +84,18 @@
     // Before the session ends, which would take the handle away from the socket.
     if (this.#socket !== undefined) resetSocket(this.#socket)
     this.#abort.abort()
-    this.#manager.abort()
+    this.#session?.abort()
   }
 
   #client() {
-    const { authority } = this.#manager
+    const session = new LinkSession(this.#authority, () => this.#openSocket())
+    this.#session = session
     return createClient(
       LinkService,
       createConnectTransport({
-        baseUrl: authority,
+        baseUrl: this.#authority,
         httpVersion: '2',
-        sessionManager: this.#manager,
+        sessionManager: session,
         acceptCompression: [],
         readMaxBytes: MAX_RECEIPT_BYTES,
       }),
