--- a/apps/cherryhitch/src/lib/instance/startCoordinatorPart.ts
+++ b/apps/cherryhitch/src/lib/instance/startCoordinatorPart.ts
@@ -15,11 +15,15 @@
 ): Effect.Effect<CoordinatorPart, never, Scope.Scope> {
   const { options, timing, boot, parts } = context
   const { instance, zone, telemetry } = options
+  const callerWeights = new Map(
+    options.tokens?.callers.map(({ caller, weight }) => [caller, weight] as const),
+  )
   const coordinator = startCoordinator({
     instance,
     zone,
     boot,
     preset: firstPreset(),
+    callerWeights,
     timing: { leaseMs: timing.leaseMs },
     send: parts.send,
     claim: (claim) => {
--- a/packages/coordinator/src/lib/CoordinatorOptions.ts
+++ b/packages/coordinator/src/lib/CoordinatorOptions.ts
@@ -89,6 +89,8 @@
   readonly boot: number
   /** In force until the first Preset event. */
   readonly preset: PresetDefinition
+  /** Share of the limits that a caller gets, against the others; 1 where none is given. */
+  readonly callerWeights?: ReadonlyMap<string, number>
   readonly limits?: Partial<CoordinatorLimits>
   readonly timing?: Partial<CoordinatorTiming>
 }
--- a/packages/coordinator/src/lib/jobs/JobBook.ts
+++ b/packages/coordinator/src/lib/jobs/JobBook.ts
@@ -40,6 +40,11 @@
     return this.tasksOfCaller.get(caller) ?? 0
   }
 
+  /** Callers with jobs in flight. */
+  callers(): Iterable<string> {
+    return this.tasksOfCaller.keys()
+  }
+
   all(): Iterable<Job> {
     return this.bySequence.values()
   }
--- a/packages/coordinator/src/lib/jobs/JobDesk.ts
+++ b/packages/coordinator/src/lib/jobs/JobDesk.ts
@@ -10,12 +10,13 @@
 import type { JobEnding } from './JobEnding'
 import type { JobProblem } from './jobAnswers'
 import { problem, refusedAnswer, runningAnswer } from './jobAnswers'
+import { relativeWeight } from './relativeWeight'
 import type { Waiter } from './Waiter'
 
 const NO_ENDPOINT_RETRY_MS = 1000
 const DRAINING_RETRY_MS = 100
-/** Weights of callers are not settable yet: all count the same. */
-const EVEN_WEIGHT = 1
+/** Without any, all callers weigh the same. */
+const NO_WEIGHTS: ReadonlyMap<string, number> = new Map()
 
 /** A job as it was submitted, here or at the instance that sent it on. @internal */
 export interface SubmitRequest {
@@ -148,7 +149,7 @@
   }
 
   private decide(now: number, job: Job): AdmissionDecision {
-    const { jobs, members, policies } = this.context
+    const { jobs, members, policies, options } = this.context
     const ownTasks = jobs.tasksOf(job.caller)
     return policies.admission.decide(now, {
       caller: job.caller,
@@ -159,7 +160,7 @@
       callerTasksInFlight: ownTasks,
       tasksInFlight: jobs.tasksInFlight,
       activeCallers: jobs.activeCallers + (ownTasks === 0 ? 1 : 0),
-      callerWeight: EVEN_WEIGHT,
+      callerWeight: relativeWeight(job.caller, jobs.callers(), options.callerWeights ?? NO_WEIGHTS),
       instances: Math.max(1, members.serving.length),
     })
   }
