--- a/apps/cherryhitch/src/lib/instance/startControlPart.ts
+++ b/apps/cherryhitch/src/lib/instance/startControlPart.ts
@@ -2,6 +2,7 @@
 import { startControlNode } from '@cherryhitch/control'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
+import { InstancePhase } from './Readiness'
 import type { StartContext } from './StartContext'
 import { logOf } from './StartContext'
 
@@ -21,6 +22,9 @@
     ...(disk === undefined ? {} : { disk }),
     ...(options.autoInit === undefined ? {} : { autoInit: options.autoInit }),
     send: parts.send,
+    onDefect: () => {
+      parts.readiness.enter(InstancePhase.Broken)
+    },
     log: logOf(options, 'control'),
     onSettings: settings.apply,
   })
--- a/apps/cherryhitch/src/lib/instance/startInstance.ts
+++ b/apps/cherryhitch/src/lib/instance/startInstance.ts
@@ -45,12 +45,14 @@
     const interfaces = yield* openInterfaces(context, owner, coordinator, control)
     const membership = yield* startMembershipPart(context, interfaces)
     yield* startOffers(context)
+    const { ownerDrained, coordinatorDrained } = context
     const content = {
-      ...context,
       instance: options.instance,
       boot,
       timing,
       readiness: parts.readiness,
+      ownerDrained,
+      coordinatorDrained,
       interfaces,
       links,
       owner,
--- a/packages/control/src/lib/node/ClaimBatcher.ts
+++ b/packages/control/src/lib/node/ClaimBatcher.ts
@@ -2,7 +2,7 @@
 import { CommandResult, CommandSchema } from '@cherryhitch/protocol'
 import type { ClaimAnswer, Command, CommandAnswer, KeyClaim } from '@cherryhitch/protocol'
 import type { Result } from 'ts-results'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 import { ControlError, ControlErrorKind } from '../errors/ControlError'
 
 /** Claims in one command; it bounds the size of a log entry. */
--- a/packages/control/src/lib/state/auditChain.ts
+++ b/packages/control/src/lib/state/auditChain.ts
@@ -4,7 +4,7 @@
 import { AuditRecordSchema } from '@cherryhitch/protocol'
 import type { AuditRecord, SettingsState } from '@cherryhitch/protocol'
 import type { Result } from 'ts-results'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 /** Version of the canonical encoding below; part of what is hashed. */
 const ENCODING_VERSION = 1
--- a/packages/control/src/lib/state/presets.ts
+++ b/packages/control/src/lib/state/presets.ts
@@ -8,7 +8,7 @@
 } from '@cherryhitch/protocol'
 import type { PresetDefinition } from '@cherryhitch/protocol'
 import type { Result } from 'ts-results'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 import { isValidName } from '@cherryhitch/model'
 
 /** Names of the presets that ship with the program. @public */
--- a/packages/control/src/lib/state/voterSet.ts
+++ b/packages/control/src/lib/state/voterSet.ts
@@ -3,7 +3,7 @@
 import { VoterChangeKind, VoterSchema } from '@cherryhitch/protocol'
 import type { ChangeVoters, Voter } from '@cherryhitch/protocol'
 import type { Result } from 'ts-results'
-import { Err, Ok } from '../util/results'
+import { Err, Ok } from '@cherryhitch/model'
 
 /** How many voters of a set make a majority; learners never count. @internal */
 export function majorityOf(members: readonly Voter[]): number {
