--- a/apps/bench/src/lib/scenarios/instanceScenarios.ts
+++ b/apps/bench/src/lib/scenarios/instanceScenarios.ts
@@ -2,6 +2,7 @@
 import { Effect } from 'effect'
 import type { BenchSystem } from '../system/BenchSystem'
 import type { Daemon } from '../system/Daemon'
+import { ChangeConflict } from '../system/OperatorClient'
 import { faultLoad } from './loadScenarios'
 import type { BenchEvent } from './Scenario'
 import { Scenario } from './Scenario'
@@ -56,6 +57,8 @@
         await operator.setPreset(name, version, commandId)
         return
       } catch (err) {
+        // The change before this one may have been committed late: then this one lost the race.
+        if (err instanceof ChangeConflict) return
         if (attempt === MAX_ATTEMPTS) throw err
       }
     }
--- a/apps/bench/src/lib/system/OperatorClient.ts
+++ b/apps/bench/src/lib/system/OperatorClient.ts
@@ -47,8 +47,13 @@
 }
 
 const GOOD = 200
+const CONFLICT = 409
+
+/** Another change came first. */
+export class ChangeConflict extends Error {}
 
 function readVersion({ status, text }: HttpAnswer): number {
+  if (status === CONFLICT) throw new ChangeConflict(text)
   if (status !== GOOD) throw new Error(`the change was not applied: HTTP ${status} ${text}`)
   return (JSON.parse(text) as SettingsView).version
 }
