Keep one groupBy, one type of tokens and one way for forwarded heartbeats

groupBy stood four times (coordinator, owner twice, stand-ins) and is in model now. The router took heartbeats that another instance passes on apart, though the owner takes them as a message with the same effect.

--- a/apps/bench/src/lib/system/OperatorClient.ts
+++ b/apps/bench/src/lib/system/OperatorClient.ts
@@ -1,8 +1,5 @@
 import http from 'node:http'
 
-/** Counters of an instance as its metrics page gives them, by name. */
-export type MetricValues = ReadonlyMap<string, number>
-
 interface HttpAnswer {
   readonly status: number
   readonly text: string
@@ -113,14 +110,4 @@
       records.push(...page.records)
     }
   }
-
-  async metrics(): Promise<MetricValues> {
-    const answer = await ask(this.port, 'GET', '/metrics').catch(() => ({ status: 0, text: '' }))
-    const values = new Map<string, number>()
-    for (const line of answer.text.split('\n')) {
-      const found = /^([a-zA-Z_:]+)(?:\{[^}]*\})? ([-+0-9.eE]+)$/.exec(line)
-      if (found?.[1] !== undefined) values.set(found[1], Number(found[2]))
-    }
-    return values
-  }
 }
--- a/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
+++ b/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
@@ -1,12 +1,7 @@
 import { exhaustive } from '@cherryhitch/model'
 import type { CoordinatorMessage } from '@cherryhitch/coordinator'
 import type { OwnerMessage } from '@cherryhitch/owner'
-import type {
-  EndpointAnnouncement,
-  Envelope,
-  EnvelopeBody,
-  InstanceHeartbeat,
-} from '@cherryhitch/protocol'
+import type { Envelope, EnvelopeBody, InstanceHeartbeat } from '@cherryhitch/protocol'
 
 /** The parts that take messages of other instances. @internal */
 export interface EnvelopeReceivers {
@@ -14,8 +9,6 @@
   readonly toCoordinator: (from: string, message: CoordinatorMessage) => void
   readonly toMembership: (from: string, boot: number, heartbeat: InstanceHeartbeat) => void
   readonly toControl: (from: string, boot: number, body: EnvelopeBody) => void
-  /** An endpoint's heartbeat that another instance passes on. */
-  readonly toDirectory: (from: string, announcement: EndpointAnnouncement) => void
 }
 
 /** Hands each envelope to the part that it concerns. @internal */
@@ -32,6 +25,7 @@
       case 'fenceTasks':
       case 'handOverEndpoints':
       case 'releaseSlots':
+      case 'forwardHeartbeat':
         this.receivers.toOwner(from, body)
         return
       case 'taskReports':
@@ -44,11 +38,6 @@
       case 'instanceHeartbeat':
         this.receivers.toMembership(from, boot, body.value)
         return
-      case 'forwardHeartbeat':
-        if (body.value.announcement !== undefined) {
-          this.receivers.toDirectory(from, body.value.announcement)
-        }
-        return
       case 'propose':
       case 'proposeReply':
       case 'readControl':
--- a/apps/cherryhitch/src/lib/instance/InstanceOptions.ts
+++ b/apps/cherryhitch/src/lib/instance/InstanceOptions.ts
@@ -1,3 +1,4 @@
+import type { Tokens } from '@cherryhitch/settings'
 import type { Disk } from '@cherryhitch/storage'
 import type { InstanceTelemetry } from './InstanceTelemetry'
 
@@ -17,18 +18,6 @@
   readonly voter: boolean
 }
 
-/** Secrets as read from their files. Without them every interface is open, on loopback only. @public */
-export interface InstanceTokens {
-  readonly callers: readonly {
-    readonly caller: string
-    readonly token: string
-    readonly weight: number
-  }[]
-  readonly endpoints: string
-  readonly operators: readonly { readonly operator: string; readonly token: string }[]
-  readonly instances: string
-}
-
 /** Times and limits that an instance keeps; milliseconds. @public */
 export interface InstanceTiming {
   readonly heartbeatMs: number
@@ -76,7 +65,8 @@
   readonly disk?: Disk
   /** Make a new set of voters out of the instances that the settings name; for demos and tests. */
   readonly autoInit?: { readonly clusterId: string }
-  readonly tokens?: InstanceTokens
+  /** Secrets as read from their files; without them every interface is open, on loopback only. */
+  readonly tokens?: Tokens
   readonly limits?: {
     readonly bodyBytes?: number
     readonly headerBytes?: number
--- a/apps/cherryhitch/src/lib/instance/startInterfaces.ts
+++ b/apps/cherryhitch/src/lib/instance/startInterfaces.ts
@@ -12,9 +12,10 @@
   JobService,
   OperatorService,
 } from '@cherryhitch/http-api'
+import type { Tokens } from '@cherryhitch/settings'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
-import type { InstanceOptions, InstanceTokens, ListenAddress } from './InstanceOptions'
+import type { InstanceOptions, ListenAddress } from './InstanceOptions'
 
 /** The three HTTP servers of an instance. @internal */
 export interface InstanceInterfaces {
@@ -69,7 +70,7 @@
   })
 }
 
-function accessTokens(tokens: InstanceTokens | undefined): readonly AccessToken[] {
+function accessTokens(tokens: Tokens | undefined): readonly AccessToken[] {
   if (tokens === undefined) return []
   const callers = tokens.callers.map(({ caller, token }) => ({
     role: AccessRole.Caller,
--- a/apps/cherryhitch/src/lib/instance/startLinks.ts
+++ b/apps/cherryhitch/src/lib/instance/startLinks.ts
@@ -65,10 +65,5 @@
         control.receive(from, boot, body)
       })
     },
-    toDirectory: (forwardedBy, announcement) => {
-      parts.owner.use((owner) => {
-        owner.tell({ kind: OwnerEventKind.Heartbeat, announcement, forwardedBy })
-      })
-    },
   })
 }
--- a/packages/coordinator/src/lib/placement/Retries.ts
+++ b/packages/coordinator/src/lib/placement/Retries.ts
@@ -1,4 +1,4 @@
-import { hash64 } from '@cherryhitch/model'
+import { hash64, groupBy } from '@cherryhitch/model'
 import type { TaskReport } from '@cherryhitch/protocol'
 import { Reason } from '@cherryhitch/protocol'
 import type { CoordinatorContext } from '../CoordinatorContext'
@@ -8,7 +8,6 @@
 import type { JobProblem } from '../jobs/jobAnswers'
 import { problem } from '../jobs/jobAnswers'
 import { DueKind } from '../timers/DueItem'
-import { groupBy } from './groupBy'
 import type { TaskPlacement } from './TaskPlacement'
 
 const DRAW_DIGITS = 8
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -18,6 +18,7 @@
 export type { Traceparent } from './lib/spans/traceparent'
 export type { SpanRecord } from './lib/spans/SpanRecord'
 export { exhaustive } from './lib/util/exhaustive'
+export { groupBy } from './lib/util/groupBy'
 export { hash64 } from './lib/util/hash64'
 export { ProblemRan } from './lib/views/Problem'
 export type { Problem } from './lib/views/Problem'
--- a/packages/owner/src/lib/handover/QueueMover.ts
+++ b/packages/owner/src/lib/handover/QueueMover.ts
@@ -1,3 +1,4 @@
+import { groupBy } from '@cherryhitch/model'
 import { create } from '@bufbuild/protobuf'
 import type { PlacedTask } from '@cherryhitch/protocol'
 import { Outcome, PlacedTaskSchema, Reason } from '@cherryhitch/protocol'
@@ -42,7 +43,7 @@
       this.refuseAll(now, lane, reason, 'Nobody here serves the queue any more.')
       return
     }
-    for (const [job, tasks] of groupByJob(takeAll(lane))) {
+    for (const [job, tasks] of groupBy(takeAll(lane), (task) => task.job)) {
       const target = targets[this.turn++ % targets.length]
       if (target !== undefined) this.passOn(now, target, job, tasks)
     }
@@ -100,13 +101,3 @@
     attempt: task.attempt,
   })
 }
-
-function groupByJob(tasks: readonly TaskRecord[]): Map<JobRecord, TaskRecord[]> {
-  const groups = new Map<JobRecord, TaskRecord[]>()
-  for (const task of tasks) {
-    const group = groups.get(task.job)
-    if (group === undefined) groups.set(task.job, [task])
-    else group.push(task)
-  }
-  return groups
-}
--- a/packages/owner/src/lib/intake/Placement.ts
+++ b/packages/owner/src/lib/intake/Placement.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf'
-import { formatTaskId } from '@cherryhitch/model'
+import { formatTaskId, groupBy } from '@cherryhitch/model'
 import type { PlacedTask, PlaceTasks } from '@cherryhitch/protocol'
 import { FenceState, Outcome, Reason, TaskSpecSchema } from '@cherryhitch/protocol'
 import type { Dispatcher } from '../dispatch/Dispatcher'
@@ -38,7 +38,7 @@
     this.ctx.counters.placed += tasks.length
     this.ctx.retries.noteFresh(now, fresh.filter((placed) => placed.attempt === 0).length)
     if (passedOn) this.announceMove(job, fresh)
-    for (const [service, group] of groupByService(tasks)) {
+    for (const [service, group] of groupBy(tasks, (task) => task.service)) {
       this.take(now, service, group, passedOn)
     }
     this.ctx.book.closeJob(job)
@@ -154,13 +154,3 @@
   const spec = placed.spec ?? create(TaskSpecSchema)
   return new TaskRecord(taskId, job, deadlineAt, now, placed, spec)
 }
-
-function groupByService(tasks: readonly TaskRecord[]): Map<string, TaskRecord[]> {
-  const groups = new Map<string, TaskRecord[]>()
-  for (const task of tasks) {
-    const group = groups.get(task.service)
-    if (group === undefined) groups.set(task.service, [task])
-    else group.push(task)
-  }
-  return groups
-}
--- a/packages/stand-ins/src/lib/ledger/checkLedgers.ts
+++ b/packages/stand-ins/src/lib/ledger/checkLedgers.ts
@@ -1,4 +1,4 @@
-import { parseTaskId } from '@cherryhitch/model'
+import { parseTaskId, groupBy } from '@cherryhitch/model'
 import type { CallerAttempt, CallerLedger, Submission } from './CallerLedger'
 import { CallerOutcome } from './CallerLedger'
 import type { EndpointLedger, TaskRun } from './EndpointLedger'
@@ -65,17 +65,6 @@
   return { invariant, detail, submission: '', jobId: '', taskId: '', endpoint: '', ...ids }
 }
 
-function groupBy<T>(items: readonly T[], keyOf: (item: T) => string): Map<string, T[]> {
-  const groups = new Map<string, T[]>()
-  for (const item of items) {
-    const key = keyOf(item)
-    const group = groups.get(key)
-    if (group === undefined) groups.set(key, [item])
-    else group.push(item)
-  }
-  return groups
-}
-
 function jobIdOf(taskId: string): string {
   return parseTaskId(taskId)?.jobId ?? taskId.slice(0, taskId.lastIndexOf('.'))
 }
