--- /dev/null
+++ b/apps/cherryhitch/src/lib/cli/commands/dispatchCommands.ts
@@ -0,0 +1,41 @@
+import type { DispatchSettings } from '@cherryhitch/settings'
+import { formatSettingsProblem, loadDispatchSettings } from '@cherryhitch/settings'
+import { Effect, Exit } from 'effect'
+import { runDispatch } from '../../dispatching/runDispatch'
+import { runEntry } from '../../dispatching/runEntry'
+import { CliError, usageError } from '../CliError'
+import type { CommandContext } from '../CommandContext'
+import { ExitCode } from '../ExitCode'
+import { describeExit } from './describeExit'
+
+interface SettingsFlag {
+  readonly settings?: string
+}
+
+/** Registers `entry` and `dispatch`. @internal */
+export function registerDispatchCommands({ cli }: CommandContext): void {
+  cli
+    .command('entry', 'Take jobs from callers until SIGTERM')
+    .option('--settings <file>', 'Settings of this instance')
+    .action(async ({ settings }: SettingsFlag) => run(settings, runEntry))
+  cli
+    .command('dispatch', 'Queue jobs and dispatch their tasks until SIGTERM')
+    .option('--settings <file>', 'Settings of this instance')
+    .action(async ({ settings }: SettingsFlag) => run(settings, runDispatch))
+}
+
+async function run(
+  file: string | undefined,
+  program: (settings: DispatchSettings) => Effect.Effect<string, unknown>,
+): Promise<void> {
+  if (file === undefined) throw usageError('--settings is missing.', 'See docs/OPERATIONS.md.')
+  const loaded = loadDispatchSettings(file)
+  if (loaded.err) {
+    throw usageError(loaded.val.map(formatSettingsProblem).join('\n'), 'See docs/OPERATIONS.md.')
+  }
+  const settings = loaded.val
+  const exit = await Effect.runPromiseExit(program(settings))
+  if (Exit.isSuccess(exit)) return
+  const message = `${settings.name} does not run: ${describeExit(exit)}`
+  throw new CliError(ExitCode.Failed, message, 'See also its log.')
+}
--- a/apps/cherryhitch/src/lib/cli/createCli.ts
+++ b/apps/cherryhitch/src/lib/cli/createCli.ts
@@ -4,6 +4,7 @@
 import { registerAuditCommand } from './commands/audit/auditCommand'
 import { registerControlCommand } from './commands/control/controlCommand'
 import { registerDemoCommand } from './commands/demoCommand'
+import { registerDispatchCommands } from './commands/dispatchCommands'
 import { registerJobCommand } from './commands/jobs/jobCommand'
 import { registerSubmitCommand } from './commands/jobs/submitCommand'
 import { registerPresetCommand } from './commands/presets/presetCommand'
@@ -19,6 +20,7 @@
   const cli = cac('cherryhitch')
   const context = { cli, io }
   registerServeCommand(context)
+  registerDispatchCommands(context)
   registerSubmitCommand(context)
   registerJobCommand(context)
   registerViewCommands(context)
--- /dev/null
+++ b/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
@@ -0,0 +1,90 @@
+import { create } from '@bufbuild/protobuf'
+import { DispatchEventKind } from '@cherryhitch/dispatch'
+import type { DispatchEvent, DispatchMachine } from '@cherryhitch/dispatch'
+import { EndpointNoticesSchema, envelope, NoticeState } from '@cherryhitch/protocol'
+import type { EndpointNotice, EndpointNotices, Envelope } from '@cherryhitch/protocol'
+import { Effect } from 'effect'
+
+/** Endpoints call another instance after a second without an answer. */
+const CONFIRM_TIMEOUT_MS = 800
+
+/** @internal */
+export interface NoticeExchangeOptions {
+  readonly instance: string
+  readonly boot: number
+  readonly machine: DispatchMachine
+  readonly tell: (event: DispatchEvent) => void
+  readonly send: (to: string, message: Envelope) => void
+  readonly peers: () => readonly string[]
+  readonly leader: () => string
+  readonly now: () => number
+}
+
+/**
+ * Spreads what endpoints say of themselves over the instances that may lead. A goodbye is only
+ * acknowledged once the leader has it, since it would go on starting tasks there otherwise.
+ *
+ * @internal
+ */
+export class NoticeExchange {
+  private readonly waiting = new Map<string, (byLeader: boolean) => void>()
+  private requests = 0
+
+  constructor(private readonly options: NoticeExchangeOptions) {}
+
+  /** Takes a notice from an endpoint; true once it may be acknowledged. */
+  take(notice: EndpointNotice): Effect.Effect<boolean> {
+    const { options } = this
+    options.tell({ kind: DispatchEventKind.Notice, notice })
+    const needsLeader = notice.state !== NoticeState.SERVING && !options.machine.leads
+    if (!needsLeader) {
+      this.spread(notice, '')
+      return Effect.succeed(true)
+    }
+    const leader = options.leader()
+    if (leader === '' || leader === options.instance) return Effect.succeed(false)
+    return this.confirmBy(notice)
+  }
+
+  /** Another instance passed notices on. */
+  onNotices(from: string, { notices, requestId }: EndpointNotices): void {
+    const { machine, tell, send } = this.options
+    for (const notice of notices) tell({ kind: DispatchEventKind.Notice, notice })
+    if (requestId === '') return
+    const value = { requestId, byLeader: machine.leads }
+    send(from, envelope({ case: 'endpointNoticesTaken', value }))
+  }
+
+  onTaken(requestId: string, byLeader: boolean): void {
+    this.waiting.get(requestId)?.(byLeader)
+  }
+
+  /** A new instance gets everything that is known here. */
+  tellAll(instance: string): void {
+    const notices = this.options.machine.notices(this.options.now())
+    if (notices.length === 0) return
+    this.options.send(instance, envelope({ case: 'endpointNotices', value: { notices } }))
+  }
+
+  private spread(notice: EndpointNotice, requestId: string): void {
+    const value = create(EndpointNoticesSchema, { notices: [notice], requestId })
+    for (const peer of this.options.peers()) {
+      this.options.send(peer, envelope({ case: 'endpointNotices', value }))
+    }
+  }
+
+  private confirmBy(notice: EndpointNotice): Effect.Effect<boolean> {
+    const requestId = `${this.options.instance}.${this.options.boot}.${++this.requests}`
+    const answered = Effect.callback<boolean>((resume) => {
+      this.waiting.set(requestId, (byLeader) => {
+        if (byLeader) resume(Effect.succeed(true))
+      })
+      this.spread(notice, requestId)
+    })
+    const limited = Effect.timeoutOption(answered, CONFIRM_TIMEOUT_MS)
+    return Effect.map(limited, (option) => {
+      this.waiting.delete(requestId)
+      return option._tag === 'Some'
+    })
+  }
+}
--- /dev/null
+++ b/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
@@ -0,0 +1,68 @@
+import { exhaustive } from '@cherryhitch/model'
+import { DiscoveryActionKind, DiscoveryMachine, instanceAt } from '@cherryhitch/dispatch'
+import type { DiscoveryAction, DiscoveryEvent } from '@cherryhitch/dispatch'
+import { startPart, systemClock } from '@cherryhitch/runtime'
+import type { Part } from '@cherryhitch/runtime'
+import type { DispatchSettings } from '@cherryhitch/settings'
+import { Effect } from 'effect'
+import type { Scope } from 'effect'
+import { splitAddress } from './splitAddress'
+import type { DispatchLinks } from './startDispatchLinks'
+
+/** A quarter of the pace of announcements, in milliseconds. */
+const TICK_MS = 50
+
+/** @internal */
+export interface DiscoveryPartOptions {
+  readonly settings: DispatchSettings
+  readonly hostsVoter: boolean
+  readonly links: DispatchLinks
+  readonly onLeader: (leader: string, term: number) => void
+  readonly onVoterHost: (instance: string) => void
+  readonly onDefect: (defect: unknown) => void
+}
+
+/** Discovery, running. @internal */
+export interface DiscoveryPart extends Part<DiscoveryEvent> {
+  readonly machine: DiscoveryMachine
+}
+
+/** Instances that the seeds name. @internal */
+export function seedInstances({ seeds }: DispatchSettings): readonly string[] {
+  return seeds.map((seed) => instanceAt(splitAddress(seed).host))
+}
+
+/** @internal */
+export function startDiscovery(
+  options: DiscoveryPartOptions,
+): Effect.Effect<DiscoveryPart, never, Scope.Scope> {
+  const { settings, hostsVoter, links, onDefect } = options
+  const machine = new DiscoveryMachine({
+    instance: instanceAt(settings.host),
+    zone: settings.zone,
+    hostsVoter,
+    seeds: seedInstances(settings),
+    startedAt: systemClock.now(),
+  })
+  const perform = (action: DiscoveryAction): void => {
+    switch (action.kind) {
+      case DiscoveryActionKind.Send:
+        links.send(action.to, action.envelope)
+        return
+      case DiscoveryActionKind.SetPeers:
+        links.setPeers(action.instances)
+        return
+      case DiscoveryActionKind.VoterHostSeen:
+        options.onVoterHost(action.instance)
+        return
+      case DiscoveryActionKind.LeaderChanged:
+        options.onLeader(action.leader, action.term)
+        return
+      default:
+        exhaustive(action)
+    }
+  }
+  return Effect.map(startPart(machine, { perform, onDefect, tickMs: TICK_MS }), (part) => {
+    return { ...part, machine }
+  })
+}
--- a/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
+++ b/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
@@ -49,8 +49,18 @@
       case 'appendEntries':
       case 'appendReply':
       case 'installSnapshot':
+      case 'startElection':
         this.receivers.toControl(from, boot, body)
         return
+      // Messages of dispatching instances, which this kind of instance does not take part in.
+      case 'announceInstance':
+      case 'instanceDirectory':
+      case 'endpointNotices':
+      case 'endpointNoticesTaken':
+      case 'submitJob':
+      case 'askJob':
+      case 'abandonJob':
+      case 'jobOutcome':
       case undefined:
         this.unknownEnvelopes++
         return
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,16 +7,17 @@
 
 /** Reads what each package of the workspace declares as its dependencies. */
 function readPackages() {
-  return workspaceFolders.flatMap((folder) =>
-    fs.readdirSync(folder).map((name) => {
-      const manifest = JSON.parse(fs.readFileSync(`${folder}/${name}/package.json`, 'utf8'))
+  const folders = workspaceFolders.flatMap((folder) =>
+    fs.readdirSync(folder).map((name) => `${folder}/${name}`),
+  )
+  return [...folders, 'platform'].map((dir) => {
+      const manifest = JSON.parse(fs.readFileSync(`${dir}/package.json`, 'utf8'))
       return {
-        dir: `${folder}/${name}`,
+        dir,
         name: manifest.name,
         allowed: Object.keys(manifest.dependencies),
       }
-    }),
-  )
+    })
 }
 
 const packages = readPackages()
@@ -45,7 +46,7 @@
 }
 
 export default tseslint.config(
-  { ignores: ['**/node_modules/**', '**/dist/**', 'packages/protocol/src/lib/gen/**'] },
+  { ignores: ['**/node_modules/**', '**/dist/**', 'target/**', 'packages/protocol/src/lib/gen/**'] },
   js.configs.recommended,
   {
     files: ['**/*.ts'],
--- a/packages/control/src/lib/node/ClientEvent.ts
+++ b/packages/control/src/lib/node/ClientEvent.ts
@@ -30,6 +30,7 @@
       readonly readId: string
       readonly auditFrom: number
       readonly auditLimit: number
+      readonly withRouting: boolean
     }
   | {
       readonly kind: ClientEventKind.Received
--- a/packages/control/src/lib/node/ClientMachine.ts
+++ b/packages/control/src/lib/node/ClientMachine.ts
@@ -20,6 +20,7 @@
   readonly readId: string
   readonly auditFrom: number
   readonly auditLimit: number
+  readonly withRouting: boolean
   readonly deadline: number
   requestId: string
   target: string
@@ -132,9 +133,10 @@
     return reply
   }
 
-  #startRead(now: number, { readId, auditFrom, auditLimit }: ReadEvent): ClientAction[] {
+  #startRead(now: number, event: ReadEvent): ClientAction[] {
+    const { readId, auditFrom, auditLimit, withRouting } = event
     const deadline = now + this.#options.timing.proposalTimeoutMs
-    const range = { readId, auditFrom, auditLimit }
+    const range = { readId, auditFrom, auditLimit, withRouting }
     const read: PendingRead = { ...range, deadline, requestId: '', target: '', dueAt: now }
     this.#reads.set(readId, read)
     return this.#sendRead(now, read)
@@ -147,8 +149,9 @@
     const { instance, boot } = this.#options
     read.requestId = `${instance}.${boot}.read.${++this.#sentReads}`
     read.target = to
-    const { requestId, auditFrom, auditLimit } = read
-    const message = envelope({ case: 'readControl', value: { requestId, auditFrom, auditLimit } })
+    const { requestId, auditFrom, auditLimit, withRouting } = read
+    const value = { requestId, auditFrom, auditLimit, withRouting }
+    const message = envelope({ case: 'readControl', value })
     return [{ kind: ClientActionKind.Send, to, envelope: message }]
   }
 
--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -59,6 +59,14 @@
 
 type Done<T> = (value: T) => void
 
+/** What a read through the quorum is to bring. @internal */
+export interface ReadRange {
+  /** Position of the first audit record; negative for none. */
+  readonly auditFrom: number
+  readonly auditLimit: number
+  readonly withRouting: boolean
+}
+
 /** Holds the machines of an instance and carries out what they ask for. @internal */
 export class ControlHost {
   readonly diskId: string | undefined
@@ -66,6 +74,7 @@
   readonly #answers = new Map<string, Done<CommandAnswer>[]>()
   readonly #reads = new Map<string, Done<ReadControlReply>>()
   readonly #claims: ClaimBatcher
+  #leadsInTerm: number | undefined
   readonly #ends: ClaimEndBatcher
   readonly #counters = {
     messages_sent: 0,
@@ -122,10 +131,10 @@
     this.#parts.tell({ to: NodePart.Batches })
   }
 
-  read(auditFrom: number, auditLimit: number, done: Done<ReadControlReply>): void {
+  read(range: ReadRange, done: Done<ReadControlReply>): void {
     const readId = `read.${++this.#counters.reads}`
     this.#reads.set(readId, done)
-    this.#tellClient({ kind: ClientEventKind.Read, readId, auditFrom, auditLimit })
+    this.#tellClient({ kind: ClientEventKind.Read, readId, ...range })
   }
 
   settings(): KnownSettings | undefined {
@@ -134,6 +143,16 @@
     return settings && { settings, current: client.isCurrent(clock.now()) }
   }
 
+  handOver(): void {
+    this.#parts.tell({ to: NodePart.Voter, event: { kind: ControlEventKind.HandOver } })
+  }
+
+  /** When a majority last followed this instance as its leader; -Infinity if it doesn't lead. */
+  confirmedAt(): number {
+    const { voter, clock } = this.#parts
+    return voter?.confirmedAt(clock.now()) ?? -Infinity
+  }
+
   status(): VotersStatus | undefined {
     const { voter, client, clock } = this.#parts
     return voter?.status(clock.now()) ?? client.voters
@@ -148,6 +167,10 @@
     return voter !== undefined && voter.leader !== '' ? voter.leader : client.leader
   }
 
+  term(): number {
+    return this.#parts.voter?.term ?? 0
+  }
+
   counters(): Record<string, number> {
     return {
       ...this.#counters,
@@ -170,6 +193,16 @@
     if (voter !== undefined && forVoter.length > 0) this.#runVoter(voter.stepAll(now, forVoter))
     if (events.some(({ to }) => to === NodePart.Timer)) this.#tick(now)
     if (events.some(({ to }) => to === NodePart.Batches)) this.#proposeBatches()
+    this.#tellLeadership()
+  }
+
+  /** Tells the instance once it leads and holds everything, and once it doesn't any more. */
+  #tellLeadership(): void {
+    const { voter, options } = this.#parts
+    const term = voter?.isEstablished === true ? voter.term : undefined
+    if (term === this.#leadsInTerm) return
+    this.#leadsInTerm = term
+    options.onLeadership?.(term, voter?.routing)
   }
 
   #tick(now: number): void {
@@ -213,6 +246,9 @@
       case ControlActionKind.SettingsChanged:
         this.#tellClient({ kind: ClientEventKind.LocalSettings, settings: action.settings })
         return
+      case ControlActionKind.RoutingChanged:
+        options.onRouting?.(action.routing)
+        return
       case ControlActionKind.RoleChanged:
         if (action.role === VoterRole.Leader) this.#counters.elections_won++
         return
--- a/packages/control/src/lib/node/ControlNode.ts
+++ b/packages/control/src/lib/node/ControlNode.ts
@@ -6,6 +6,7 @@
   EnvelopeBody,
   KeyClaim,
   ReadControlReply,
+  RoutingState,
   SettingsState,
   VotersStatus,
 } from '@cherryhitch/protocol'
@@ -86,12 +87,36 @@
    */
   read(auditFrom: number, limit: number): Effect.Effect<ReadControlReply> {
     return Effect.callback((resume) => {
-      this.#host.read(auditFrom, limit, (reply) => {
+      const range = { auditFrom, auditLimit: limit, withRouting: false }
+      this.#host.read(range, (reply) => {
         resume(Effect.succeed(reply))
       })
     })
   }
 
+  /** Reads the newest routing through the quorum; undefined when no quorum can be reached. */
+  readRouting(): Effect.Effect<RoutingState | undefined> {
+    return Effect.callback((resume) => {
+      const range = { auditFrom: -1, auditLimit: 0, withRouting: true }
+      this.#host.read(range, (reply) => {
+        resume(Effect.succeed(reply.ok ? reply.routing : undefined))
+      })
+    })
+  }
+
+  /** Before the process ends: if it leads, another voter takes over without an election timeout. */
+  handOver(): void {
+    this.#host.handOver()
+  }
+
+  /**
+   * When a majority is known to have followed this instance as its leader, in milliseconds of its
+   * clock; -Infinity if it doesn't lead. No other leader was elected before that.
+   */
+  confirmedAt(): number {
+    return this.#host.confirmedAt()
+  }
+
   /** Undefined until the first settings are known. */
   settings(): KnownSettings | undefined {
     return this.#host.settings()
@@ -111,6 +136,11 @@
     return this.#host.leader()
   }
 
+  /** Term that this instance's voter is in; 0 without a disk. */
+  term(): number {
+    return this.#host.term()
+  }
+
   /** Id of this instance's disk among the voters; undefined without a disk. */
   diskId(): string | undefined {
     return this.#host.diskId
--- a/packages/control/src/lib/node/ControlNodeOptions.ts
+++ b/packages/control/src/lib/node/ControlNodeOptions.ts
@@ -1,4 +1,4 @@
-import type { Envelope, SettingsState } from '@cherryhitch/protocol'
+import type { Envelope, RoutingState, SettingsState } from '@cherryhitch/protocol'
 import type { Clock } from '@cherryhitch/runtime'
 import type { Disk } from '@cherryhitch/storage'
 import type { ControlStateOptions } from '../state/ControlState'
@@ -29,6 +29,13 @@
    * not current are the newest known here while the quorum can't be reached.
    */
   readonly onSettings: (settings: SettingsState, current: boolean) => void
+  /** Called with each routing of a higher version that is known here to be committed. */
+  readonly onRouting?: (routing: RoutingState) => void
+  /**
+   * Called with the term once this instance leads and holds all that was committed, and with
+   * undefined once it doesn't lead any more.
+   */
+  readonly onLeadership?: (term: number | undefined, routing: RoutingState | undefined) => void
   readonly voterTiming?: Partial<VoterTiming>
   readonly voterLimits?: Partial<VoterLimits>
   readonly clientTiming?: Partial<ClientTiming>
--- a/packages/control/src/lib/soak/SimulatedCluster.ts
+++ b/packages/control/src/lib/soak/SimulatedCluster.ts
@@ -240,7 +240,7 @@
     const audit: AuditRecord[] = []
     for (;;) {
       this.#lastRead = undefined
-      const range = { auditFrom: audit.length, auditLimit: AUDIT_PAGE }
+      const range = { auditFrom: audit.length, auditLimit: AUDIT_PAGE, withRouting: false }
       this.#tellClient(instance, { kind: ClientEventKind.Read, readId: 'read', ...range })
       this.runUntil(() => this.#lastRead !== undefined, limitMs)
       const reply = this.#lastRead as ReadControlReply | undefined
--- a/packages/control/src/lib/state/ControlState.ts
+++ b/packages/control/src/lib/state/ControlState.ts
@@ -6,6 +6,7 @@
   CommandResult,
   ControlSnapshotSchema,
   PresetDefinitionSchema,
+  RoutingStateSchema,
   SettingsStateSchema,
   VoterChangeKind,
 } from '@cherryhitch/protocol'
@@ -18,6 +19,8 @@
   DefinePreset,
   InForceAt,
   PresetDefinition,
+  PutRouting,
+  RoutingState,
   SetPreset,
   SettingsState,
   Voter,
@@ -64,6 +67,7 @@
   readonly #inForce = new Map<string, InForceAt>()
   #settings: SettingsState
   #voters: readonly Voter[]
+  #routing: RoutingState
 
   constructor(snapshot: ControlSnapshot, options = defaultControlStateOptions) {
     const { claimLimit: limit, claimRetentionMs: retentionMs, answerLimit } = options
@@ -72,6 +76,7 @@
     this.#audit = [...snapshot.audit]
     this.#settings = snapshot.settings ?? create(SettingsStateSchema)
     this.#voters = snapshot.voters
+    this.#routing = snapshot.routing ?? create(RoutingStateSchema)
     for (const record of this.#audit) this.#index(record)
   }
 
@@ -79,6 +84,11 @@
     return this.#settings
   }
 
+  /** The operator's routing; version 0 until there is one. */
+  get routing(): RoutingState {
+    return this.#routing
+  }
+
   get voters(): readonly Voter[] {
     return this.#voters
   }
@@ -120,6 +130,7 @@
       claims: this.#claims.list(),
       recentAnswers: this.#answers.list(),
       voters: [...this.#voters],
+      routing: this.#routing,
     })
   }
 
@@ -147,6 +158,8 @@
       case 'recordInForce':
         for (const inForce of change.value.instances) this.#recordInForce(commandId, inForce)
         return this.#applied(commandId)
+      case 'putRouting':
+        return this.#remember(this.#putRouting(commandId, change.value))
       case 'noop':
         return this.#applied(commandId)
       case undefined:
@@ -189,6 +202,20 @@
     return this.#applied(commandId)
   }
 
+  /** Operators race and resend, so a version that is overtaken is no error: it changes nothing. */
+  #putRouting(commandId: string, { version, document, atMs }: PutRouting): CommandAnswer {
+    const held = this.#routing.version
+    if (version > held) {
+      const kind = AuditKind.ROUTING_SET
+      const { version: settingsVersion } = this.#settings
+      const from = `routing ${held}`
+      const to = `routing ${version}`
+      this.#record({ kind, from, to, atMs, commandId, version: settingsVersion })
+      this.#routing = create(RoutingStateSchema, { version, document })
+    }
+    return this.#applied(commandId)
+  }
+
   #changeVoters(commandId: string, change: ChangeVoters): CommandAnswer {
     const changed = changeMembers(this.#voters, change)
     if (changed.err) return this.#answer(commandId, CommandResult.REJECTED, changed.val)
--- a/packages/control/src/lib/voter/ControlAction.ts
+++ b/packages/control/src/lib/voter/ControlAction.ts
@@ -5,6 +5,7 @@
   Envelope,
   HardState,
   LogEntry,
+  RoutingState,
   SettingsState,
 } from '@cherryhitch/protocol'
 
@@ -14,6 +15,7 @@
   Persist = 'persist',
   Applied = 'applied',
   SettingsChanged = 'settings_changed',
+  RoutingChanged = 'routing_changed',
   RoleChanged = 'role_changed',
   Log = 'log',
 }
@@ -58,6 +60,8 @@
     }
   /** A newer version was committed, as far as this voter knows. */
   | { readonly kind: ControlActionKind.SettingsChanged; readonly settings: SettingsState }
+  /** A routing of a higher version was committed, as far as this voter knows. */
+  | { readonly kind: ControlActionKind.RoutingChanged; readonly routing: RoutingState }
   | {
       readonly kind: ControlActionKind.RoleChanged
       readonly role: VoterRole
--- a/packages/control/src/lib/voter/ControlEvent.ts
+++ b/packages/control/src/lib/voter/ControlEvent.ts
@@ -5,6 +5,7 @@
   Received = 'received',
   Persisted = 'persisted',
   PersistFailed = 'persist_failed',
+  HandOver = 'hand_over',
 }
 
 /** @public */
@@ -20,3 +21,5 @@
   | { readonly kind: ControlEventKind.Persisted; readonly id: number }
   /** The disk failed; what it holds is unknown until the next start. */
   | { readonly kind: ControlEventKind.PersistFailed; readonly id: number; readonly reason: string }
+  /** The process is about to end: another voter is to lead, if this one does. */
+  | { readonly kind: ControlEventKind.HandOver }
--- a/packages/control/src/lib/voter/Election.ts
+++ b/packages/control/src/lib/voter/Election.ts
@@ -39,6 +39,12 @@
     this.#restartTimer(now)
   }
 
+  /** The leader is about to end and asks this voter to follow it without waiting. */
+  startAtOnce(now: number): void {
+    this.#restartTimer(now)
+    if (this.#core.isVoter && !this.#core.persist.failed) this.#ask()
+  }
+
   /** True for a request that must not even be noted, so that a fresh voter stays fresh. */
   ignores(req: VoteRequest): boolean {
     return this.#core.persist.failed || (this.#core.isFresh && req.lastIndex > 0)
--- a/packages/control/src/lib/voter/Leader.ts
+++ b/packages/control/src/lib/voter/Leader.ts
@@ -96,6 +96,28 @@
     for (const { from, req } of this.#reads.takeAll()) answerRead(this.#core, from, req, undefined)
   }
 
+  /** See `Replication.confirmedAt`. */
+  confirmedAt(now: number): number {
+    return this.#replication.confirmedAt(now)
+  }
+
+  /** True once an entry of the own term is committed: the state then lacks nothing. */
+  get isEstablished(): boolean {
+    const { log, commitIndex, term } = this.#core
+    return log.termAt(commitIndex) === term
+  }
+
+  /** Asks the voter that has most of the log to take over at once; false when there is none. */
+  handOver(now: number): boolean {
+    const next = this.#replication.nextLeader(now)
+    if (next === undefined) return false
+    const { diskId, instance } = next
+    this.#core.say(`hands the leadership over to ${instance}`)
+    const value = { term: this.#core.term, diskId }
+    this.#core.send(instance, { case: 'startElection', value })
+    return true
+  }
+
   status(now: number): VotersStatus {
     return describeVoters(now, this.#core, this.#replication)
   }
@@ -111,8 +133,7 @@
 
   #answerReads(now: number): void {
     // Before the first commit of the term the state may lack what earlier leaders committed.
-    const { log, commitIndex, term } = this.#core
-    if (log.termAt(commitIndex) !== term) return
+    if (!this.isEstablished) return
     for (const { from, req } of this.#reads.takeConfirmed(this.#replication)) {
       answerRead(this.#core, from, req, this.status(now))
     }
--- a/packages/control/src/lib/voter/Replication.ts
+++ b/packages/control/src/lib/voter/Replication.ts
@@ -16,10 +16,22 @@
   /** Last round that was sent before `match` was known: older answers may contradict it. */
   matchedRound: number
   heardAt: number
+  /** Rounds that it has not answered yet, oldest first, and when each was sent. */
+  readonly openRounds: SentRound[]
+  /** When the newest round was sent that it answered. */
+  confirmedAt: number
   /** It once acknowledged entries that it has no more: its disk must not be trusted. */
   lostEntries: boolean
 }
 
+interface SentRound {
+  readonly round: number
+  readonly sentAt: number
+}
+
+/** Rounds remembered for a silent member: more than a leader sends before it steps down. */
+const MAX_OPEN_ROUNDS = 1_000
+
 /** Sends the leader's log to the members and counts what they have synced. @internal */
 export class Replication {
   readonly #core: VoterCore
@@ -66,7 +78,7 @@
         progress.sentAt = undefined
       }
       if (progress.sentAt === undefined) this.#sendTo(member, progress, now)
-      else this.#sendEntries(member, progress, 0)
+      else this.#sendEntries(member, progress, 0, now)
     }
   }
 
@@ -75,6 +87,7 @@
     if (progress === undefined) return
     progress.heardAt = now
     progress.ackedRound = Math.max(progress.ackedRound, reply.round)
+    noteConfirmed(progress, reply.round)
     // A heartbeat that is answered says nothing of what is still on its way.
     if (reply.round === progress.sentRound) progress.sentAt = undefined
     if (reply.accepted) this.#advance(progress, reply.matchIndex)
@@ -96,6 +109,28 @@
     return rounds[this.#core.majority - 1] ?? 0
   }
 
+  /**
+   * The latest time at which a majority is known to have followed this leader: the sending of the
+   * newest round that it answered. Whoever was elected after it has a later majority.
+   */
+  confirmedAt(now: number): number {
+    const times = this.#counting((diskId) => {
+      if (diskId === this.#core.diskId) return now
+      return this.#members.get(diskId)?.confirmedAt ?? -Infinity
+    })
+    return times[this.#core.majority - 1] ?? -Infinity
+  }
+
+  /** The voter that is closest to the whole log; undefined when there is no other. */
+  nextLeader(now: number): Voter | undefined {
+    const { electionMinMs } = this.#core.config.timing
+    const others = this.#core.members.filter((member) => {
+      if (member.diskId === this.#core.diskId || !this.#core.rules.counts(member)) return false
+      return this.silentMs(now, member.diskId) < electionMinMs
+    })
+    return others.sort((a, b) => this.matchOf(b.diskId) - this.matchOf(a.diskId))[0]
+  }
+
   /** Voters, this one included, that were heard within the given time. */
   countHeard(now: number, withinMs: number): number {
     const heard = this.#core.members.filter(({ diskId }) => {
@@ -156,7 +191,7 @@
       this.#sendSnapshot(member, progress, now)
       return
     }
-    const sent = this.#sendEntries(member, progress, config.limits.entriesPerMessage)
+    const sent = this.#sendEntries(member, progress, config.limits.entriesPerMessage, now)
     if (sent > 0) this.#noteSent(progress, now, false)
   }
 
@@ -166,14 +201,14 @@
     progress.sentSnapshot = sentSnapshot
   }
 
-  #sendEntries(member: Voter, progress: Progress, limit: number): number {
+  #sendEntries(member: Voter, progress: Progress, limit: number, now: number): number {
     const { log, term, diskId: leaderDiskId, commitIndex } = this.#core
     const previousTerm = log.termAt(progress.next - 1)
     // Behind a member that needs a snapshot there is nothing but the start, which all have.
     const previousIndex = previousTerm === undefined ? 0 : progress.next - 1
     const goesOn = previousTerm !== undefined && limit > 0
     const entries = goesOn ? log.slice(progress.next, limit) : []
-    const round = ++this.#round
+    const round = this.#beginRound(progress, now)
     const { diskId } = member
     const place = { term, leaderDiskId, diskId, previousIndex, previousTerm: previousTerm ?? 0 }
     const value = { ...place, entries, commitIndex, round }
@@ -186,12 +221,19 @@
     const lastTerm = log.termAt(appliedIndex)
     if (state === undefined || lastTerm === undefined) return
     const snapshot = state.snapshot(appliedIndex, lastTerm)
-    const round = ++this.#round
+    const round = this.#beginRound(progress, now)
     const value = { term, leaderDiskId, diskId: member.diskId, snapshot, round }
     this.#core.send(member.instance, { case: 'installSnapshot', value })
     this.#noteSent(progress, now, true)
   }
 
+  #beginRound({ openRounds }: Progress, now: number): number {
+    const round = ++this.#round
+    openRounds.push({ round, sentAt: now })
+    if (openRounds.length > MAX_OPEN_ROUNDS) openRounds.shift()
+    return round
+  }
+
   #others(): [Voter, Progress][] {
     return this.#core.members.flatMap((member) => {
       const progress = this.#members.get(member.diskId)
@@ -217,6 +259,16 @@
     ackedRound: 0,
     matchedRound: 0,
     heardAt: now,
+    openRounds: [],
+    confirmedAt: -Infinity,
     lostEntries: false,
   }
 }
+
+function noteConfirmed(progress: Progress, round: number): void {
+  const { openRounds } = progress
+  while (openRounds[0] !== undefined && openRounds[0].round <= round) {
+    progress.confirmedAt = Math.max(progress.confirmedAt, openRounds[0].sentAt)
+    openRounds.shift()
+  }
+}
--- a/packages/control/src/lib/voter/VoterCore.ts
+++ b/packages/control/src/lib/voter/VoterCore.ts
@@ -28,6 +28,12 @@
   readonly answer: CommandAnswer
 }
 
+/** Versions of what the state machine holds, to tell what a step changed. */
+interface StateVersions {
+  readonly settings: number
+  readonly routing: number
+}
+
 /**
  * What all parts of a voter share: term, vote, log, state, and the actions of the running step.
  *
@@ -159,27 +165,27 @@
     this.persist.noteTruncation(Math.max(-1, this.log.baseIndex))
     this.log.reset(snapshot.lastIndex, snapshot.lastTerm)
     this.persist.noteSnapshot(snapshot)
-    const before = this.state?.settings.version ?? 0
+    const before = this.#versions()
     this.state = new ControlState(snapshot, this.config.state)
     this.commitIndex = snapshot.lastIndex
     this.#appliedIndex = snapshot.lastIndex
     this.#snapshotIndex = snapshot.lastIndex
     this.#refreshMembers()
-    this.#noteSettings(before)
+    this.#noteChanges(before)
   }
 
   /** Applies entries up to the index, which is committed. */
   commitThrough(index: number): readonly AppliedEntry[] {
     this.commitIndex = Math.max(this.commitIndex, index)
     const applied: AppliedEntry[] = []
-    const before = this.state?.settings.version ?? 0
+    const before = this.#versions()
     while (this.state !== undefined && this.#appliedIndex < this.commitIndex) {
       const entry = this.log.at(this.#appliedIndex + 1)
       if (entry?.command === undefined) break
       applied.push({ entry, answer: this.#apply(this.state, entry, entry.command) })
     }
     // Once for all of them: after a restart they may be thousands.
-    this.#noteSettings(before)
+    this.#noteChanges(before)
     return applied
   }
 
@@ -233,10 +239,20 @@
     return answer
   }
 
-  #noteSettings(before: number): void {
-    const settings = this.state?.settings
-    if (settings === undefined || settings.version <= before) return
-    this.emit({ kind: ControlActionKind.SettingsChanged, settings })
+  #versions(): StateVersions {
+    const { state } = this
+    return { settings: state?.settings.version ?? 0, routing: state?.routing.version ?? 0 }
+  }
+
+  #noteChanges(before: StateVersions): void {
+    if (this.state === undefined) return
+    const { settings, routing } = this.state
+    if (settings.version > before.settings) {
+      this.emit({ kind: ControlActionKind.SettingsChanged, settings })
+    }
+    if (routing.version > before.routing) {
+      this.emit({ kind: ControlActionKind.RoutingChanged, routing })
+    }
   }
 
   #refreshMembers(): void {
--- a/packages/control/src/lib/voter/VoterMachine.ts
+++ b/packages/control/src/lib/voter/VoterMachine.ts
@@ -1,5 +1,11 @@
 import { exhaustive } from '@cherryhitch/model'
-import type { EnvelopeBody, SettingsState, VotersStatus } from '@cherryhitch/protocol'
+import type {
+  EnvelopeBody,
+  RoutingState,
+  SettingsState,
+  StartElection,
+  VotersStatus,
+} from '@cherryhitch/protocol'
 import { Machine } from '@cherryhitch/runtime'
 import type {
   AppendEntries,
@@ -80,6 +86,21 @@
     return this.#core.state?.settings
   }
 
+  /** The routing of the highest version that is known here to be committed. */
+  get routing(): RoutingState | undefined {
+    return this.#core.state?.routing
+  }
+
+  /** True while this voter leads and holds everything that was committed before it. */
+  get isEstablished(): boolean {
+    return this.#leader?.isEstablished ?? false
+  }
+
+  /** When a majority last followed this voter as its leader; -Infinity if it doesn't lead. */
+  confirmedAt(now: number): number {
+    return this.#leader?.confirmedAt(now) ?? -Infinity
+  }
+
   /** The set of voters, as the leader sees it; undefined elsewhere. */
   status(now: number): VotersStatus | undefined {
     return this.#leader?.status(now)
@@ -123,6 +144,9 @@
         this.#core.say(`the disk failed, no vote or entry is acknowledged here: ${event.reason}`)
         this.#stepDown(now, 'its disk failed')
         return
+      case ControlEventKind.HandOver:
+        this.#leader?.handOver(now)
+        return
       default:
         exhaustive(event)
     }
@@ -147,6 +171,9 @@
       case 'appendReply':
         this.#onAppendReply(now, body.value)
         return
+      case 'startElection':
+        this.#onStartElection(now, body.value)
+        return
       default:
         this.#serve(now, from, boot, body)
     }
@@ -191,6 +218,12 @@
     this.#core.say(`disk ${diskId} on ${from} is no member any more; add it again as a learner`)
   }
 
+  #onStartElection(now: number, { term, diskId }: StartElection): void {
+    const { role } = this.#core
+    if (term !== this.#core.term || diskId !== this.#core.diskId) return
+    if (role === VoterRole.Follower) this.#election.startAtOnce(now)
+  }
+
   #onAppendReply(now: number, reply: AppendReply): void {
     this.#noteTerm(now, reply.term, false)
     if (reply.term === this.#core.term) this.#leader?.onAppendReply(now, reply)
--- a/packages/control/src/lib/voter/answerRead.ts
+++ b/packages/control/src/lib/voter/answerRead.ts
@@ -13,7 +13,7 @@
 export function answerRead(
   core: VoterCore,
   to: string,
-  { requestId, auditFrom, auditLimit }: ReadControl,
+  { requestId, auditFrom, auditLimit, withRouting }: ReadControl,
   voters: VotersStatus | undefined,
 ): void {
   const { state, leader } = core
@@ -21,6 +21,7 @@
   const limit = Math.min(auditLimit, MAX_AUDIT_PAGE)
   const audit = ok && auditFrom >= 0 ? state.audit(auditFrom, limit) : []
   const settings = state && { settings: state.settings }
-  const value = { requestId, ok, audit, leader, ...settings, ...(voters && { voters }) }
+  const routing = ok && withRouting && { routing: state.routing }
+  const value = { requestId, ok, audit, leader, ...settings, ...(voters && { voters }), ...routing }
   core.send(to, { case: 'readControlReply', value })
 }
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,40 @@
+/**
+ * Queues jobs, places their tasks on endpoints and follows them; brings requests to the instance
+ * that does so, and finds it.
+ *
+ * @packageDocumentation
+ */
+export { DispatchActionKind, Stage } from './lib/DispatchAction'
+export type { DispatchAction } from './lib/DispatchAction'
+export { DispatchEventKind, HoldFailure } from './lib/DispatchEvent'
+export type { DispatchEvent } from './lib/DispatchEvent'
+export { DispatchMachine } from './lib/DispatchMachine'
+export { defaultDispatchTiming } from './lib/DispatchOptions'
+export type { DispatchOptions, DispatchTiming } from './lib/DispatchOptions'
+export {
+  defaultDiscoveryTiming,
+  DiscoveryActionKind,
+  DiscoveryEventKind,
+  DiscoveryMachine,
+} from './lib/discovery/DiscoveryMachine'
+export type {
+  DiscoveryAction,
+  DiscoveryEvent,
+  DiscoveryOptions,
+  DiscoveryTiming,
+} from './lib/discovery/DiscoveryMachine'
+export { hostOf, instanceAt } from './lib/discovery/instanceNames'
+export { EndpointGateway, ListedEnd, StartResult } from './lib/gateway/EndpointGateway'
+export type {
+  HoldFault,
+  HoldOrder,
+  HoldReport,
+  ListedRun,
+  ListedRunEnd,
+  StartOrder,
+  StopOrder,
+} from './lib/gateway/EndpointGateway'
+export { defaultRelayTiming, JobRelay, RelayActionKind, RelayEventKind } from './lib/relay/JobRelay'
+export type { RelayAction, RelayEvent, RelayTiming } from './lib/relay/JobRelay'
+export { startDispatcher } from './lib/startDispatcher'
+export type { DispatcherOptions } from './lib/startDispatcher'
--- /dev/null
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -0,0 +1,100 @@
+import { create } from '@bufbuild/protobuf'
+import { DecayedScoreHealth, LearnedEstimator, SlownessTracker } from '@cherryhitch/policy'
+import type { EndpointHealth, EstimateSubject } from '@cherryhitch/policy'
+import { JobOutcomeSchema } from '@cherryhitch/protocol'
+import type { JobOutcome, JobVerdict, Route, RoutingTable } from '@cherryhitch/protocol'
+import { DispatchActionKind } from './DispatchAction'
+import type { DispatchAction } from './DispatchAction'
+import { defaultDispatchTiming } from './DispatchOptions'
+import type { DispatchOptions, DispatchTiming } from './DispatchOptions'
+import { EndpointBook } from './endpoints/EndpointBook'
+import type { JobWaiter } from './jobs/Job'
+
+/** Numbers of the dispatcher; all but `jobs_open` only rise. @internal */
+export interface DispatchCounters {
+  jobs_taken: number
+  jobs_completed: number
+  jobs_failed: number
+  jobs_refused: number
+  jobs_unknown: number
+  starts: number
+  starts_unanswered: number
+  starts_rejected: number
+  runs_done: number
+  runs_failed: number
+  runs_lost: number
+  stops: number
+  holds_missed: number
+}
+
+/** What all parts of the dispatcher share, and the actions of the running step. @internal */
+export class DispatchCore {
+  readonly timing: DispatchTiming
+  readonly startedAt: number
+  readonly endpoints: EndpointBook
+  readonly estimator = new LearnedEstimator()
+  readonly slowness = new SlownessTracker()
+  readonly health: EndpointHealth = new DecayedScoreHealth()
+  readonly counters: DispatchCounters = {
+    jobs_taken: 0,
+    jobs_completed: 0,
+    jobs_failed: 0,
+    jobs_refused: 0,
+    jobs_unknown: 0,
+    starts: 0,
+    starts_unanswered: 0,
+    starts_rejected: 0,
+    runs_done: 0,
+    runs_failed: 0,
+    runs_lost: 0,
+    stops: 0,
+    holds_missed: 0,
+  }
+  /** Term in which this instance leads, which is its fencing token; undefined if it doesn't. */
+  token: number | undefined
+  leadsSince = 0
+  confirmedAt = -Infinity
+  table: RoutingTable | undefined
+  #out: DispatchAction[] = []
+
+  constructor(options: DispatchOptions) {
+    this.timing = { ...defaultDispatchTiming, ...options.timing }
+    this.startedAt = options.startedAt
+    this.endpoints = new EndpointBook(this.timing, this.health, this.slowness)
+  }
+
+  /** Our time at which all orders of this leader end, unless a majority follows it once more. */
+  get ordersEndAt(): number {
+    return this.confirmedAt + this.timing.leaderLeaseMs
+  }
+
+  emit(action: DispatchAction): void {
+    this.#out.push(action)
+  }
+
+  log(sentence: string, fields: Readonly<Record<string, unknown>>): void {
+    this.emit({ kind: DispatchActionKind.Log, sentence, fields })
+  }
+
+  answer({ instance, requestId }: JobWaiter, verdict: JobVerdict, more: OutcomeFields = {}): void {
+    const term = this.token ?? 0
+    const outcome = create(JobOutcomeSchema, { requestId, verdict, term, ...more })
+    this.emit({ kind: DispatchActionKind.Answer, to: instance, outcome })
+  }
+
+  takeActions(): readonly DispatchAction[] {
+    const actions = this.#out
+    this.#out = []
+    return actions
+  }
+}
+
+/** What an outcome says beside its verdict. @internal */
+export type OutcomeFields = Partial<
+  Pick<JobOutcome, 'reason' | 'retryAfterMs' | 'pending' | 'leader'>
+>
+
+/** Whom an estimate is learned for: each route's tasks are alike. @internal */
+export function estimateSubject(route: Route, declaredMs: number): EstimateSubject {
+  return { caller: route.name, service: route.service, declaredMs }
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/DispatchOptions.ts
@@ -0,0 +1,59 @@
+/** Times of dispatching, in milliseconds. @public */
+export interface DispatchTiming {
+  /**
+   * How long an endpoint goes on without word from here. At most what endpoints grant (1,000 on
+   * the users' platform), less a margin for the way.
+   */
+  readonly leaseMs: number
+  /** How long a start order stays valid; a late one is then refused by the endpoint. */
+  readonly startOrderMs: number
+  /** How long a hold waits for an end; three fit into a lease, so that one may be lost. */
+  readonly holdWaitMs: number
+  /** Answers that take longer than the wait and this are given up: some 10 round trips. */
+  readonly answerSlackMs: number
+  /** A start without an answer counts as doubtful after this: some 20 round trips. */
+  readonly startTimeoutMs: number
+  /** Pause before an endpoint that didn't answer is asked again. */
+  readonly retryHoldMs: number
+  /**
+   * Orders end at most this long after a majority last followed this leader. A new leader waits
+   * for it before it starts what an endpoint that it can't reach may still run.
+   */
+  readonly leaderLeaseMs: number
+  /** Most that an endpoint's clock lags behind in one second of ours, as a share. */
+  readonly clockDrift: number
+  /** Tasks found running whose job nobody submits again are stopped after this. */
+  readonly orphanWaitMs: number
+  /** A process younger than this may not know all endpoints: two heartbeats and a margin. */
+  readonly directoryWarmMs: number
+  /** Endpoints without a notice and without an answer for this long are forgotten. */
+  readonly forgetEndpointMs: number
+  /** How long the verdict of an ended job is kept for those who ask or send it again. */
+  readonly keepVerdictMs: number
+  /** An endpoint that refused for want of room gets nothing for this long. */
+  readonly roomPauseMs: number
+}
+
+/** @public */
+export const defaultDispatchTiming: DispatchTiming = {
+  leaseMs: 900,
+  startOrderMs: 300,
+  holdWaitMs: 250,
+  answerSlackMs: 120,
+  startTimeoutMs: 80,
+  retryHoldMs: 40,
+  leaderLeaseMs: 1_100,
+  clockDrift: 0.025,
+  orphanWaitMs: 1_000,
+  directoryWarmMs: 3_500,
+  forgetEndpointMs: 8_000,
+  keepVerdictMs: 60_000,
+  roomPauseMs: 30,
+}
+
+/** @public */
+export interface DispatchOptions {
+  readonly timing?: Partial<DispatchTiming>
+  /** When this process started, in milliseconds of its clock. */
+  readonly startedAt: number
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/endpoints/EndpointBook.ts
@@ -0,0 +1,57 @@
+import { NoticeState } from '@cherryhitch/protocol'
+import type { EndpointNotice } from '@cherryhitch/protocol'
+import type { EndpointHealth, SlownessTracker } from '@cherryhitch/policy'
+import type { DispatchTiming } from '../DispatchOptions'
+import { EndpointRecord } from './EndpointRecord'
+
+/** The endpoints that announced themselves, each life by its id. @internal */
+export class EndpointBook {
+  readonly #records = new Map<string, EndpointRecord>()
+
+  constructor(
+    private readonly timing: DispatchTiming,
+    private readonly health: EndpointHealth,
+    private readonly slowness: SlownessTracker,
+  ) {}
+
+  get(id: string): EndpointRecord | undefined {
+    return this.#records.get(id)
+  }
+
+  all(): IterableIterator<EndpointRecord> {
+    return this.#records.values()
+  }
+
+  /** Takes a notice in; gives the record when the notice brought something new. */
+  take(now: number, notice: EndpointNotice): EndpointRecord | undefined {
+    const known = this.#records.get(notice.endpoint)
+    if (known !== undefined) return known.take(now, notice) ? known : undefined
+    if (notice.state === NoticeState.GONE) return undefined
+    const record = new EndpointRecord(notice, now, this.timing.clockDrift)
+    this.#records.set(notice.endpoint, record)
+    this.health.add(record.id, record.service)
+    return record
+  }
+
+  remove(record: EndpointRecord): void {
+    this.#records.delete(record.id)
+    this.health.remove(record.id)
+    this.slowness.remove(record.id)
+  }
+
+  /** True when nothing was heard of it for so long, or it said so, that it may be forgotten. */
+  isForgettable(now: number, record: EndpointRecord): boolean {
+    if (record.runs.size > 0) return false
+    if (record.isReplaced) return true
+    const { forgetEndpointMs } = this.timing
+    const silent = now - Math.max(record.answeredAt, record.noticedAt) > forgetEndpointMs
+    return silent || (record.notice.state === NoticeState.GONE && record.missedHolds > 0)
+  }
+
+  /** The notices as others are to get them, with their present ages. */
+  notices(now: number): EndpointNotice[] {
+    return [...this.#records.values()].map(({ notice, noticedAt }) => {
+      return { ...notice, ageMs: Math.max(0, now - noticedAt) }
+    })
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -0,0 +1,110 @@
+import { NoticeState } from '@cherryhitch/protocol'
+import type { EndpointCapacity, EndpointNotice } from '@cherryhitch/protocol'
+import type { Run } from '../runs/Run'
+import { EndpointClock } from './EndpointClock'
+
+/** Labels of racks begin so on every deployment that was seen. */
+const RACK_LABEL = /^r\d/
+
+/** What is left of a capacity. @internal */
+export interface FreeRoom {
+  cpuMillis: number
+  memoryMb: number
+  gpus: number
+}
+
+/** One life of an endpoint: what it said, what it was ordered, what runs there. @internal */
+export class EndpointRecord {
+  readonly clock: EndpointClock
+  /** Runs by the name of their task: one at a time. */
+  readonly runs = new Map<string, Run>()
+  /** True once its lists were read under the present fencing token. */
+  isAdopted = false
+  /** Ends up to this number were taken in. */
+  ackCursor = 0
+  /** Latest endpoint time until which anything may run there, by any order sent from here. */
+  leaseEndsAt = -Infinity
+  /** When the hold was sent that is not answered yet. */
+  holdSentAt: number | undefined
+  nextHoldAt = 0
+  /** Holds in a row without an answer. */
+  missedHolds = 0
+  answeredAt = -Infinity
+  /** Gets nothing before this, since it refused for want of room. */
+  pausedUntil = -Infinity
+  /** Another life answered at its address. */
+  isReplaced = false
+  #notice: EndpointNotice
+  #noticedAt: number
+
+  constructor(notice: EndpointNotice, now: number, drift: number) {
+    this.#notice = notice
+    this.#noticedAt = now - notice.ageMs
+    this.clock = new EndpointClock(drift)
+  }
+
+  get id(): string {
+    return this.#notice.endpoint
+  }
+
+  get notice(): EndpointNotice {
+    return this.#notice
+  }
+
+  get service(): string {
+    return this.#notice.service
+  }
+
+  get noticedAt(): number {
+    return this.#noticedAt
+  }
+
+  get rack(): string {
+    return this.#notice.labels.find((label) => RACK_LABEL.test(label)) ?? ''
+  }
+
+  /** False for a notice that is older than the last one. */
+  take(now: number, notice: EndpointNotice): boolean {
+    if (notice.sequence <= this.#notice.sequence) return false
+    // A goodbye tells nothing but itself.
+    const { state, sequence } = notice
+    const isGone = state === NoticeState.GONE
+    this.#notice = isGone ? { ...this.#notice, state, sequence } : notice
+    this.#noticedAt = now - notice.ageMs
+    return true
+  }
+
+  /** True while new tasks may be started there. */
+  mayStart(now: number): boolean {
+    const serves = this.#notice.state === NoticeState.SERVING && !this.isReplaced
+    return serves && this.isAdopted && this.missedHolds === 0 && now >= this.pausedUntil
+  }
+
+  freeRoom(): FreeRoom {
+    const { cpuMillis = 0, memoryMb = 0, gpus = 0 } = this.#notice.capacity ?? {}
+    const free = { cpuMillis, memoryMb, gpus }
+    for (const { needs } of this.runs.values()) {
+      if (needs === undefined) return { cpuMillis: 0, memoryMb: 0, gpus: 0 }
+      free.cpuMillis -= needs.cpuMillis
+      free.memoryMb -= needs.memoryMb
+      free.gpus -= needs.gpus
+    }
+    return free
+  }
+
+  /** Starts anew under another fencing token: what was known of its runs counts no more. */
+  reset(): void {
+    this.runs.clear()
+    this.isAdopted = false
+    this.holdSentAt = undefined
+    this.nextHoldAt = 0
+    this.missedHolds = 0
+    this.ackCursor = 0
+  }
+}
+
+/** @internal */
+export function fits(free: FreeRoom, needs: EndpointCapacity): boolean {
+  if (needs.cpuMillis > free.cpuMillis || needs.memoryMb > free.memoryMb) return false
+  return needs.gpus <= free.gpus
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/jobs/Job.ts
@@ -0,0 +1,152 @@
+import type { JobStep, Route, SteppedJob } from '@cherryhitch/protocol'
+import type { Run } from '../runs/Run'
+
+/** @internal */
+export enum TaskState {
+  /** Steps before its own are not done. */
+  Blocked = 'blocked',
+  Waiting = 'waiting',
+  /** Ordered to an endpoint, or running there. */
+  Placed = 'placed',
+  Done = 'done',
+}
+
+/** One task of a job. @internal */
+export interface Task {
+  readonly job: Job
+  readonly name: string
+  readonly step: number
+  state: TaskState
+  /** Runs that ended as failed. */
+  failures: number
+  /** Highest run number that was used. */
+  lastRun: number
+  /** Endpoints where a run of it failed or was lost. */
+  readonly avoid: Set<string>
+  run: Run | undefined
+}
+
+/** Who waits for the verdict. @internal */
+export interface JobWaiter {
+  readonly instance: string
+  readonly requestId: string
+}
+
+/** @internal */
+export interface JobContent {
+  readonly id: string
+  readonly route: Route
+  readonly spec: SteppedJob
+  readonly arrivedAt: number
+  readonly deadlineAt: number
+  /** Estimated run time of a task of each step, in milliseconds. */
+  readonly stepMs: readonly number[]
+  /** Run numbers begin above this, since an earlier leader may have used lower ones. */
+  readonly firstRun: number
+}
+
+/** A job and its tasks. @internal */
+export class Job {
+  readonly id: string
+  readonly route: Route
+  readonly spec: SteppedJob
+  readonly arrivedAt: number
+  deadlineAt: number
+  /** Longest chain of dependent work, in milliseconds. */
+  readonly chainMs: number
+  /** Instant until which the caller is served well. */
+  readonly objectiveAt: number
+  readonly stepMs: readonly number[]
+  readonly tasks: readonly Task[]
+  readonly waiters: JobWaiter[] = []
+  /** True once a task was ordered to start, here or by an earlier leader. */
+  hasStarted = false
+  firstStartAt: number | undefined
+  /** Nobody waits for it: nothing more is started, and it goes once nothing runs. */
+  isClosed = false
+  endpointsUsed = new Set<string>()
+
+  constructor(content: JobContent) {
+    const { id, route, spec, arrivedAt, deadlineAt, stepMs, firstRun } = content
+    this.id = id
+    this.route = route
+    this.spec = spec
+    this.arrivedAt = arrivedAt
+    this.deadlineAt = deadlineAt
+    this.stepMs = stepMs
+    this.chainMs = longestChain(spec.steps, stepMs)
+    this.objectiveAt = arrivedAt + route.stretch * this.chainMs + route.targetMs
+    this.tasks = spec.steps.flatMap((step, number) => this.#makeTasks(step, number, firstRun))
+  }
+
+  get waiting(): readonly Task[] {
+    return this.tasks.filter(({ state }) => state === TaskState.Waiting)
+  }
+
+  get isDone(): boolean {
+    return this.tasks.every(({ state }) => state === TaskState.Done)
+  }
+
+  get placed(): readonly Task[] {
+    return this.tasks.filter(({ state }) => state === TaskState.Placed)
+  }
+
+  step(task: Task): JobStep {
+    const step = this.spec.steps[task.step]
+    if (step === undefined) throw new Error(`task ${task.name} has no step`)
+    return step
+  }
+
+  /** Run time still ahead on the longest chain, in milliseconds, if all waiting tasks began now. */
+  remainingMs(): number {
+    const left = this.spec.steps.map((_, step) => (this.#isStepDone(step) ? 0 : this.#ms(step)))
+    return longestChain(this.spec.steps, left)
+  }
+
+  /** Work that still waits, in thousandths of a core times milliseconds. */
+  waitingWork(): number {
+    const perTask = (task: Task) => this.#ms(task.step) * (this.step(task).needs?.cpuMillis ?? 0)
+    return this.waiting.reduce((sum, task) => sum + perTask(task), 0)
+  }
+
+  /** Lets tasks wait for an endpoint whose earlier steps are done. */
+  unblock(): void {
+    for (const task of this.tasks) {
+      if (task.state !== TaskState.Blocked) continue
+      if (this.step(task).dependsOn.every((step) => this.#isStepDone(step))) {
+        task.state = TaskState.Waiting
+      }
+    }
+  }
+
+  #isStepDone(step: number): boolean {
+    return this.tasks.every((task) => task.step !== step || task.state === TaskState.Done)
+  }
+
+  #ms(step: number): number {
+    return this.stepMs[step] ?? 0
+  }
+
+  #makeTasks(step: JobStep, number: number, lastRun: number): Task[] {
+    return Array.from({ length: step.count }, (_, index) => ({
+      job: this,
+      name: `${this.id}.0.${number}.${index}`,
+      step: number,
+      state: step.dependsOn.length === 0 ? TaskState.Waiting : TaskState.Blocked,
+      failures: 0,
+      lastRun,
+      avoid: new Set<string>(),
+      run: undefined,
+    }))
+  }
+}
+
+/** Sum of the times along the longest chain of steps that depend on each other. @internal */
+export function longestChain(steps: readonly JobStep[], stepMs: readonly number[]): number {
+  const ends: number[] = []
+  for (const [number, { dependsOn }] of steps.entries()) {
+    const before = dependsOn.map((step) => ends[step] ?? 0)
+    ends.push(Math.max(0, ...before) + (stepMs[number] ?? 0))
+  }
+  return Math.max(0, ...ends)
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/relay/JobRelay.ts
@@ -0,0 +1,238 @@
+import { create } from '@bufbuild/protobuf'
+import { envelope, JobOutcomeSchema, JobVerdict } from '@cherryhitch/protocol'
+import type { Envelope, JobOutcome, JobQuestionKind, SteppedJob } from '@cherryhitch/protocol'
+import { Machine } from '@cherryhitch/runtime'
+
+/** Times of a relay, in milliseconds. @public */
+export interface RelayTiming {
+  /**
+   * How long a request that no leader has taken waits for one; then it is refused as not run. A
+   * planned hand-over takes some 30 ms, an election 700 ms and more, which is too long to wait.
+   */
+  readonly leaderlessMs: number
+  /** What is kept back of a caller's deadline for the way of the answer. */
+  readonly answerWayMs: number
+  /** When a refused caller may come back: an election is over by then. */
+  readonly retryAfterMs: number
+}
+
+/** @public */
+export const defaultRelayTiming: RelayTiming = {
+  leaderlessMs: 120,
+  answerWayMs: 10,
+  retryAfterMs: 1_000,
+}
+
+/** @public */
+export enum RelayEventKind {
+  Submit = 'submit',
+  Ask = 'ask',
+  Abandon = 'abandon',
+  Outcome = 'outcome',
+  Leader = 'leader',
+}
+
+interface CallerRequest {
+  readonly requestId: string
+  readonly host: string
+  readonly path: string
+  /** When the request arrived. */
+  readonly receivedAt: number
+  /** When its caller stops waiting. */
+  readonly deadlineAt: number
+}
+
+/** @public */
+export type RelayEvent =
+  | ({ readonly kind: RelayEventKind.Submit; readonly spec: SteppedJob } & CallerRequest)
+  | ({ readonly kind: RelayEventKind.Ask; readonly question: JobQuestionKind } & CallerRequest)
+  | { readonly kind: RelayEventKind.Abandon; readonly requestId: string }
+  | { readonly kind: RelayEventKind.Outcome; readonly from: string; readonly outcome: JobOutcome }
+  /** Empty while no leader is known. */
+  | { readonly kind: RelayEventKind.Leader; readonly leader: string; readonly term: number }
+
+/** @public */
+export enum RelayActionKind {
+  Send = 'send',
+  Answer = 'answer',
+}
+
+/** @public */
+export type RelayAction =
+  | { readonly kind: RelayActionKind.Send; readonly to: string; readonly envelope: Envelope }
+  | { readonly kind: RelayActionKind.Answer; readonly outcome: JobOutcome }
+
+type Submit = Extract<RelayEvent, { kind: RelayEventKind.Submit }>
+type Ask = Extract<RelayEvent, { kind: RelayEventKind.Ask }>
+
+interface Relayed {
+  readonly event: Submit | Ask
+  /** Leader and term that it was last sent to; empty before that. */
+  sentTo: string
+  sentTerm: number
+  /** Leaders that may have taken it. */
+  attempts: number
+  /** Since when it waits for a leader. */
+  waitsSince: number
+}
+
+/**
+ * Brings callers' requests to the leader and its answers back. When the leader changes, open
+ * requests go to the next one, which finds out what the earlier one started.
+ *
+ * What was sent to a leader that was lost may have run, so it never ends as refused.
+ *
+ * @public
+ */
+export class JobRelay extends Machine<RelayEvent, RelayAction> {
+  readonly #timing: RelayTiming
+  readonly #open = new Map<string, Relayed>()
+  #leader = ''
+  #term = 0
+  #out: RelayAction[] = []
+
+  constructor(timing: Partial<RelayTiming> = {}) {
+    super()
+    this.#timing = { ...defaultRelayTiming, ...timing }
+  }
+
+  get openRequests(): number {
+    return this.#open.size
+  }
+
+  get hasLeader(): boolean {
+    return this.#leader !== ''
+  }
+
+  override step(now: number, event: RelayEvent): readonly RelayAction[] {
+    switch (event.kind) {
+      case RelayEventKind.Submit:
+      case RelayEventKind.Ask:
+        this.#take(now, event)
+        break
+      case RelayEventKind.Abandon:
+        this.#abandon(event.requestId)
+        break
+      case RelayEventKind.Outcome:
+        this.#onOutcome(now, event.from, event.outcome)
+        break
+      case RelayEventKind.Leader:
+        this.#onLeader(now, event.leader, event.term)
+        break
+    }
+    return this.#takeActions()
+  }
+
+  override tick(now: number): readonly RelayAction[] {
+    for (const relayed of this.#open.values()) this.#tickOne(now, relayed)
+    return this.#takeActions()
+  }
+
+  #takeActions(): readonly RelayAction[] {
+    const actions = this.#out
+    this.#out = []
+    return actions
+  }
+
+  #take(now: number, event: Submit | Ask): void {
+    const relayed = { event, sentTo: '', sentTerm: 0, attempts: 0, waitsSince: now }
+    this.#open.set(event.requestId, relayed)
+    if (this.#leader !== '') this.#send(now, relayed)
+  }
+
+  #send(now: number, relayed: Relayed): void {
+    const { event, attempts } = relayed
+    const { requestId, host, path, receivedAt, deadlineAt } = event
+    relayed.sentTo = this.#leader
+    relayed.sentTerm = this.#term
+    relayed.attempts++
+    const message =
+      event.kind === RelayEventKind.Ask
+        ? envelope({ case: 'askJob', value: { requestId, kind: event.question, host, path } })
+        : envelope({
+            case: 'submitJob',
+            value: {
+              requestId,
+              host,
+              path,
+              spec: event.spec,
+              remainingMs: deadlineAt - now,
+              waitedMs: now - receivedAt,
+              earlierAttempts: attempts,
+            },
+          })
+    this.#out.push({ kind: RelayActionKind.Send, to: this.#leader, envelope: message })
+  }
+
+  #onLeader(now: number, leader: string, term: number): void {
+    this.#leader = leader
+    this.#term = term
+    if (leader === '') return
+    for (const relayed of this.#open.values()) {
+      if (relayed.sentTo === leader && relayed.sentTerm === term) continue
+      this.#send(now, relayed)
+    }
+  }
+
+  #onOutcome(now: number, from: string, outcome: JobOutcome): void {
+    const relayed = this.#open.get(outcome.requestId)
+    if (relayed === undefined) return
+    switch (outcome.verdict) {
+      case JobVerdict.NOT_LEADER:
+      case JobVerdict.LEADER_LOST:
+        if (relayed.sentTo !== from) return
+        // An instance that doesn't lead has truly not taken it.
+        if (outcome.verdict === JobVerdict.NOT_LEADER) relayed.attempts--
+        relayed.sentTo = ''
+        relayed.waitsSince = now
+        return
+      case JobVerdict.REFUSED:
+        this.#finish(relayed, this.#mayHaveRun(relayed) ? unknown(outcome) : outcome)
+        return
+      default:
+        this.#finish(relayed, outcome)
+    }
+  }
+
+  /** True when another leader than the last one may have started it. */
+  #mayHaveRun({ event, attempts }: Relayed): boolean {
+    return event.kind === RelayEventKind.Submit && attempts > 1
+  }
+
+  #tickOne(now: number, relayed: Relayed): void {
+    const { event, sentTo, attempts, waitsSince } = relayed
+    const { leaderlessMs, answerWayMs, retryAfterMs } = this.#timing
+    const { requestId, deadlineAt } = event
+    if (sentTo === '' && this.#leader !== '' && now > waitsSince) this.#send(now, relayed)
+    const isOver = now >= deadlineAt - answerWayMs
+    const isLeaderless = relayed.sentTo === '' && now - waitsSince >= leaderlessMs
+    if (attempts === 0 && (isOver || isLeaderless)) {
+      const reason = 'no instance leads at the moment'
+      const verdict = JobVerdict.REFUSED
+      this.#finish(relayed, create(JobOutcomeSchema, { requestId, verdict, reason, retryAfterMs }))
+    } else if (isOver) {
+      const reason = 'no answer came before the deadline'
+      const verdict = JobVerdict.UNKNOWN
+      this.#finish(relayed, create(JobOutcomeSchema, { requestId, verdict, reason }))
+    }
+  }
+
+  #abandon(requestId: string): void {
+    const relayed = this.#open.get(requestId)
+    if (relayed === undefined) return
+    this.#open.delete(requestId)
+    if (relayed.sentTo === '') return
+    const message = envelope({ case: 'abandonJob', value: { requestId } })
+    this.#out.push({ kind: RelayActionKind.Send, to: relayed.sentTo, envelope: message })
+  }
+
+  #finish(relayed: Relayed, outcome: JobOutcome): void {
+    this.#open.delete(relayed.event.requestId)
+    this.#out.push({ kind: RelayActionKind.Answer, outcome })
+  }
+}
+
+function unknown({ requestId, reason, term }: JobOutcome): JobOutcome {
+  const verdict = JobVerdict.UNKNOWN
+  return create(JobOutcomeSchema, { requestId, verdict, reason, term })
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -0,0 +1,289 @@
+import type { EndpointCapacity } from '@cherryhitch/protocol'
+import { DispatchActionKind, Stage } from '../DispatchAction'
+import type { DispatchCore } from '../DispatchCore'
+import type { EndpointRecord } from '../endpoints/EndpointRecord'
+import type { LeaseLoop } from '../endpoints/LeaseLoop'
+import { ListedEnd, StartResult } from '../gateway/EndpointGateway'
+import type { HoldReport, ListedRun, ListedRunEnd } from '../gateway/EndpointGateway'
+import { TaskState } from '../jobs/Job'
+import type { Task } from '../jobs/Job'
+import { RunEnd, RunState } from './Run'
+import type { Run } from './Run'
+
+/** Told of each run that is over, and of runs that nobody here knows. @internal */
+export interface RunListener {
+  onRunOver(now: number, run: Run, end: RunEnd): void
+  /** A run ended as done before this leader knew its job. */
+  onForeignDone(now: number, name: string): void
+}
+
+/** How often an order to stop is repeated until the end is listed, in milliseconds. */
+const STOP_REPEAT_MS = 100
+
+/**
+ * Starts and stops runs, and finds out what became of them. The endpoint's own lists decide: an
+ * order without an answer is in doubt until they, or the end of its validity, tell.
+ *
+ * @internal
+ */
+export class RunTracker {
+  /** Runs found at take-over whose job is not known, by task. */
+  readonly #orphans = new Map<string, Run>()
+
+  constructor(
+    private readonly core: DispatchCore,
+    private readonly leases: LeaseLoop,
+    private readonly listener: RunListener,
+  ) {}
+
+  clear(): void {
+    this.#orphans.clear()
+  }
+
+  /** Orders a task to start; false when no order can be given now. */
+  start(now: number, task: Task, endpoint: EndpointRecord, expectedMs: number): boolean {
+    const { token, timing, counters } = this.core
+    const orderEndsAt = this.leases.orderEnd(now, endpoint, timing.startOrderMs)
+    if (token === undefined || orderEndsAt === undefined) return false
+    const number = ++task.lastRun
+    const { name, job } = task
+    const run: Run = {
+      task,
+      name,
+      number,
+      endpoint,
+      needs: job.step(task).needs,
+      state: RunState.Starting,
+      sentAt: now,
+      orderEndsAt,
+      confirmedAt: undefined,
+      expectedMs,
+      stopConfirmedAt: undefined,
+      stopDueAt: Infinity,
+      stopReason: '',
+    }
+    task.run = run
+    task.state = TaskState.Placed
+    endpoint.runs.set(name, run)
+    endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, orderEndsAt)
+    counters.starts++
+    this.core.emit({
+      kind: DispatchActionKind.Start,
+      order: {
+        endpoint: endpoint.id,
+        address: endpoint.notice.address,
+        fencingToken: token,
+        sentAt: now,
+        task: name,
+        run: number,
+        payload: job.spec.payload,
+        orderEndsAt,
+        timeoutMs: timing.startTimeoutMs,
+      },
+    })
+    return true
+  }
+
+  /** Orders a run to stop, once; repeated until its end is listed. */
+  stop(now: number, run: Run, reason: string): void {
+    if (run.state === RunState.Stopping) return
+    run.state = RunState.Stopping
+    run.stopReason = reason
+    this.#sendStop(now, run)
+  }
+
+  onStartAnswered(now: number, run: Run, result: StartResult): void {
+    const { counters } = this.core
+    this.core.emit({
+      kind: DispatchActionKind.Measure,
+      stage: Stage.Start,
+      route: run.task?.job.route.name ?? '',
+      ms: now - run.sentAt,
+    })
+    switch (result) {
+      case StartResult.Runs:
+        run.confirmedAt = now
+        if (run.state === RunState.Starting) run.state = RunState.Running
+        return
+      case StartResult.Unknown:
+        counters.starts_unanswered++
+        this.stop(now, run, 'its start got no answer')
+        return
+      default:
+        counters.starts_rejected++
+        this.#noteRejection(now, run, result)
+        this.#finish(now, run, RunEnd.NotRun)
+    }
+  }
+
+  onStopAnswered(now: number, run: Run, confirmed: boolean): void {
+    if (confirmed) run.stopConfirmedAt ??= now
+  }
+
+  /** Takes in what an endpoint lists; the hold for it was sent at the given time. */
+  onReport(now: number, endpoint: EndpointRecord, sentAt: number, report: HoldReport): void {
+    const isFirst = !endpoint.isAdopted
+    endpoint.isAdopted = true
+    for (const ended of report.ended) this.#onListedEnd(now, endpoint, ended, isFirst)
+    const listed = new Set<string>()
+    for (const running of report.running) {
+      listed.add(`${running.task}#${running.run}`)
+      this.#onListedRun(now, endpoint, running, isFirst)
+    }
+    for (const run of [...endpoint.runs.values()]) {
+      if (listed.has(`${run.name}#${run.number}`)) continue
+      const end = this.#unlistedEnd(run, sentAt, report.clockMs)
+      if (end !== undefined) this.#finish(now, run, end)
+    }
+  }
+
+  /** A run of an earlier leader goes on for the job that was submitted again. */
+  adopt(task: Task, needs: EndpointCapacity | undefined): boolean {
+    const run = this.#orphans.get(task.name)
+    if (run === undefined) return false
+    this.#orphans.delete(task.name)
+    run.task = task
+    run.needs = needs
+    task.run = run
+    task.lastRun = Math.max(task.lastRun, run.number)
+    task.state = TaskState.Placed
+    return true
+  }
+
+  tick(now: number): void {
+    const { orphanWaitMs } = this.core.timing
+    for (const run of this.#orphans.values()) {
+      if (now - run.sentAt < orphanWaitMs) continue
+      this.stop(now, run, 'nobody submitted its job again')
+    }
+    for (const endpoint of this.core.endpoints.all()) this.#tickEndpoint(now, endpoint)
+  }
+
+  #tickEndpoint(now: number, endpoint: EndpointRecord): void {
+    if (endpoint.runs.size === 0) return
+    const isLost = endpoint.isReplaced || endpoint.missedHolds > 0
+    if (isLost && this.leases.hasLapsed(now, endpoint)) {
+      for (const run of [...endpoint.runs.values()]) this.#finish(now, run, RunEnd.Lost)
+      return
+    }
+    for (const run of endpoint.runs.values()) if (now >= run.stopDueAt) this.#sendStop(now, run)
+  }
+
+  #sendStop(now: number, run: Run): void {
+    const { token, timing, counters } = this.core
+    if (token === undefined) return
+    run.stopDueAt = now + STOP_REPEAT_MS
+    counters.stops++
+    const { endpoint, name, number } = run
+    this.core.emit({
+      kind: DispatchActionKind.Stop,
+      order: {
+        endpoint: endpoint.id,
+        address: endpoint.notice.address,
+        fencingToken: token,
+        sentAt: now,
+        task: name,
+        run: number,
+        timeoutMs: timing.startTimeoutMs,
+      },
+    })
+  }
+
+  #onListedEnd(
+    now: number,
+    endpoint: EndpointRecord,
+    { task, run: number, position, end }: ListedRunEnd,
+    isFirst: boolean,
+  ): void {
+    if (position <= endpoint.ackCursor) return
+    endpoint.ackCursor = position
+    const run = endpoint.runs.get(task)
+    if (run?.number === number) this.#finish(now, run, runEndOf(end))
+    else if (isFirst && end === ListedEnd.Done) this.listener.onForeignDone(now, task)
+  }
+
+  #onListedRun(now: number, endpoint: EndpointRecord, listed: ListedRun, isFirst: boolean): void {
+    const run = endpoint.runs.get(listed.task)
+    if (run?.number === listed.run) {
+      if (run.state !== RunState.Starting) return
+      run.state = RunState.Running
+      run.confirmedAt ??= now
+      return
+    }
+    if (run !== undefined) return
+    const orphan = foundRun(now, endpoint, listed)
+    endpoint.runs.set(listed.task, orphan)
+    if (isFirst) this.#orphans.set(listed.task, orphan)
+    else this.stop(now, orphan, 'it is not expected there')
+  }
+
+  /** Why a run is over that its endpoint doesn't list; undefined while that is open. */
+  #unlistedEnd(run: Run, sentAt: number, clockMs: number): RunEnd | undefined {
+    if (run.confirmedAt !== undefined) {
+      return run.confirmedAt < sentAt ? RunEnd.Lost : undefined
+    }
+    // It never began: the order is no longer valid, or the endpoint was told to refuse it.
+    if (clockMs > run.orderEndsAt) return RunEnd.NotRun
+    const isStopped = run.stopConfirmedAt !== undefined && run.stopConfirmedAt < sentAt
+    return isStopped ? RunEnd.NotRun : undefined
+  }
+
+  #noteRejection(now: number, run: Run, result: StartResult): void {
+    const { endpoint, task, name, number } = run
+    if (result === StartResult.Replaced) endpoint.isReplaced = true
+    if (result === StartResult.NoRoom) endpoint.pausedUntil = now + this.core.timing.roomPauseMs
+    if (result === StartResult.Unhealthy || result === StartResult.NotSent) {
+      endpoint.pausedUntil = now + this.core.timing.retryHoldMs
+    }
+    if (result === StartResult.Malformed) task?.avoid.add(endpoint.id)
+    this.core.log('a start was rejected', {
+      job: task?.job.id ?? '',
+      task: name,
+      run: number,
+      endpoint: endpoint.id,
+      result,
+    })
+  }
+
+  #finish(now: number, run: Run, end: RunEnd): void {
+    const { endpoint, name, task } = run
+    if (endpoint.runs.get(name) === run) endpoint.runs.delete(name)
+    if (this.#orphans.get(name) === run) this.#orphans.delete(name)
+    if (task?.run === run) task.run = undefined
+    if (task === undefined && end === RunEnd.Done) this.listener.onForeignDone(now, name)
+    this.listener.onRunOver(now, run, end)
+  }
+}
+
+function foundRun(now: number, endpoint: EndpointRecord, { task, run }: ListedRun): Run {
+  return {
+    task: undefined,
+    name: task,
+    number: run,
+    endpoint,
+    needs: undefined,
+    state: RunState.Running,
+    sentAt: now,
+    orderEndsAt: -Infinity,
+    confirmedAt: now,
+    expectedMs: 0,
+    stopConfirmedAt: undefined,
+    stopDueAt: Infinity,
+    stopReason: '',
+  }
+}
+
+function runEndOf(end: ListedEnd): RunEnd {
+  switch (end) {
+    case ListedEnd.Done:
+      return RunEnd.Done
+    case ListedEnd.Failed:
+      return RunEnd.Failed
+    case ListedEnd.Stopped:
+    case ListedEnd.GroupBroken:
+    case ListedEnd.GroupIncomplete:
+      return RunEnd.Stopped
+    case ListedEnd.LeaseExpired:
+      return RunEnd.Lost
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/scheduling/JobOrder.ts
@@ -0,0 +1,31 @@
+import type { Job } from '../jobs/Job'
+
+/** Which waiting job gets the next free place. @internal */
+export abstract class JobOrder {
+  /** The job with the smallest rank goes first. */
+  abstract rank(now: number, job: Job): number
+}
+
+/** First come, first served: the baseline. @internal */
+export class ArrivalOrder extends JobOrder {
+  override rank(_now: number, job: Job): number {
+    return job.arrivedAt
+  }
+}
+
+/** Ranks of jobs that can't be in time any more begin here, in milliseconds. */
+const LATE_RANK = 1e15
+
+/**
+ * The job that has to start first to be in time goes first. Those that can't be in time any more
+ * get only what the others leave, the shortest first, so that they don't make others late.
+ *
+ * @internal
+ */
+export class SlackOrder extends JobOrder {
+  override rank(now: number, job: Job): number {
+    const remainingMs = job.remainingMs()
+    const latestStart = job.objectiveAt - remainingMs
+    return now <= latestStart ? latestStart : LATE_RANK + remainingMs
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -0,0 +1,88 @@
+import type { EndpointCapacity } from '@cherryhitch/protocol'
+import { DispatchActionKind, Stage } from '../DispatchAction'
+import type { DispatchCore } from '../DispatchCore'
+import type { JobBook } from '../jobs/JobBook'
+import type { Job, Task } from '../jobs/Job'
+import type { RunTracker } from '../runs/RunTracker'
+import type { JobOrder } from './JobOrder'
+import { collectCandidates, pickEndpoint } from './pickEndpoint'
+import type { Candidate } from './pickEndpoint'
+
+/** Places waiting tasks on endpoints, in the order of their jobs. @internal */
+export class Scheduler {
+  #isDue = false
+
+  constructor(
+    private readonly core: DispatchCore,
+    private readonly jobs: JobBook,
+    private readonly runs: RunTracker,
+    private readonly order: JobOrder,
+  ) {}
+
+  /** Something changed that may let a task start. */
+  wake(): void {
+    this.#isDue = true
+  }
+
+  run(now: number): void {
+    if (!this.#isDue || !this.isSettled(now)) return
+    this.#isDue = false
+    const waiting = this.jobs.open().filter((job) => job.waiting.length > 0)
+    if (waiting.length === 0) return
+    const ranked = waiting
+      .map((job) => ({ job, rank: this.order.rank(now, job) }))
+      .sort((a, b) => a.rank - b.rank)
+    const candidates = collectCandidates(now, this.core)
+    for (const { job } of ranked) this.#place(now, job, candidates.get(job.route.service) ?? [])
+  }
+
+  /**
+   * True once nothing can still run that an earlier leader started and this one doesn't know of:
+   * every known endpoint has told what runs there, or all earlier leases have run out.
+   */
+  isSettled(now: number): boolean {
+    const { token, leadsSince, startedAt, timing, endpoints } = this.core
+    if (token === undefined) return false
+    if (now >= leadsSince + timing.leaderLeaseMs * (1 + timing.clockDrift)) return true
+    if (leadsSince - startedAt < timing.directoryWarmMs) return false
+    return [...endpoints.all()].every((endpoint) => endpoint.isAdopted || endpoint.isReplaced)
+  }
+
+  #place(now: number, job: Job, candidates: readonly Candidate[]): void {
+    for (const task of job.waiting) {
+      const { needs } = job.step(task)
+      if (needs === undefined || !this.#placeTask(now, task, needs, candidates)) return
+    }
+  }
+
+  #placeTask(
+    now: number,
+    task: Task,
+    needs: EndpointCapacity,
+    candidates: readonly Candidate[],
+  ): boolean {
+    const { job } = task
+    const picked = pickEndpoint(task, needs, candidates)
+    if (picked === undefined) return false
+    const { endpoint, free, slowness } = picked
+    const expectedMs = (job.stepMs[task.step] ?? 0) * slowness
+    if (!this.runs.start(now, task, endpoint, expectedMs)) return false
+    free.cpuMillis -= needs.cpuMillis
+    free.memoryMb -= needs.memoryMb
+    free.gpus -= needs.gpus
+    if (job.firstStartAt === undefined) this.#noteFirstStart(now, job)
+    job.hasStarted = true
+    job.endpointsUsed.add(endpoint.id)
+    return true
+  }
+
+  #noteFirstStart(now: number, job: Job): void {
+    job.firstStartAt = now
+    this.core.emit({
+      kind: DispatchActionKind.Measure,
+      stage: Stage.Queue,
+      route: job.route.name,
+      ms: now - job.arrivedAt,
+    })
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/scheduling/giveUp.ts
@@ -0,0 +1,54 @@
+import { JobVerdict } from '@cherryhitch/protocol'
+import type { Job } from '../jobs/Job'
+
+/** A job that can't be served any more, and what its caller is told. @internal */
+export interface HopelessJob {
+  readonly job: Job
+  readonly verdict: JobVerdict
+  readonly reason: string
+  readonly retryAfterMs: number
+}
+
+/** Answers later than this many times the objective are of no use to callers. */
+const USEFUL_OBJECTIVES = 3
+/** What the way of an answer from here to its caller takes, in milliseconds. */
+const ANSWER_WAY_MS = 15
+/** When a refused caller may come back: a burst's backlog is gone by then, in milliseconds. */
+const RETRY_AFTER_MS = 1_000
+/**
+ * A run that takes this many times its estimate hangs or sits on a very slow endpoint. Estimates
+ * are off by 0.4 and run times spread by 0.4 (standard deviations of logarithms): 0.2 % of sound
+ * runs take longer than five times.
+ */
+const OVERRUN_FACTOR = 5
+/** Shorter runs than this aren't worth a second start, in milliseconds. */
+const MIN_OVERRUN_MS = 300
+
+/** Time after its start at which a run counts as hanging, in milliseconds. @internal */
+export function overrunAfter(expectedMs: number): number {
+  return Math.max(MIN_OVERRUN_MS, OVERRUN_FACTOR * expectedMs)
+}
+
+/** The last instant at which an answer is of use to the caller. @internal */
+export function lastUse({ arrivedAt, objectiveAt, deadlineAt }: Job): number {
+  const latest = arrivedAt + USEFUL_OBJECTIVES * (objectiveAt - arrivedAt)
+  return Math.min(deadlineAt, latest) - ANSWER_WAY_MS
+}
+
+/**
+ * Jobs to give up now. One that never started is refused as soon as it can't be of use any more;
+ * one that started goes on until its caller's deadline, since its answer is delivered also late.
+ *
+ * @internal
+ */
+export function findHopeless(now: number, jobs: readonly Job[]): readonly HopelessJob[] {
+  return jobs.flatMap((job): HopelessJob[] => {
+    if (!job.hasStarted && now + job.remainingMs() > lastUse(job)) {
+      const reason = 'it could not be done in time'
+      return [{ job, verdict: JobVerdict.REFUSED, reason, retryAfterMs: RETRY_AFTER_MS }]
+    }
+    if (now < job.deadlineAt) return []
+    const reason = 'its deadline passed while it was under way'
+    return [{ job, verdict: JobVerdict.UNKNOWN, reason, retryAfterMs: 0 }]
+  })
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/scheduling/pickEndpoint.ts
@@ -0,0 +1,81 @@
+import { HealthState } from '@cherryhitch/policy'
+import type { EndpointCapacity } from '@cherryhitch/protocol'
+import type { DispatchCore } from '../DispatchCore'
+import { fits } from '../endpoints/EndpointRecord'
+import type { EndpointRecord, FreeRoom } from '../endpoints/EndpointRecord'
+import type { Task } from '../jobs/Job'
+
+/** An endpoint with its free room, counted once for a round of placing. @internal */
+export interface Candidate {
+  readonly endpoint: EndpointRecord
+  readonly free: FreeRoom
+  /** Run times here over those of the same work at its peers. */
+  readonly slowness: number
+  readonly health: HealthState
+}
+
+/** Penalty of an endpoint in another rack than the task's data, as a factor on its run time. */
+const REMOTE_PENALTY = 2
+/**
+ * A run time that is this share longer is accepted for a closer fit: it keeps room together for
+ * tasks that need much, and differs less than measured slowness does from run to run.
+ */
+const FIT_WEIGHT = 0.1
+
+/** The endpoints that may get tasks now, by service. @internal */
+export function collectCandidates(now: number, core: DispatchCore): Map<string, Candidate[]> {
+  const byService = new Map<string, Candidate[]>()
+  for (const endpoint of core.endpoints.all()) {
+    if (!endpoint.mayStart(now)) continue
+    const health = core.health.state(now, endpoint.id)
+    if (health === HealthState.Ejected) continue
+    if (health === HealthState.Probation && endpoint.runs.size > 0) continue
+    const slowness = core.slowness.slowness(now, endpoint.id)
+    const candidate = { endpoint, free: endpoint.freeRoom(), slowness, health }
+    const list = byService.get(endpoint.service)
+    if (list === undefined) byService.set(endpoint.service, [candidate])
+    else list.push(candidate)
+  }
+  return byService
+}
+
+/** Where a task would end first among those where it fits; undefined when it fits nowhere. @internal */
+export function pickEndpoint(
+  task: Task,
+  needs: EndpointCapacity,
+  candidates: readonly Candidate[],
+): Candidate | undefined {
+  let best: Candidate | undefined
+  let bestCost = Infinity
+  for (const candidate of candidates) {
+    if (!isAllowed(task, needs, candidate)) continue
+    const cost = costOf(task, needs, candidate)
+    if (cost >= bestCost) continue
+    best = candidate
+    bestCost = cost
+  }
+  return best
+}
+
+function isAllowed(task: Task, needs: EndpointCapacity, { endpoint, free, health }: Candidate): boolean {
+  if (!fits(free, needs) || endpoint.runs.has(task.name)) return false
+  // Its few tasks are a trial; a task that has failed before needs a better chance.
+  if (health === HealthState.Probation && (endpoint.runs.size > 0 || task.failures > 0)) return false
+  const { requiredLabel, maxPerEndpoint } = task.job.step(task)
+  if (requiredLabel !== '' && !endpoint.notice.labels.includes(requiredLabel)) return false
+  return maxPerEndpoint === 0 || countOfStep(task, endpoint) < maxPerEndpoint
+}
+
+function countOfStep(task: Task, endpoint: EndpointRecord): number {
+  const prefix = task.name.slice(0, task.name.lastIndexOf('.') + 1)
+  return [...endpoint.runs.keys()].filter((name) => name.startsWith(prefix)).length
+}
+
+function costOf(task: Task, needs: EndpointCapacity, { endpoint, free, slowness }: Candidate): number {
+  const { dataRack } = task.job.step(task)
+  const isRemote = dataRack !== '' && !endpoint.notice.labels.includes(dataRack)
+  const avoided = task.avoid.has(endpoint.id) ? REMOTE_PENALTY : 1
+  const total = endpoint.notice.capacity?.cpuMillis ?? 1
+  const leftShare = (free.cpuMillis - needs.cpuMillis) / Math.max(1, total)
+  return slowness * (isRemote ? REMOTE_PENALTY : 1) * avoided * (1 + FIT_WEIGHT * leftShare)
+}
--- a/packages/http-api/src/index.ts
+++ b/packages/http-api/src/index.ts
@@ -34,3 +34,12 @@
   HttpServerOptions,
   TlsFiles,
 } from './lib/server/HttpServerOptions'
+export { openServer } from './lib/server/openServer'
+export { Method } from './lib/routing/Router'
+export type { Handler, Route } from './lib/routing/Router'
+export type { ApiRequest } from './lib/exchange/ApiRequest'
+export { jsonReply } from './lib/exchange/Reply'
+export type { Reply } from './lib/exchange/Reply'
+export { healthRoutes } from './lib/health/healthRoutes'
+export { RequestError, RequestErrorKind } from './lib/problems/RequestError'
+export { retryAfterHeader } from './lib/problems/problemReply'
--- a/packages/http-api/src/lib/exchange/ApiRequest.ts
+++ b/packages/http-api/src/lib/exchange/ApiRequest.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http'
 
-/** A request whose sender is known and whose body was received whole. @internal */
+/** A request whose sender is known and whose body was received whole. @public */
 export interface ApiRequest {
   /** Values of the path's variable segments. */
   readonly params: Readonly<Record<string, string>>
--- a/packages/http-api/src/lib/exchange/Reply.ts
+++ b/packages/http-api/src/lib/exchange/Reply.ts
@@ -1,4 +1,4 @@
-/** An answer that is ready to be sent. @internal */
+/** An answer that is ready to be sent. @public */
 export interface Reply {
   readonly status: number
   readonly contentType: string
@@ -9,7 +9,7 @@
 export const JSON_TYPE = 'application/json'
 export const PROBLEM_TYPE = 'application/problem+json'
 
-/** Makes a reply of a value that is written as JSON. @internal */
+/** Makes a reply of a value that is written as JSON. @public */
 export function jsonReply(
   status: number,
   value: unknown,
--- a/packages/http-api/src/lib/problems/RequestError.ts
+++ b/packages/http-api/src/lib/problems/RequestError.ts
@@ -1,4 +1,4 @@
-/** Why a request was refused before any service was called, or what it failed with. @internal */
+/** Why a request was refused before any service was called, or what it failed with. @public */
 export enum RequestErrorKind {
   Malformed = 'malformed',
   Unauthenticated = 'unauthenticated',
@@ -13,7 +13,7 @@
   Overloaded = 'overloaded',
 }
 
-/** A refusal that is made before any service is called: nothing ran. @internal */
+/** A refusal that is made before any service is called: nothing ran. @public */
 export class RequestError extends Error {
   override readonly name = 'RequestError'
 
--- a/packages/http-api/src/lib/routing/Router.test.ts
+++ b/packages/http-api/src/lib/routing/Router.test.ts
@@ -24,6 +24,13 @@
     })
   }
 
+  it('hands the rest of a path over as it stands after its fixed start', () => {
+    const open = new Router([{ method: Method.Get, path: 'a/{rest...}', takesBody: false, handle }])
+    assert.equal(open.find('GET', '/a/b/c').unwrap().params.rest, 'b/c')
+    assert.equal(open.find('GET', '/a/').unwrap().params.rest, '')
+    assert.ok(open.find('GET', '/b/c').err)
+  })
+
   const missed: readonly (readonly [string, string, string])[] = [
     ['GET', '/', ''],
     ['GET', '', ''],
--- a/packages/http-api/src/lib/routing/Router.ts
+++ b/packages/http-api/src/lib/routing/Router.ts
@@ -5,7 +5,7 @@
 import { RequestError, RequestErrorKind } from '../problems/RequestError'
 import { Err, Ok } from '@cherryhitch/model'
 
-/** @internal */
+/** @public */
 export enum Method {
   Get = 'GET',
   Post = 'POST',
@@ -13,13 +13,16 @@
   Delete = 'DELETE',
 }
 
-/** Handles one request whose sender is known and whose body is there. @internal */
+/** Handles one request whose sender is known and whose body is there. @public */
 export type Handler = (req: ApiRequest) => Effect.Effect<Reply, RequestError>
 
-/** @internal */
+/** @public */
 export interface Route {
   readonly method: Method
-  /** Segments after the leading slash; `{name}` matches any one segment that is not empty. */
+  /**
+   * Segments after the leading slash; `{name}` matches any one segment that is not empty, and
+   * `{name...}` at the end all that follow, which may be none.
+   */
   readonly path: string
   /** Whether it has a JSON body. */
   readonly takesBody: boolean
@@ -28,7 +31,7 @@
   readonly handle: Handler
 }
 
-/** @internal */
+/** @public */
 export interface RouteMatch {
   readonly route: Route
   readonly params: Readonly<Record<string, string>>
@@ -40,14 +43,19 @@
 }
 
 const variablePattern = /^\{(\w+)\}$/
+const restPattern = /^\{(\w+)\.\.\.\}$/
 
 function matchSegments(
   pattern: readonly string[],
   segments: readonly string[],
 ): Record<string, string> | undefined {
-  if (pattern.length !== segments.length) return undefined
+  const rest = restPattern.exec(pattern.at(-1) ?? '')?.[1]
   const params: Record<string, string> = {}
-  for (const [i, expected] of pattern.entries()) {
+  const fixed = rest === undefined ? pattern : pattern.slice(0, -1)
+  if (rest !== undefined) params[rest] = segments.slice(fixed.length).join('/')
+  else if (pattern.length !== segments.length) return undefined
+  if (segments.length < fixed.length) return undefined
+  for (const [i, expected] of fixed.entries()) {
     const segment = segments[i] ?? ''
     const variable = variablePattern.exec(expected)?.[1]
     if (variable === undefined && expected !== segment) return undefined
@@ -57,7 +65,7 @@
   return params
 }
 
-/** Finds the route for a method and a path. @internal */
+/** Finds the route for a method and a path. @public */
 export class Router {
   private readonly compiled: readonly CompiledRoute[]
 
--- a/packages/owner/src/lib/client/HttpExchange.test.ts
+++ b/packages/http-client/src/lib/exchange.test.ts
@@ -3,8 +3,8 @@
 import net from 'node:net'
 import { describe, it } from 'node:test'
 import { Effect } from 'effect'
-import type { HttpFailure } from './HttpExchange'
-import { exchange } from './HttpExchange'
+import type { HttpFailure } from './exchange'
+import { exchange } from './exchange'
 
 /** Hands out connections that never come about, as when packets are swallowed on their way. */
 class SwallowingAgent extends http.Agent {
--- a/packages/owner/src/lib/client/HttpExchange.ts
+++ b/packages/http-client/src/lib/exchange.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net'
 import { Data, Effect } from 'effect'
 
-/** One HTTP request and the bounds of its answer. @internal */
+/** One HTTP request and the bounds of its answer. @public */
 export interface HttpExchange {
   readonly method: string
   /** Host and port. */
@@ -19,7 +19,7 @@
   readonly maxAnswerBytes: number
 }
 
-/** @internal */
+/** @public */
 export interface HttpReply {
   readonly status: number
   readonly body: string
@@ -27,7 +27,7 @@
   readonly oversized: boolean
 }
 
-/** No answer came. @internal */
+/** No answer came. @public */
 export class HttpFailure extends Data.TaggedError('HttpFailure')<{
   /** Whether any byte of the request may have reached the other end. */
   readonly mayHaveArrived: boolean
@@ -44,7 +44,7 @@
  * A request that never had a connected socket can't have arrived. On a connection that was used
  * before, a reset tells nothing: the request may have been read before it.
  *
- * @internal
+ * @public
  */
 export function exchange(options: HttpExchange): Effect.Effect<HttpReply, HttpFailure> {
   return Effect.callback<HttpReply, HttpFailure>((resume) => {
--- a/packages/owner/src/lib/client/readControlReplies.ts
+++ b/packages/owner/src/lib/client/readControlReplies.ts
@@ -3,7 +3,7 @@
 import { Err, Ok } from '@cherryhitch/model'
 import type { StopResult } from '../endpointResults'
 import { StopState } from '../endpointResults'
-import type { HttpReply } from './HttpExchange'
+import type { HttpReply } from '@cherryhitch/http-client'
 import { readBoot, readJsonObject, readTexts } from './readJson'
 
 const OK = 200
--- a/packages/owner/src/lib/client/readRunReply.ts
+++ b/packages/owner/src/lib/client/readRunReply.ts
@@ -1,7 +1,7 @@
 import { ProblemRan } from '@cherryhitch/model'
 import type { RunResult } from '../endpointResults'
 import { RunResultKind } from '../endpointResults'
-import type { HttpFailure, HttpReply } from './HttpExchange'
+import type { HttpFailure, HttpReply } from '@cherryhitch/http-client'
 import { readJsonObject } from './readJson'
 
 const OK = 200
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -6,6 +6,7 @@
  * @packageDocumentation
  */
 export * from './lib/gen/cherryhitch/v1/control_pb'
+export * from './lib/gen/cherryhitch/v1/dispatch_pb'
 export * from './lib/gen/cherryhitch/v1/endpoints_pb'
 export * from './lib/gen/cherryhitch/v1/jobs_pb'
 export * from './lib/gen/cherryhitch/v1/link_pb'
--- /dev/null
+++ b/packages/settings/src/lib/dispatching/dispatchSettings.ts
@@ -0,0 +1,83 @@
+import fs from 'node:fs'
+import { Result as Decoded, Schema, SchemaIssue } from 'effect'
+import type { Result } from 'ts-results'
+import { Err, Ok } from '@cherryhitch/model'
+import { SettingsText } from '../parse/SettingsText'
+import { formatFound } from '../problems/SettingsProblem'
+import type { SettingPath, SettingsProblem } from '../problems/SettingsProblem'
+
+const Port = Schema.Number
+
+/** The settings of an instance that takes jobs, or that dispatches them. */
+const schema = Schema.Struct({
+  /** Name in logs. */
+  name: Schema.String,
+  /** IP address of this instance. */
+  host: Schema.String,
+  zone: Schema.String,
+  /** Port on which other instances reach this one; the same on all of them. */
+  linkPort: Port,
+  /** Port of the metrics. */
+  metricsPort: Port,
+  /** Hosts and ports of some instances that dispatch; some may be gone. */
+  seeds: Schema.Array(Schema.String),
+  /** True when the whole system starts for the first time, with empty disks. */
+  firstStart: Schema.Boolean,
+  /** Folder of the voter; none where the instance only takes jobs. */
+  dataFolder: Schema.optional(Schema.String),
+  /** Host and port for callers. */
+  callers: Schema.optional(Schema.String),
+  /** Host and port for readiness probes. */
+  readiness: Schema.optional(Schema.String),
+  /** Host and port for endpoints and operators. */
+  control: Schema.optional(Schema.String),
+  /** How often endpoints announce themselves, in milliseconds. */
+  heartbeatMs: Schema.Number,
+  /** Longest lease that endpoints grant, in milliseconds. */
+  maxLeaseMs: Schema.Number,
+  /** Time from the order to stop until the process is killed, in milliseconds. */
+  stopGraceMs: Schema.Number,
+})
+
+/** Settings of an instance that takes jobs (an entry) or dispatches them. @public */
+export type DispatchSettings = typeof schema.Type
+
+const decode = Schema.decodeUnknownResult(schema)
+const formatIssue = SchemaIssue.makeFormatterStandardSchemaV1()
+
+/** Reads the settings of an entry or a dispatching instance from a file. @public */
+export function loadDispatchSettings(
+  file: string,
+): Result<DispatchSettings, readonly SettingsProblem[]> {
+  try {
+    return parseDispatchSettings(fs.readFileSync(file, 'utf8'), file)
+  } catch (err) {
+    const found = `no readable file (${err instanceof Error ? err.message : String(err)})`
+    return Err([{ file, line: 0, setting: '', found, allowed: 'a settings file' }])
+  }
+}
+
+/** Reads the settings from a text; unknown settings are left alone. @public */
+export function parseDispatchSettings(
+  text: string,
+  file: string,
+): Result<DispatchSettings, readonly SettingsProblem[]> {
+  const parsed = new SettingsText(text, file)
+  const syntax = [...parsed.syntaxProblems(), ...parsed.duplicateProblems()]
+  if (syntax.length > 0) return Err(syntax)
+  const decoded = decode(parsed.value, { errors: 'all' })
+  if (Decoded.isSuccess(decoded)) return Ok(decoded.success)
+  const { issues } = formatIssue(decoded.failure.issue)
+  return Err(
+    issues.map(({ path = [], message }) => {
+      const found = formatFound(valueAt(parsed.value, path as SettingPath))
+      return parsed.place({ path: path as SettingPath, found, allowed: message })
+    }),
+  )
+}
+
+function valueAt(value: unknown, path: SettingPath): unknown {
+  return path.reduce<unknown>((inner, part) => {
+    return (inner as Readonly<Record<string | number, unknown>> | undefined)?.[part]
+  }, value)
+}
--- a/scripts/buildBinary.ts
+++ b/scripts/buildBinary.ts
@@ -2,7 +2,7 @@
 import { execFileSync } from 'node:child_process'
 import fs from 'node:fs'
 import path from 'node:path'
-import { build } from 'esbuild'
+import { bundleProgram } from './bundleProgram'
 
 const root = path.resolve(import.meta.dirname, '..')
 const outDir = path.join(root, 'dist')
@@ -14,22 +14,6 @@
 /** Marks the place in the Node.js binary where the program goes; fixed by Node.js itself. */
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
 const EXECUTABLE = 0o755
-/** Optional parts of bunyan, which it does without when they are missing. */
-const OPTIONAL_MODULES = ['dtrace-provider', 'mv', 'source-map-support']
-
-async function bundleProgram(): Promise<void> {
-  await build({
-    entryPoints: [path.join(root, 'apps/cherryhitch/src/main.ts')],
-    outfile: bundle,
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
-    mainFields: ['module', 'main'],
-    external: OPTIONAL_MODULES,
-    logLevel: 'warning',
-  })
-}
 
 function makeBlob(): void {
   const config = { main: bundle, output: blob, disableExperimentalSEAWarning: true }
@@ -46,7 +30,7 @@
 }
 
 fs.mkdirSync(outDir, { recursive: true })
-await bundleProgram()
+await bundleProgram(bundle)
 makeBlob()
 injectBlob()
 process.stdout.write(`built ${path.relative(root, binary)}\n`)
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -4,7 +4,7 @@
 import path from 'node:path'
 
 const root = path.resolve(import.meta.dirname, '..')
-const defaultFolders = ['packages', 'apps']
+const defaultFolders = ['packages', 'apps', 'platform']
 const CONCURRENCY = 4
 
 function findTests(folder: string): string[] {
