--- /dev/null
+++ b/apps/cherryhitch/src/lib/dispatching/DispatchParts.ts
@@ -0,0 +1,98 @@
+import type { ControlNode } from '@cherryhitch/control'
+import { DiscoveryEventKind, DispatchEventKind } from '@cherryhitch/dispatch'
+import type { DispatchEvent } from '@cherryhitch/dispatch'
+import type { Envelope } from '@cherryhitch/protocol'
+import type { Part } from '@cherryhitch/runtime'
+import { LateBound } from '../instance/LateBound'
+import type { NoticeExchange } from './NoticeExchange'
+import type { DiscoveryPart } from './startDiscovery'
+
+/** The parts of a dispatching instance that take messages, bound once each has started. @internal */
+export class DispatchParts {
+  readonly dispatcher = new LateBound<Part<DispatchEvent>>()
+  readonly control = new LateBound<ControlNode>()
+  readonly discovery = new LateBound<DiscoveryPart>()
+  readonly notices = new LateBound<NoticeExchange>()
+
+  /** Hands a message to the part that it concerns. */
+  receive(from: string, boot: number, { body }: Envelope): void {
+    switch (body.case) {
+      case 'submitJob':
+        this.#dispatch({ kind: DispatchEventKind.Submit, from, req: body.value })
+        return
+      case 'askJob':
+        this.#dispatch({ kind: DispatchEventKind.Ask, from, req: body.value })
+        return
+      case 'abandonJob':
+        this.#dispatch({ kind: DispatchEventKind.Abandon, from, req: body.value })
+        return
+      case 'announceInstance':
+      case 'instanceDirectory':
+        this.#receiveDiscovery(from, body)
+        return
+      case 'endpointNotices':
+      case 'endpointNoticesTaken':
+      case 'readEndpointNotices':
+      case 'endpointNoticesRead':
+        this.#receiveNotices(from, body)
+        return
+      case undefined:
+        return
+      default:
+        this.control.use((control) => {
+          control.receive(from, boot, body)
+        })
+    }
+  }
+
+  /** A new leader learns which endpoints earlier ones knew. */
+  readDirectories(term: number): void {
+    this.control.use((control) => {
+      const members = control.status()?.members ?? []
+      const voters = members.flatMap(({ instance, learner }) => (learner ? [] : instance))
+      this.notices.use((notices) => {
+        notices.readAll(term, voters)
+      })
+    })
+  }
+
+  #dispatch(event: DispatchEvent): void {
+    this.dispatcher.use((part) => {
+      part.tell(event)
+    })
+  }
+
+  #receiveDiscovery(from: string, body: DiscoveryBody): void {
+    this.discovery.use((part) => {
+      if (body.case === 'announceInstance') {
+        part.tell({ kind: DiscoveryEventKind.Announced, from, announcement: body.value })
+      } else {
+        part.tell({ kind: DiscoveryEventKind.Told, from, directory: body.value })
+      }
+    })
+  }
+
+  #receiveNotices(from: string, body: NoticeBody): void {
+    this.notices.use((notices) => {
+      switch (body.case) {
+        case 'endpointNotices':
+          notices.onNotices(from, body.value)
+          return
+        case 'endpointNoticesTaken':
+          notices.onTaken(body.value.requestId, body.value.byLeader)
+          return
+        case 'readEndpointNotices':
+          notices.onRead(from, body.value)
+          return
+        case 'endpointNoticesRead':
+          notices.onReadAnswered(from, body.value)
+      }
+    })
+  }
+}
+
+type BodyOf<C extends Envelope['body']['case']> = Extract<Envelope['body'], { case: C }>
+type DiscoveryBody = BodyOf<'announceInstance' | 'instanceDirectory'>
+type NoticeBody = BodyOf<
+  'endpointNotices' | 'endpointNoticesTaken' | 'readEndpointNotices' | 'endpointNoticesRead'
+>
--- a/apps/cherryhitch/src/lib/dispatching/runEntry.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runEntry.ts
@@ -4,24 +4,24 @@
   RelayActionKind,
   RelayEventKind,
 } from '@cherryhitch/dispatch'
-import type { RelayAction } from '@cherryhitch/dispatch'
+import type { RelayAction, RelayEvent } from '@cherryhitch/dispatch'
 import { startFrontServer, startReadinessServer } from '@cherryhitch/platform'
 import type { Envelope } from '@cherryhitch/protocol'
-import { startPart, systemClock } from '@cherryhitch/runtime'
+import { startPart } from '@cherryhitch/runtime'
 import type { Part } from '@cherryhitch/runtime'
-import type { RelayEvent } from '@cherryhitch/dispatch'
 import type { DispatchSettings } from '@cherryhitch/settings'
 import { Effect } from 'effect'
+import type { Scope } from 'effect'
 import { LateBound } from '../instance/LateBound'
-import { awaitSignal } from '../serve/awaitSignal'
 import { CallerRequests } from './CallerRequests'
-import { openDispatchTelemetry } from './DispatchTelemetry'
-import { EndReason } from './EndReason'
-import { onReload } from './onReload'
+import { openProcess } from './openProcess'
+import type { ProcessContext } from './openProcess'
 import { splitAddress } from './splitAddress'
 import { startDiscovery } from './startDiscovery'
 import type { DiscoveryPart } from './startDiscovery'
+import { startMetricsServer } from './startMetricsServer'
 import { startDispatchLinks } from './startDispatchLinks'
+import type { DispatchLinks } from './startDispatchLinks'
 
 /** A tenth of the shortest time that a relay goes by, in milliseconds. */
 const RELAY_TICK_MS = 10
@@ -30,6 +30,29 @@
 /** Kept back of the grace for the last answers to leave, in milliseconds. */
 const LAST_ANSWERS_MS = 400
 
+/** The parts of an entry that take messages, bound once each has started. */
+class EntryParts {
+  readonly relay = new LateBound<Part<RelayEvent>>()
+  readonly discovery = new LateBound<DiscoveryPart>()
+
+  receive(from: string, { body }: Envelope): void {
+    if (body.case === 'jobOutcome') {
+      this.tellRelay({ kind: RelayEventKind.Outcome, from, outcome: body.value })
+    } else if (body.case === 'instanceDirectory') {
+      const directory = body.value
+      this.discovery.use((part) => {
+        part.tell({ kind: DiscoveryEventKind.Told, from, directory })
+      })
+    }
+  }
+
+  tellRelay(event: RelayEvent): void {
+    this.relay.use((part) => {
+      part.tell(event)
+    })
+  }
+}
+
 /**
  * Runs an entry until SIGTERM: it takes jobs from callers, brings them to the instance that leads
  * and answers.
@@ -39,75 +62,24 @@
  */
 export function runEntry(settings: DispatchSettings) {
   const running = Effect.gen(function* () {
-    const telemetry = yield* openDispatchTelemetry(settings)
-    const log = telemetry.logger.forPart('entry')
-    const end = new EndReason()
-    const onDefect = (defect: unknown): void => {
-      log.error('a part died of a defect', { defect: String(defect) })
-      end.note('a part died of a defect')
-    }
-    const relayPart = new LateBound<Part<RelayEvent>>()
-    const discoveryPart = new LateBound<DiscoveryPart>()
-    const links = yield* startDispatchLinks({
-      settings,
-      boot: Date.now(),
-      log: telemetry.lines('links'),
-      onEnvelope: (from, _boot, message) => {
-        receive(from, message, relayPart, discoveryPart)
-      },
+    const context = yield* openProcess(settings, 'entry')
+    const { log } = context
+    yield* startMetricsServer(context)
+    const parts = new EntryParts()
+    const links = yield* startDispatchLinks(context, (from, _boot, message) => {
+      parts.receive(from, message)
     })
     const relay = new JobRelay()
-    const requests = new CallerRequests({
-      tell: (event) => {
-        relayPart.use((part) => {
-          part.tell(event)
-        })
-      },
-      now: () => systemClock.now(),
-      log,
-      measure: (stage, route, ms) => {
-        telemetry.measure(stage, route, ms)
-      },
-    })
-    const perform = (action: RelayAction): void => {
-      if (action.kind === RelayActionKind.Send) links.send(action.to, action.envelope)
-      else requests.answer(action.outcome)
+    const requests = yield* startRelay(context, parts, relay, links)
+    const onLeader = (leader: string, term: number): void => {
+      parts.tellRelay({ kind: RelayEventKind.Leader, leader, term })
     }
-    relayPart.bind(yield* startPart(relay, { perform, onDefect, tickMs: RELAY_TICK_MS }))
-    const discovery = yield* startDiscovery({
-      settings,
-      hostsVoter: false,
-      links,
-      onDefect,
-      onVoterHost: () => undefined,
-      onLeader: (leader, term) => {
-        log.info(leader === '' ? 'the leader is lost' : 'a leader is found', { leader, term })
-        relayPart.use((part) => {
-          part.tell({ kind: RelayEventKind.Leader, leader, term })
-        })
-      },
-    })
-    discoveryPart.bind(discovery)
+    parts.discovery.bind(yield* startDiscovery(context, { hostsVoter: false, links, onLeader }))
     let isDraining = false
-    const front = yield* startFrontServer({
-      ...splitAddress(settings.callers ?? ''),
-      clients: requests,
-      log: telemetry.lines('callers'),
-    })
-    yield* startReadinessServer({
-      ...splitAddress(settings.readiness ?? ''),
-      isReady: () => relay.hasLeader && !isDraining,
-      log: telemetry.lines('readiness'),
-    })
-    yield* onReload(() => {
-      log.info('reloaded; nothing that is in use has changed')
-    })
-    telemetry.metrics.registerCounters('links', 'Counted by the links.', () => links.counters())
-    telemetry.metrics.registerCounters('entry', 'Counted by the entry.', () => {
-      return { requests_open: requests.size, relayed_open: relay.openRequests }
-    })
+    const isReady = (): boolean => relay.hasLeader && !isDraining
+    const front = yield* startInterfaces(context, requests, isReady)
     log.info('started', { host: settings.host, zone: settings.zone, seeds: settings.seeds })
-    const why = yield* Effect.raceFirst(awaitSignal, end.wait)
+    const why = yield* context.awaitEnd
     isDraining = true
     log.info('stopping', { why, open: requests.size })
     front.closeAfterAnswers()
@@ -121,21 +93,44 @@
   return Effect.scoped(running)
 }
 
-function receive(
-  from: string,
-  { body }: Envelope,
-  relay: LateBound<Part<RelayEvent>>,
-  discovery: LateBound<DiscoveryPart>,
-): void {
-  if (body.case === 'jobOutcome') {
-    const outcome = body.value
-    relay.use((part) => {
-      part.tell({ kind: RelayEventKind.Outcome, from, outcome })
-    })
-  } else if (body.case === 'instanceDirectory') {
-    const directory = body.value
-    discovery.use((part) => {
-      part.tell({ kind: DiscoveryEventKind.Told, from, directory })
-    })
+/** Starts the part that brings requests to the leader. */
+function startRelay(
+  { now, log, telemetry, onDefect }: ProcessContext,
+  parts: EntryParts,
+  relay: JobRelay,
+  links: DispatchLinks,
+): Effect.Effect<CallerRequests, never, Scope.Scope> {
+  const tell = (event: RelayEvent): void => {
+    parts.tellRelay(event)
+  }
+  const measure = (stage: string, route: string, ms: number): void => {
+    telemetry.measure(stage, route, ms)
   }
+  const requests = new CallerRequests({ tell, now, log, measure })
+  const perform = (action: RelayAction): void => {
+    if (action.kind === RelayActionKind.Send) links.send(action.to, action.envelope)
+    else requests.answer(action.outcome)
+  }
+  telemetry.metrics.registerCounters('entry', 'Counted by the entry.', () => {
+    return { requests_open: requests.size, relayed_open: relay.openRequests }
+  })
+  return Effect.map(startPart(relay, { perform, onDefect, tickMs: RELAY_TICK_MS }), (part) => {
+    parts.relay.bind(part)
+    return requests
+  })
+}
+
+/** Opens the interfaces for callers and for probes. */
+function startInterfaces(
+  { settings, telemetry }: ProcessContext,
+  clients: CallerRequests,
+  isReady: () => boolean,
+) {
+  return Effect.gen(function* () {
+    const callers = splitAddress(settings.callers ?? '')
+    const front = yield* startFrontServer({ ...callers, clients, log: telemetry.lines('callers') })
+    const probes = splitAddress(settings.readiness ?? '')
+    yield* startReadinessServer({ ...probes, isReady, log: telemetry.lines('readiness') })
+    return front
+  })
 }
--- a/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
@@ -1,11 +1,12 @@
 import { exhaustive } from '@cherryhitch/model'
 import { DiscoveryActionKind, DiscoveryMachine, instanceAt } from '@cherryhitch/dispatch'
 import type { DiscoveryAction, DiscoveryEvent } from '@cherryhitch/dispatch'
-import { startPart, systemClock } from '@cherryhitch/runtime'
+import { startPart } from '@cherryhitch/runtime'
 import type { Part } from '@cherryhitch/runtime'
 import type { DispatchSettings } from '@cherryhitch/settings'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
+import type { ProcessContext } from './openProcess'
 import { splitAddress } from './splitAddress'
 import type { DispatchLinks } from './startDispatchLinks'
 
@@ -14,12 +15,9 @@
 
 /** @internal */
 export interface DiscoveryPartOptions {
-  readonly settings: DispatchSettings
   readonly hostsVoter: boolean
   readonly links: DispatchLinks
-  readonly onLeader: (leader: string, term: number) => void
-  readonly onVoterHost: (instance: string) => void
-  readonly onDefect: (defect: unknown) => void
+  readonly onLeader?: (leader: string, term: number) => void
 }
 
 /** Discovery, running. @internal */
@@ -34,15 +32,16 @@
 
 /** @internal */
 export function startDiscovery(
-  options: DiscoveryPartOptions,
+  { settings, instance, startedAt, log, onDefect }: ProcessContext,
+  { hostsVoter, links, onLeader }: DiscoveryPartOptions,
+  onVoterHost: (instance: string) => void = () => undefined,
 ): Effect.Effect<DiscoveryPart, never, Scope.Scope> {
-  const { settings, hostsVoter, links, onDefect } = options
   const machine = new DiscoveryMachine({
-    instance: instanceAt(settings.host),
+    instance,
     zone: settings.zone,
     hostsVoter,
     seeds: seedInstances(settings),
-    startedAt: systemClock.now(),
+    startedAt,
   })
   const perform = (action: DiscoveryAction): void => {
     switch (action.kind) {
@@ -53,10 +52,11 @@
         links.setPeers(action.instances)
         return
       case DiscoveryActionKind.VoterHostSeen:
-        options.onVoterHost(action.instance)
+        onVoterHost(action.instance)
         return
       case DiscoveryActionKind.LeaderChanged:
-        options.onLeader(action.leader, action.term)
+        noteLeader(log, action.leader, action.term)
+        onLeader?.(action.leader, action.term)
         return
       default:
         exhaustive(action)
@@ -66,3 +66,7 @@
     return { ...part, machine }
   })
 }
+
+function noteLeader(log: ProcessContext['log'], leader: string, term: number): void {
+  log.info(leader === '' ? 'the leader is lost' : 'a leader is found', { leader, term })
+}
--- a/apps/cherryhitch/src/lib/dispatching/startDispatchLinks.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchLinks.ts
@@ -1,10 +1,10 @@
-import { hostOf, instanceAt } from '@cherryhitch/dispatch'
+import { hostOf } from '@cherryhitch/dispatch'
 import type { Envelope } from '@cherryhitch/protocol'
 import { startLinkHost } from '@cherryhitch/rpc'
 import type { LinkError, LinkHost, LinkTuning } from '@cherryhitch/rpc'
-import type { DispatchSettings } from '@cherryhitch/settings'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
+import type { ProcessContext } from './openProcess'
 
 /**
  * Detection of a silent connection within 0.6 s, below the deadlines of callers (1.5 s). What
@@ -18,14 +18,6 @@
   staleAfterMs: 1_200,
 }
 
-/** @internal */
-export interface DispatchLinksOptions {
-  readonly settings: DispatchSettings
-  readonly boot: number
-  readonly onEnvelope: (from: string, boot: number, message: Envelope) => void
-  readonly log: (line: string) => void
-}
-
 /** The links of an instance to those that discovery finds. @internal */
 export class DispatchLinks {
   constructor(
@@ -45,23 +37,18 @@
   drain(limitMs: number): Effect.Effect<boolean> {
     return this.host.drain(limitMs)
   }
-
-  counters(): Record<string, number> {
-    return { ...this.host.counters() }
-  }
 }
 
 /** @internal */
-export function startDispatchLinks({
-  settings,
-  boot,
-  onEnvelope,
-  log,
-}: DispatchLinksOptions): Effect.Effect<DispatchLinks, LinkError, Scope.Scope> {
+export function startDispatchLinks(
+  { settings, instance, boot, telemetry }: ProcessContext,
+  onEnvelope: (from: string, boot: number, message: Envelope) => void,
+): Effect.Effect<DispatchLinks, LinkError, Scope.Scope> {
   const { host, linkPort: port } = settings
+  const log = telemetry.lines('links')
   const started = startLinkHost({
     ...TUNING,
-    instance: instanceAt(host),
+    instance,
     boot,
     listen: { host, port },
     peers: [],
@@ -77,5 +64,10 @@
     },
     log,
   })
-  return Effect.map(started, (links) => new DispatchLinks(links, port))
+  return Effect.map(started, (links) => {
+    telemetry.metrics.registerCounters('links', 'Counted by the links.', () => {
+      return { ...links.counters() }
+    })
+    return new DispatchLinks(links, port)
+  })
 }
--- /dev/null
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
@@ -0,0 +1,52 @@
+import { DispatchMachine, startDispatcher } from '@cherryhitch/dispatch'
+import type { DispatchEvent } from '@cherryhitch/dispatch'
+import { WorkerGateway } from '@cherryhitch/platform'
+import type { Envelope } from '@cherryhitch/protocol'
+import type { Part } from '@cherryhitch/runtime'
+import { Effect } from 'effect'
+import type { Scope } from 'effect'
+import type { DispatchParts } from './DispatchParts'
+import type { ProcessContext } from './openProcess'
+
+/** A lease ends this much before the longest that endpoints grant, in milliseconds. */
+const LEASE_MARGIN_MS = 100
+
+/** The dispatcher, running. @internal */
+export interface DispatchPart extends Part<DispatchEvent> {
+  readonly machine: DispatchMachine
+}
+
+/** @internal */
+export function startDispatchPart(
+  { settings, telemetry, log, onDefect }: ProcessContext,
+  parts: DispatchParts,
+  send: (to: string, message: Envelope) => void,
+): Effect.Effect<DispatchPart, never, Scope.Scope> {
+  const { maxLeaseMs } = settings
+  const timing = { leaseMs: maxLeaseMs - LEASE_MARGIN_MS, maxGrantMs: maxLeaseMs }
+  const machine = new DispatchMachine({ timing })
+  const started = startDispatcher({
+    machine,
+    gateway: new WorkerGateway(),
+    send,
+    spread: (notice) => {
+      parts.notices.use((notices) => {
+        notices.pass(notice)
+      })
+    },
+    onDefect,
+    log: (sentence, fields) => {
+      log.info(sentence, fields)
+    },
+    measure: (stage, route, ms) => {
+      telemetry.measure(stage, route, ms)
+    },
+  })
+  telemetry.metrics.registerCounters('dispatch', 'Counted by the dispatcher.', () => {
+    return { ...machine.counters, jobs_open: machine.openJobs }
+  })
+  return Effect.map(started, (part) => {
+    parts.dispatcher.bind(part)
+    return { ...part, machine }
+  })
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { create } from '@bufbuild/protobuf'
+import { AnnounceInstanceSchema, InstanceDirectorySchema } from '@cherryhitch/protocol'
+import {
+  defaultDiscoveryTiming,
+  DiscoveryActionKind,
+  DiscoveryEventKind,
+  DiscoveryMachine,
+} from './DiscoveryMachine'
+import type { DiscoveryAction, DiscoveryEvent } from './DiscoveryMachine'
+import { hostOf, instanceAt } from './instanceNames'
+
+function makeEntry(): DiscoveryMachine {
+  const options = { instance: 'entry', zone: 'z', hostsVoter: false, seeds: ['a', 'b'] }
+  return new DiscoveryMachine({ ...options, startedAt: 0 })
+}
+
+const told = (
+  from: string,
+  leader: string,
+  term: number,
+  voterHosts: string[] = [],
+): DiscoveryEvent => {
+  const directory = create(InstanceDirectorySchema, { voterHosts, leader, term })
+  return { kind: DiscoveryEventKind.Told, from, directory }
+}
+
+const announced = (from: string, hostsVoter: boolean, ageMs: number): DiscoveryEvent => {
+  const announcement = create(AnnounceInstanceSchema, { zone: 'z', hostsVoter, ageMs })
+  return { kind: DiscoveryEventKind.Announced, from, announcement }
+}
+
+function ofKind(actions: readonly DiscoveryAction[], kind: DiscoveryActionKind): DiscoveryAction[] {
+  return actions.filter((action) => action.kind === kind)
+}
+
+describe('finding instances', () => {
+  it('starts from the seeds and goes on with those that they name', () => {
+    const entry = makeEntry()
+    entry.tick(0)
+    entry.step(10, told('a', '', 0, ['a', 'c']))
+    assert.deepEqual(entry.voterHosts, ['a', 'b', 'c'])
+  })
+
+  it('believes the highest term about the leader', () => {
+    const entry = makeEntry()
+    entry.step(10, told('a', 'a', 3))
+    entry.step(11, told('b', 'b', 2))
+    assert.equal(entry.leader, 'a')
+    entry.step(12, told('b', 'b', 4))
+    assert.equal(entry.leader, 'b')
+  })
+
+  it('gives a leader up that does not answer for itself', () => {
+    const entry = makeEntry()
+    entry.step(0, told('a', 'b', 3))
+    const { leaderSilentMs } = defaultDiscoveryTiming
+    entry.step(leaderSilentMs, told('a', 'b', 3))
+    const actions = entry.tick(leaderSilentMs + 1)
+    assert.equal(ofKind(actions, DiscoveryActionKind.LeaderChanged).length, 1)
+    assert.equal(entry.leader, '')
+  })
+
+  it('notices that a host of a voter has restarted', () => {
+    const entry = makeEntry()
+    const seen = (actions: readonly DiscoveryAction[]): number => {
+      return ofKind(actions, DiscoveryActionKind.VoterHostSeen).length
+    }
+    assert.equal(seen(entry.step(5_000, announced('c', true, 4_000))), 1)
+    assert.equal(seen(entry.step(5_200, announced('c', true, 4_200))), 0)
+    assert.equal(seen(entry.step(9_000, announced('c', true, 300))), 1)
+  })
+
+  it('makes names of addresses and back', () => {
+    assert.equal(hostOf(instanceAt('10.1.0.13')), '10.1.0.13')
+  })
+})
--- /dev/null
+++ b/packages/dispatch/src/lib/jobs/JobLifecycle.ts
@@ -0,0 +1,149 @@
+import { HealthFailure } from '@cherryhitch/policy'
+import { JobVerdict } from '@cherryhitch/protocol'
+import type { DispatchCore } from '../DispatchCore'
+import type { LeaseLoop } from '../endpoints/LeaseLoop'
+import type { EndpointRecord } from '../endpoints/EndpointRecord'
+import { RunEnd } from '../runs/Run'
+import type { Run } from '../runs/Run'
+import { RunHealth } from '../runs/RunHealth'
+import { RunTracker } from '../runs/RunTracker'
+import type { RunListener } from '../runs/RunTracker'
+import { findHopeless, overrunAfter } from '../scheduling/giveUp'
+import { JobBook } from './JobBook'
+import { TaskState } from './Job'
+import type { Job, Task } from './Job'
+
+/** Attempts of a task where the route names none. */
+const DEFAULT_ATTEMPTS = 3
+
+/** What becomes of jobs: tasks that end, fail, take too long, and jobs that are given up. @internal */
+export class JobLifecycle implements RunListener {
+  readonly jobs: JobBook
+  readonly runs: RunTracker
+  readonly health: RunHealth
+  /** Tasks whose end as done was listed before this leader knew their job, and when. */
+  readonly #foreignDone = new Map<string, number>()
+
+  constructor(
+    private readonly core: DispatchCore,
+    leases: LeaseLoop,
+    /** Called when a place has become free, or a task waits again. */
+    private readonly onChange: () => void,
+  ) {
+    this.jobs = new JobBook(core)
+    this.runs = new RunTracker(core, leases, this)
+    this.health = new RunHealth(core)
+  }
+
+  tick(now: number): void {
+    this.runs.tick(now)
+    this.jobs.tick(now)
+    this.#giveUp(now)
+    for (const [name, at] of this.#foreignDone) {
+      if (now - at < this.core.timing.keepVerdictMs) break
+      this.#foreignDone.delete(name)
+    }
+  }
+
+  /** Another instance leads: everything that is known of jobs and runs goes. */
+  clear(): void {
+    this.jobs.dropAll(JobVerdict.LEADER_LOST, 'the leader stepped down')
+    this.runs.clear()
+    this.#foreignDone.clear()
+  }
+
+  onRunOver(now: number, run: Run, end: RunEnd): void {
+    this.onChange()
+    const { task, endpoint } = run
+    this.health.noteEnd(now, run, end)
+    if (task === undefined) return
+    if (end === RunEnd.Done) this.#onTaskDone(now, task)
+    else this.#onTaskNotDone(now, task, endpoint, end)
+  }
+
+  onForeignDone(now: number, name: string): void {
+    const task = this.#findTask(name)
+    if (task === undefined) this.#foreignDone.set(name, now)
+    else if (task.run === undefined && task.state !== TaskState.Done) this.#onTaskDone(now, task)
+  }
+
+  onForeignRun(run: Run): void {
+    const task = this.#findTask(run.name)
+    if (task?.run !== undefined || task?.state === TaskState.Done) return
+    if (task !== undefined) this.#recall(task.job, task)
+  }
+
+  /** A job that is new here goes on where an earlier leader left it. */
+  resume(now: number, job: Job): void {
+    for (const task of job.tasks) this.#recall(job, task)
+    job.unblock()
+    if (job.isDone) this.jobs.close(now, job, JobVerdict.COMPLETED, { reason: 'done before' })
+  }
+
+  /** Gives the verdict and stops what still runs. */
+  end(now: number, job: Job, verdict: JobVerdict, reason: string, retryAfterMs = 0): void {
+    const running = job.tasks.flatMap(({ run }) => run ?? [])
+    this.jobs.close(now, job, verdict, { reason, retryAfterMs })
+    for (const run of running) this.runs.stop(now, run, reason)
+    this.onChange()
+  }
+
+  #findTask(name: string): Task | undefined {
+    const job = this.jobs.get(name.slice(0, name.indexOf('.')))
+    return job?.tasks.find((task) => task.name === name)
+  }
+
+  /** What an earlier leader started, or saw done, needs not begin anew. */
+  #recall(job: Job, task: Task): void {
+    if (this.runs.adopt(task, job.step(task).needs)) job.hasStarted = true
+    else if (this.#foreignDone.delete(task.name)) task.state = TaskState.Done
+  }
+
+  #onTaskDone(now: number, task: Task): void {
+    const { job } = task
+    task.state = TaskState.Done
+    if (job.isClosed) this.jobs.removeIfOver(job)
+    else if (job.isDone) this.jobs.close(now, job, JobVerdict.COMPLETED, { reason: 'all done' })
+    else job.unblock()
+  }
+
+  #onTaskNotDone(now: number, task: Task, endpoint: EndpointRecord, end: RunEnd): void {
+    const { job } = task
+    task.state = TaskState.Waiting
+    if (end === RunEnd.Failed) task.failures++
+    if (end !== RunEnd.NotRun) task.avoid.add(endpoint.id)
+    if (job.isClosed) {
+      this.jobs.removeIfOver(job)
+      return
+    }
+    const attempts = job.route.maxAttempts === 0 ? DEFAULT_ATTEMPTS : job.route.maxAttempts
+    if (task.failures >= attempts) {
+      this.end(now, job, JobVerdict.FAILED, `task ${task.name} failed ${task.failures} times`)
+    }
+  }
+
+  #giveUp(now: number): void {
+    for (const { job, verdict, reason, retryAfterMs } of findHopeless(now, this.jobs.open())) {
+      this.end(now, job, verdict, reason, retryAfterMs)
+    }
+    for (const job of this.jobs.open()) {
+      for (const { run } of job.placed) {
+        if (run?.confirmedAt === undefined || run.stopReason !== '') continue
+        if (now - run.sentAt >= overrunAfter(run.expectedMs)) this.#stopOverrun(now, run)
+      }
+    }
+  }
+
+  #stopOverrun(now: number, run: Run): void {
+    this.core.log('a run takes too long and is stopped', {
+      job: run.task?.job.id ?? '',
+      task: run.name,
+      run: run.number,
+      endpoint: run.endpoint.id,
+      ms: Math.round(now - run.sentAt),
+      expectedMs: Math.round(run.expectedMs),
+    })
+    this.health.noteFailure(now, run, HealthFailure.Lost)
+    this.runs.stop(now, run, 'it takes too long')
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/relay/JobRelay.test.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { create } from '@bufbuild/protobuf'
+import { JobOutcomeSchema, JobVerdict, SteppedJobSchema } from '@cherryhitch/protocol'
+import { defaultRelayTiming, JobRelay, RelayActionKind, RelayEventKind } from './JobRelay'
+import type { RelayAction, RelayEvent } from './JobRelay'
+
+const spec = create(SteppedJobSchema, { jobId: 'j' })
+const submit: RelayEvent = {
+  kind: RelayEventKind.Submit,
+  requestId: '1',
+  spec,
+  host: 'h',
+  path: '/p/j',
+  receivedAt: 0,
+  deadlineAt: 1_500,
+}
+const leader = (name: string, term: number): RelayEvent => {
+  return { kind: RelayEventKind.Leader, leader: name, term }
+}
+const outcome = (from: string, verdict: JobVerdict): RelayEvent => {
+  const told = create(JobOutcomeSchema, { requestId: '1', verdict })
+  return { kind: RelayEventKind.Outcome, from, outcome: told }
+}
+
+function sentTo(actions: readonly RelayAction[]): string[] {
+  return actions.flatMap((action) => (action.kind === RelayActionKind.Send ? action.to : []))
+}
+
+function verdicts(actions: readonly RelayAction[]): JobVerdict[] {
+  return actions.flatMap((action) => {
+    return action.kind === RelayActionKind.Answer ? action.outcome.verdict : []
+  })
+}
+
+describe('a request at an entry', () => {
+  it('goes to the leader and comes back with its verdict', () => {
+    const relay = new JobRelay()
+    relay.step(0, leader('a', 1))
+    assert.deepEqual(sentTo(relay.step(1, submit)), ['a'])
+    assert.deepEqual(verdicts(relay.step(50, outcome('a', JobVerdict.COMPLETED))), [
+      JobVerdict.COMPLETED,
+    ])
+    assert.equal(relay.openRequests, 0)
+  })
+
+  it('is refused as not run soon after no leader is found', () => {
+    const relay = new JobRelay()
+    relay.step(0, submit)
+    const { leaderlessMs } = defaultRelayTiming
+    assert.deepEqual(verdicts(relay.tick(leaderlessMs - 1)), [])
+    assert.deepEqual(verdicts(relay.tick(leaderlessMs)), [JobVerdict.REFUSED])
+  })
+
+  it('goes to the next leader, which is told that an earlier one had it', () => {
+    const relay = new JobRelay()
+    relay.step(0, leader('a', 1))
+    relay.step(1, submit)
+    const actions = relay.step(100, leader('b', 2))
+    assert.deepEqual(sentTo(actions), ['b'])
+    const [action] = actions
+    assert.equal(action?.kind, RelayActionKind.Send)
+    const { body } = action.envelope
+    assert.equal(body.case === 'submitJob' && body.value.earlierAttempts, 1)
+  })
+
+  it('is never called not run once a lost leader had it', () => {
+    const relay = new JobRelay()
+    relay.step(0, leader('a', 1))
+    relay.step(1, submit)
+    relay.step(100, leader('b', 2))
+    assert.deepEqual(verdicts(relay.step(120, outcome('b', JobVerdict.REFUSED))), [
+      JobVerdict.UNKNOWN,
+    ])
+  })
+
+  it('counts an instance that does not lead as one that never had it', () => {
+    const relay = new JobRelay()
+    relay.step(0, leader('a', 1))
+    relay.step(1, submit)
+    relay.step(10, outcome('a', JobVerdict.NOT_LEADER))
+    relay.step(20, leader('b', 2))
+    assert.deepEqual(verdicts(relay.step(120, outcome('b', JobVerdict.REFUSED))), [
+      JobVerdict.REFUSED,
+    ])
+  })
+
+  it('ends as unknown before its caller leaves', () => {
+    const relay = new JobRelay()
+    relay.step(0, leader('a', 1))
+    relay.step(1, submit)
+    assert.deepEqual(verdicts(relay.tick(1_500)), [JobVerdict.UNKNOWN])
+  })
+
+  it('is withdrawn at the leader when its caller leaves', () => {
+    const relay = new JobRelay()
+    relay.step(0, leader('a', 1))
+    relay.step(1, submit)
+    const actions = relay.step(9, { kind: RelayEventKind.Abandon, requestId: '1' })
+    assert.deepEqual(sentTo(actions), ['a'])
+    assert.equal(relay.openRequests, 0)
+  })
+})
--- /dev/null
+++ b/packages/dispatch/src/lib/runs/RunHealth.ts
@@ -0,0 +1,51 @@
+import { HealthFailure } from '@cherryhitch/policy'
+import { estimateSubject } from '../DispatchCore'
+import type { DispatchCore } from '../DispatchCore'
+import { RunEnd } from './Run'
+import type { Run } from './Run'
+
+/** Learns from ended runs: how long tasks take, and how endpoints do. @internal */
+export class RunHealth {
+  constructor(private readonly core: DispatchCore) {}
+
+  noteEnd(now: number, run: Run, end: RunEnd): void {
+    const { counters } = this.core
+    switch (end) {
+      case RunEnd.Done:
+        counters.runs_done++
+        this.#noteDone(now, run)
+        return
+      case RunEnd.Failed:
+        counters.runs_failed++
+        this.noteFailure(now, run, HealthFailure.TaskFailed)
+        return
+      case RunEnd.Lost:
+        counters.runs_lost++
+        return
+      case RunEnd.Stopped:
+      case RunEnd.NotRun:
+    }
+  }
+
+  noteFailure(now: number, { endpoint, task }: Run, failure: HealthFailure): void {
+    const jobId = task?.job.id ?? ''
+    const { id, service } = endpoint
+    this.core.health.recordFailure(now, { endpoint: id, service, jobId }, failure)
+  }
+
+  #noteDone(now: number, { task, endpoint, confirmedAt, sentAt, stopReason }: Run): void {
+    if (task === undefined) return
+    const { slowness, estimator, health } = this.core
+    const { job } = task
+    const { service } = job.route
+    const runMs = now - (confirmedAt ?? sentAt)
+    health.recordSuccess(now, { endpoint: endpoint.id, service, jobId: job.id }, runMs)
+    // How long it took tells nothing when it was told to stop meanwhile.
+    if (stopReason !== '') return
+    const estimateMs = job.stepMs[task.step] ?? 0
+    const factor = slowness.slowness(now, endpoint.id)
+    slowness.observe(now, { endpoint: endpoint.id, service, estimateMs, runMs })
+    const declaredMs = job.step(task).estimateMs
+    estimator.observe(now, estimateSubject(job.route, declaredMs), runMs / factor)
+  }
+}
