Start new jobs at once under a new leader; remember endpoints on the disk; refuse what others wait before

After a restart of all voters the endpoints were known only with their next heartbeats. Change: only resumed jobs wait for the leases; a leader that steps down says so at once; the directory of endpoints is a file, as a hint.

--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -5,9 +5,12 @@
 import type { Envelope } from '@cherryhitch/protocol'
 import { startTimer } from '@cherryhitch/runtime'
 import type { DispatchSettings } from '@cherryhitch/settings'
+import { RealDisk } from '@cherryhitch/storage'
+import type { Disk } from '@cherryhitch/storage'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import { DispatchParts } from './DispatchParts'
+import { DirectoryKeeper } from './DirectoryKeeper'
 import { JoinKeeper } from './JoinKeeper'
 import { NoticeExchange } from './NoticeExchange'
 import { openProcess } from './openProcess'
@@ -26,6 +29,8 @@
 const STATUS_MS = 20
 /** Notices of all endpoints are there after two heartbeats and this, in milliseconds. */
 const HEARTBEAT_MARGIN_MS = 500
+/** Endpoints that came or went are on the disk after this, in milliseconds; a sync takes 10. */
+const STORE_DIRECTORY_MS = 1_000
 /** How long an instance that hands its leadership over goes on, so that orders end cleanly. */
 const HAND_OVER_MS = 300
 
@@ -59,7 +64,9 @@
       else links.send(to, message)
     }
     const dispatcher = yield* startDispatchPart(context, parts, send)
-    const control = yield* startVoter(context, parts, dispatcher, send)
+    const disk = new RealDisk(settings.dataFolder ?? 'data')
+    yield* startDirectoryKeeper(context, dispatcher, disk)
+    const control = yield* startVoter(context, parts, dispatcher, disk, send)
     const discovery = yield* startDiscovery(context, { hostsVoter: true, links }, (peer) => {
       control.notePeer(peer, 0)
       parts.notices.use((notices) => {
@@ -109,6 +116,21 @@
   })
 }
 
+/** Starts from the endpoints that were known before the restart, and stores them from now on. */
+function startDirectoryKeeper(
+  { now, log }: ProcessContext,
+  { machine, tell }: DispatchPart,
+  disk: Disk,
+): Effect.Effect<void, never, Scope.Scope> {
+  const keeper = new DirectoryKeeper({ disk, log, notices: () => machine.notices(now()) })
+  return Effect.gen(function* () {
+    for (const notice of yield* keeper.read()) tell({ kind: DispatchEventKind.Notice, notice })
+    yield* startTimer(STORE_DIRECTORY_MS, () => {
+      keeper.tick()
+    })
+  })
+}
+
 /** Opens the interface for operators and endpoints. */
 function startOperators(
   { settings, instance, boot, now, log, telemetry }: ProcessContext,
--- a/apps/cherryhitch/src/lib/dispatching/startVoter.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startVoter.ts
@@ -2,7 +2,7 @@
 import type { ControlError, ControlNode } from '@cherryhitch/control'
 import { DispatchEventKind } from '@cherryhitch/dispatch'
 import type { Envelope, RoutingState } from '@cherryhitch/protocol'
-import { RealDisk } from '@cherryhitch/storage'
+import type { Disk } from '@cherryhitch/storage'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import type { DispatchParts } from './DispatchParts'
@@ -40,6 +40,7 @@
   context: ProcessContext,
   parts: DispatchParts,
   dispatcher: DispatchPart,
+  disk: Disk,
   send: (to: string, message: Envelope) => void,
 ): Effect.Effect<ControlNode, ControlError, Scope.Scope> {
   const { settings, instance, boot, telemetry, log, onDefect } = context
@@ -50,7 +51,7 @@
     boot,
     zone: settings.zone,
     voters: seeds,
-    disk: new RealDisk(settings.dataFolder ?? 'data'),
+    disk,
     ...(isFirst && { autoInit: { clusterId: CLUSTER_ID } }),
     send,
     log: telemetry.lines('control'),
--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
@@ -62,6 +62,26 @@
     assert.equal(entry.leader, '')
   })
 
+  it('gives a leader up at once that says itself that it leads no more', () => {
+    const entry = makeEntry()
+    entry.step(0, told('a', 'a', 3))
+    entry.step(5, told('b', '', 3))
+    assert.equal(entry.leader, 'a', 'another one may know less')
+    entry.step(10, told('a', '', 3))
+    assert.equal(entry.leader, '')
+  })
+
+  it('tells all who rely on it that it leads no more', () => {
+    const options = { instance: 'a', zone: 'z', hostsVoter: true, seeds: ['a', 'b'] }
+    const host = new DiscoveryMachine({ ...options, startedAt: 0 })
+    host.step(0, announced('entry', false, 100))
+    host.step(1, { kind: DiscoveryEventKind.Voters, instances: ['a', 'b'], leader: 'a', term: 2 })
+    const voters = { instances: ['a', 'b'], leader: '', term: 2 }
+    const actions = host.step(2, { kind: DiscoveryEventKind.Voters, ...voters })
+    const sent = ofKind(actions, DiscoveryActionKind.Send)
+    assert.ok(sent.some((action) => 'to' in action && action.to === 'entry'))
+  })
+
   it('notices that a host of a voter has restarted', () => {
     const entry = makeEntry()
     const seen = (actions: readonly DiscoveryAction[]): number => {
--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
@@ -142,6 +142,7 @@
         for (const instance of event.instances) this.#told.set(instance, now)
         this.#noteLeader(now, event.leader, event.term)
         if (event.leader !== '') this.#leaderHeardAt = now
+        else if (this.#leader === this.#options.instance) this.#setLeader('', event.term)
         break
     }
     return this.#endStep()
@@ -190,7 +191,9 @@
   #onTold(now: number, from: string, { voterHosts, leader, term }: InstanceDirectory): void {
     for (const instance of voterHosts) this.#told.set(instance, now)
     this.#noteLeader(now, leader, term)
-    if (from === this.#leader && leader === from) this.#leaderHeardAt = now
+    if (from !== this.#leader) return
+    if (leader === from) this.#leaderHeardAt = now
+    else if (leader === '') this.#setLeader('', Math.max(term, this.#term))
   }
 
   #noteLeader(now: number, leader: string, term: number): void {
@@ -202,11 +205,12 @@
   }
 
   #setLeader(leader: string, term: number): void {
+    const wasOwn = this.#leader === this.#options.instance
     this.#leader = leader
     this.#term = term
     this.#out.push({ kind: DiscoveryActionKind.LeaderChanged, leader, term })
     // All who rely on this instance hear of it at once.
-    if (!this.#options.hostsVoter || leader !== this.#options.instance) return
+    if (!this.#options.hostsVoter || (leader !== this.#options.instance && !wasOwn)) return
     for (const to of this.#heard.keys()) this.#send(to, this.#directory())
   }
 
--- a/packages/dispatch/src/lib/jobs/Job.ts
+++ b/packages/dispatch/src/lib/jobs/Job.ts
@@ -43,6 +43,8 @@
   readonly stepMs: readonly number[]
   /** Run numbers begin above this, since an earlier leader may have used lower ones. */
   readonly firstRun: number
+  /** An earlier leader may have started it. */
+  readonly isResumed: boolean
 }
 
 /** A job and its tasks. @internal */
@@ -57,23 +59,27 @@
   /** Instant until which the caller is served well. */
   readonly objectiveAt: number
   readonly stepMs: readonly number[]
+  /** An earlier leader may have started it. */
+  readonly isResumed: boolean
   readonly tasks: readonly Task[]
   readonly waiters: JobWaiter[] = []
   /** True once a task was ordered to start, here or by an earlier leader. */
-  hasStarted = false
+  hasStarted: boolean
   firstStartAt: number | undefined
   /** Nobody waits for it: nothing more is started, and it goes once nothing runs. */
   isClosed = false
   endpointsUsed = new Set<string>()
 
   constructor(content: JobContent) {
-    const { id, route, spec, arrivedAt, deadlineAt, stepMs, firstRun } = content
+    const { id, route, spec, arrivedAt, deadlineAt, stepMs, firstRun, isResumed } = content
     this.id = id
     this.route = route
     this.spec = spec
     this.arrivedAt = arrivedAt
     this.deadlineAt = deadlineAt
     this.stepMs = stepMs
+    this.isResumed = isResumed
+    this.hasStarted = isResumed
     this.chainMs = longestChain(spec.steps, stepMs)
     this.objectiveAt = arrivedAt + route.stretch * this.chainMs + route.targetMs
     this.tasks = spec.steps.flatMap((step, number) => this.#makeTasks(step, number, firstRun))
--- a/packages/dispatch/src/lib/jobs/JobBook.ts
+++ b/packages/dispatch/src/lib/jobs/JobBook.ts
@@ -68,8 +68,8 @@
       deadlineAt,
       stepMs: spec.steps.map(({ estimateMs }) => this.#estimate(route, estimateMs)),
       firstRun: req.earlierAttempts * RUNS_PER_LEADER,
+      isResumed: req.earlierAttempts > 0,
     })
-    job.hasStarted = req.earlierAttempts > 0
     this.#jobs.set(job.id, job)
     this.#ended.delete(job.id)
     this.core.counters.jobs_taken++
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -25,9 +25,13 @@
   }
 
   run(now: number): void {
-    if (!this.#isDue || !this.isSettled(now)) return
+    if (!this.#isDue || this.core.token === undefined) return
     this.#isDue = false
-    const waiting = this.jobs.open().filter((job) => job.waiting.length > 0)
+    // A job that no earlier leader had can't run anywhere yet, so it needs not wait for that.
+    const isSettled = this.isSettled(now)
+    const waiting = this.jobs.open().filter((job) => {
+      return job.waiting.length > 0 && (isSettled || !job.isResumed)
+    })
     if (waiting.length === 0) return
     const ranked = waiting
       .map((job) => ({ job, rank: this.order.rank(now, job) }))
--- a/packages/dispatch/src/lib/scheduling/giveUp.ts
+++ b/packages/dispatch/src/lib/scheduling/giveUp.ts
@@ -35,15 +35,27 @@
   return Math.min(deadlineAt, latest) - ANSWER_WAY_MS
 }
 
+/** True once a job can't be done within its objective any more. @internal */
+export function isOverdue(now: number, job: Job): boolean {
+  return now + job.remainingMs() > job.objectiveAt
+}
+
 /**
- * Jobs to give up now. One that never started is refused as soon as it can't be of use any more;
- * one that started goes on until its caller's deadline, since its answer is delivered also late.
+ * Jobs to give up now. One that never started is refused as soon as it can't be of use any more,
+ * or can't be in time while others that can be wait as well: it would get a place after them only.
+ * One that started goes on until its caller's deadline, since its answer is delivered also late.
  *
  * @internal
  */
 export function findHopeless(now: number, jobs: readonly Job[]): readonly HopelessJob[] {
+  const contended = new Set<string>()
+  for (const job of jobs) {
+    if (!job.hasStarted && !isOverdue(now, job)) contended.add(job.route.service)
+  }
   return jobs.flatMap((job): HopelessJob[] => {
-    if (!job.hasStarted && now + job.remainingMs() > lastUse(job)) {
+    const isUseless = now + job.remainingMs() > lastUse(job)
+    const isBehind = contended.has(job.route.service) && isOverdue(now, job)
+    if (!job.hasStarted && (isUseless || isBehind)) {
       const reason = 'it could not be done in time'
       return [{ job, verdict: JobVerdict.REFUSED, reason, retryAfterMs: RETRY_AFTER_MS }]
     }
