--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -81,6 +81,13 @@
     return this.#core.takeActions()
   }
 
+  /** Events that arrived together share one round of placing. */
+  override stepAll(now: number, events: readonly DispatchEvent[]): readonly DispatchAction[] {
+    for (const event of events) this.#handle(now, event)
+    this.#scheduler.run(now)
+    return this.#core.takeActions()
+  }
+
   override tick(now: number): readonly DispatchAction[] {
     this.#forgetEndpoints(now)
     if (this.leads) {
--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -6,6 +6,9 @@
 /** Labels of racks begin so on every deployment that was seen. */
 const RACK_LABEL = /^r\d/
 
+/** Measured slowness changes by some percent a second at most, in milliseconds. */
+const SLOWNESS_REUSE_MS = 200
+
 /** What is left of a capacity. @internal */
 export interface FreeRoom {
   cpuMillis: number
@@ -16,8 +19,7 @@
 /** One life of an endpoint: what it said, what it was ordered, what runs there. @internal */
 export class EndpointRecord {
   readonly clock: EndpointClock
-  /** Runs by the name of their task: one at a time. */
-  readonly runs = new Map<string, Run>()
+  readonly #runs = new Map<string, Run>()
   /** When all who may lead were last told of it. */
   spreadAt: number
   /** True once its lists were read under the present fencing token. */
@@ -38,6 +40,9 @@
   isReplaced = false
   #notice: EndpointNotice
   #noticedAt: number
+  /** Kept until a run comes or goes: placing asks for it far more often. */
+  #freeRoom: FreeRoom | undefined
+  #slowness = { value: 1, readAt: -Infinity }
 
   constructor(notice: EndpointNotice, now: number, drift: number) {
     this.#notice = notice
@@ -46,6 +51,34 @@
     this.clock = new EndpointClock(drift)
   }
 
+  /** Runs by the name of their task: one at a time. */
+  get runs(): ReadonlyMap<string, Run> {
+    return this.#runs
+  }
+
+  addRun(run: Run): void {
+    this.#runs.set(run.name, run)
+    this.#freeRoom = undefined
+  }
+
+  removeRun(run: Run): void {
+    if (this.#runs.get(run.name) === run) this.#runs.delete(run.name)
+    this.#freeRoom = undefined
+  }
+
+  /** What a run needs has become known. */
+  noteNeeds(): void {
+    this.#freeRoom = undefined
+  }
+
+  /** Run times here over those at its peers, read anew every so often. */
+  slowness(now: number, read: () => number): number {
+    if (now - this.#slowness.readAt >= SLOWNESS_REUSE_MS) {
+      this.#slowness = { value: read(), readAt: now }
+    }
+    return this.#slowness.value
+  }
+
   get id(): string {
     return this.#notice.endpoint
   }
@@ -74,6 +107,7 @@
     const isGone = state === NoticeState.GONE
     this.#notice = isGone ? { ...this.#notice, state, sequence } : notice
     this.#noticedAt = now - notice.ageMs
+    this.#freeRoom = undefined
     return true
   }
 
@@ -83,10 +117,15 @@
     return serves && this.isAdopted && this.missedHolds === 0 && now >= this.pausedUntil
   }
 
-  freeRoom(): FreeRoom {
+  freeRoom(): Readonly<FreeRoom> {
+    this.#freeRoom ??= this.#countFreeRoom()
+    return this.#freeRoom
+  }
+
+  #countFreeRoom(): FreeRoom {
     const { cpuMillis = 0, memoryMb = 0, gpus = 0 } = this.#notice.capacity ?? {}
     const free = { cpuMillis, memoryMb, gpus }
-    for (const { needs } of this.runs.values()) {
+    for (const { needs } of this.#runs.values()) {
       if (needs === undefined) return { cpuMillis: 0, memoryMb: 0, gpus: 0 }
       free.cpuMillis -= needs.cpuMillis
       free.memoryMb -= needs.memoryMb
@@ -97,7 +136,8 @@
 
   /** Starts anew under another fencing token: what was known of its runs counts no more. */
   reset(): void {
-    this.runs.clear()
+    this.#runs.clear()
+    this.#freeRoom = undefined
     this.isAdopted = false
     this.holdSentAt = undefined
     this.nextHoldAt = 0
@@ -107,7 +147,7 @@
 }
 
 /** @internal */
-export function fits(free: FreeRoom, needs: EndpointCapacity): boolean {
+export function fits(free: Readonly<FreeRoom>, needs: EndpointCapacity): boolean {
   if (needs.cpuMillis > free.cpuMillis || needs.memoryMb > free.memoryMb) return false
   return needs.gpus <= free.gpus
 }
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -66,7 +66,7 @@
     }
     task.run = run
     task.state = TaskState.Placed
-    endpoint.runs.set(name, run)
+    endpoint.addRun(run)
     endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, orderEndsAt)
     counters.starts++
     this.core.emit({
@@ -149,6 +149,7 @@
     this.#orphans.delete(task.name)
     run.task = task
     run.needs = needs
+    run.endpoint.noteNeeds()
     task.run = run
     task.lastRun = Math.max(task.lastRun, run.number)
     task.state = TaskState.Placed
@@ -217,7 +218,7 @@
     }
     if (run !== undefined) return
     const orphan = foundRun(now, endpoint, listed)
-    endpoint.runs.set(listed.task, orphan)
+    endpoint.addRun(orphan)
     if (!isFirst) {
       this.stop(now, orphan, 'it is not expected there')
       return
@@ -256,7 +257,7 @@
 
   #finish(now: number, run: Run, end: RunEnd): void {
     const { endpoint, name, task } = run
-    if (endpoint.runs.get(name) === run) endpoint.runs.delete(name)
+    endpoint.removeRun(run)
     if (this.#orphans.get(name) === run) this.#orphans.delete(name)
     if (task?.run === run) task.run = undefined
     if (task === undefined && end === RunEnd.Done) this.listener.onForeignDone(now, name)
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -37,7 +37,10 @@
       .map((job) => ({ job, rank: this.order.rank(now, job) }))
       .sort((a, b) => a.rank - b.rank)
     const candidates = collectCandidates(now, this.core)
-    for (const { job } of ranked) this.#place(now, job, candidates.get(job.route.service) ?? [])
+    const full = new Map<string, EndpointCapacity>()
+    for (const { job } of ranked) {
+      this.#place(now, job, candidates.get(job.route.service) ?? [], full)
+    }
   }
 
   /**
@@ -53,10 +56,26 @@
     return [...endpoints.all()].every((endpoint) => endpoint.isAdopted || endpoint.isReplaced)
   }
 
-  #place(now: number, job: Job, candidates: readonly Candidate[]): void {
+  /**
+   * Places what fits of a job.
+   *
+   * @param full - by service, what fitted nowhere in this round: nothing larger is tried again, so
+   *   that a long queue costs little while there is no room
+   */
+  #place(
+    now: number,
+    job: Job,
+    candidates: readonly Candidate[],
+    full: Map<string, EndpointCapacity>,
+  ): void {
+    const { service } = job.route
     for (const task of job.waiting) {
-      const { needs } = job.step(task)
-      if (needs === undefined || !this.#placeTask(now, task, needs, candidates)) return
+      const { needs, requiredLabel, maxPerEndpoint } = job.step(task)
+      const tooLarge = full.get(service)
+      if (needs === undefined || (tooLarge !== undefined && covers(needs, tooLarge))) return
+      if (this.#placeTask(now, task, needs, candidates)) continue
+      if (requiredLabel === '' && maxPerEndpoint === 0) full.set(service, needs)
+      return
     }
   }
 
@@ -69,12 +88,9 @@
     const { job } = task
     const picked = pickEndpoint(task, needs, candidates)
     if (picked === undefined) return false
-    const { endpoint, free, slowness } = picked
+    const { endpoint, slowness } = picked
     const expectedMs = (job.stepMs[task.step] ?? 0) * slowness
     if (!this.runs.start(now, task, endpoint, expectedMs)) return false
-    free.cpuMillis -= needs.cpuMillis
-    free.memoryMb -= needs.memoryMb
-    free.gpus -= needs.gpus
     if (job.firstStartAt === undefined) this.#noteFirstStart(now, job)
     job.hasStarted = true
     job.endpointsUsed.add(endpoint.id)
@@ -91,3 +107,9 @@
     })
   }
 }
+
+/** True when one need is at least as large as another in every respect. */
+function covers(needs: EndpointCapacity, other: EndpointCapacity): boolean {
+  if (needs.cpuMillis < other.cpuMillis || needs.memoryMb < other.memoryMb) return false
+  return needs.gpus >= other.gpus
+}
--- a/packages/dispatch/src/lib/scheduling/pickEndpoint.ts
+++ b/packages/dispatch/src/lib/scheduling/pickEndpoint.ts
@@ -2,13 +2,12 @@
 import type { EndpointCapacity } from '@cherryhitch/protocol'
 import type { DispatchCore } from '../DispatchCore'
 import { fits } from '../endpoints/EndpointRecord'
-import type { EndpointRecord, FreeRoom } from '../endpoints/EndpointRecord'
+import type { EndpointRecord } from '../endpoints/EndpointRecord'
 import type { Task } from '../jobs/Job'
 
-/** An endpoint with its free room, counted once for a round of placing. @internal */
+/** An endpoint that may get tasks in this round of placing. @internal */
 export interface Candidate {
   readonly endpoint: EndpointRecord
-  readonly free: FreeRoom
   /** Run times here over those of the same work at its peers. */
   readonly slowness: number
   readonly health: HealthState
@@ -28,11 +27,12 @@
   for (const endpoint of core.endpoints.all()) {
     // The next leader has to know of it: whoever it asks, a majority was told before this.
     if (!endpoint.mayStart(now) || core.confirmedAt < endpoint.spreadAt) continue
+    if (endpoint.freeRoom().cpuMillis <= 0) continue
     const health = core.health.state(now, endpoint.id)
     if (health === HealthState.Ejected) continue
     if (health === HealthState.Probation && endpoint.runs.size > 0) continue
-    const slowness = core.slowness.slowness(now, endpoint.id)
-    const candidate = { endpoint, free: endpoint.freeRoom(), slowness, health }
+    const slowness = endpoint.slowness(now, () => core.slowness.slowness(now, endpoint.id))
+    const candidate = { endpoint, slowness, health }
     const list = byService.get(endpoint.service)
     if (list === undefined) byService.set(endpoint.service, [candidate])
     else list.push(candidate)
@@ -58,12 +58,8 @@
   return best
 }
 
-function isAllowed(
-  task: Task,
-  needs: EndpointCapacity,
-  { endpoint, free, health }: Candidate,
-): boolean {
-  if (!fits(free, needs) || endpoint.runs.has(task.name)) return false
+function isAllowed(task: Task, needs: EndpointCapacity, { endpoint, health }: Candidate): boolean {
+  if (!fits(endpoint.freeRoom(), needs) || endpoint.runs.has(task.name)) return false
   // Its few tasks are a trial; a task that has failed before needs a better chance.
   if (health === HealthState.Probation && (endpoint.runs.size > 0 || task.failures > 0))
     return false
@@ -77,15 +73,11 @@
   return [...endpoint.runs.keys()].filter((name) => name.startsWith(prefix)).length
 }
 
-function costOf(
-  task: Task,
-  needs: EndpointCapacity,
-  { endpoint, free, slowness }: Candidate,
-): number {
+function costOf(task: Task, needs: EndpointCapacity, { endpoint, slowness }: Candidate): number {
   const { dataRack } = task.job.step(task)
   const isRemote = dataRack !== '' && !endpoint.notice.labels.includes(dataRack)
   const avoided = task.avoid.has(endpoint.id) ? REMOTE_PENALTY : 1
   const total = endpoint.notice.capacity?.cpuMillis ?? 1
-  const leftShare = (free.cpuMillis - needs.cpuMillis) / Math.max(1, total)
+  const leftShare = (endpoint.freeRoom().cpuMillis - needs.cpuMillis) / Math.max(1, total)
   return slowness * (isRemote ? REMOTE_PENALTY : 1) * avoided * (1 + FIT_WEIGHT * leftShare)
 }
--- a/packages/runtime/src/lib/startPart.ts
+++ b/packages/runtime/src/lib/startPart.ts
@@ -38,15 +38,19 @@
   const clock = options.clock ?? systemClock
   return Effect.gen(function* () {
     const mailbox = yield* Queue.unbounded<Event | typeof TICK>()
-    const handle = (event: Event | typeof TICK): void => {
-      const now = clock.now()
-      const actions = event === TICK ? machine.tick(now) : machine.step(now, event)
+    const perform = (actions: readonly Action[]): void => {
       for (const action of actions) options.perform(action)
     }
+    /** Events that arrived together are taken in together, which may share work. */
+    const handle = (waiting: readonly (Event | typeof TICK)[]): void => {
+      const events = waiting.filter((event): event is Event => event !== TICK)
+      if (events.length > 0) perform(machine.stepAll(clock.now(), events))
+      if (events.length < waiting.length) perform(machine.tick(clock.now()))
+    }
     const drain = Effect.gen(function* () {
       const events = yield* Queue.takeAll(mailbox)
       yield* Effect.sync(() => {
-        for (const event of events) handle(event)
+        handle(events)
       })
     })
     const guarded = Effect.catchCause(Effect.forever(drain), (cause) =>
