Let a restarted process in whose boot number is lower, once the earlier one is silent

Cause: boot numbers come from the time of day. After a step back of the clock a restarted instance was refused by all others until its clock had caught up, seconds or for good. Found by reading; the test failed before. Ruled out: storing the number, since entries have no disk.

--- a/packages/rpc/src/lib/peer/PeerLink.test.ts
+++ b/packages/rpc/src/lib/peer/PeerLink.test.ts
@@ -79,11 +79,17 @@
   #receive(id: number, batch: SentBatch): number | undefined {
     if (!this.#streams.has(id)) {
       this.#streams.set(id, this.#streams.size + 1)
-      this.inbox.open('a', 1, this.#streams.size)
+      this.inbox.open(0, 'a', 1, this.#streams.size)
     }
     const isEmpty = batch.envelopes.length === 0
     const stream = this.#streams.get(id) ?? 0
-    const verdict = this.inbox.accept('a', 1, stream, batch.sequence, isEmpty)
+    const verdict = this.inbox.accept(0, {
+      from: 'a',
+      boot: 1,
+      stream,
+      sequence: batch.sequence,
+      isEmpty,
+    })
     if (verdict === InboxVerdict.Superseded) return undefined
     if (verdict === InboxVerdict.Deliver) {
       for (const { body } of batch.envelopes) {
--- a/packages/rpc/src/lib/server/BatchReceiver.ts
+++ b/packages/rpc/src/lib/server/BatchReceiver.ts
@@ -2,6 +2,7 @@
 import { isValidName } from '@cherryhitch/model'
 import { BatchReceiptSchema } from '@cherryhitch/protocol'
 import type { BatchReceipt, EnvelopeBatch } from '@cherryhitch/protocol'
+import { systemClock } from '@cherryhitch/runtime'
 import { Code, ConnectError } from '@connectrpc/connect'
 import type { HandlerContext } from '@connectrpc/connect'
 import { deliverEnvelope } from '../host/deliverEnvelope'
@@ -59,7 +60,7 @@
       throw this.#refuse('malformed sender', Code.InvalidArgument)
     }
     this.#lastStream += 1
-    this.#check(this.#inbox.open(from, fromBoot, this.#lastStream), batch)
+    this.#check(this.#inbox.open(systemClock.now(), from, fromBoot, this.#lastStream), batch)
     return this.#lastStream
   }
 
@@ -69,7 +70,8 @@
       throw this.#refuse(`malformed batch from ${first.from}`, Code.InvalidArgument)
     }
     const isEmpty = envelopes.length === 0
-    const verdict = this.#inbox.accept(from, fromBoot, stream, sequence, isEmpty)
+    const arrived = { from, boot: fromBoot, stream, sequence, isEmpty }
+    const verdict = this.#inbox.accept(systemClock.now(), arrived)
     this.#check(verdict, batch)
     this.options.counters.batchesReceived += 1
     if (verdict === InboxVerdict.Duplicate) this.options.counters.duplicateBatches += 1
--- a/packages/rpc/src/lib/server/Inbox.test.ts
+++ b/packages/rpc/src/lib/server/Inbox.test.ts
@@ -63,9 +63,9 @@
       const inbox = new Inbox(2)
       const opened = new Set<number>()
       for (const [boot, stream, sequence, isEmpty, expected] of steps) {
-        if (!opened.has(stream)) assert.equal(inbox.open('a', boot, stream), Deliver)
+        if (!opened.has(stream)) assert.equal(inbox.open(0, 'a', boot, stream), Deliver)
         opened.add(stream)
-        assert.equal(inbox.accept('a', boot, stream, sequence, isEmpty), expected)
+        assert.equal(inbox.accept(0, { from: 'a', boot, stream, sequence, isEmpty }), expected)
       }
       assert.equal(inbox.highest('a'), highest)
     })
@@ -73,10 +73,21 @@
 
   it('refuses streams of an earlier boot, and senders beyond its limit', () => {
     const inbox = new Inbox(2)
-    assert.equal(inbox.open('a', 2, 1), Deliver)
-    assert.equal(inbox.open('a', 1, 2), StaleBoot)
-    assert.equal(inbox.open('b', 1, 3), Deliver)
-    assert.equal(inbox.open('c', 1, 4), Full)
-    assert.equal(inbox.open('a', 3, 5), Deliver)
+    assert.equal(inbox.open(0, 'a', 2, 1), Deliver)
+    assert.equal(inbox.open(0, 'a', 1, 2), StaleBoot)
+    assert.equal(inbox.open(0, 'b', 1, 3), Deliver)
+    assert.equal(inbox.open(0, 'c', 1, 4), Full)
+    assert.equal(inbox.open(0, 'a', 3, 5), Deliver)
+  })
+
+  it('lets a process with a lower boot in once the earlier one was silent for long', () => {
+    const inbox = new Inbox(2)
+    assert.equal(inbox.open(0, 'a', 9, 1), Deliver)
+    const batch = { from: 'a', boot: 9, stream: 1, sequence: 1, isEmpty: false }
+    assert.equal(inbox.accept(1_000, batch), Deliver)
+    assert.equal(inbox.open(4_000, 'a', 5, 2), StaleBoot)
+    assert.equal(inbox.open(4_001, 'a', 5, 3), Deliver)
+    const later = { ...batch, boot: 5, stream: 3 }
+    assert.equal(inbox.accept(4_002, later), Deliver, 'its sequences start anew')
   })
 })
--- a/packages/rpc/src/lib/server/Inbox.ts
+++ b/packages/rpc/src/lib/server/Inbox.ts
@@ -11,12 +11,28 @@
   Full = 'too many senders',
 }
 
+/**
+ * A sender that was silent for longer is gone: a living one is heard some times a second. Boots
+ * come from the time of day, which may have been set back since the last process started.
+ */
+const FORGET_BOOT_MS = 3_000
+
+/** What decides about a batch. */
+export interface ArrivedBatch {
+  readonly from: string
+  readonly boot: number
+  readonly stream: number
+  readonly sequence: number
+  readonly isEmpty: boolean
+}
+
 interface Sender {
   readonly boot: number
   /** Number of the stream that is listened to. */
   stream: number
   /** Highest sequence delivered, or given up by the sender. */
   highest: number
+  heardAt: number
 }
 
 /**
@@ -31,20 +47,23 @@
   constructor(private readonly maxSenders: number) {}
 
   /** Makes a stream the one that is listened to. Stream numbers rise. */
-  open(from: string, boot: number, stream: number): InboxVerdict {
+  open(now: number, from: string, boot: number, stream: number): InboxVerdict {
     const known = this.#senders.get(from)
     if (known === undefined && this.#senders.size >= this.maxSenders) return InboxVerdict.Full
-    if (known !== undefined && boot < known.boot) return InboxVerdict.StaleBoot
+    if (known !== undefined && boot < known.boot && now - known.heardAt <= FORGET_BOOT_MS) {
+      return InboxVerdict.StaleBoot
+    }
     if (known?.boot === boot) known.stream = stream
-    else this.#senders.set(from, { boot, stream, highest: 0 })
+    else this.#senders.set(from, { boot, stream, highest: 0, heardAt: now })
     return InboxVerdict.Deliver
   }
 
   /** Takes one batch in. An empty one only says below which sequence nothing will come. */
-  accept(from: string, boot: number, stream: number, sequence: number, isEmpty: boolean) {
+  accept(now: number, { from, boot, stream, sequence, isEmpty }: ArrivedBatch): InboxVerdict {
     const sender = this.#senders.get(from)
     if (sender === undefined || boot < sender.boot) return InboxVerdict.StaleBoot
     if (sender.stream !== stream) return InboxVerdict.Superseded
+    sender.heardAt = now
     if (sequence <= sender.highest) {
       return isEmpty ? InboxVerdict.Deliver : InboxVerdict.Duplicate
     }
