Start jobs a margin before their last moment, and refuse those that miss it

Cause: a test that plays 1.5 times of what the places can do had 24 % of the jobs in time and 66 % served: with the least slack first, each job waited until its last moment and ended some milliseconds late, since ways, orders and wrong estimates had no part in that moment. Change: 25 ms for the ways and a quarter of the slack that grows with the work are kept back.

--- a/apps/bench/src/lib/soak/runMachineSoak.ts
+++ b/apps/bench/src/lib/soak/runMachineSoak.ts
@@ -1,4 +1,5 @@
 import { runControlSoak } from '@cherryhitch/control'
+import { runDispatchSoak } from '@cherryhitch/dispatch'
 import { runJointSoak } from '../../joint/runJointSoak'
 import type { SoakVerdict } from './SoakVerdict'
 
@@ -18,6 +19,13 @@
   })
 }
 
+/** Machines of dispatchers, an entry and endpoints, by `runDispatchSoak`. */
+export function runDispatchPart(seed: number, steps: number): SoakVerdict {
+  const { violations, submitted, completed } = runDispatchSoak(seed, steps, { hasGaps: true })
+  const summary = `${submitted} jobs, ${completed} completed`
+  return { summary, violations, details: [], folder: undefined }
+}
+
 function verdictOf(run: () => string): SoakVerdict {
   const nothing = { details: [], folder: undefined }
   try {
--- a/apps/bench/src/soak.ts
+++ b/apps/bench/src/soak.ts
@@ -1,7 +1,7 @@
 /** Randomised runs with invariants asserted inside: `npm run soak -- --seed 1 --minutes 10`. */
 import { cac } from 'cac'
 import { deployments } from '@cherryhitch/stand-ins'
-import { runControlPart, runJointPart } from './lib/soak/runMachineSoak'
+import { runControlPart, runDispatchPart, runJointPart } from './lib/soak/runMachineSoak'
 import { runProgramSoak } from './lib/soak/runProgramSoak'
 import type { SoakVerdict } from './lib/soak/SoakVerdict'
 import { buildPrograms } from './lib/system/buildPrograms'
@@ -17,6 +17,7 @@
 enum Part {
   Joint = 'joint',
   Control = 'control',
+  Dispatch = 'dispatch',
   Program = 'program',
 }
 
@@ -24,6 +25,7 @@
 const MS_PER_MINUTE = 60_000
 const JOINT_STEPS = 300
 const CONTROL_STEPS = 200
+const DISPATCH_STEPS = 300
 const RUNS_OF_MACHINES = 5
 const LOAD_SECONDS = 18
 /** A run of the programs that would end after the limit is not begun. */
@@ -36,9 +38,16 @@
   readonly start: () => SoakVerdict | Promise<SoakVerdict>
 }
 
-function runsOfMachines(part: Part.Joint | Part.Control, seed: number): readonly Run[] {
-  const run = part === Part.Joint ? runJointPart : runControlPart
-  const steps = part === Part.Joint ? JOINT_STEPS : CONTROL_STEPS
+type MachinePart = Part.Joint | Part.Control | Part.Dispatch
+
+const machineParts = {
+  [Part.Joint]: { run: runJointPart, steps: JOINT_STEPS },
+  [Part.Control]: { run: runControlPart, steps: CONTROL_STEPS },
+  [Part.Dispatch]: { run: runDispatchPart, steps: DISPATCH_STEPS },
+}
+
+function runsOfMachines(part: MachinePart, seed: number): readonly Run[] {
+  const { run, steps } = machineParts[part]
   return Array.from({ length: RUNS_OF_MACHINES }, (_, index) => {
     const own = seed + index
     return { name: part, seed: own, isLong: false, start: () => run(own, steps) }
@@ -48,7 +57,7 @@
 /** One round, whose seeds begin with the one given. */
 async function makeRound(seed: number, only: string | undefined): Promise<readonly Run[]> {
   const wants = (part: string): boolean => only === undefined || only === part
-  const machines = ([Part.Joint, Part.Control] as const).filter(wants)
+  const machines = ([Part.Joint, Part.Control, Part.Dispatch] as const).filter(wants)
   const runs = machines.flatMap((part) => runsOfMachines(part, seed))
   if (!wants(Part.Program)) return runs
   const programs = await buildPrograms()
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -38,3 +38,6 @@
 export type { RelayAction, RelayEvent, RelayTiming } from './lib/relay/JobRelay'
 export { startDispatcher } from './lib/startDispatcher'
 export type { DispatcherOptions } from './lib/startDispatcher'
+export { runDispatchSoak } from './lib/soak/runDispatchSoak'
+export type { DispatchSoakOptions, DispatchSoakReport } from './lib/soak/runDispatchSoak'
+export { ArrivalOrder, JobOrder, SlackOrder } from './lib/scheduling/JobOrder'
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -55,7 +55,8 @@
     })
     const { jobs, runs } = this.#lifecycle
     this.#requests = new RequestHandler(this.#core, this.#lifecycle)
-    this.#scheduler = new Scheduler(this.#core, jobs, runs, new SlackOrder())
+    const order = options.order ?? new SlackOrder()
+    this.#scheduler = new Scheduler(this.#core, jobs, runs, order)
   }
 
   get counters(): Readonly<DispatchCounters> {
--- a/packages/dispatch/src/lib/DispatchOptions.ts
+++ b/packages/dispatch/src/lib/DispatchOptions.ts
@@ -1,3 +1,5 @@
+import type { JobOrder } from './scheduling/JobOrder'
+
 /** Times of dispatching, in milliseconds. @public */
 export interface DispatchTiming {
   /**
@@ -54,4 +56,6 @@
 /** @public */
 export interface DispatchOptions {
   readonly timing?: Partial<DispatchTiming>
+  /** Which waiting job gets the next free place; the least slack first by default. */
+  readonly order?: JobOrder
 }
--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -25,7 +25,7 @@
   /** True once its lists were read under the present fencing token. */
   isAdopted = false
   /** Ends up to this number were taken in. */
-  ackCursor = 0
+  acknowledgedEnd = 0
   /** Latest endpoint time until which anything may run there, by any order sent from here. */
   leaseEndsAt = -Infinity
   /** When the hold was sent that is not answered yet. */
@@ -142,7 +142,7 @@
     this.holdSentAt = undefined
     this.nextHoldAt = 0
     this.missedHolds = 0
-    this.ackCursor = 0
+    this.acknowledgedEnd = 0
   }
 }
 
--- a/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
+++ b/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
@@ -33,7 +33,7 @@
     if (leaseEndsAt !== undefined) {
       endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, leaseEndsAt)
     }
-    const { id, notice, ackCursor } = endpoint
+    const { id, notice, acknowledgedEnd } = endpoint
     const { address } = notice
     const timeoutMs = waitMs + timing.answerSlackMs
     this.core.emit({
@@ -44,7 +44,7 @@
         fencingToken: token,
         sentAt: now,
         leaseEndsAt,
-        ackCursor,
+        acknowledgedEnd,
         waitMs,
         timeoutMs,
       },
--- a/packages/dispatch/src/lib/gateway/EndpointGateway.ts
+++ b/packages/dispatch/src/lib/gateway/EndpointGateway.ts
@@ -49,7 +49,7 @@
   /** Endpoint's time until which its runs may go on; undefined leaves the lease as it is. */
   readonly leaseEndsAt: number | undefined
   /** Ends up to this position are taken in. */
-  readonly ackCursor: number
+  readonly acknowledgedEnd: number
   /** How long the answer may wait for an end, in milliseconds. */
   readonly waitMs: number
   readonly timeoutMs: number
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -201,8 +201,8 @@
     { task, run: number, position, end }: ListedRunEnd,
     isFirst: boolean,
   ): void {
-    if (position <= endpoint.ackCursor) return
-    endpoint.ackCursor = position
+    if (position <= endpoint.acknowledgedEnd) return
+    endpoint.acknowledgedEnd = position
     const run = endpoint.runs.get(task)
     if (run?.number === number) this.#finish(now, run, runEndOf(end))
     else if (isFirst && end === ListedEnd.Done) this.listener.onForeignDone(now, task)
--- a/packages/dispatch/src/lib/scheduling/JobOrder.ts
+++ b/packages/dispatch/src/lib/scheduling/JobOrder.ts
@@ -1,12 +1,13 @@
 import type { Job } from '../jobs/Job'
+import { latestStart } from './latestStart'
 
-/** Which waiting job gets the next free place. @internal */
+/** Which waiting job gets the next free place. @public */
 export abstract class JobOrder {
   /** The job with the smallest rank goes first. */
   abstract rank(now: number, job: Job): number
 }
 
-/** First come, first served: the baseline. @internal */
+/** First come, first served: the baseline. @public */
 export class ArrivalOrder extends JobOrder {
   override rank(_now: number, job: Job): number {
     return job.arrivedAt
@@ -20,12 +21,11 @@
  * The job that has to start first to be in time goes first. Those that can't be in time any more
  * get only what the others leave, the shortest first, so that they don't make others late.
  *
- * @internal
+ * @public
  */
 export class SlackOrder extends JobOrder {
   override rank(now: number, job: Job): number {
-    const remainingMs = job.remainingMs()
-    const latestStart = job.objectiveAt - remainingMs
-    return now <= latestStart ? latestStart : LATE_RANK + remainingMs
+    const latest = latestStart(job)
+    return now <= latest ? latest : LATE_RANK + job.remainingMs()
   }
 }
--- a/packages/dispatch/src/lib/scheduling/giveUp.ts
+++ b/packages/dispatch/src/lib/scheduling/giveUp.ts
@@ -1,5 +1,6 @@
 import { JobVerdict } from '@cherryhitch/protocol'
 import type { Job } from '../jobs/Job'
+import { latestStart } from './latestStart'
 
 /** A job that can't be served any more, and what its caller is told. @internal */
 export interface HopelessJob {
@@ -37,7 +38,7 @@
 
 /** True once a job can't be done within its objective any more. @internal */
 export function isOverdue(now: number, job: Job): boolean {
-  return now + job.remainingMs() > job.objectiveAt
+  return now > latestStart(job)
 }
 
 /**
--- /dev/null
+++ b/packages/dispatch/src/lib/scheduling/latestStart.ts
@@ -0,0 +1,20 @@
+import type { Job } from '../jobs/Job'
+
+/**
+ * What is spent beside waiting and working: the ways between caller, entry, leader and endpoint
+ * (some 12 ms on the users' platform), the order to start, and noticing the end.
+ */
+const PATH_MS = 25
+/**
+ * Share of the slack that grows with the work which is kept back, since estimates are off by 0.4
+ * (standard deviation of the logarithm) and a job that turns out shorter has less slack. Without
+ * both, at 1.5 times of what the places can do, 24 % of the jobs were in time and 66 % served, each
+ * started at the last moment and just late; with both 66 % are in time (overload.test.ts).
+ */
+const KEPT_SHARE = 0.25
+
+/** The last instant at which the rest of a job can start and be in time. @internal */
+export function latestStart(job: Job): number {
+  const slackMs = Math.max(0, job.route.stretch - 1) * job.chainMs
+  return job.objectiveAt - job.remainingMs() - PATH_MS - KEPT_SHARE * slackMs
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/scheduling/overload.test.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { JobVerdict } from '@cherryhitch/protocol'
+import { DispatchWorld } from '../soak/DispatchWorld'
+import { ArrivalOrder, SlackOrder } from './JobOrder'
+import type { JobOrder } from './JobOrder'
+
+/** Twelve places, runs of 120 ms: 100 tasks a second fill them. */
+const ENDPOINTS = 4
+const PLACES_EACH = 3
+const RUN_MS = 120
+const JOBS = 400
+/** Objective of a job: 1.6 times its work and 60 ms, by the estimate that was learnt. */
+const OBJECTIVE_MS = 1.6 * RUN_MS + 60
+
+interface Played {
+  readonly inTime: number
+  readonly refused: number
+  /** Longest time that a refused caller waited for its refusal. */
+  readonly longestRefusalMs: number
+  readonly violations: readonly string[]
+}
+
+/** Plays jobs of two tasks at a share of what the places can do. */
+function play(order: JobOrder, share: number): Played {
+  const world = new DispatchWorld({
+    leaders: 1,
+    endpoints: ENDPOINTS,
+    placesEach: PLACES_EACH,
+    random: () => 0.5,
+    order,
+  })
+  world.elect(0, 0)
+  world.run(1_200)
+  const gapMs = (2 * RUN_MS) / (ENDPOINTS * PLACES_EACH * share)
+  const sentAt = new Map<string, number>()
+  for (let i = 0; i < JOBS; i++) {
+    sentAt.set(`j${i}`, world.now)
+    world.submit(`j${i}`, 2, 1_500)
+    world.run(gapMs)
+  }
+  world.run(3_000)
+  const waits = [...world.outcomes].map(([id, { verdict }]) => {
+    return { verdict, ms: (world.answeredAt.get(id) ?? 0) - (sentAt.get(id) ?? 0) }
+  })
+  const done = waits.filter(({ verdict }) => verdict === JobVerdict.COMPLETED)
+  const refused = waits.filter(({ verdict }) => verdict === JobVerdict.REFUSED)
+  return {
+    inTime: done.filter(({ ms }) => ms <= OBJECTIVE_MS).length / JOBS,
+    refused: refused.length / JOBS,
+    longestRefusalMs: Math.max(0, ...refused.map(({ ms }) => ms)),
+    violations: world.violations,
+  }
+}
+
+describe('jobs that come at another pace than they can be done', () => {
+  it('are all served in time at three quarters of the places', () => {
+    const { inTime, refused, violations } = play(new SlackOrder(), 0.75)
+    assert.equal(refused, 0)
+    assert.ok(inTime > 0.98, `${inTime} in time`)
+    assert.deepEqual(violations, [])
+  })
+
+  it('are served as far as the places go at 1.5 times of them, and the rest is refused early', () => {
+    const { inTime, refused, longestRefusalMs, violations } = play(new SlackOrder(), 1.5)
+    assert.ok(inTime > 0.55, `${inTime} in time`)
+    assert.ok(refused < 0.4, `${refused} refused`)
+    assert.ok(longestRefusalMs < OBJECTIVE_MS, `${longestRefusalMs} ms until a refusal`)
+    assert.deepEqual(violations, [])
+  })
+
+  it('are served no worse by the least slack first than by first come, first served', () => {
+    for (const share of [0.75, 1, 1.5]) {
+      const slack = play(new SlackOrder(), share).inTime
+      const arrival = play(new ArrivalOrder(), share).inTime
+      assert.ok(slack >= arrival - 0.02, `${slack} against ${arrival} at ${share}`)
+    }
+  })
+})
--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -15,6 +15,7 @@
 import type { HoldOrder, StartOrder, StopOrder } from '../gateway/EndpointGateway'
 import { JobRelay, RelayActionKind, RelayEventKind } from '../relay/JobRelay'
 import type { RelayAction } from '../relay/JobRelay'
+import type { JobOrder } from '../scheduling/JobOrder'
 import { SimulatedEndpoint, TASK_CPU_MILLIS } from './SimulatedEndpoint'
 
 /** Draws of a run; all take numbers from 0 to 1. @internal */
@@ -34,6 +35,7 @@
   readonly placesEach: number
   readonly random: () => number
   readonly chances?: Partial<WorldChances>
+  readonly order?: JobOrder
 }
 
 const SERVICE = 'tracing'
@@ -43,6 +45,7 @@
 /** One way between instances and endpoints, in milliseconds. */
 const WAY_MS = 2
 const MAX_LEASE_MS = 1_000
+const HEARTBEAT_MS = 1_500
 
 const TABLE = create(RoutingTableSchema, {
   version: 1,
@@ -69,6 +72,8 @@
   now = 0
   readonly endpoints: SimulatedEndpoint[] = []
   readonly outcomes = new Map<string, JobOutcome>()
+  /** When each request was answered. */
+  readonly answeredAt = new Map<string, number>()
   readonly violations: string[] = []
   readonly startedTasks = new Map<string, number>()
   readonly #leaders: DispatchMachine[]
@@ -78,13 +83,14 @@
   readonly #cutFromQuorum = new Set<number>()
   #queue: Scheduled[] = []
   #scheduled = 0
+  #heartbeatDueAt = 0
   #term = 0
   #leader = 0
 
   constructor(private readonly options: DispatchWorldOptions) {
     this.#chances = { lostAnswer: 0, lateOrder: 0, failedRun: 0, ...options.chances }
     this.#leaders = Array.from({ length: options.leaders }, () => {
-      return new DispatchMachine({})
+      return new DispatchMachine(options.order === undefined ? {} : { order: options.order })
     })
     for (let i = 0; i < options.endpoints; i++) this.addEndpoint(`e${i}`)
   }
@@ -205,6 +211,7 @@
 
   #tick(): void {
     for (const endpoint of this.endpoints) endpoint.advance(this.now)
+    this.#sendHeartbeats()
     for (const [i, leader] of this.#leaders.entries()) {
       if (!this.#cutFromQuorum.has(i)) {
         this.#tell(i, { kind: DispatchEventKind.Confirmed, at: this.now - 2 * WAY_MS })
@@ -214,6 +221,20 @@
     this.#performRelay(this.#relay.tick(this.now))
   }
 
+  /** Endpoints announce themselves again to all that know them. */
+  #sendHeartbeats(): void {
+    if (this.now < this.#heartbeatDueAt) return
+    this.#heartbeatDueAt = this.now + HEARTBEAT_MS
+    for (const endpoint of this.endpoints) {
+      const notice = endpoint.notice()
+      for (const [i, leader] of this.#leaders.entries()) {
+        const known = leader.notices(this.now)
+        if (!known.some((other) => other.endpoint === notice.endpoint)) continue
+        this.#tell(i, { kind: DispatchEventKind.Notice, notice })
+      }
+    }
+  }
+
   #tell(leader: number, event: DispatchEvent): void {
     const machine = this.#leaders[leader]
     if (machine !== undefined) this.#perform(leader, machine.step(this.now, event))
@@ -264,6 +285,7 @@
 
   #onOutcome(outcome: JobOutcome): void {
     this.outcomes.set(outcome.requestId, outcome)
+    this.answeredAt.set(outcome.requestId, this.now)
     if (outcome.verdict !== JobVerdict.REFUSED) return
     const ran = [...this.startedTasks.keys()].find((task) =>
       task.startsWith(`${outcome.requestId}.`),
--- a/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
@@ -111,7 +111,7 @@
     if (order.fencingToken < this.fence) return HoldFailure.Fenced
     this.fence = order.fencingToken
     if (order.leaseEndsAt !== undefined) this.renew(now, order.leaseEndsAt)
-    this.ended = this.ended.filter(({ position }) => position > order.ackCursor)
+    this.ended = this.ended.filter(({ position }) => position > order.acknowledgedEnd)
     const running = [...this.running.values()].map(({ task, run }) => ({ task, run }))
     return { clockMs: this.clock(now), running, ended: [...this.ended] }
   }
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.ts
@@ -1,14 +1,14 @@
 import { JobVerdict } from '@cherryhitch/protocol'
 import { DispatchWorld } from './DispatchWorld'
 
-/** What a random run showed. @internal */
+/** What a random run showed. @public */
 export interface DispatchSoakReport {
   readonly violations: readonly string[]
   readonly completed: number
   readonly submitted: number
 }
 
-/** @internal */
+/** @public */
 export interface DispatchSoakOptions {
   /** Whether nobody leads for up to 1.5 s between two leaders. */
   readonly hasGaps?: boolean
@@ -23,7 +23,7 @@
  * One random run: jobs arrive, orders get lost or come late, endpoints are cut off and come anew,
  * and the leadership changes while the old leader still believes in its own.
  *
- * @internal
+ * @public
  */
 export function runDispatchSoak(
   seed: number,
