--- a/apps/cherryhitch/src/lib/dispatching/JoinKeeper.ts
+++ b/apps/cherryhitch/src/lib/dispatching/JoinKeeper.ts
@@ -4,6 +4,9 @@
 import type { PartLog } from '@cherryhitch/telemetry'
 import { Effect } from 'effect'
 
+/** The leader's list of voters is read once a second, so the outcome shows by then. */
+const ASK_AGAIN_MS = 1_500
+
 /** @internal */
 export interface JoinKeeperOptions {
   readonly instance: string
@@ -23,6 +26,7 @@
 export class JoinKeeper {
   private isAsking = false
   private asked = 0
+  private askDueAt = -Infinity
 
   constructor(private readonly options: JoinKeeperOptions) {}
 
@@ -30,7 +34,8 @@
     const { control } = this.options
     const diskId = control.diskId()
     const status = control.status()
-    if (this.isAsking || diskId === undefined || status === undefined) return
+    if (this.isAsking || this.options.now() < this.askDueAt) return
+    if (diskId === undefined || status === undefined) return
     if (status.members.some((member) => member.diskId === diskId)) return
     this.ask(diskId)
   }
@@ -38,6 +43,7 @@
   private ask(diskId: string): void {
     const { instance, boot, control, now, log } = this.options
     this.isAsking = true
+    this.askDueAt = now() + ASK_AGAIN_MS
     const commandId = `join.${diskId}.${boot}.${++this.asked}`
     const kind = VoterChangeKind.ADD_LEARNER
     const reason = 'its instance has joined'
--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -160,7 +160,7 @@
 /** Who hosts voters and who leads, as the log knows it here. */
 function votersOf(control: ControlNode, machine: DispatchMachine, instance: string) {
   const instances = control.status()?.members.map((member) => member.instance) ?? []
-  const known = control.leader()
+  const known = control.followedLeader()
   // The own leadership counts once everything that was committed before is known here.
   const leader = known === instance && !machine.leads ? '' : known
   return { instances, leader, term: control.term() }
--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -167,6 +167,10 @@
     return voter !== undefined && voter.leader !== '' ? voter.leader : client.leader
   }
 
+  followedLeader(): string {
+    return this.#parts.voter?.leader ?? ''
+  }
+
   followedBefore(term: number): number | undefined {
     return this.#parts.voter?.followedBefore(term)
   }
--- a/packages/control/src/lib/node/ControlNode.ts
+++ b/packages/control/src/lib/node/ControlNode.ts
@@ -136,6 +136,11 @@
     return this.#host.leader()
   }
 
+  /** Instance that this instance's voter follows or that it is; empty while it hears of none. */
+  followedLeader(): string {
+    return this.#host.followedLeader()
+  }
+
   /**
    * When this process last followed a leader of an earlier term, in milliseconds of its clock;
    * undefined if it never did.
--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
@@ -85,6 +85,22 @@
     assert.equal(entry.leader, '')
   })
 
+  it('passes on only the leader that its own voter follows', () => {
+    const options = { instance: 'a', zone: 'z', hostsVoter: true, seeds: ['a', 'b'] }
+    const host = new DiscoveryMachine({ ...options, startedAt: 0 })
+    const leadersTold = (actions: readonly DiscoveryAction[]): string[] => {
+      return actions.flatMap((action) => {
+        if (action.kind !== DiscoveryActionKind.Send) return []
+        const { body } = action.envelope
+        return body.case === 'instanceDirectory' ? body.value.leader : []
+      })
+    }
+    host.step(0, told('b', 'x', 3))
+    assert.deepEqual(leadersTold(host.step(1, announced('entry', false, 100))), [''])
+    host.step(2, { kind: DiscoveryEventKind.Voters, instances: [], leader: 'x', term: 3 })
+    assert.deepEqual(leadersTold(host.step(3, announced('entry', false, 102))), ['x'])
+  })
+
   it('tells all who rely on it that it leads no more', () => {
     const options = { instance: 'a', zone: 'z', hostsVoter: true, seeds: ['a', 'b'] }
     const host = new DiscoveryMachine({ ...options, startedAt: 0 })
--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
@@ -112,6 +112,11 @@
   #announceDueAt = -Infinity
   #announceToOthersDueAt = -Infinity
   #leader = ''
+  /**
+   * The leader as the own voter knows it. Only this is passed on: two instances that are cut off
+   * together would else tell each other of a lost leader again and again.
+   */
+  #followed = { leader: '', term: 0 }
   #term = 0
   #leaderHeardAt = -Infinity
   #out: DiscoveryAction[] = []
@@ -145,6 +150,7 @@
         break
       case DiscoveryEventKind.Voters:
         for (const instance of event.instances) this.#told.set(instance, now)
+        this.#followed = { leader: event.leader, term: event.term }
         this.#noteLeader(now, event.leader, event.term)
         if (event.leader !== '') this.#leaderHeardAt = now
         else if (this.#leader === this.#options.instance) this.#setLeader('', event.term)
@@ -192,7 +198,7 @@
   #directory(): Envelope {
     const { instance, hostsVoter } = this.#options
     const voterHosts = [...this.voterHosts, ...(hostsVoter ? [instance] : [])]
-    const value = { voterHosts, leader: this.#leader, term: this.#term }
+    const value = { voterHosts, ...this.#followed }
     return envelope({ case: 'instanceDirectory', value })
   }
 
