--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -8,26 +8,16 @@
 import type { EndpointNotice, Envelope, JobOutcome } from '@cherryhitch/protocol'
 import { DispatchActionKind } from '../DispatchAction'
 import type { DispatchAction } from '../DispatchAction'
-import { DispatchEventKind, HoldFailure } from '../DispatchEvent'
+import { DispatchEventKind } from '../DispatchEvent'
 import type { DispatchEvent } from '../DispatchEvent'
 import { DispatchMachine } from '../DispatchMachine'
-import { StartResult } from '../gateway/EndpointGateway'
-import type { HoldOrder, StartOrder, StopOrder } from '../gateway/EndpointGateway'
 import { JobRelay, RelayActionKind, RelayEventKind } from '../relay/JobRelay'
 import type { RelayAction } from '../relay/JobRelay'
 import type { JobOrder } from '../scheduling/JobOrder'
+import { OrderCarrier, WAY_MS } from './OrderCarrier'
+import type { WorldChances } from './OrderCarrier'
 import { SimulatedEndpoint, TASK_CPU_MILLIS } from './SimulatedEndpoint'
 
-/** Draws of a run; all take numbers from 0 to 1. @internal */
-export interface WorldChances {
-  /** An order is carried out, and its answer is lost. */
-  readonly lostAnswer: number
-  /** An order is carried out seconds later and not answered. */
-  readonly lateOrder: number
-  /** A run fails. */
-  readonly failedRun: number
-}
-
 /** @internal */
 export interface DispatchWorldOptions {
   readonly leaders: number
@@ -42,8 +32,6 @@
 const HOST = 'calls'
 const ENTRY = 'entry'
 const TICK_MS = 10
-/** One way between instances and endpoints, in milliseconds. */
-const WAY_MS = 2
 const MAX_LEASE_MS = 1_000
 const HEARTBEAT_MS = 1_500
 
@@ -78,7 +66,7 @@
   readonly startedTasks = new Map<string, number>()
   readonly #leaders: DispatchMachine[]
   readonly #relay = new JobRelay()
-  readonly #chances: WorldChances
+  readonly #orders: OrderCarrier
   readonly #cutEndpoints = new Map<number, Set<string>>()
   readonly #cutFromQuorum = new Set<number>()
   #queue: Scheduled[] = []
@@ -88,7 +76,19 @@
   #leader = 0
 
   constructor(private readonly options: DispatchWorldOptions) {
-    this.#chances = { lostAnswer: 0, lateOrder: 0, failedRun: 0, ...options.chances }
+    this.#orders = new OrderCarrier({
+      endpoints: this.endpoints,
+      chances: { lostAnswer: 0, lateOrder: 0, failedRun: 0, ...options.chances },
+      random: options.random,
+      now: () => this.now,
+      after: (ms, run) => {
+        this.after(ms, run)
+      },
+      tell: (leader, event) => {
+        this.#tell(leader, event)
+      },
+      isCut: (leader, endpoint) => this.#isCut(leader, endpoint),
+    })
     this.#leaders = Array.from({ length: options.leaders }, () => {
       return new DispatchMachine(options.order === undefined ? {} : { order: options.order })
     })
@@ -242,9 +242,9 @@
 
   #perform(leader: number, actions: readonly DispatchAction[]): void {
     for (const action of actions) {
-      if (action.kind === DispatchActionKind.Hold) this.#hold(leader, action.order)
-      else if (action.kind === DispatchActionKind.Start) this.#start(leader, action.order)
-      else if (action.kind === DispatchActionKind.Stop) this.#stop(leader, action.order)
+      if (action.kind === DispatchActionKind.Hold) this.#orders.hold(leader, action.order)
+      else if (action.kind === DispatchActionKind.Start) this.#orders.start(leader, action.order)
+      else if (action.kind === DispatchActionKind.Stop) this.#orders.stop(leader, action.order)
       else if (action.kind === DispatchActionKind.Spread) this.#spread(leader, action.notice)
       else if (action.kind === DispatchActionKind.Answer) {
         const { outcome } = action
@@ -293,132 +293,6 @@
     if (ran !== undefined) this.violations.push(`${outcome.requestId} was refused, but ${ran} ran`)
   }
 
-  #hold(leader: number, order: HoldOrder): void {
-    const { endpoint, fencingToken: token, sentAt } = order
-    const fail = (failure: HoldFailure): void => {
-      const detail = 'simulated'
-      const kind = DispatchEventKind.HoldFailed
-      this.#tell(leader, { kind, endpoint, token, sentAt, failure, detail })
-    }
-    this.#order(
-      leader,
-      order,
-      (target, answer) => {
-        const begin = this.now
-        const poll = (): void => {
-          const report = target.hold(this.now, order)
-          const isOver = this.now - begin >= order.waitMs
-          if (typeof report !== 'string' && report.ended.length === 0 && !isOver) {
-            this.after(1, poll)
-            return
-          }
-          answer(() => {
-            if (typeof report === 'string') fail(report)
-            else
-              this.#tell(leader, {
-                kind: DispatchEventKind.HoldAnswered,
-                endpoint,
-                token,
-                sentAt,
-                report,
-              })
-          })
-        }
-        poll()
-      },
-      () => {
-        fail(HoldFailure.NoAnswer)
-      },
-    )
-  }
-
-  #start(leader: number, order: StartOrder): void {
-    const { endpoint, fencingToken: token, task, run } = order
-    const told = (result: StartResult): void => {
-      this.#tell(leader, {
-        kind: DispatchEventKind.StartAnswered,
-        endpoint,
-        token,
-        task,
-        run,
-        result,
-      })
-    }
-    this.#order(
-      leader,
-      order,
-      (target, answer) => {
-        const { random } = this.options
-        const runMs = 20 + random() * 200
-        const result = target.start(this.now, order, runMs, random() < this.#chances.failedRun)
-        answer(() => {
-          told(result)
-        })
-      },
-      () => {
-        told(StartResult.Unknown)
-      },
-    )
-  }
-
-  #stop(leader: number, order: StopOrder): void {
-    const { endpoint, fencingToken: token, task, run } = order
-    const told = (confirmed: boolean): void => {
-      this.#tell(leader, {
-        kind: DispatchEventKind.StopAnswered,
-        endpoint,
-        token,
-        task,
-        run,
-        confirmed,
-      })
-    }
-    this.#order(
-      leader,
-      order,
-      (target, answer) => {
-        const confirmed = target.stop(this.now, order)
-        answer(() => {
-          told(confirmed)
-        })
-      },
-      () => {
-        told(false)
-      },
-    )
-  }
-
-  /** Brings an order to its endpoint and the answer back, or neither, or both late. */
-  #order(
-    leader: number,
-    order: HoldOrder | StartOrder | StopOrder,
-    carryOut: (target: SimulatedEndpoint, answer: (tell: () => void) => void) => void,
-    onTimeout: () => void,
-  ): void {
-    const { random } = this.options
-    const target = this.endpoints.find(({ options }) => options.id === order.endpoint)
-    let isSettled = false
-    const settle = (tell: () => void): void => {
-      if (isSettled) return
-      isSettled = true
-      tell()
-    }
-    this.after(order.timeoutMs, () => {
-      settle(onTimeout)
-    })
-    if (target === undefined || this.#isCut(leader, order.endpoint)) return
-    const isLate = random() < this.#chances.lateOrder
-    const isLost = isLate || random() < this.#chances.lostAnswer
-    this.after(isLate ? 2_000 + random() * 3_000 : WAY_MS, () => {
-      carryOut(target, (tell) => {
-        if (isLost || this.#isCut(leader, order.endpoint)) return
-        this.after(WAY_MS, () => {
-          settle(tell)
-        })
-      })
-    })
-  }
-
   #isCut(leader: number, endpoint: string): boolean {
     return this.#cutEndpoints.get(leader)?.has(endpoint) ?? false
   }
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.ts
@@ -45,7 +45,7 @@
     world.run(STEP_MS)
     if (random() < 0.6) world.submit(`j${submitted++}`, 1 + below(4), 800 + below(3_000))
     if (random() < 0.05) {
-      world.elect(below(LEADERS), below(1_000), hasGaps ? below(1_500) : 0)
+      world.elect(below(LEADERS), below(hasGaps ? 4_000 : 1_000), hasGaps ? below(1_500) : 0)
     }
     if (random() < 0.1) {
       world.cut(below(LEADERS), `e${below(world.endpoints.length)}`, below(2_000))
