--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -3,9 +3,6 @@
 import type { Run } from '../runs/Run'
 import { EndpointClock } from './EndpointClock'
 
-/** Labels of racks begin so on every deployment that was seen. */
-const RACK_LABEL = /^r\d/
-
 /** Measured slowness changes by some percent a second at most, in milliseconds. */
 const SLOWNESS_REUSE_MS = 200
 
@@ -95,10 +92,6 @@
     return this.#noticedAt
   }
 
-  get rack(): string {
-    return this.#notice.labels.find((label) => RACK_LABEL.test(label)) ?? ''
-  }
-
   /** False for a notice that is older than the last one. */
   take(now: number, notice: EndpointNotice): boolean {
     if (notice.sequence <= this.#notice.sequence) return false
--- a/packages/dispatch/src/lib/gateway/EndpointGateway.ts
+++ b/packages/dispatch/src/lib/gateway/EndpointGateway.ts
@@ -106,6 +106,4 @@
   abstract start(order: StartOrder): Effect.Effect<StartResult>
   /** True once the endpoint confirmed that the run is stopped and won't begin. */
   abstract stop(order: StopOrder): Effect.Effect<boolean>
-  /** Closes the connections to an endpoint that is gone. */
-  abstract forget(address: string): void
 }
