Split addresses in one place, age notices in one place, drop what nothing reads

Splitting host and port stood three times (HTTP client, stand-ins, the platform's programs); the one in model keeps the brackets rule of the client. The present age of a notice was worked out twice. The start of a leadership, a list of all jobs and a field of outcomes had no reader.

--- a/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
@@ -7,7 +7,7 @@
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import type { ProcessContext } from './openProcess'
-import { splitAddress } from './splitAddress'
+import { splitAddress } from '@cherryhitch/model'
 import type { DispatchLinks } from './startDispatchLinks'
 
 /** A quarter of the pace of announcements, in milliseconds. */
--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -51,7 +51,6 @@
   }
   /** Term in which this instance leads, which is its fencing token; undefined if it doesn't. */
   token: number | undefined
-  leadsSince = 0
   /** No earlier leader was confirmed by a majority after this time. */
   earlierLeadersUntil = 0
   /** True once a majority of the voters told this leader all endpoints that it knows. */
@@ -92,9 +91,7 @@
 }
 
 /** What an outcome says beside its verdict. @internal */
-export type OutcomeFields = Partial<
-  Pick<JobOutcome, 'reason' | 'retryAfterMs' | 'pending' | 'leader'>
->
+export type OutcomeFields = Partial<Pick<JobOutcome, 'reason' | 'retryAfterMs' | 'pending'>>
 
 /** Whom an estimate is learned for: each route's tasks are alike. @internal */
 export function estimateSubject(route: Route, declaredMs: number): EstimateSubject {
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -173,7 +173,6 @@
     const core = this.#core
     if (core.token !== undefined) this.#stepDown()
     core.token = term
-    core.leadsSince = now
     core.earlierLeadersUntil = now
     core.hasDirectory = false
     core.confirmedAt = -Infinity
@@ -226,9 +225,7 @@
   /** All who may lead get to know it before anything is started there. */
   #spread(now: number, endpoint: EndpointRecord): void {
     endpoint.spreadAt = now
-    const ageMs = Math.max(0, now - endpoint.noticedAt)
-    const notice = { ...endpoint.notice, ageMs }
-    this.#core.emit({ kind: DispatchActionKind.Spread, notice })
+    this.#core.emit({ kind: DispatchActionKind.Spread, notice: endpoint.noticeAt(now) })
   }
 
   #onHoldAnswered(now: number, event: EventOf<DispatchEventKind.HoldAnswered>): void {
--- a/packages/dispatch/src/lib/endpoints/EndpointBook.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointBook.ts
@@ -50,8 +50,6 @@
 
   /** The notices as others are to get them, with their present ages. */
   notices(now: number): EndpointNotice[] {
-    return [...this.#records.values()].map(({ notice, noticedAt }) => {
-      return { ...notice, ageMs: Math.max(0, now - noticedAt) }
-    })
+    return [...this.#records.values()].map((record) => record.noticeAt(now))
   }
 }
--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -84,6 +84,11 @@
     return this.#notice
   }
 
+  /** The notice as others are to get it, with its present age. */
+  noticeAt(now: number): EndpointNotice {
+    return { ...this.#notice, ageMs: Math.max(0, now - this.#noticedAt) }
+  }
+
   get service(): string {
     return this.#notice.service
   }
--- a/packages/dispatch/src/lib/jobs/JobBook.ts
+++ b/packages/dispatch/src/lib/jobs/JobBook.ts
@@ -35,10 +35,6 @@
     return [...this.#jobs.values()].filter((job) => !job.isClosed)
   }
 
-  all(): IterableIterator<Job> {
-    return this.#jobs.values()
-  }
-
   get(id: string): Job | undefined {
     return this.#jobs.get(id)
   }
--- a/packages/http-client/src/lib/exchange.ts
+++ b/packages/http-client/src/lib/exchange.ts
@@ -1,5 +1,6 @@
 import http from 'node:http'
 import type { Socket } from 'node:net'
+import { splitAddress } from '@cherryhitch/model'
 import { Data, Effect } from 'effect'
 
 /** One HTTP request and the bounds of its answer. @public */
@@ -150,9 +151,3 @@
     this.resume(end)
   }
 }
-
-function splitAddress(address: string): { host: string; port: number } {
-  const cut = address.lastIndexOf(':')
-  const host = address.slice(0, cut).replace(/^\[|\]$/g, '')
-  return { host, port: Number(address.slice(cut + 1)) }
-}
--- a/packages/stand-ins/src/lib/http/requestJson.ts
+++ b/packages/stand-ins/src/lib/http/requestJson.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import { Effect } from 'effect'
-import { splitAddress } from '../util/splitAddress'
+import { splitAddress } from '@cherryhitch/model'
 import { parseJson } from './serverReplies'
 
 /** How a request got no answer. @public */
