Give adopted runs their estimate, so that a new leader doesn't stop long ones

Cause: a run that a new leader found on an endpoint kept an expected length of 0 when its job came back, so it counted as hanging after 300 ms and was stopped; a task of 0.9 s was always begun anew after a change of the leader. Ruled out: the order of events; it happened with the job before and after the lists. Change: adopting a run sets its expected length as a start does. Before: in the new test each of four tasks of 900 ms was started twice after a change of the leader. Conclusion: work under way outlives the change.

--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -8,6 +8,7 @@
 import { defaultDispatchTiming } from './DispatchOptions'
 import type { DispatchOptions, DispatchTiming } from './DispatchOptions'
 import { EndpointBook } from './endpoints/EndpointBook'
+import type { EndpointRecord } from './endpoints/EndpointRecord'
 import type { JobWaiter } from './jobs/Job'
 
 /** Numbers of the dispatcher; all but `jobs_open` only rise. @internal */
@@ -69,6 +70,11 @@
     return this.confirmedAt + this.timing.leaderLeaseMs
   }
 
+  /** Run times at an endpoint over those of the same work at its peers. */
+  slownessOf(now: number, endpoint: EndpointRecord): number {
+    return endpoint.slowness(now, () => this.slowness.slowness(now, endpoint.id))
+  }
+
   emit(action: DispatchAction): void {
     this.#out.push(action)
   }
--- a/packages/dispatch/src/lib/DispatchMachine.takeover.test.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.takeover.test.ts
@@ -20,6 +20,19 @@
     for (const [task, starts] of world.startedTasks) assert.equal(starts, 1, task)
   })
 
+  it('lets what it finds running take as long as the caller said', () => {
+    const runs = { runMs: 900, placesEach: 4, random: middle }
+    const world = new DispatchWorld({ leaders: 2, endpoints: 2, ...runs })
+    world.elect(0, 0)
+    world.run(100)
+    world.submit('a', 4, { estimateMs: 900 })
+    world.run(20)
+    world.elect(1, 500)
+    world.run(1_500)
+    assert.equal(world.outcomes.get('a')?.verdict, JobVerdict.COMPLETED)
+    for (const [task, starts] of world.startedTasks) assert.equal(starts, 1, task)
+  })
+
   it('waits for the leases of an endpoint that it cannot reach', () => {
     const world = new DispatchWorld({ leaders: 2, endpoints: 2, placesEach: 4, random: middle })
     world.elect(0, 0)
--- a/packages/dispatch/src/lib/jobs/Job.ts
+++ b/packages/dispatch/src/lib/jobs/Job.ts
@@ -103,6 +103,11 @@
     return step
   }
 
+  /** Estimated run time of a task, in milliseconds. */
+  runMs(task: Task): number {
+    return this.#ms(task.step)
+  }
+
   /** Run time still ahead on the longest chain, in milliseconds, if all waiting tasks began now. */
   remainingMs(): number {
     const left = this.spec.steps.map((_, step) => (this.#isStepDone(step) ? 0 : this.#ms(step)))
--- a/packages/dispatch/src/lib/jobs/JobLifecycle.ts
+++ b/packages/dispatch/src/lib/jobs/JobLifecycle.ts
@@ -67,15 +67,15 @@
     else if (task.run === undefined && task.state !== TaskState.Done) this.#onTaskDone(now, task)
   }
 
-  onForeignRun(run: Run): void {
+  onForeignRun(now: number, run: Run): void {
     const task = this.#findTask(run.name)
     if (task?.run !== undefined || task?.state === TaskState.Done) return
-    if (task !== undefined) this.#recall(task.job, task)
+    if (task !== undefined) this.#recall(now, task.job, task)
   }
 
   /** A job that is new here goes on where an earlier leader left it. */
   resume(now: number, job: Job): void {
-    for (const task of job.tasks) this.#recall(job, task)
+    for (const task of job.tasks) this.#recall(now, job, task)
     job.unblock()
     if (job.isDone) this.jobs.close(now, job, JobVerdict.COMPLETED, { reason: 'done before' })
   }
@@ -94,8 +94,8 @@
   }
 
   /** What an earlier leader started, or saw done, needs not begin anew. */
-  #recall(job: Job, task: Task): void {
-    if (this.runs.adopt(task, job.step(task).needs)) job.hasStarted = true
+  #recall(now: number, job: Job, task: Task): void {
+    if (this.runs.adopt(now, task)) job.hasStarted = true
     else if (this.#foreignDone.delete(task.name)) task.state = TaskState.Done
   }
 
--- a/packages/dispatch/src/lib/runs/Run.ts
+++ b/packages/dispatch/src/lib/runs/Run.ts
@@ -38,8 +38,8 @@
   readonly orderEndsAt: number
   /** When the endpoint said that it runs. */
   confirmedAt: number | undefined
-  /** Estimated length on this endpoint, in milliseconds. */
-  readonly expectedMs: number
+  /** Estimated length on this endpoint, in milliseconds; 0 while its job is not known. */
+  expectedMs: number
   /** When the endpoint confirmed the order to stop. */
   stopConfirmedAt: number | undefined
   /** When to order the stop again. */
--- a/packages/dispatch/src/lib/runs/RunHealth.ts
+++ b/packages/dispatch/src/lib/runs/RunHealth.ts
@@ -42,7 +42,7 @@
     health.recordSuccess(now, { endpoint: endpoint.id, service, jobId: job.id }, runMs)
     // How long it took tells nothing when it was told to stop meanwhile.
     if (stopReason !== '') return
-    const estimateMs = job.stepMs[task.step] ?? 0
+    const estimateMs = job.runMs(task)
     const factor = slowness.slowness(now, endpoint.id)
     slowness.observe(now, { endpoint: endpoint.id, service, estimateMs, runMs })
     const declaredMs = job.step(task).estimateMs
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -1,4 +1,3 @@
-import type { EndpointCapacity } from '@cherryhitch/protocol'
 import { DispatchActionKind, Stage } from '../DispatchAction'
 import type { DispatchCore } from '../DispatchCore'
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
@@ -14,7 +13,7 @@
 export interface RunListener {
   onRunOver(now: number, run: Run, end: RunEnd): void
   /** A run of an earlier leader was found; its job may be known here already. */
-  onForeignRun(run: Run): void
+  onForeignRun(now: number, run: Run): void
   /** A run of an earlier leader ended as done. */
   onForeignDone(now: number, name: string): void
 }
@@ -143,12 +142,13 @@
   }
 
   /** A run of an earlier leader goes on for the job that was submitted again. */
-  adopt(task: Task, needs: EndpointCapacity | undefined): boolean {
+  adopt(now: number, task: Task): boolean {
     const run = this.#orphans.get(task.name)
     if (run === undefined) return false
     this.#orphans.delete(task.name)
     run.task = task
-    run.needs = needs
+    run.needs = task.job.step(task).needs
+    run.expectedMs = task.job.runMs(task) * this.core.slownessOf(now, run.endpoint)
     run.endpoint.noteNeeds()
     task.run = run
     task.lastRun = Math.max(task.lastRun, run.number)
@@ -224,7 +224,7 @@
       return
     }
     this.#orphans.set(listed.task, orphan)
-    this.listener.onForeignRun(orphan)
+    this.listener.onForeignRun(now, orphan)
   }
 
   /** Why a run is over that its endpoint doesn't list; undefined while that is open. */
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -89,7 +89,7 @@
     const picked = pickEndpoint(task, needs, candidates)
     if (picked === undefined) return false
     const { endpoint, slowness } = picked
-    const expectedMs = (job.stepMs[task.step] ?? 0) * slowness
+    const expectedMs = job.runMs(task) * slowness
     if (!this.runs.start(now, task, endpoint, expectedMs)) return false
     if (job.firstStartAt === undefined) this.#noteFirstStart(now, job)
     job.hasStarted = true
--- a/packages/dispatch/src/lib/scheduling/overload.test.ts
+++ b/packages/dispatch/src/lib/scheduling/overload.test.ts
@@ -36,7 +36,7 @@
   const sentAt = new Map<string, number>()
   for (let i = 0; i < JOBS; i++) {
     sentAt.set(`j${i}`, world.now)
-    world.submit(`j${i}`, 2, 1_500)
+    world.submit(`j${i}`, 2, { deadlineMs: 1_500 })
     world.run(gapMs)
   }
   world.run(3_000)
--- a/packages/dispatch/src/lib/scheduling/pickEndpoint.ts
+++ b/packages/dispatch/src/lib/scheduling/pickEndpoint.ts
@@ -31,8 +31,7 @@
     const health = core.health.state(now, endpoint.id)
     if (health === HealthState.Ejected) continue
     if (health === HealthState.Probation && endpoint.runs.size > 0) continue
-    const slowness = endpoint.slowness(now, () => core.slowness.slowness(now, endpoint.id))
-    const candidate = { endpoint, slowness, health }
+    const candidate = { endpoint, slowness: core.slownessOf(now, endpoint), health }
     const list = byService.get(endpoint.service)
     if (list === undefined) byService.set(endpoint.service, [candidate])
     else list.push(candidate)
--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -26,6 +26,15 @@
   readonly random: () => number
   readonly chances?: Partial<WorldChances>
   readonly order?: JobOrder
+  /** How long each run takes, in milliseconds; drawn from 20 to 220 by default. */
+  readonly runMs?: number
+}
+
+/** @internal */
+export interface SubmitOptions {
+  readonly deadlineMs?: number
+  /** What the caller believes that each task takes, in milliseconds. */
+  readonly estimateMs?: number
 }
 
 const SERVICE = 'tracing'
@@ -79,6 +88,7 @@
     this.#orders = new OrderCarrier({
       endpoints: this.endpoints,
       chances: { lostAnswer: 0, lateOrder: 0, failedRun: 0, ...options.chances },
+      drawRunMs: () => options.runMs ?? 20 + options.random() * 200,
       random: options.random,
       now: () => this.now,
       after: (ms, run) => {
@@ -167,9 +177,13 @@
     })
   }
 
-  submit(id: string, tasks: number, deadlineMs = 5_000): void {
+  submit(
+    id: string,
+    tasks: number,
+    { deadlineMs = 5_000, estimateMs = 60 }: SubmitOptions = {},
+  ): void {
     const needs = { cpuMillis: TASK_CPU_MILLIS, memoryMb: 1 }
-    const step = create(JobStepSchema, { count: tasks, needs, estimateMs: 60 })
+    const step = create(JobStepSchema, { count: tasks, needs, estimateMs })
     const spec = create(SteppedJobSchema, { jobId: id, payload: 'p', steps: [step] })
     const place = {
       host: HOST,
--- a/packages/dispatch/src/lib/soak/OrderCarrier.ts
+++ b/packages/dispatch/src/lib/soak/OrderCarrier.ts
@@ -18,6 +18,8 @@
 export interface OrderWorld {
   readonly endpoints: readonly SimulatedEndpoint[]
   readonly chances: WorldChances
+  /** How long the next run takes, in milliseconds. */
+  readonly drawRunMs: () => number
   readonly random: () => number
   readonly now: () => number
   readonly after: (ms: number, run: () => void) => void
@@ -87,14 +89,9 @@
       leader,
       order,
       (target, answer) => {
-        const { random } = this.world
-        const runMs = 20 + random() * 200
-        const result = target.start(
-          this.world.now(),
-          order,
-          runMs,
-          random() < this.world.chances.failedRun,
-        )
+        const { random, drawRunMs, chances } = this.world
+        const runMs = drawRunMs()
+        const result = target.start(this.world.now(), order, runMs, random() < chances.failedRun)
         answer(() => {
           told(result)
         })
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.ts
@@ -43,7 +43,9 @@
   let submitted = 0
   for (let step = 0; step < steps; step++) {
     world.run(STEP_MS)
-    if (random() < 0.6) world.submit(`j${submitted++}`, 1 + below(4), 800 + below(3_000))
+    if (random() < 0.6) {
+      world.submit(`j${submitted++}`, 1 + below(4), { deadlineMs: 800 + below(3_000) })
+    }
     if (random() < 0.05) {
       world.elect(below(LEADERS), below(hasGaps ? 4_000 : 1_000), hasGaps ? below(1_500) : 0)
     }
