--- a/apps/cherryhitch/src/lib/dispatching/DispatchParts.ts
+++ b/apps/cherryhitch/src/lib/dispatching/DispatchParts.ts
@@ -1,15 +1,15 @@
 import type { ControlNode } from '@cherryhitch/control'
 import { DiscoveryEventKind, DispatchEventKind } from '@cherryhitch/dispatch'
-import type { DispatchEvent } from '@cherryhitch/dispatch'
+import type { DispatchEvent, Dispatcher, OrderProxy } from '@cherryhitch/dispatch'
 import type { Envelope } from '@cherryhitch/protocol'
-import type { Part } from '@cherryhitch/runtime'
 import { LateBound } from '../instance/LateBound'
 import type { NoticeExchange } from './NoticeExchange'
 import type { DiscoveryPart } from './startDiscovery'
 
 /** The parts of a dispatching instance that take messages, bound once each has started. @internal */
 export class DispatchParts {
-  readonly dispatcher = new LateBound<Part<DispatchEvent>>()
+  readonly dispatcher = new LateBound<Dispatcher>()
+  readonly proxy = new LateBound<OrderProxy>()
   readonly control = new LateBound<ControlNode>()
   readonly discovery = new LateBound<DiscoveryPart>()
   readonly notices = new LateBound<NoticeExchange>()
@@ -26,6 +26,10 @@
       case 'abandonJob':
         this.#dispatch({ kind: DispatchEventKind.Abandon, from, req: body.value })
         return
+      case 'endpointOrders':
+      case 'endpointAnswers':
+        this.#receiveOrders(from, body)
+        return
       case 'announceInstance':
       case 'instanceDirectory':
         this.#receiveDiscovery(from, body)
@@ -62,6 +66,20 @@
     })
   }
 
+  #receiveOrders(from: string, body: OrderBody): void {
+    if (body.case === 'endpointOrders') {
+      const { orders } = body.value
+      this.proxy.use((proxy) => {
+        proxy.onOrders(from, orders)
+      })
+      return
+    }
+    const { answers } = body.value
+    this.dispatcher.use((dispatcher) => {
+      dispatcher.onAnswers(from, answers)
+    })
+  }
+
   #receiveDiscovery(from: string, body: DiscoveryBody): void {
     this.discovery.use((part) => {
       if (body.case === 'announceInstance') {
@@ -92,6 +110,7 @@
 }
 
 type BodyOf<C extends Envelope['body']['case']> = Extract<Envelope['body'], { case: C }>
+type OrderBody = BodyOf<'endpointOrders' | 'endpointAnswers'>
 type DiscoveryBody = BodyOf<'announceInstance' | 'instanceDirectory'>
 type NoticeBody = BodyOf<
   'endpointNotices' | 'endpointNoticesTaken' | 'readEndpointNotices' | 'endpointNoticesRead'
--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -1,7 +1,7 @@
 import type { ControlNode } from '@cherryhitch/control'
-import { DiscoveryEventKind, DispatchEventKind } from '@cherryhitch/dispatch'
+import { DiscoveryEventKind, DispatchEventKind, OrderProxy } from '@cherryhitch/dispatch'
 import type { DispatchMachine } from '@cherryhitch/dispatch'
-import { startControlServer } from '@cherryhitch/platform'
+import { startControlServer, WorkerGateway } from '@cherryhitch/platform'
 import type { Envelope } from '@cherryhitch/protocol'
 import { startTimer } from '@cherryhitch/runtime'
 import type { DispatchSettings } from '@cherryhitch/settings'
@@ -63,7 +63,9 @@
       if (to === instance) parts.receive(instance, boot, message)
       else links.send(to, message)
     }
-    const dispatcher = yield* startDispatchPart(context, parts, send)
+    const gateway = new WorkerGateway()
+    parts.proxy.bind(new OrderProxy({ gateway, send, defer: setImmediate }))
+    const dispatcher = yield* startDispatchPart(context, parts, gateway, send)
     const disk = new RealDisk(settings.dataFolder ?? 'data')
     yield* startDirectoryKeeper(context, dispatcher, disk)
     const control = yield* startVoter(context, parts, dispatcher, disk, send)
@@ -84,6 +86,7 @@
     const { leads, openJobs } = dispatcher.machine
     log.info('stopping', { why, leads, openJobs })
     server.closeAfterAnswers()
+    discovery.tell({ kind: DiscoveryEventKind.Leaving })
     control.handOver()
     yield* Effect.sleep(HAND_OVER_MS)
     server.stopAccepting()
@@ -153,6 +156,7 @@
     dispatcher.tell({ kind: DispatchEventKind.Confirmed, at: control.confirmedAt() })
     const voters = votersOf(control, dispatcher.machine, instance)
     discovery.tell({ kind: DiscoveryEventKind.Voters, ...voters })
+    dispatcher.setProxies(discovery.machine.helpers(now()))
     join.tick()
   })
 }
--- a/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
@@ -1,8 +1,6 @@
 import { DispatchMachine, startDispatcher } from '@cherryhitch/dispatch'
-import type { DispatchEvent } from '@cherryhitch/dispatch'
-import { WorkerGateway } from '@cherryhitch/platform'
+import type { Dispatcher, EndpointGateway } from '@cherryhitch/dispatch'
 import type { Envelope } from '@cherryhitch/protocol'
-import type { Part } from '@cherryhitch/runtime'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import type { DispatchParts } from './DispatchParts'
@@ -12,7 +10,7 @@
 const LEASE_MARGIN_MS = 100
 
 /** The dispatcher, running. @internal */
-export interface DispatchPart extends Part<DispatchEvent> {
+export interface DispatchPart extends Dispatcher {
   readonly machine: DispatchMachine
 }
 
@@ -20,6 +18,7 @@
 export function startDispatchPart(
   { settings, telemetry, log, onDefect }: ProcessContext,
   parts: DispatchParts,
+  gateway: EndpointGateway,
   send: (to: string, message: Envelope) => void,
 ): Effect.Effect<DispatchPart, never, Scope.Scope> {
   const { maxLeaseMs } = settings
@@ -27,7 +26,7 @@
   const machine = new DispatchMachine({ timing })
   const started = startDispatcher({
     machine,
-    gateway: new WorkerGateway(),
+    gateway,
     send,
     spread: (notice) => {
       parts.notices.use((notices) => {
--- a/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
+++ b/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
@@ -63,6 +63,8 @@
       case 'jobOutcome':
       case 'readEndpointNotices':
       case 'endpointNoticesRead':
+      case 'endpointOrders':
+      case 'endpointAnswers':
       case undefined:
         this.unknownEnvelopes++
         return
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -6,7 +6,7 @@
  */
 export { DispatchActionKind, Stage } from './lib/DispatchAction'
 export type { DispatchAction } from './lib/DispatchAction'
-export { DispatchEventKind, HoldFailure } from './lib/DispatchEvent'
+export { DispatchEventKind } from './lib/DispatchEvent'
 export type { DispatchEvent } from './lib/DispatchEvent'
 export { DispatchMachine } from './lib/DispatchMachine'
 export { defaultDispatchTiming } from './lib/DispatchOptions'
@@ -24,20 +24,16 @@
   DiscoveryTiming,
 } from './lib/discovery/DiscoveryMachine'
 export { hostOf, instanceAt } from './lib/discovery/instanceNames'
-export { EndpointGateway, ListedEnd, StartResult } from './lib/gateway/EndpointGateway'
-export type {
-  HoldFault,
-  HoldOrder,
-  HoldReport,
-  ListedRun,
-  ListedRunEnd,
-  StartOrder,
-  StopOrder,
-} from './lib/gateway/EndpointGateway'
+export { EndpointGateway } from './lib/gateway/EndpointGateway'
+export type { OrderAnswer } from './lib/gateway/EndpointGateway'
+export { noAnswer } from './lib/gateway/noAnswer'
+export { OrderProxy } from './lib/orders/OrderProxy'
+export type { OrderProxyOptions } from './lib/orders/OrderProxy'
+export type { ProxyInstance } from './lib/orders/ProxyAssignments'
 export { defaultRelayTiming, JobRelay, RelayActionKind, RelayEventKind } from './lib/relay/JobRelay'
 export type { RelayAction, RelayEvent, RelayTiming } from './lib/relay/JobRelay'
 export { startDispatcher } from './lib/startDispatcher'
-export type { DispatcherOptions } from './lib/startDispatcher'
+export type { Dispatcher, DispatcherOptions } from './lib/startDispatcher'
 export { runDispatchSoak } from './lib/soak/runDispatchSoak'
 export type { DispatchSoakOptions, DispatchSoakReport } from './lib/soak/runDispatchSoak'
 export { ArrivalOrder, JobOrder, SlackOrder } from './lib/scheduling/JobOrder'
--- a/packages/dispatch/src/lib/DispatchAction.ts
+++ b/packages/dispatch/src/lib/DispatchAction.ts
@@ -1,11 +1,8 @@
-import type { EndpointNotice, JobOutcome } from '@cherryhitch/protocol'
-import type { HoldOrder, StartOrder, StopOrder } from './gateway/EndpointGateway'
+import type { EndpointNotice, EndpointOrder, JobOutcome } from '@cherryhitch/protocol'
 
 /** @public */
 export enum DispatchActionKind {
-  Hold = 'hold',
-  Start = 'start',
-  Stop = 'stop',
+  Order = 'order',
   Answer = 'answer',
   Spread = 'spread',
   Log = 'log',
@@ -22,11 +19,18 @@
   Whole = 'whole',
 }
 
+/** An order for an endpoint. @public */
+export interface SendOrder {
+  readonly kind: DispatchActionKind.Order
+  readonly order: EndpointOrder
+  /** Zone of the endpoint. */
+  readonly zone: string
+  readonly sentAt: number
+}
+
 /** What the dispatcher asks its shell to do. @public */
 export type DispatchAction =
-  | { readonly kind: DispatchActionKind.Hold; readonly order: HoldOrder }
-  | { readonly kind: DispatchActionKind.Start; readonly order: StartOrder }
-  | { readonly kind: DispatchActionKind.Stop; readonly order: StopOrder }
+  | SendOrder
   | { readonly kind: DispatchActionKind.Answer; readonly to: string; readonly outcome: JobOutcome }
   /** All who may lead are to know of a new endpoint. */
   | { readonly kind: DispatchActionKind.Spread; readonly notice: EndpointNotice }
--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -1,7 +1,8 @@
 import { create } from '@bufbuild/protobuf'
+import type { MessageInitShape } from '@bufbuild/protobuf'
 import { DecayedScoreHealth, LearnedEstimator, SlownessTracker } from '@cherryhitch/policy'
 import type { EndpointHealth, EstimateSubject } from '@cherryhitch/policy'
-import { JobOutcomeSchema } from '@cherryhitch/protocol'
+import { EndpointOrderSchema, JobOutcomeSchema } from '@cherryhitch/protocol'
 import type { JobOutcome, JobVerdict, Route, RoutingTable } from '@cherryhitch/protocol'
 import { DispatchActionKind } from './DispatchAction'
 import type { DispatchAction } from './DispatchAction'
@@ -59,6 +60,7 @@
   confirmedAt = -Infinity
   table: RoutingTable | undefined
   #out: DispatchAction[] = []
+  #orders = 0
 
   constructor(options: DispatchOptions) {
     this.timing = { ...defaultDispatchTiming, ...options.timing }
@@ -79,6 +81,14 @@
     this.#out.push(action)
   }
 
+  /** Sends an order to an endpoint, under the fencing token of this leader. */
+  order(now: number, { id: endpoint, notice }: EndpointRecord, body: OrderBody): void {
+    const { address, zone } = notice
+    const common = { id: ++this.#orders, endpoint, address, fencingToken: this.token ?? 0 }
+    const order = create(EndpointOrderSchema, { ...common, ...body })
+    this.emit({ kind: DispatchActionKind.Order, order, zone, sentAt: now })
+  }
+
   log(sentence: string, fields: Readonly<Record<string, unknown>>): void {
     this.emit({ kind: DispatchActionKind.Log, sentence, fields })
   }
@@ -96,6 +106,9 @@
   }
 }
 
+/** What an order says beside where it goes. @internal */
+export type OrderBody = Pick<MessageInitShape<typeof EndpointOrderSchema>, 'order' | 'timeoutMs'>
+
 /** What an outcome says beside its verdict. @internal */
 export type OutcomeFields = Partial<Pick<JobOutcome, 'reason' | 'retryAfterMs' | 'pending'>>
 
--- a/packages/dispatch/src/lib/DispatchEvent.ts
+++ b/packages/dispatch/src/lib/DispatchEvent.ts
@@ -2,10 +2,11 @@
   AbandonJob,
   AskJob,
   EndpointNotice,
+  EndpointOrder,
   RoutingTable,
   SubmitJob,
 } from '@cherryhitch/protocol'
-import type { HoldReport, StartResult } from './gateway/EndpointGateway'
+import type { OrderAnswer } from './gateway/EndpointGateway'
 
 /** @public */
 export enum DispatchEventKind {
@@ -19,20 +20,15 @@
   Submit = 'submit',
   Ask = 'ask',
   Abandon = 'abandon',
-  HoldAnswered = 'hold_answered',
-  HoldFailed = 'hold_failed',
-  StartAnswered = 'start_answered',
-  StopAnswered = 'stop_answered',
+  Answered = 'answered',
 }
 
-/** Why an endpoint gave no report. @public */
-export enum HoldFailure {
-  /** No answer, or one that makes no sense. */
-  NoAnswer = 'no_answer',
-  /** Another life of the endpoint is at the address. */
-  Replaced = 'replaced',
-  /** It has seen a higher fencing token. */
-  Fenced = 'fenced',
+/** An endpoint answered an order, or will not. @public */
+export interface OrderAnswered {
+  readonly kind: DispatchEventKind.Answered
+  readonly order: EndpointOrder
+  readonly sentAt: number
+  readonly answer: OrderAnswer
 }
 
 /** What the dispatcher is told. @public */
@@ -59,35 +55,4 @@
   | { readonly kind: DispatchEventKind.Submit; readonly from: string; readonly req: SubmitJob }
   | { readonly kind: DispatchEventKind.Ask; readonly from: string; readonly req: AskJob }
   | { readonly kind: DispatchEventKind.Abandon; readonly from: string; readonly req: AbandonJob }
-  | {
-      readonly kind: DispatchEventKind.HoldAnswered
-      readonly endpoint: string
-      readonly token: number
-      readonly sentAt: number
-      readonly report: HoldReport
-    }
-  | {
-      readonly kind: DispatchEventKind.HoldFailed
-      readonly endpoint: string
-      readonly token: number
-      readonly sentAt: number
-      readonly failure: HoldFailure
-      readonly detail: string
-    }
-  | {
-      readonly kind: DispatchEventKind.StartAnswered
-      readonly endpoint: string
-      readonly token: number
-      readonly task: string
-      readonly run: number
-      readonly result: StartResult
-    }
-  | {
-      readonly kind: DispatchEventKind.StopAnswered
-      readonly endpoint: string
-      readonly token: number
-      readonly task: string
-      readonly run: number
-      /** False when no clear answer came. */
-      readonly confirmed: boolean
-    }
+  | OrderAnswered
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -1,5 +1,4 @@
 import { exhaustive } from '@cherryhitch/model'
-import { HealthFailure } from '@cherryhitch/policy'
 import { NoticeState } from '@cherryhitch/protocol'
 import type { EndpointNotice } from '@cherryhitch/protocol'
 import { Machine } from '@cherryhitch/runtime'
@@ -12,23 +11,14 @@
 import type { DispatchOptions } from './DispatchOptions'
 import type { EndpointRecord } from './endpoints/EndpointRecord'
 import { LeaseLoop } from './endpoints/LeaseLoop'
-import { StartResult } from './gateway/EndpointGateway'
 import { JobLifecycle } from './jobs/JobLifecycle'
 import { RequestHandler } from './jobs/RequestHandler'
-import type { Run } from './runs/Run'
+import { AnswerHandler } from './orders/AnswerHandler'
 import { SlackOrder } from './scheduling/JobOrder'
 import { Scheduler } from './scheduling/Scheduler'
 
 type EventOf<K extends DispatchEventKind> = Extract<DispatchEvent, { kind: K }>
 
-/** Names a run in an answer to an order. */
-interface OrderedRun {
-  readonly endpoint: string
-  readonly token: number
-  readonly task: string
-  readonly run: number
-}
-
 /**
  * Queues jobs, places their tasks on endpoints, follows them and answers, while this instance
  * leads. Without the leadership it only keeps the directory of endpoints.
@@ -44,6 +34,7 @@
   readonly #leases: LeaseLoop
   readonly #lifecycle: JobLifecycle
   readonly #requests: RequestHandler
+  readonly #answers: AnswerHandler
   readonly #scheduler: Scheduler
 
   constructor(options: DispatchOptions) {
@@ -55,6 +46,9 @@
     })
     const { jobs, runs } = this.#lifecycle
     this.#requests = new RequestHandler(this.#core, this.#lifecycle)
+    this.#answers = new AnswerHandler(this.#core, this.#leases, this.#lifecycle, () => {
+      this.#scheduler.wake()
+    })
     const order = options.order ?? new SlackOrder()
     this.#scheduler = new Scheduler(this.#core, jobs, runs, order)
   }
@@ -67,6 +61,11 @@
     return this.#lifecycle.jobs.size
   }
 
+  /** Endpoints that are known, whatever their state. */
+  get endpoints(): number {
+    return this.#core.endpoints.size
+  }
+
   get leads(): boolean {
     return this.#core.token !== undefined
   }
@@ -134,36 +133,9 @@
       case DispatchEventKind.Abandon:
         this.#requests.abandon(now, event.from, event.req)
         return
-      default:
-        this.#handleAnswer(now, event)
-    }
-  }
-
-  /** What endpoints answered to orders. */
-  #handleAnswer(
-    now: number,
-    event: EventOf<
-      | DispatchEventKind.HoldAnswered
-      | DispatchEventKind.HoldFailed
-      | DispatchEventKind.StartAnswered
-      | DispatchEventKind.StopAnswered
-    >,
-  ): void {
-    switch (event.kind) {
-      case DispatchEventKind.HoldAnswered:
-        this.#onHoldAnswered(now, event)
-        return
-      case DispatchEventKind.HoldFailed:
-        this.#onHoldFailed(now, event)
+      case DispatchEventKind.Answered:
+        this.#answers.handle(now, event)
         return
-      case DispatchEventKind.StartAnswered:
-        this.#onStartAnswered(now, event)
-        return
-      case DispatchEventKind.StopAnswered: {
-        const run = this.#findRun(event)
-        if (run !== undefined) this.#lifecycle.runs.onStopAnswered(now, run, event.confirmed)
-        return
-      }
       default:
         exhaustive(event)
     }
@@ -228,36 +200,6 @@
     this.#core.emit({ kind: DispatchActionKind.Spread, notice: endpoint.noticeAt(now) })
   }
 
-  #onHoldAnswered(now: number, event: EventOf<DispatchEventKind.HoldAnswered>): void {
-    const endpoint = this.#core.endpoints.get(event.endpoint)
-    if (endpoint === undefined || event.token !== this.#core.token) return
-    const wasAdopted = endpoint.isAdopted
-    this.#leases.noteAnswer(now, endpoint, event.report.clockMs)
-    this.#lifecycle.runs.onReport(now, endpoint, event.sentAt, event.report)
-    if (!wasAdopted) this.#scheduler.wake()
-    this.#leases.ask(now, endpoint)
-  }
-
-  #onHoldFailed(now: number, event: EventOf<DispatchEventKind.HoldFailed>): void {
-    const endpoint = this.#core.endpoints.get(event.endpoint)
-    if (endpoint === undefined || event.token !== this.#core.token) return
-    this.#leases.noteFailure(now, endpoint, event.failure, event.detail)
-  }
-
-  #onStartAnswered(now: number, event: EventOf<DispatchEventKind.StartAnswered>): void {
-    const run = this.#findRun(event)
-    if (run === undefined) return
-    this.#lifecycle.runs.onStartAnswered(now, run, event.result)
-    if (event.result !== StartResult.Unhealthy) return
-    this.#lifecycle.health.noteFailure(now, run, HealthFailure.Refused)
-  }
-
-  #findRun({ endpoint, token, task, run: number }: OrderedRun): Run | undefined {
-    if (token !== this.#core.token) return undefined
-    const run = this.#core.endpoints.get(endpoint)?.runs.get(task)
-    return run?.number === number ? run : undefined
-  }
-
   #forgetEndpoints(now: number): void {
     const { endpoints } = this.#core
     for (const endpoint of [...endpoints.all()]) {
--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
@@ -126,3 +126,59 @@
     assert.equal(hostOf(instanceAt('10.1.0.13')), '10.1.0.13')
   })
 })
+
+describe('instances that may help a leader', () => {
+  const { helperSilentMs } = defaultDiscoveryTiming
+  const makeHost = (): DiscoveryMachine => {
+    const options = { instance: 'host', zone: 'z', hostsVoter: true, seeds: ['a', 'b'] }
+    return new DiscoveryMachine({ ...options, startedAt: 0 })
+  }
+  const namesOf = (host: DiscoveryMachine, now: number): string[] => {
+    return host.helpers(now).map(({ instance }) => instance)
+  }
+
+  it('host voters, announce themselves and answer', () => {
+    const host = makeHost()
+    host.step(0, announced('a', true, 0))
+    host.step(0, announced('b', true, 0))
+    host.step(0, announced('entry', false, 0))
+    host.step(0, told('b', '', 0))
+    host.step(0, told('entry', '', 0))
+    assert.deepEqual(host.helpers(10), [{ instance: 'b', zone: 'z' }])
+  })
+
+  it('are none any more once they are silent, one way or the other', () => {
+    const host = makeHost()
+    host.step(0, announced('a', true, 0))
+    host.step(0, told('a', '', 0))
+    host.step(helperSilentMs, told('a', '', 0))
+    assert.deepEqual(namesOf(host, helperSilentMs), ['a'])
+    assert.deepEqual(namesOf(host, helperSilentMs + 1), [])
+    host.step(helperSilentMs + 1, announced('a', true, helperSilentMs + 1))
+    assert.deepEqual(namesOf(host, helperSilentMs + 1), ['a'])
+    assert.deepEqual(namesOf(host, 2 * helperSilentMs + 1), [])
+  })
+
+  it('are none any more once they are told to stop, and say so at once', () => {
+    const host = makeHost()
+    host.step(0, told('a', '', 0))
+    const other = new DiscoveryMachine({
+      instance: 'a',
+      zone: 'z',
+      hostsVoter: true,
+      seeds: ['host'],
+      startedAt: 0,
+    })
+    other.tick(0)
+    const actions = other.step(1, { kind: DiscoveryEventKind.Leaving })
+    const bodies = actions.flatMap((action) => {
+      return action.kind === DiscoveryActionKind.Send ? [action.envelope.body] : []
+    })
+    for (const body of bodies) {
+      assert.ok(body.case === 'announceInstance')
+      host.step(2, { kind: DiscoveryEventKind.Announced, from: 'a', announcement: body.value })
+    }
+    assert.equal(bodies.length, 1)
+    assert.deepEqual(namesOf(host, 3), [])
+  })
+})
--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
@@ -1,6 +1,7 @@
 import { envelope } from '@cherryhitch/protocol'
 import type { AnnounceInstance, Envelope, InstanceDirectory } from '@cherryhitch/protocol'
 import { Machine } from '@cherryhitch/runtime'
+import type { ProxyInstance } from '../orders/ProxyAssignments'
 
 /** Times of discovery, in milliseconds. @public */
 export interface DiscoveryTiming {
@@ -12,6 +13,8 @@
   readonly forgetMs: number
   /** A leader that was silent for longer is taken for lost. */
   readonly leaderSilentMs: number
+  /** A host of voters that neither announced itself nor answered for longer is no help now. */
+  readonly helperSilentMs: number
 }
 
 /**
@@ -26,6 +29,7 @@
   announceToOthersMs: 500,
   forgetMs: 15_000,
   leaderSilentMs: 450,
+  helperSilentMs: 1_200,
 }
 
 /** @public */
@@ -45,6 +49,8 @@
   Told = 'told',
   /** Instances that the replicated log names as hosts of voters, and who leads. */
   Voters = 'voters',
+  /** This process was told to stop. */
+  Leaving = 'leaving',
 }
 
 /** @public */
@@ -65,6 +71,7 @@
       readonly leader: string
       readonly term: number
     }
+  | { readonly kind: DiscoveryEventKind.Leaving }
 
 /** @public */
 export enum DiscoveryActionKind {
@@ -88,7 +95,9 @@
     }
 
 interface Heard {
+  readonly zone: string
   readonly hostsVoter: boolean
+  readonly isLeaving: boolean
   readonly heardAt: number
   readonly startedAt: number
 }
@@ -108,6 +117,8 @@
   readonly #heard = new Map<string, Heard>()
   /** Hosts of voters that others name, and when they last did. */
   readonly #told = new Map<string, number>()
+  /** When each last answered an announcement. */
+  readonly #answeredAt = new Map<string, number>()
   #peers: readonly string[] = []
   #announceDueAt = -Infinity
   #announceToOthersDueAt = -Infinity
@@ -119,6 +130,7 @@
   #followed = { leader: '', term: 0 }
   #term = 0
   #leaderHeardAt = -Infinity
+  #isLeaving = false
   #out: DiscoveryAction[] = []
 
   constructor(options: DiscoveryOptions) {
@@ -140,6 +152,16 @@
     return [...all]
   }
 
+  /** Other hosts of voters that hear this instance and are heard by it, and don't stop. */
+  helpers(now: number): ProxyInstance[] {
+    const { helperSilentMs } = this.#timing
+    return [...this.#heard].flatMap(([instance, { zone, hostsVoter, isLeaving, heardAt }]) => {
+      const answeredAt = this.#answeredAt.get(instance) ?? -Infinity
+      const isSilent = now - Math.min(heardAt, answeredAt) > helperSilentMs
+      return hostsVoter && !isLeaving && !isSilent ? [{ instance, zone }] : []
+    })
+  }
+
   override step(now: number, event: DiscoveryEvent): readonly DiscoveryAction[] {
     switch (event.kind) {
       case DiscoveryEventKind.Announced:
@@ -155,6 +177,11 @@
         if (event.leader !== '') this.#leaderHeardAt = now
         else if (this.#leader === this.#options.instance) this.#setLeader('', event.term)
         break
+      case DiscoveryEventKind.Leaving:
+        this.#isLeaving = true
+        this.#announceToOthersDueAt = now
+        this.#announce(now)
+        break
     }
     return this.#endStep()
   }
@@ -175,18 +202,19 @@
   #announce(now: number): void {
     this.#announceDueAt = now + this.#timing.announceMs
     const { zone, hostsVoter, startedAt } = this.#options
-    const value = { zone, hostsVoter, ageMs: now - startedAt }
+    const value = { zone, hostsVoter, ageMs: now - startedAt, leaving: this.#isLeaving }
     const toAll = this.#leader === '' || now >= this.#announceToOthersDueAt
     if (toAll) this.#announceToOthersDueAt = now + this.#timing.announceToOthersMs
     const receivers = this.voterHosts.filter((host) => toAll || host === this.#leader)
     for (const to of receivers) this.#send(to, envelope({ case: 'announceInstance', value }))
   }
 
-  #onAnnounced(now: number, from: string, { hostsVoter, ageMs }: AnnounceInstance): void {
+  #onAnnounced(now: number, from: string, announcement: AnnounceInstance): void {
+    const { zone, hostsVoter, ageMs, leaving: isLeaving } = announcement
     const startedAt = now - ageMs
     const known = this.#heard.get(from)
     const isNew = known === undefined || Math.abs(known.startedAt - startedAt) > SAME_START_MS
-    this.#heard.set(from, { hostsVoter, heardAt: now, startedAt })
+    this.#heard.set(from, { zone, hostsVoter, isLeaving, heardAt: now, startedAt })
     if (isNew && hostsVoter) {
       this.#out.push({ kind: DiscoveryActionKind.VoterHostSeen, instance: from })
     }
@@ -203,6 +231,7 @@
   }
 
   #onTold(now: number, from: string, { voterHosts, leader, term }: InstanceDirectory): void {
+    this.#answeredAt.set(from, now)
     for (const instance of voterHosts) this.#told.set(instance, now)
     this.#noteLeader(now, leader, term)
     if (from !== this.#leader) return
@@ -233,6 +262,9 @@
     for (const [name, { heardAt }] of this.#heard) {
       if (now - heardAt > forgetMs) this.#heard.delete(name)
     }
+    for (const [name, at] of this.#answeredAt) {
+      if (now - at > forgetMs) this.#answeredAt.delete(name)
+    }
     for (const [name, at] of this.#told) if (now - at > forgetMs) this.#told.delete(name)
     if (this.#leader !== '' && now - this.#leaderHeardAt > leaderSilentMs) {
       this.#setLeader('', this.#term)
--- a/packages/dispatch/src/lib/endpoints/EndpointBook.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointBook.ts
@@ -14,6 +14,10 @@
     private readonly slowness: SlownessTracker,
   ) {}
 
+  get size(): number {
+    return this.#records.size
+  }
+
   get(id: string): EndpointRecord | undefined {
     return this.#records.get(id)
   }
--- a/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
+++ b/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
@@ -1,6 +1,6 @@
-import { DispatchActionKind } from '../DispatchAction'
+import { HoldFailure } from '@cherryhitch/protocol'
+import type { HoldFault } from '@cherryhitch/protocol'
 import type { DispatchCore } from '../DispatchCore'
-import { HoldFailure } from '../DispatchEvent'
 import type { EndpointRecord } from './EndpointRecord'
 
 /** Beyond this many misses in a row an endpoint is asked at a slower pace. */
@@ -33,22 +33,11 @@
     if (leaseEndsAt !== undefined) {
       endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, leaseEndsAt)
     }
-    const { id, notice, acknowledgedEnd } = endpoint
-    const { address } = notice
+    const { acknowledgedEnd } = endpoint
+    const lease = leaseEndsAt === undefined ? {} : { leaseEndsAt }
+    const value = { ...lease, acknowledgedEnd, waitMs }
     const timeoutMs = waitMs + timing.answerSlackMs
-    this.core.emit({
-      kind: DispatchActionKind.Hold,
-      order: {
-        endpoint: id,
-        address,
-        fencingToken: token,
-        sentAt: now,
-        leaseEndsAt,
-        acknowledgedEnd,
-        waitMs,
-        timeoutMs,
-      },
-    })
+    this.core.order(now, endpoint, { timeoutMs, order: { case: 'hold', value } })
   }
 
   /**
@@ -74,20 +63,20 @@
     endpoint.clock.note(now, clockMs)
   }
 
-  noteFailure(now: number, endpoint: EndpointRecord, failure: HoldFailure, detail: string): void {
+  noteFailure(now: number, endpoint: EndpointRecord, { failure, detail }: HoldFault): void {
     endpoint.holdSentAt = undefined
     endpoint.missedHolds++
     this.core.counters.holds_missed++
     const slow = endpoint.missedHolds > QUICK_RETRIES ? SLOW_RETRY_FACTOR : 1
     endpoint.nextHoldAt = now + this.core.timing.retryHoldMs * slow
-    if (failure === HoldFailure.Replaced) endpoint.isReplaced = true
-    if (endpoint.missedHolds > 1 && failure === HoldFailure.NoAnswer) return
+    if (failure === HoldFailure.REPLACED) endpoint.isReplaced = true
+    if (endpoint.missedHolds > 1 && failure === HoldFailure.NO_ANSWER) return
     const { id, notice } = endpoint
     const answeredMsAgo = Math.round(now - endpoint.answeredAt)
     this.core.log('an endpoint gave no report', {
       endpoint: id,
       address: notice.address,
-      failure,
+      failure: HoldFailure[failure],
       detail,
       answeredMsAgo,
       runs: endpoint.runs.size,
--- /dev/null
+++ b/packages/dispatch/src/lib/gateway/noAnswer.ts
@@ -0,0 +1,19 @@
+import { create } from '@bufbuild/protobuf'
+import { HoldFailure, HoldFaultSchema, StartResult } from '@cherryhitch/protocol'
+import type { EndpointOrder } from '@cherryhitch/protocol'
+import type { OrderAnswer } from './EndpointGateway'
+
+/** What is known of an order that was sent and got no answer: it may be carried out, also later. @public */
+export function noAnswer({ order }: EndpointOrder, detail: string): OrderAnswer {
+  switch (order.case) {
+    case 'start':
+      return { case: 'started', value: StartResult.UNKNOWN }
+    case 'stop':
+      return { case: 'stopped', value: false }
+    case 'hold':
+    case undefined: {
+      const failure = HoldFailure.NO_ANSWER
+      return { case: 'fault', value: create(HoldFaultSchema, { failure, detail }) }
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/orders/AnswerHandler.ts
@@ -0,0 +1,64 @@
+import { HealthFailure } from '@cherryhitch/policy'
+import { StartResult } from '@cherryhitch/protocol'
+import type { EndpointOrder, HoldReport } from '@cherryhitch/protocol'
+import type { DispatchCore } from '../DispatchCore'
+import type { OrderAnswered } from '../DispatchEvent'
+import type { EndpointRecord } from '../endpoints/EndpointRecord'
+import type { LeaseLoop } from '../endpoints/LeaseLoop'
+import type { JobLifecycle } from '../jobs/JobLifecycle'
+import type { Run } from '../runs/Run'
+
+/** Takes in what endpoints answer to orders of this leader. @internal */
+export class AnswerHandler {
+  constructor(
+    private readonly core: DispatchCore,
+    private readonly leases: LeaseLoop,
+    private readonly lifecycle: JobLifecycle,
+    /** Called when an endpoint may get tasks from now on. */
+    private readonly onAdopted: () => void,
+  ) {}
+
+  handle(now: number, { order, sentAt, answer }: OrderAnswered): void {
+    const endpoint = this.core.endpoints.get(order.endpoint)
+    // Answers to orders of an earlier leadership of this instance count no more.
+    if (endpoint === undefined || order.fencingToken !== this.core.token) return
+    switch (answer.case) {
+      case 'report':
+        this.#onReport(now, endpoint, sentAt, answer.value)
+        return
+      case 'fault':
+        this.leases.noteFailure(now, endpoint, answer.value)
+        return
+      case 'started':
+        this.#onStarted(now, findRun(endpoint, order), answer.value)
+        return
+      case 'stopped': {
+        const run = findRun(endpoint, order)
+        if (run !== undefined) this.lifecycle.runs.onStopAnswered(now, run, answer.value)
+      }
+    }
+  }
+
+  #onReport(now: number, endpoint: EndpointRecord, sentAt: number, report: HoldReport): void {
+    const wasAdopted = endpoint.isAdopted
+    this.leases.noteAnswer(now, endpoint, report.clockMs)
+    this.lifecycle.runs.onReport(now, endpoint, sentAt, report)
+    if (!wasAdopted) this.onAdopted()
+    this.leases.ask(now, endpoint)
+  }
+
+  #onStarted(now: number, run: Run | undefined, result: StartResult): void {
+    if (run === undefined) return
+    this.lifecycle.runs.onStartAnswered(now, run, result)
+    if (result !== StartResult.UNHEALTHY) return
+    this.lifecycle.health.noteFailure(now, run, HealthFailure.Refused)
+  }
+}
+
+/** The run that an order to start or to stop named, while it is known. */
+function findRun({ runs }: EndpointRecord, { order }: EndpointOrder): Run | undefined {
+  if (order.case !== 'start' && order.case !== 'stop') return undefined
+  const { task, run: number } = order.value
+  const run = runs.get(task)
+  return run?.number === number ? run : undefined
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/orders/OrderRouter.test.ts
@@ -0,0 +1,176 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { create } from '@bufbuild/protobuf'
+import { EndpointAnswerSchema, EndpointOrderSchema, StartResult } from '@cherryhitch/protocol'
+import { DispatchActionKind } from '../DispatchAction'
+import type { SendOrder } from '../DispatchAction'
+import { OrderRouter, RouterActionKind, RouterEventKind } from './OrderRouter'
+import type { RouterAction } from './OrderRouter'
+
+const TIMEOUT_MS = 80
+const WAY_MS = 60
+const DISTRUST_MS = 1_000
+
+/** A leader with some endpoints, and the instances that may bring its orders there. */
+class Leader {
+  now = 0
+  private readonly router = new OrderRouter({ directEndpoints: 4, wayMs: WAY_MS })
+  private orders = 0
+
+  proxies(endpoints: number, ...names: readonly string[]): void {
+    const proxies = names.map((instance) => ({ instance, zone: `zone of ${instance}` }))
+    this.router.step(this.now, { kind: RouterEventKind.Proxies, proxies, endpoints })
+  }
+
+  /** Orders a start; gives the number of the order. */
+  start(endpoint: string, zone = ''): number {
+    const id = ++this.orders
+    const value = { task: `t${id}`, run: 1, payload: '', orderEndsAt: 900 }
+    const order = create(EndpointOrderSchema, {
+      id,
+      endpoint,
+      timeoutMs: TIMEOUT_MS,
+      order: { case: 'start', value },
+    })
+    const send: SendOrder = { kind: DispatchActionKind.Order, order, zone, sentAt: this.now }
+    this.router.step(this.now, { kind: RouterEventKind.Order, send })
+    return id
+  }
+
+  answer(from: string, id: number): readonly RouterAction[] {
+    const answer = { case: 'started', value: StartResult.RUNS } as const
+    const answers = [create(EndpointAnswerSchema, { id, answer })]
+    return this.router.step(this.now, { kind: RouterEventKind.Answers, from, answers })
+  }
+
+  tick(passedMs = 0): readonly RouterAction[] {
+    this.now += passedMs
+    return this.router.tick(this.now)
+  }
+}
+
+/** Which instance calls each endpoint by these actions; the leader itself is `self`. */
+function callersOf(actions: readonly RouterAction[]): Record<string, string> {
+  const callers: Record<string, string> = {}
+  for (const action of actions) {
+    if (action.kind === RouterActionKind.Call) callers[action.send.order.endpoint] = 'self'
+    if (action.kind !== RouterActionKind.Forward) continue
+    for (const { endpoint } of action.orders) callers[endpoint] = action.to
+  }
+  return callers
+}
+
+/** Results of starts that the dispatcher is told. */
+function toldStarts(actions: readonly RouterAction[]): readonly StartResult[] {
+  return actions.flatMap((action) => {
+    if (action.kind !== RouterActionKind.Tell) return []
+    const { answer } = action.event
+    return answer.case === 'started' ? [answer.value] : []
+  })
+}
+
+describe('the ways of orders to endpoints', () => {
+  it('are calls of the leader while there are few endpoints', () => {
+    const leader = new Leader()
+    leader.proxies(4, 'a', 'b')
+    leader.start('e1')
+    assert.deepEqual(callersOf(leader.tick()), { e1: 'self' })
+  })
+
+  it('are calls of the leader while no other instance is there', () => {
+    const leader = new Leader()
+    leader.proxies(100)
+    leader.start('e1')
+    assert.deepEqual(callersOf(leader.tick()), { e1: 'self' })
+  })
+
+  it('lead over proxies evenly, and stay the same', () => {
+    const leader = new Leader()
+    leader.proxies(100, 'a', 'b')
+    for (let i = 0; i < 10; i++) leader.start(`e${i}`)
+    const callers = callersOf(leader.tick())
+    const ofA = Object.values(callers).filter((caller) => caller === 'a')
+    assert.equal(ofA.length, 5)
+    for (let i = 0; i < 10; i++) leader.start(`e${i}`)
+    assert.deepEqual(callersOf(leader.tick()), callers)
+  })
+
+  it('lead over a proxy of the same zone where there is one', () => {
+    const leader = new Leader()
+    leader.proxies(100, 'a', 'b')
+    leader.start('e1', 'zone of b')
+    leader.start('e2', 'zone of a')
+    assert.deepEqual(callersOf(leader.tick()), { e1: 'b', e2: 'a' })
+  })
+
+  it('put the orders of one step for one proxy into one message', () => {
+    const leader = new Leader()
+    leader.proxies(100, 'a')
+    leader.start('e1')
+    leader.start('e2')
+    assert.equal(leader.tick().length, 1)
+  })
+})
+
+describe('a proxy', () => {
+  it('brings back what came of an order, once', () => {
+    const leader = new Leader()
+    leader.proxies(100, 'a')
+    const id = leader.start('e1')
+    leader.tick()
+    assert.deepEqual(toldStarts(leader.answer('a', id)), [StartResult.RUNS])
+    assert.deepEqual(toldStarts(leader.answer('a', id)), [])
+  })
+
+  it('that falls silent loses all its endpoints to the others, with all orders in doubt', () => {
+    const leader = new Leader()
+    leader.proxies(100, 'a', 'b')
+    leader.start('e1', 'zone of a')
+    leader.tick()
+    leader.tick(50)
+    leader.start('e1', 'zone of a')
+    leader.tick()
+    const told = toldStarts(leader.tick(TIMEOUT_MS + WAY_MS - 50))
+    assert.deepEqual(told, [StartResult.UNKNOWN, StartResult.UNKNOWN])
+    leader.start('e1', 'zone of a')
+    assert.deepEqual(callersOf(leader.tick()), { e1: 'b' })
+  })
+
+  it('that drops one order but answers others keeps its endpoints', () => {
+    const leader = new Leader()
+    leader.proxies(100, 'a', 'b')
+    leader.start('e1', 'zone of a')
+    leader.tick()
+    leader.tick(10)
+    const later = leader.start('e1', 'zone of a')
+    leader.tick()
+    leader.tick(10)
+    leader.answer('a', later)
+    assert.deepEqual(toldStarts(leader.tick(TIMEOUT_MS + WAY_MS)), [StartResult.UNKNOWN])
+    leader.start('e1', 'zone of a')
+    assert.deepEqual(callersOf(leader.tick()), { e1: 'a' })
+  })
+
+  it('is tried again after a while, and its late answers count no more', () => {
+    const leader = new Leader()
+    leader.proxies(100, 'a', 'b')
+    const id = leader.start('e1', 'zone of a')
+    leader.tick()
+    leader.tick(TIMEOUT_MS + WAY_MS)
+    assert.deepEqual(toldStarts(leader.answer('a', id)), [])
+    leader.now += DISTRUST_MS
+    leader.proxies(100, 'a', 'b')
+    leader.start('e1', 'zone of a')
+    assert.deepEqual(callersOf(leader.tick()), { e1: 'a' })
+  })
+
+  it('that is gone loses its endpoints at once', () => {
+    const leader = new Leader()
+    leader.proxies(100, 'a', 'b')
+    leader.start('e1', 'zone of a')
+    leader.tick()
+    leader.proxies(100, 'b')
+    leader.start('e1', 'zone of a')
+    assert.deepEqual(callersOf(leader.tick()), { e1: 'b' })
+  })
+})
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -1,9 +1,9 @@
+import { ListedEnd, StartResult } from '@cherryhitch/protocol'
+import type { HoldReport, ListedRun, ListedRunEnd } from '@cherryhitch/protocol'
 import { DispatchActionKind, Stage } from '../DispatchAction'
 import type { DispatchCore } from '../DispatchCore'
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
 import type { LeaseLoop } from '../endpoints/LeaseLoop'
-import { ListedEnd, StartResult } from '../gateway/EndpointGateway'
-import type { HoldReport, ListedRun, ListedRunEnd } from '../gateway/EndpointGateway'
 import { TaskState } from '../jobs/Job'
 import type { Task } from '../jobs/Job'
 import { RunEnd, RunState } from './Run'
@@ -68,20 +68,9 @@
     endpoint.addRun(run)
     endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, orderEndsAt)
     counters.starts++
-    this.core.emit({
-      kind: DispatchActionKind.Start,
-      order: {
-        endpoint: endpoint.id,
-        address: endpoint.notice.address,
-        fencingToken: token,
-        sentAt: now,
-        task: name,
-        run: number,
-        payload: job.spec.payload,
-        orderEndsAt,
-        timeoutMs: timing.startTimeoutMs,
-      },
-    })
+    const value = { task: name, run: number, payload: job.spec.payload, orderEndsAt }
+    const timeoutMs = timing.startTimeoutMs
+    this.core.order(now, endpoint, { timeoutMs, order: { case: 'start', value } })
     return true
   }
 
@@ -102,11 +91,11 @@
       ms: now - run.sentAt,
     })
     switch (result) {
-      case StartResult.Runs:
+      case StartResult.RUNS:
         run.confirmedAt = now
         if (run.state === RunState.Starting) run.state = RunState.Running
         return
-      case StartResult.Unknown:
+      case StartResult.UNKNOWN:
         counters.starts_unanswered++
         this.stop(now, run, 'its start got no answer')
         return
@@ -181,18 +170,9 @@
     run.stopDueAt = now + STOP_REPEAT_MS
     counters.stops++
     const { endpoint, name, number } = run
-    this.core.emit({
-      kind: DispatchActionKind.Stop,
-      order: {
-        endpoint: endpoint.id,
-        address: endpoint.notice.address,
-        fencingToken: token,
-        sentAt: now,
-        task: name,
-        run: number,
-        timeoutMs: timing.startTimeoutMs,
-      },
-    })
+    const value = { task: name, run: number }
+    const timeoutMs = timing.startTimeoutMs
+    this.core.order(now, endpoint, { timeoutMs, order: { case: 'stop', value } })
   }
 
   #onListedEnd(
@@ -205,7 +185,7 @@
     endpoint.acknowledgedEnd = position
     const run = endpoint.runs.get(task)
     if (run?.number === number) this.#finish(now, run, runEndOf(end))
-    else if (isFirst && end === ListedEnd.Done) this.listener.onForeignDone(now, task)
+    else if (isFirst && end === ListedEnd.DONE) this.listener.onForeignDone(now, task)
   }
 
   #onListedRun(now: number, endpoint: EndpointRecord, listed: ListedRun, isFirst: boolean): void {
@@ -240,18 +220,18 @@
 
   #noteRejection(now: number, run: Run, result: StartResult): void {
     const { endpoint, task, name, number } = run
-    if (result === StartResult.Replaced) endpoint.isReplaced = true
-    if (result === StartResult.NoRoom) endpoint.pausedUntil = now + this.core.timing.roomPauseMs
-    if (result === StartResult.Unhealthy || result === StartResult.NotSent) {
+    if (result === StartResult.REPLACED) endpoint.isReplaced = true
+    if (result === StartResult.NO_ROOM) endpoint.pausedUntil = now + this.core.timing.roomPauseMs
+    if (result === StartResult.UNHEALTHY || result === StartResult.NOT_SENT) {
       endpoint.pausedUntil = now + this.core.timing.retryHoldMs
     }
-    if (result === StartResult.Malformed) task?.avoid.add(endpoint.id)
+    if (result === StartResult.MALFORMED) task?.avoid.add(endpoint.id)
     this.core.log('a start was rejected', {
       job: task?.job.id ?? '',
       task: name,
       run: number,
       endpoint: endpoint.id,
-      result,
+      result: StartResult[result],
     })
   }
 
@@ -285,15 +265,16 @@
 
 function runEndOf(end: ListedEnd): RunEnd {
   switch (end) {
-    case ListedEnd.Done:
+    case ListedEnd.DONE:
       return RunEnd.Done
-    case ListedEnd.Failed:
+    case ListedEnd.FAILED:
       return RunEnd.Failed
-    case ListedEnd.Stopped:
-    case ListedEnd.GroupBroken:
-    case ListedEnd.GroupIncomplete:
+    case ListedEnd.STOPPED:
+    case ListedEnd.GROUP_BROKEN:
+    case ListedEnd.GROUP_INCOMPLETE:
+    case ListedEnd.UNSPECIFIED:
       return RunEnd.Stopped
-    case ListedEnd.LeaseExpired:
+    case ListedEnd.LEASE_EXPIRED:
       return RunEnd.Lost
   }
 }
--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -16,6 +16,7 @@
 import type { JobOrder } from '../scheduling/JobOrder'
 import { OrderCarrier, WAY_MS } from './OrderCarrier'
 import type { WorldChances } from './OrderCarrier'
+import { ProxyWorld } from './ProxyWorld'
 import { SimulatedEndpoint, TASK_CPU_MILLIS } from './SimulatedEndpoint'
 
 /** @internal */
@@ -23,6 +24,8 @@
   readonly leaders: number
   readonly endpoints: number
   readonly placesEach: number
+  /** Instances that bring orders to endpoints; without any the leaders call them. */
+  readonly proxies?: number
   readonly random: () => number
   readonly chances?: Partial<WorldChances>
   readonly order?: JobOrder
@@ -76,7 +79,8 @@
   readonly #leaders: DispatchMachine[]
   readonly #relay = new JobRelay()
   readonly #orders: OrderCarrier
-  readonly #cutEndpoints = new Map<number, Set<string>>()
+  readonly #proxies: ProxyWorld
+  readonly #cutEndpoints = new Map<string, Set<string>>()
   readonly #cutFromQuorum = new Set<number>()
   #queue: Scheduled[] = []
   #scheduled = 0
@@ -94,10 +98,19 @@
       after: (ms, run) => {
         this.after(ms, run)
       },
+      isCut: (caller, endpoint) => this.#isCut(caller, endpoint),
+    })
+    this.#proxies = new ProxyWorld({
+      leaders: options.leaders,
+      proxies: options.proxies ?? 0,
+      orders: this.#orders,
+      now: () => this.now,
+      after: (ms, run) => {
+        this.after(ms, run)
+      },
       tell: (leader, event) => {
         this.#tell(leader, event)
       },
-      isCut: (leader, endpoint) => this.#isCut(leader, endpoint),
     })
     this.#leaders = Array.from({ length: options.leaders }, () => {
       return new DispatchMachine(options.order === undefined ? {} : { order: options.order })
@@ -168,10 +181,15 @@
     this.#tell(leader, { kind: DispatchEventKind.DirectoryRead, term })
   }
 
-  /** An instance can't reach an endpoint for some time. */
-  cut(leader: number, endpoint: string, forMs: number): void {
-    const cut = this.#cutEndpoints.get(leader) ?? new Set()
-    this.#cutEndpoints.set(leader, cut.add(endpoint))
+  /** Nothing gets to a proxy or away from it for some time. */
+  silenceProxy(proxy: number, forMs: number): void {
+    this.#proxies.silence(proxy, forMs)
+  }
+
+  /** An instance (`d0`, or the proxy `p0`) can't reach an endpoint for some time. */
+  cut(instance: string, endpoint: string, forMs: number): void {
+    const cut = this.#cutEndpoints.get(instance) ?? new Set()
+    this.#cutEndpoints.set(instance, cut.add(endpoint))
     this.after(forMs, () => {
       cut.delete(endpoint)
     })
@@ -231,6 +249,7 @@
         this.#tell(i, { kind: DispatchEventKind.Confirmed, at: this.now - 2 * WAY_MS })
       }
       this.#perform(i, leader.tick(this.now))
+      this.#proxies.tick(i, leader.endpoints)
     }
     this.#performRelay(this.#relay.tick(this.now))
   }
@@ -256,9 +275,7 @@
 
   #perform(leader: number, actions: readonly DispatchAction[]): void {
     for (const action of actions) {
-      if (action.kind === DispatchActionKind.Hold) this.#orders.hold(leader, action.order)
-      else if (action.kind === DispatchActionKind.Start) this.#orders.start(leader, action.order)
-      else if (action.kind === DispatchActionKind.Stop) this.#orders.stop(leader, action.order)
+      if (action.kind === DispatchActionKind.Order) this.#proxies.order(leader, action)
       else if (action.kind === DispatchActionKind.Spread) this.#spread(leader, action.notice)
       else if (action.kind === DispatchActionKind.Answer) {
         const { outcome } = action
@@ -268,6 +285,7 @@
         })
       }
     }
+    this.#proxies.flush(leader)
   }
 
   #spread(leader: number, notice: EndpointNotice): void {
@@ -307,8 +325,8 @@
     if (ran !== undefined) this.violations.push(`${outcome.requestId} was refused, but ${ran} ran`)
   }
 
-  #isCut(leader: number, endpoint: string): boolean {
-    return this.#cutEndpoints.get(leader)?.has(endpoint) ?? false
+  #isCut(caller: string, endpoint: string): boolean {
+    return this.#cutEndpoints.get(caller)?.has(endpoint) ?? false
   }
 
   #checkStart(endpoint: SimulatedEndpoint, task: string): void {
--- a/packages/dispatch/src/lib/soak/OrderCarrier.ts
+++ b/packages/dispatch/src/lib/soak/OrderCarrier.ts
@@ -1,7 +1,8 @@
-import { DispatchEventKind, HoldFailure } from '../DispatchEvent'
-import type { DispatchEvent } from '../DispatchEvent'
-import { StartResult } from '../gateway/EndpointGateway'
-import type { HoldOrder, StartOrder, StopOrder } from '../gateway/EndpointGateway'
+import { create } from '@bufbuild/protobuf'
+import { HoldFaultSchema } from '@cherryhitch/protocol'
+import type { EndpointOrder, HoldOrder, StartOrder , HoldFailure} from '@cherryhitch/protocol'
+import type { OrderAnswer } from '../gateway/EndpointGateway'
+import { noAnswer } from '../gateway/noAnswer'
 import type { SimulatedEndpoint } from './SimulatedEndpoint'
 
 /** Draws of a run; all take numbers from 0 to 1. @internal */
@@ -23,10 +24,13 @@
   readonly random: () => number
   readonly now: () => number
   readonly after: (ms: number, run: () => void) => void
-  readonly tell: (leader: number, event: DispatchEvent) => void
-  readonly isCut: (leader: number, endpoint: string) => boolean
+  /** Whether an instance can't reach an endpoint now. */
+  readonly isCut: (caller: string, endpoint: string) => boolean
 }
 
+/** Told of the answer to an order. @internal */
+export type OnAnswer = (answer: OrderAnswer) => void
+
 /** One way between instances and endpoints, in milliseconds. */
 export const WAY_MS = 2
 
@@ -34,129 +38,79 @@
 export class OrderCarrier {
   constructor(private readonly world: OrderWorld) {}
 
-  hold(leader: number, order: HoldOrder): void {
-    const { endpoint, fencingToken: token, sentAt } = order
-    const fail = (failure: HoldFailure): void => {
-      const detail = 'simulated'
-      const kind = DispatchEventKind.HoldFailed
-      this.world.tell(leader, { kind, endpoint, token, sentAt, failure, detail })
-    }
-    this.#order(
-      leader,
-      order,
-      (target, answer) => {
-        const begin = this.world.now()
-        const poll = (): void => {
-          const report = target.hold(this.world.now(), order)
-          const isOver = this.world.now() - begin >= order.waitMs
-          if (typeof report !== 'string' && report.ended.length === 0 && !isOver) {
-            this.world.after(1, poll)
-            return
-          }
-          answer(() => {
-            if (typeof report === 'string') fail(report)
-            else
-              this.world.tell(leader, {
-                kind: DispatchEventKind.HoldAnswered,
-                endpoint,
-                token,
-                sentAt,
-                report,
-              })
-          })
-        }
-        poll()
-      },
-      () => {
-        fail(HoldFailure.NoAnswer)
-      },
-    )
-  }
-
-  start(leader: number, order: StartOrder): void {
-    const { endpoint, fencingToken: token, task, run } = order
-    const told = (result: StartResult): void => {
-      this.world.tell(leader, {
-        kind: DispatchEventKind.StartAnswered,
-        endpoint,
-        token,
-        task,
-        run,
-        result,
-      })
-    }
-    this.#order(
-      leader,
-      order,
-      (target, answer) => {
-        const { random, drawRunMs, chances } = this.world
-        const runMs = drawRunMs()
-        const result = target.start(this.world.now(), order, runMs, random() < chances.failedRun)
-        answer(() => {
-          told(result)
-        })
-      },
-      () => {
-        told(StartResult.Unknown)
-      },
-    )
-  }
-
-  stop(leader: number, order: StopOrder): void {
-    const { endpoint, fencingToken: token, task, run } = order
-    const told = (confirmed: boolean): void => {
-      this.world.tell(leader, {
-        kind: DispatchEventKind.StopAnswered,
-        endpoint,
-        token,
-        task,
-        run,
-        confirmed,
-      })
-    }
-    this.#order(
-      leader,
-      order,
-      (target, answer) => {
-        const confirmed = target.stop(this.world.now(), order)
-        answer(() => {
-          told(confirmed)
-        })
-      },
-      () => {
-        told(false)
-      },
-    )
-  }
-
-  /** Brings an order to its endpoint and the answer back, or neither, or both late. */
-  #order(
-    leader: number,
-    order: HoldOrder | StartOrder | StopOrder,
-    carryOut: (target: SimulatedEndpoint, answer: (tell: () => void) => void) => void,
-    onTimeout: () => void,
-  ): void {
-    const { random } = this.world
-    const target = this.world.endpoints.find(({ options }) => options.id === order.endpoint)
+  /**
+   * Brings an order to its endpoint and the answer back, or neither, or both late.
+   *
+   * @param caller - instance that calls the endpoint
+   */
+  carry(caller: string, order: EndpointOrder, onAnswer: OnAnswer): void {
+    const { random, endpoints, chances } = this.world
+    const target = endpoints.find(({ options }) => options.id === order.endpoint)
     let isSettled = false
-    const settle = (tell: () => void): void => {
+    const settle: OnAnswer = (answer) => {
       if (isSettled) return
       isSettled = true
-      tell()
+      onAnswer(answer)
     }
     this.world.after(order.timeoutMs, () => {
-      settle(onTimeout)
+      settle(noAnswer(order, 'simulated'))
     })
-    if (target === undefined || this.world.isCut(leader, order.endpoint)) return
-    const isLate = random() < this.world.chances.lateOrder
-    const isLost = isLate || random() < this.world.chances.lostAnswer
+    if (target === undefined || this.world.isCut(caller, order.endpoint)) return
+    const isLate = random() < chances.lateOrder
+    const isLost = isLate || random() < chances.lostAnswer
     this.world.after(isLate ? 2_000 + random() * 3_000 : WAY_MS, () => {
-      carryOut(target, (tell) => {
-        if (isLost || this.world.isCut(leader, order.endpoint)) return
+      this.carryOut(target, order, (answer) => {
+        if (isLost || this.world.isCut(caller, order.endpoint)) return
         this.world.after(WAY_MS, () => {
-          settle(tell)
+          settle(answer)
         })
       })
     })
   }
+
+  private carryOut(target: SimulatedEndpoint, order: EndpointOrder, onAnswer: OnAnswer): void {
+    const { fencingToken: token, order: what } = order
+    const now = this.world.now()
+    switch (what.case) {
+      case 'hold':
+        this.hold(target, token, what.value, onAnswer)
+        return
+      case 'start':
+        onAnswer(this.start(target, token, what.value))
+        return
+      case 'stop':
+        onAnswer({ case: 'stopped', value: target.stop(now, token, what.value) })
+        return
+      case undefined:
+    }
+  }
+
+  private start(target: SimulatedEndpoint, token: number, order: StartOrder): OrderAnswer {
+    const { random, drawRunMs, chances, now } = this.world
+    const fate = { runMs: drawRunMs(), fails: random() < chances.failedRun }
+    return { case: 'started', value: target.start(now(), token, order, fate) }
+  }
+
+  /** Asks again until there is an end, or the wait is over. */
+  private hold(
+    target: SimulatedEndpoint,
+    token: number,
+    order: HoldOrder,
+    onAnswer: OnAnswer,
+  ): void {
+    const begin = this.world.now()
+    const poll = (): void => {
+      const now = this.world.now()
+      const report = target.hold(now, token, order)
+      if (typeof report === 'number') onAnswer(faultOf(report))
+      else if (report.ended.length > 0 || now - begin >= order.waitMs) {
+        onAnswer({ case: 'report', value: report })
+      } else this.world.after(1, poll)
+    }
+    poll()
+  }
+}
+
+function faultOf(failure: HoldFailure): OrderAnswer {
+  return { case: 'fault', value: create(HoldFaultSchema, { failure, detail: 'simulated' }) }
 }
--- a/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
@@ -1,15 +1,21 @@
 import { create } from '@bufbuild/protobuf'
-import { EndpointNoticeSchema, NoticeState } from '@cherryhitch/protocol'
-import type { EndpointNotice } from '@cherryhitch/protocol'
-import { HoldFailure } from '../DispatchEvent'
-import { ListedEnd, StartResult } from '../gateway/EndpointGateway'
+import {
+  EndpointNoticeSchema,
+  HoldFailure,
+  HoldReportSchema,
+  ListedEnd,
+  ListedRunEndSchema,
+  NoticeState,
+  StartResult,
+} from '@cherryhitch/protocol'
 import type {
+  EndpointNotice,
   HoldOrder,
   HoldReport,
   ListedRunEnd,
   StartOrder,
   StopOrder,
-} from '../gateway/EndpointGateway'
+} from '@cherryhitch/protocol'
 
 /** A run on a simulated endpoint. */
 export interface SimulatedRun {
@@ -20,6 +26,12 @@
   readonly fails: boolean
 }
 
+/** How a run will go. @internal */
+export interface RunFate {
+  readonly runMs: number
+  readonly fails: boolean
+}
+
 /** @internal */
 export interface SimulatedEndpointOptions {
   readonly id: string
@@ -74,46 +86,46 @@
   advance(now: number): void {
     for (const run of [...this.running.values()]) {
       if (run.endsAt > now) continue
-      this.end(run, run.fails ? ListedEnd.Failed : ListedEnd.Done)
+      this.end(run, run.fails ? ListedEnd.FAILED : ListedEnd.DONE)
     }
     if (this.clock(now) <= this.leaseEndsAt) return
-    for (const run of [...this.running.values()]) this.end(run, ListedEnd.LeaseExpired)
+    for (const run of [...this.running.values()]) this.end(run, ListedEnd.LEASE_EXPIRED)
   }
 
-  start(now: number, order: StartOrder, runMs: number, fails: boolean): StartResult {
+  start(now: number, token: number, order: StartOrder, { runMs, fails }: RunFate): StartResult {
     this.advance(now)
-    if (order.fencingToken < this.fence) return StartResult.Fenced
-    this.fence = order.fencingToken
-    if (this.running.get(order.task)?.run === order.run) return StartResult.Runs
-    if (order.orderEndsAt < this.clock(now)) return StartResult.TooLate
+    if (token < this.fence) return StartResult.FENCED
+    this.fence = token
+    if (this.running.get(order.task)?.run === order.run) return StartResult.RUNS
+    if (order.orderEndsAt < this.clock(now)) return StartResult.TOO_LATE
     this.renew(now, order.orderEndsAt)
-    if (order.run <= (this.highestEnded.get(order.task) ?? 0)) return StartResult.OldRun
-    if (this.running.size >= this.options.places) return StartResult.NoRoom
+    if (order.run <= (this.highestEnded.get(order.task) ?? 0)) return StartResult.OLD_RUN
+    if (this.running.size >= this.options.places) return StartResult.NO_ROOM
     const run = { task: order.task, run: order.run, endsAt: now + runMs, fails }
     this.running.set(order.task, run)
     this.onStart(run)
-    return StartResult.Runs
+    return StartResult.RUNS
   }
 
-  stop(now: number, order: StopOrder): boolean {
+  stop(now: number, token: number, order: StopOrder): boolean {
     this.advance(now)
-    if (order.fencingToken < this.fence) return false
-    this.fence = order.fencingToken
+    if (token < this.fence) return false
+    this.fence = token
     const run = this.running.get(order.task)
-    if (run?.run === order.run) this.end(run, ListedEnd.Stopped)
+    if (run?.run === order.run) this.end(run, ListedEnd.STOPPED)
     const highest = this.highestEnded.get(order.task) ?? 0
     this.highestEnded.set(order.task, Math.max(highest, order.run))
     return true
   }
 
-  hold(now: number, order: HoldOrder): HoldReport | HoldFailure {
+  hold(now: number, token: number, order: HoldOrder): HoldReport | HoldFailure {
     this.advance(now)
-    if (order.fencingToken < this.fence) return HoldFailure.Fenced
-    this.fence = order.fencingToken
+    if (token < this.fence) return HoldFailure.FENCED
+    this.fence = token
     if (order.leaseEndsAt !== undefined) this.renew(now, order.leaseEndsAt)
     this.ended = this.ended.filter(({ position }) => position > order.acknowledgedEnd)
     const running = [...this.running.values()].map(({ task, run }) => ({ task, run }))
-    return { clockMs: this.clock(now), running, ended: [...this.ended] }
+    return create(HoldReportSchema, { clockMs: this.clock(now), running, ended: this.ended })
   }
 
   private renew(now: number, leaseEndsAt: number): void {
@@ -124,6 +136,7 @@
   private end({ task, run }: SimulatedRun, end: ListedEnd): void {
     this.running.delete(task)
     this.highestEnded.set(task, Math.max(this.highestEnded.get(task) ?? 0, run))
-    this.ended.push({ position: ++this.position, task, run, end })
+    const position = ++this.position
+    this.ended.push(create(ListedRunEndSchema, { position, task, run, end }))
   }
 }
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.test.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.test.ts
@@ -27,6 +27,14 @@
     })
   }
 
+  for (let seed = 201; seed <= 230; seed++) {
+    it(`keeps them also when proxies carry the orders, with seed ${seed}`, () => {
+      const report = runDispatchSoak(seed, STEPS, { proxies: 2 })
+      assert.deepEqual(report.violations, [])
+      assert.ok(report.completed > report.submitted / 4, `${report.completed} were completed`)
+    })
+  }
+
   for (const [seed, cause] of failedBefore) {
     it(`keeps the promises with seed ${seed}: ${cause}`, () => {
       assert.deepEqual(runDispatchSoak(seed, STEPS).violations, [])
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.ts
@@ -12,6 +12,8 @@
 export interface DispatchSoakOptions {
   /** Whether nobody leads for up to 1.5 s between two leaders. */
   readonly hasGaps?: boolean
+  /** Instances that bring the leader's orders to endpoints; some fall silent for a while. */
+  readonly proxies?: number
 }
 
 /** Shares of orders and runs that go wrong: about those of the users' own days with trouble. */
@@ -28,7 +30,7 @@
 export function runDispatchSoak(
   seed: number,
   steps: number,
-  { hasGaps = false }: DispatchSoakOptions = {},
+  { hasGaps = false, proxies = 0 }: DispatchSoakOptions = {},
 ): DispatchSoakReport {
   const random = randomOf(seed)
   const below = (n: number): number => Math.floor(random() * n)
@@ -37,6 +39,7 @@
     endpoints: 3,
     placesEach: 3,
     random,
+    proxies,
     chances: CHANCES,
   })
   world.elect(0, 0)
@@ -50,8 +53,12 @@
       world.elect(below(LEADERS), below(hasGaps ? 4_000 : 1_000), hasGaps ? below(1_500) : 0)
     }
     if (random() < 0.1) {
-      world.cut(below(LEADERS), `e${below(world.endpoints.length)}`, below(2_000))
+      world.cut(`d${below(LEADERS)}`, `e${below(world.endpoints.length)}`, below(2_000))
     }
+    if (proxies > 0 && random() < 0.1) {
+      world.cut(`p${below(proxies)}`, `e${below(world.endpoints.length)}`, below(2_000))
+    }
+    if (proxies > 0 && random() < 0.05) world.silenceProxy(below(proxies), below(3_000))
     if (random() < 0.01) world.addEndpoint(`e${world.endpoints.length}`, [below(LEADERS)])
   }
   world.run(5_000)
--- a/packages/dispatch/src/lib/startDispatcher.ts
+++ b/packages/dispatch/src/lib/startDispatcher.ts
@@ -1,16 +1,19 @@
-import { envelope } from '@cherryhitch/protocol'
-import type { EndpointNotice, Envelope } from '@cherryhitch/protocol'
 import { exhaustive } from '@cherryhitch/model'
+import { envelope } from '@cherryhitch/protocol'
+import type { EndpointAnswer, EndpointNotice, Envelope } from '@cherryhitch/protocol'
 import { startPart, systemClock } from '@cherryhitch/runtime'
 import type { Clock, Part } from '@cherryhitch/runtime'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import { DispatchActionKind } from './DispatchAction'
-import type { DispatchAction, Stage } from './DispatchAction'
-import { DispatchEventKind } from './DispatchEvent'
+import type { DispatchAction, SendOrder, Stage } from './DispatchAction'
 import type { DispatchEvent } from './DispatchEvent'
 import type { DispatchMachine } from './DispatchMachine'
-import type { EndpointGateway, HoldOrder, StartOrder, StopOrder } from './gateway/EndpointGateway'
+import type { EndpointGateway } from './gateway/EndpointGateway'
+import { answerEvent } from './orders/answerEvent'
+import { OrderRouter, RouterActionKind, RouterEventKind } from './orders/OrderRouter'
+import type { RouterAction } from './orders/OrderRouter'
+import type { ProxyInstance } from './orders/ProxyAssignments'
 
 /** @public */
 export interface DispatcherOptions {
@@ -25,42 +28,60 @@
   readonly clock?: Clock
 }
 
+/** @public */
+export interface Dispatcher extends Part<DispatchEvent> {
+  /** A proxy tells what came of orders. */
+  readonly onAnswers: (from: string, answers: readonly EndpointAnswer[]) => void
+  /** Which other instances may bring orders to endpoints. */
+  readonly setProxies: (proxies: readonly ProxyInstance[]) => void
+}
+
 /** Pace of timeouts: a tenth of the shortest time that is waited for, in milliseconds. */
 const TICK_MS = 10
 
 /** Starts the fiber that owns the dispatcher, and carries out its orders. @public */
 export function startDispatcher(
   options: DispatcherOptions,
-): Effect.Effect<Part<DispatchEvent>, never, Scope.Scope> {
+): Effect.Effect<Dispatcher, never, Scope.Scope> {
   const { machine, onDefect } = options
   const clock = options.clock ?? systemClock
   return Effect.gen(function* () {
-    const shell = new DispatcherShell(options)
+    const shell = new DispatcherShell(options, clock)
     const perform = (action: DispatchAction): void => {
       shell.perform(action)
     }
-    const part = yield* startPart(machine, { perform, onDefect, tickMs: TICK_MS, clock })
+    const onStepEnd = (): void => {
+      shell.sendOrders()
+    }
+    const parts = { perform, onStepEnd, onDefect, tickMs: TICK_MS, clock }
+    const part = yield* startPart(machine, parts)
     shell.tell = part.tell
-    return part
+    return {
+      ...part,
+      onAnswers: (from, answers) => {
+        shell.onAnswers(from, answers)
+      },
+      setProxies: (proxies) => {
+        shell.setProxies(proxies)
+      },
+    }
   })
 }
 
 class DispatcherShell {
   tell: (event: DispatchEvent) => void = () => undefined
+  private readonly router = new OrderRouter()
 
-  constructor(private readonly options: DispatcherOptions) {}
+  constructor(
+    private readonly options: DispatcherOptions,
+    private readonly clock: Clock,
+  ) {}
 
   perform(action: DispatchAction): void {
     const { options } = this
     switch (action.kind) {
-      case DispatchActionKind.Hold:
-        this.hold(action.order)
-        return
-      case DispatchActionKind.Start:
-        this.start(action.order)
-        return
-      case DispatchActionKind.Stop:
-        this.stop(action.order)
+      case DispatchActionKind.Order:
+        this.router.step(this.clock.now(), { kind: RouterEventKind.Order, send: action })
         return
       case DispatchActionKind.Answer:
         options.send(action.to, envelope({ case: 'jobOutcome', value: action.outcome }))
@@ -79,31 +100,47 @@
     }
   }
 
-  private hold(order: HoldOrder): void {
-    const { endpoint, fencingToken: token, sentAt } = order
-    const told = Effect.match(this.options.gateway.hold(order), {
-      onSuccess: (report) => {
-        this.tell({ kind: DispatchEventKind.HoldAnswered, endpoint, token, sentAt, report })
-      },
-      onFailure: ({ failure, detail }) => {
-        this.tell({ kind: DispatchEventKind.HoldFailed, endpoint, token, sentAt, failure, detail })
-      },
-    })
-    Effect.runFork(told)
+  /** Sends what the last step ordered. */
+  sendOrders(): void {
+    this.route(this.router.tick(this.clock.now()))
   }
 
-  private start(order: StartOrder): void {
-    const { endpoint, fencingToken: token, task, run } = order
-    const told = Effect.map(this.options.gateway.start(order), (result) => {
-      this.tell({ kind: DispatchEventKind.StartAnswered, endpoint, token, task, run, result })
-    })
-    Effect.runFork(told)
+  onAnswers(from: string, answers: readonly EndpointAnswer[]): void {
+    this.route(this.router.step(this.clock.now(), { kind: RouterEventKind.Answers, from, answers }))
+  }
+
+  setProxies(proxies: readonly ProxyInstance[]): void {
+    const { endpoints } = this.options.machine
+    const event = { kind: RouterEventKind.Proxies, proxies, endpoints } as const
+    this.route(this.router.step(this.clock.now(), event))
+  }
+
+  private route(actions: readonly RouterAction[]): void {
+    for (const action of actions) {
+      switch (action.kind) {
+        case RouterActionKind.Call:
+          this.call(action.send)
+          break
+        case RouterActionKind.Forward: {
+          const value = { orders: [...action.orders] }
+          this.options.send(action.to, envelope({ case: 'endpointOrders', value }))
+          break
+        }
+        case RouterActionKind.Tell:
+          this.tell(action.event)
+          break
+        case RouterActionKind.Log:
+          this.options.log(action.sentence, action.fields)
+          break
+        default:
+          exhaustive(action)
+      }
+    }
   }
 
-  private stop(order: StopOrder): void {
-    const { endpoint, fencingToken: token, task, run } = order
-    const told = Effect.map(this.options.gateway.stop(order), (confirmed) => {
-      this.tell({ kind: DispatchEventKind.StopAnswered, endpoint, token, task, run, confirmed })
+  private call(send: SendOrder): void {
+    const told = Effect.map(this.options.gateway.call(send.order), (answer) => {
+      this.tell(answerEvent(send, answer))
     })
     Effect.runFork(told)
   }
--- a/packages/runtime/src/lib/startPart.ts
+++ b/packages/runtime/src/lib/startPart.ts
@@ -9,6 +9,8 @@
 export interface PartOptions<Action> {
   /** Carries an action out; it must not throw, and it must not block. */
   readonly perform: (action: Action) => void
+  /** Called after all actions that belong together were carried out. */
+  readonly onStepEnd?: () => void
   /** Called when a step or an action throws: the part is dead after it. */
   readonly onDefect: (defect: unknown) => void
   /** Milliseconds between two ticks. */
@@ -46,6 +48,7 @@
       const events = waiting.filter((event): event is Event => event !== TICK)
       if (events.length > 0) perform(machine.stepAll(clock.now(), events))
       if (events.length < waiting.length) perform(machine.tick(clock.now()))
+      options.onStepEnd?.()
     }
     const drain = Effect.gen(function* () {
       const events = yield* Queue.takeAll(mailbox)
