Take mail in by a callback in place of a fiber; one mailbox in place of four

Cause: an idle entry took 0.17 of a core, a dispatching instance 0.26 to 0.33 (two entries and three dispatching instances on loopback, profiler on), mostly for fibers that wait on queues and sleep between ticks. Ruled out: the machines themselves (a few percent of the profile). Change: startMailbox in packages/runtime; parts, links, the log's node and the delivery to itself use it, which had four copies of the same loop.

--- a/packages/control/src/lib/node/startControlNode.ts
+++ b/packages/control/src/lib/node/startControlNode.ts
@@ -1,7 +1,7 @@
 import { hash64 } from '@cherryhitch/model'
 import type { SettingsState } from '@cherryhitch/protocol'
-import { systemClock } from '@cherryhitch/runtime'
-import { Effect, Queue, Schedule } from 'effect'
+import { startMailbox, startTimer, systemClock } from '@cherryhitch/runtime'
+import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import type { ControlError } from '../errors/ControlError'
 import { initVoters, openVoter } from '../store/initVoters'
@@ -40,9 +40,13 @@
   return Effect.gen(function* () {
     const { instance, boot, voters } = options
     const timing = { ...defaultClientTiming, ...options.clientTiming }
-    const mailbox = yield* Queue.unbounded<NodeEvent>()
+    // What the parts tell before the host is there waits for it.
+    const early: NodeEvent[] = []
+    let deliver = (event: NodeEvent): void => {
+      early.push(event)
+    }
     const tell = (event: NodeEvent): void => {
-      Queue.offerUnsafe(mailbox, event)
+      deliver(event)
     }
     const opened = yield* openDisk(options)
     const voter = opened && new VoterMachine(machineOptions(options), opened.stored)
@@ -59,7 +63,8 @@
       if (settings === undefined) continue
       tell({ to: NodePart.Client, event: { kind: ClientEventKind.LocalSettings, settings } })
     }
-    yield* startMailbox(host, mailbox, options)
+    deliver = yield* startHost(host, options)
+    early.forEach(deliver)
     return new ControlNode(host)
   })
 }
@@ -116,28 +121,24 @@
   return startSettingsKeeper(disk, kept, log)
 }
 
-/** The fiber that owns the machines. */
-function startMailbox(
+/** Gives the machines their mailbox and their ticks. */
+function startHost(
   host: ControlHost,
-  mailbox: Queue.Queue<NodeEvent>,
   options: ControlNodeOptions,
-): Effect.Effect<void, never, Scope.Scope> {
+): Effect.Effect<(event: NodeEvent) => void, never, Scope.Scope> {
   return Effect.gen(function* () {
-    const drain = Effect.gen(function* () {
-      const events = yield* Queue.takeAll(mailbox)
-      yield* Effect.sync(() => {
+    const { tell } = yield* startMailbox<NodeEvent>({
+      take: (events) => {
         host.handle(events)
-      })
+      },
+      onDefect: (defect) => {
+        options.log(`ended by a fault of the program: ${String(defect)}`)
+        options.onDefect?.(defect)
+      },
+    })
+    yield* startTimer(options.tickMs ?? DEFAULT_TICK_MS, () => {
+      tell({ to: NodePart.Timer })
     })
-    const guarded = Effect.catchCause(Effect.forever(drain), (cause) =>
-      Effect.sync(() => {
-        options.log(`ended by a fault of the program: ${String(cause)}`)
-        options.onDefect?.(cause)
-      }),
-    )
-    yield* Effect.forkScoped(guarded)
-    const tick = Effect.sync(() => Queue.offerUnsafe(mailbox, { to: NodePart.Timer }))
-    const tickMs = options.tickMs ?? DEFAULT_TICK_MS
-    yield* Effect.forkScoped(Effect.repeat(tick, Schedule.spaced(tickMs)))
+    return tell
   })
 }
--- a/packages/rpc/src/lib/host/startSelfDelivery.ts
+++ b/packages/rpc/src/lib/host/startSelfDelivery.ts
@@ -1,5 +1,6 @@
 import type { Envelope } from '@cherryhitch/protocol'
-import { Effect, Queue } from 'effect'
+import { startMailbox } from '@cherryhitch/runtime'
+import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import { deliverEnvelope } from './deliverEnvelope'
 import type { DeliveryOptions } from './deliverEnvelope'
@@ -23,23 +24,19 @@
 export function startSelfDelivery(
   options: SelfDeliveryOptions,
 ): Effect.Effect<SelfDelivery, never, Scope.Scope> {
-  const { instance, boot, counters, maxQueuedEnvelopes } = options
-  return Effect.gen(function* () {
-    const queue = yield* Queue.unbounded<Envelope>()
-    const loop = Effect.gen(function* () {
-      const envelopes = yield* Queue.takeAll(queue)
-      yield* Effect.sync(() => {
-        for (const envelope of envelopes) deliverEnvelope(options, instance, boot, envelope)
-      })
-    })
-    yield* Effect.forkScoped(Effect.forever(loop))
-    return (envelope) => {
-      if (Queue.sizeUnsafe(queue) >= maxQueuedEnvelopes) {
-        counters.dropped += 1
-        return false
-      }
-      Queue.offerUnsafe(queue, envelope)
-      return true
+  const { instance, boot, counters, handlers, maxQueuedEnvelopes } = options
+  const take = (envelopes: readonly Envelope[]): void => {
+    for (const envelope of envelopes) deliverEnvelope(options, instance, boot, envelope)
+  }
+  const onDefect = (defect: unknown): void => {
+    handlers.log(`the delivery to itself ended by a defect: ${String(defect)}`)
+  }
+  return Effect.map(startMailbox({ take, onDefect }), (mailbox) => (envelope) => {
+    if (mailbox.backlog() >= maxQueuedEnvelopes) {
+      counters.dropped += 1
+      return false
     }
+    mailbox.tell(envelope)
+    return true
   })
 }
--- a/packages/rpc/src/lib/peer/startPeerLink.ts
+++ b/packages/rpc/src/lib/peer/startPeerLink.ts
@@ -1,7 +1,8 @@
 import { exhaustive } from '@cherryhitch/model'
 import type { Envelope } from '@cherryhitch/protocol'
-import type { Clock } from '@cherryhitch/runtime'
-import { Effect, Queue, Schedule } from 'effect'
+import { startMailbox, startTimer } from '@cherryhitch/runtime'
+import type { Clock, Mailbox } from '@cherryhitch/runtime'
+import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import type { LinkHandlers, LinkPeer, LinkTls } from '../host/LinkHostOptions'
 import { estimateBytes } from './estimateBytes'
@@ -38,32 +39,35 @@
 const TICK = Symbol('tick')
 type Mail = PeerLinkEvent | typeof TICK
 
-/** Starts the fiber that owns the link to one peer. It ends with the scope. @internal */
+/** Starts the owner of the link to one peer. It ends with the scope. @internal */
 export function startPeerLink(
   options: StartPeerLinkOptions,
 ): Effect.Effect<RunningPeerLink, never, Scope.Scope> {
+  const { handlers, peer, tickMs } = options
   return Effect.gen(function* () {
-    const mailbox = yield* Queue.unbounded<Mail>()
-    const shell = new PeerLinkShell(options, (event) => Queue.offerUnsafe(mailbox, event))
-    const loop = Effect.gen(function* () {
-      const mail = yield* Queue.takeAll(mailbox)
-      yield* Effect.sync(() => {
+    const mailbox: Mailbox<Mail> = yield* startMailbox<Mail>({
+      take: (mail) => {
         shell.handle(mail)
-      })
+      },
+      onDefect: (defect) => {
+        handlers.log(`the link to ${peer} ended by a defect: ${String(defect)}`)
+        shell.closeAll()
+      },
     })
+    const shell = new PeerLinkShell(options, mailbox.tell)
     yield* Effect.addFinalizer(() =>
       Effect.sync(() => {
         shell.closeAll()
       }),
     )
-    yield* Effect.forkScoped(Effect.forever(loop))
-    const tick = Effect.sync(() => Queue.offerUnsafe(mailbox, TICK))
-    yield* Effect.forkScoped(Effect.repeat(tick, Schedule.spaced(options.tickMs)))
+    yield* startTimer(tickMs, () => {
+      mailbox.tell(TICK)
+    })
     return shell.handleFor()
   })
 }
 
-/** Carries out what the machine decides. Only its fiber calls `handle`. */
+/** Carries out what the machine decides. Only its mailbox calls `handle`. */
 class PeerLinkShell {
   readonly #machine: PeerLink
   readonly #connections = new Map<number, LinkConnection>()
--- /dev/null
+++ b/packages/runtime/src/lib/startMailbox.ts
@@ -0,0 +1,74 @@
+import { Effect } from 'effect'
+import type { Scope } from 'effect'
+
+/** @public */
+export interface MailboxOptions<Item> {
+  /** Takes in all items that have arrived since the last call; it must not block. */
+  readonly take: (items: readonly Item[]) => void
+  /** Called when `take` throws: the mailbox is dead after it. */
+  readonly onDefect: (defect: unknown) => void
+}
+
+/** @public */
+export interface Mailbox<Item> {
+  /** Puts an item in; returns at once. */
+  readonly tell: (item: Item) => void
+  /** Items that wait. */
+  readonly backlog: () => number
+}
+
+/**
+ * Starts a mailbox whose items are taken in by one function, never while another call of it runs.
+ * What arrives in one turn of the event loop is taken in together. It ends with the scope.
+ *
+ * A plain callback in place of a fiber that waits on a queue: an idle entry spends its time on
+ * waking up, and a fiber's share of that was a half (measured with 5 peers and 10 messages each).
+ *
+ * @public
+ */
+export function startMailbox<Item>(
+  options: MailboxOptions<Item>,
+): Effect.Effect<Mailbox<Item>, never, Scope.Scope> {
+  const open = Effect.sync(() => new CallbackMailbox(options))
+  const close = (mailbox: CallbackMailbox<Item>) =>
+    Effect.sync(() => {
+      mailbox.close()
+    })
+  return Effect.acquireRelease(open, close)
+}
+
+class CallbackMailbox<Item> implements Mailbox<Item> {
+  private waiting: Item[] = []
+  private isScheduled = false
+  private isClosed = false
+
+  constructor(private readonly options: MailboxOptions<Item>) {}
+
+  readonly tell = (item: Item): void => {
+    if (this.isClosed) return
+    this.waiting.push(item)
+    if (this.isScheduled) return
+    this.isScheduled = true
+    setImmediate(this.drain)
+  }
+
+  readonly backlog = (): number => this.waiting.length
+
+  close(): void {
+    this.isClosed = true
+    this.waiting = []
+  }
+
+  private readonly drain = (): void => {
+    const items = this.waiting
+    this.waiting = []
+    this.isScheduled = false
+    if (this.isClosed) return
+    try {
+      this.options.take(items)
+    } catch (err) {
+      this.close()
+      this.options.onDefect(err)
+    }
+  }
+}
--- a/packages/runtime/src/lib/startPart.ts
+++ b/packages/runtime/src/lib/startPart.ts
@@ -1,8 +1,10 @@
-import { Effect, Queue } from 'effect'
+import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import type { Clock } from './Clock'
 import { systemClock } from './Clock'
 import type { Machine } from './Machine'
+import { startMailbox } from './startMailbox'
+import type { Mailbox } from './startMailbox'
 import { startTimer } from './startTimer'
 
 /** @public */
@@ -19,17 +21,12 @@
 }
 
 /** A running state machine that is reached through its mailbox alone. @public */
-export interface Part<Event> {
-  /** Puts an event into the mailbox; returns at once. */
-  readonly tell: (event: Event) => void
-  /** Events that wait in the mailbox. */
-  readonly backlog: () => number
-}
+export type Part<Event> = Mailbox<Event>
 
 const TICK = Symbol('tick')
 
 /**
- * Starts a fiber that owns the machine. It ends with the scope.
+ * Starts the only owner of the machine. It ends with the scope.
  *
  * @public
  */
@@ -38,38 +35,21 @@
   options: PartOptions<Action>,
 ): Effect.Effect<Part<Event>, never, Scope.Scope> {
   const clock = options.clock ?? systemClock
+  const perform = (actions: readonly Action[]): void => {
+    for (const action of actions) options.perform(action)
+  }
+  /** Events that arrived together are taken in together, which may share work. */
+  const take = (waiting: readonly (Event | typeof TICK)[]): void => {
+    const events = waiting.filter((event): event is Event => event !== TICK)
+    if (events.length > 0) perform(machine.stepAll(clock.now(), events))
+    if (events.length < waiting.length) perform(machine.tick(clock.now()))
+    options.onStepEnd?.()
+  }
   return Effect.gen(function* () {
-    const mailbox = yield* Queue.unbounded<Event | typeof TICK>()
-    const perform = (actions: readonly Action[]): void => {
-      for (const action of actions) options.perform(action)
-    }
-    /** Events that arrived together are taken in together, which may share work. */
-    const handle = (waiting: readonly (Event | typeof TICK)[]): void => {
-      const events = waiting.filter((event): event is Event => event !== TICK)
-      if (events.length > 0) perform(machine.stepAll(clock.now(), events))
-      if (events.length < waiting.length) perform(machine.tick(clock.now()))
-      options.onStepEnd?.()
-    }
-    const drain = Effect.gen(function* () {
-      const events = yield* Queue.takeAll(mailbox)
-      yield* Effect.sync(() => {
-        handle(events)
-      })
-    })
-    const guarded = Effect.catchCause(Effect.forever(drain), (cause) =>
-      Effect.sync(() => {
-        options.onDefect(cause)
-      }),
-    )
-    yield* Effect.forkScoped(guarded)
+    const mailbox = yield* startMailbox({ take, onDefect: options.onDefect })
     yield* startTimer(options.tickMs, () => {
-      Queue.offerUnsafe(mailbox, TICK)
+      mailbox.tell(TICK)
     })
-    return {
-      tell: (event) => {
-        Queue.offerUnsafe(mailbox, event)
-      },
-      backlog: () => Queue.sizeUnsafe(mailbox),
-    }
+    return mailbox
   })
 }
