--- a/apps/bench/src/lib/soak/runMachineSoak.ts
+++ b/apps/bench/src/lib/soak/runMachineSoak.ts
@@ -3,6 +3,9 @@
 import { runJointSoak } from '../../joint/runJointSoak'
 import type { SoakVerdict } from './SoakVerdict'
 
+/** Seeds go by turns without proxies, with one, with two and with three. */
+const PROXY_COUNTS = 4
+
 /** Machines of coordinators, owners and membership, by `runJointSoak`. */
 export function runJointPart(seed: number, steps: number): SoakVerdict {
   return verdictOf(() => {
@@ -21,7 +24,10 @@
 
 /** Machines of dispatchers, an entry and endpoints, by `runDispatchSoak`. */
 export function runDispatchPart(seed: number, steps: number): SoakVerdict {
-  const { violations, submitted, completed } = runDispatchSoak(seed, steps, { hasGaps: true })
+  const { violations, submitted, completed } = runDispatchSoak(seed, steps, {
+    hasGaps: true,
+    proxies: seed % PROXY_COUNTS,
+  })
   const summary = `${submitted} jobs, ${completed} completed`
   return { summary, violations, details: [], folder: undefined }
 }
