Check that the settings hold what their role needs

Cause: an entry without `callers`, or a dispatching instance without `control`, ended with an error of its socket that didn't name the setting. Change: the role decides which settings have to be there; each missing one is told.

--- a/apps/cherryhitch/src/lib/cli/commands/dispatchCommands.ts
+++ b/apps/cherryhitch/src/lib/cli/commands/dispatchCommands.ts
@@ -1,5 +1,5 @@
 import type { DispatchSettings } from '@cherryhitch/settings'
-import { formatSettingsProblem, loadDispatchSettings } from '@cherryhitch/settings'
+import { DispatchRole, formatSettingsProblem, loadDispatchSettings } from '@cherryhitch/settings'
 import { Effect, Exit } from 'effect'
 import { runDispatch } from '../../dispatching/runDispatch'
 import { runEntry } from '../../dispatching/runEntry'
@@ -18,20 +18,21 @@
     .command('entry', 'Take jobs from callers until SIGTERM')
     .option('--settings <file>', 'Settings of this instance')
     .example('cherryhitch entry --settings entry.jsonc')
-    .action(async ({ settings }: SettingsFlag) => run(settings, runEntry))
+    .action(async ({ settings }: SettingsFlag) => run(settings, DispatchRole.Entry, runEntry))
   cli
     .command('dispatch', 'Queue jobs and dispatch their tasks until SIGTERM')
     .option('--settings <file>', 'Settings of this instance')
     .example('cherryhitch dispatch --settings dispatch.jsonc')
-    .action(async ({ settings }: SettingsFlag) => run(settings, runDispatch))
+    .action(async ({ settings }: SettingsFlag) => run(settings, DispatchRole.Dispatch, runDispatch))
 }
 
 async function run(
   file: string | undefined,
+  role: DispatchRole,
   program: (settings: DispatchSettings) => Effect.Effect<string, unknown>,
 ): Promise<void> {
   if (file === undefined) throw usageError('--settings is missing.', 'See docs/OPERATIONS.md.')
-  const loaded = loadDispatchSettings(file)
+  const loaded = loadDispatchSettings(file, role)
   if (loaded.err) {
     throw usageError(loaded.val.map(formatSettingsProblem).join('\n'), 'See docs/OPERATIONS.md.')
   }
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -22,5 +22,9 @@
 export type { TimingSettings } from './lib/schema/timing'
 export { loadTokens } from './lib/tokens/loadTokens'
 export type { Tokens } from './lib/tokens/loadTokens'
-export { loadDispatchSettings, parseDispatchSettings } from './lib/dispatching/dispatchSettings'
+export {
+  DispatchRole,
+  loadDispatchSettings,
+  parseDispatchSettings,
+} from './lib/dispatching/dispatchSettings'
 export type { DispatchSettings } from './lib/dispatching/dispatchSettings'
--- /dev/null
+++ b/packages/settings/src/lib/dispatching/dispatchSettings.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { formatSettingsProblem } from '../problems/SettingsProblem'
+import { DispatchRole, parseDispatchSettings } from './dispatchSettings'
+
+const common = {
+  name: 'one',
+  host: '10.1.0.13',
+  zone: 'hall',
+  linkPort: 7720,
+  metricsPort: 7721,
+  seeds: ['10.1.0.16:8166'],
+  firstStart: true,
+  heartbeatMs: 1_500,
+  maxLeaseMs: 1_000,
+  stopGraceMs: 6_000,
+}
+const entry = { ...common, callers: '10.1.0.13:8161', readiness: '10.1.0.13:8167' }
+const dispatch = { ...common, control: '10.1.0.13:8166', dataFolder: '/data' }
+
+/** Problems of settings, as an operator reads them. */
+function problemsOf(settings: object, role: DispatchRole): readonly string[] {
+  const parsed = parseDispatchSettings(JSON.stringify(settings), 'one.jsonc', role)
+  return parsed.ok ? [] : parsed.val.map(formatSettingsProblem)
+}
+
+describe('the settings of an entry or a dispatching instance', () => {
+  it('are taken when all that the role needs is there', () => {
+    assert.deepEqual(problemsOf(entry, DispatchRole.Entry), [])
+    assert.deepEqual(problemsOf(dispatch, DispatchRole.Dispatch), [])
+  })
+
+  it('may hold more than is known', () => {
+    assert.deepEqual(problemsOf({ ...entry, later: 1 }, DispatchRole.Entry), [])
+  })
+
+  it('are refused with each address that the role needs and that is missing', () => {
+    const problems = problemsOf(dispatch, DispatchRole.Entry)
+    assert.equal(problems.length, 2)
+    assert.match(problems.join(), /callers.*nothing.*readiness.*nothing/s)
+    assert.match(problemsOf(entry, DispatchRole.Dispatch).join(), /control.*dataFolder/s)
+  })
+
+  it('are refused with the place of a value of the wrong kind', () => {
+    const [problem, ...more] = problemsOf({ ...entry, linkPort: 'x' }, DispatchRole.Entry)
+    assert.deepEqual(more, [])
+    assert.match(problem ?? '', /one\.jsonc.*linkPort/s)
+  })
+})
--- a/packages/settings/src/lib/dispatching/dispatchSettings.ts
+++ b/packages/settings/src/lib/dispatching/dispatchSettings.ts
@@ -42,15 +42,29 @@
 /** Settings of an instance that takes jobs (an entry) or dispatches them. @public */
 export type DispatchSettings = typeof schema.Type
 
+/** What an instance does; it decides which settings have to be there. @public */
+export enum DispatchRole {
+  /** Takes jobs from callers. */
+  Entry = 'entry',
+  /** Queues jobs and dispatches their tasks. */
+  Dispatch = 'dispatch',
+}
+
+const requiredByRole: Readonly<Record<DispatchRole, readonly (keyof DispatchSettings)[]>> = {
+  [DispatchRole.Entry]: ['callers', 'readiness'],
+  [DispatchRole.Dispatch]: ['control', 'dataFolder'],
+}
+
 const decode = Schema.decodeUnknownResult(schema)
 const formatIssue = SchemaIssue.makeFormatterStandardSchemaV1()
 
 /** Reads the settings of an entry or a dispatching instance from a file. @public */
 export function loadDispatchSettings(
   file: string,
+  role: DispatchRole,
 ): Result<DispatchSettings, readonly SettingsProblem[]> {
   try {
-    return parseDispatchSettings(fs.readFileSync(file, 'utf8'), file)
+    return parseDispatchSettings(fs.readFileSync(file, 'utf8'), file, role)
   } catch (err) {
     const found = `no readable file (${err instanceof Error ? err.message : String(err)})`
     return Err([{ file, line: 0, setting: '', found, allowed: 'a settings file' }])
@@ -61,12 +75,19 @@
 export function parseDispatchSettings(
   text: string,
   file: string,
+  role: DispatchRole,
 ): Result<DispatchSettings, readonly SettingsProblem[]> {
   const parsed = new SettingsText(text, file)
   const syntax = [...parsed.syntaxProblems(), ...parsed.duplicateProblems()]
   if (syntax.length > 0) return Err(syntax)
   const decoded = decode(parsed.value, { errors: 'all' })
-  if (Decoded.isSuccess(decoded)) return Ok(decoded.success)
+  if (Decoded.isSuccess(decoded)) {
+    const settings = decoded.success
+    const missing = requiredByRole[role].filter((name) => settings[name] === undefined)
+    if (missing.length === 0) return Ok(settings)
+    const allowed = `a value, which the role "${role}" needs`
+    return Err(missing.map((name) => parsed.place({ path: [name], found: 'nothing', allowed })))
+  }
   const { issues } = formatIssue(decoded.failure.issue)
   return Err(
     issues.map(({ path = [], message }) => {
