--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
@@ -13,7 +13,10 @@
   readonly forgetMs: number
   /** A leader that was silent for longer is taken for lost. */
   readonly leaderSilentMs: number
-  /** A host of voters that neither announced itself nor answered for longer is no help now. */
+  /**
+   * A host of voters that neither announced itself nor answered for longer is no help now. Two
+   * announcements fit in, so that one may be lost.
+   */
   readonly helperSilentMs: number
 }
 
@@ -223,8 +226,8 @@
     const value = { zone, hostsVoter, ageMs: now - startedAt, leaving: this.#isLeaving }
     const toAll = this.#leader === '' || now >= this.#announceToOthersDueAt
     if (toAll) this.#announceToOthersDueAt = now + this.#timing.announceToOthersMs
-    // A leader whose answers to jobs have just come needn't be asked whether it is there: 28
-    // entries that ask ten times a second took a fourteenth of its core.
+    // A leader whose answers to jobs have just come needn't be asked whether it is there: with
+    // answers and receipts, 28 entries that ask ten times a second make 1,120 frames a second.
     const isHeard = now - this.#leaderWorkedAt < this.#timing.announceMs / 2
     const receivers = this.voterHosts.filter((host) => {
       return toAll || (host === this.#leader && !isHeard)
--- a/packages/dispatch/src/lib/startDispatcher.ts
+++ b/packages/dispatch/src/lib/startDispatcher.ts
@@ -38,8 +38,9 @@
 
 /**
  * Where proxies carry the orders, the leader takes in together what came within this, in
- * milliseconds. At 120 endpoints and 1,070 starts a second, steps and messages for single answers
- * filled its core; waiting two milliseconds on average costs a short job 4 % of its objective.
+ * milliseconds. On loopback, at 120 endpoints and 1,070 starts a second, a leader with a step and
+ * messages for each single answer took all of a core, and 0.93 of it with this. It delays a task
+ * by two milliseconds on average, of the 156 that the shortest jobs have.
  */
 const STEP_GAP_MS = 4
 /** Pace of timeouts: a tenth of the shortest time that is waited for, in milliseconds. */
--- a/packages/runtime/src/lib/startMailbox.ts
+++ b/packages/runtime/src/lib/startMailbox.ts
@@ -26,8 +26,8 @@
  * Starts a mailbox whose items are taken in by one function, never while another call of it runs.
  * What arrives in one turn of the event loop is taken in together. It ends with the scope.
  *
- * A plain callback in place of a fiber that waits on a queue: an idle entry spends its time on
- * waking up, and a fiber's share of that was a half (measured with 5 peers and 10 messages each).
+ * A plain callback in place of a fiber that waits on a queue: an idle entry with three peers on
+ * loopback took 0.125 of a core with it and 0.17 with fibers, both with the profiler on.
  *
  * @public
  */
