--- a/packages/control/src/lib/soak/SimulatedCluster.ts
+++ b/packages/control/src/lib/soak/SimulatedCluster.ts
@@ -25,6 +25,7 @@
 import type { QuorumRules } from '../voter/QuorumRules'
 import { VoterMachine } from '../voter/VoterMachine'
 import type { VoterLimits } from '../voter/VoterOptions'
+import { SimulatedTime } from './SimulatedTime'
 import { SoakChecks } from './SoakChecks'
 
 /** How the links of a run behave. @internal */
@@ -67,15 +68,11 @@
   writing: PersistBatch | undefined
 }
 
-interface Timed {
-  readonly at: number
-  readonly order: number
-  readonly run: () => void
-}
-
 const TICK_MS = 50
 const AUDIT_PAGE = 500
 const CLUSTER_ID = 'soak'
+/** Where the clock of a run begins, in milliseconds. */
+const START_MS = 1_000_000
 
 /**
  * The machines of all instances in one process, under a clock of the run's own: messages are
@@ -85,7 +82,6 @@
  * @internal
  */
 export class SimulatedCluster {
-  now = 1_000_000
   link: LinkBehaviour
   readonly random: SeededRandom
   readonly checks = new SoakChecks()
@@ -93,11 +89,10 @@
   readonly lines: string[] = []
   /** Links that lose everything, as `from>to`. */
   readonly #cut = new Set<string>()
+  readonly #time = new SimulatedTime(START_MS)
   readonly #options: SimulationOptions
   readonly #processes = new Map<string, Process>()
   #lastRead: ReadControlReply | undefined
-  #queue: Timed[] = []
-  #order = 0
   #wipes = 0
 
   constructor(options: SimulationOptions) {
@@ -109,6 +104,10 @@
     for (const { instance } of this.#processes.values()) this.start(instance)
   }
 
+  get now(): number {
+    return this.#time.now
+  }
+
   get instances(): readonly string[] {
     return [...this.#processes.keys()]
   }
@@ -169,7 +168,7 @@
       process.diskId = opened.stored.diskId
       process.voter = new VoterMachine(machine, opened.stored)
     }
-    this.#after(this.random.between(1, TICK_MS), () => {
+    this.#time.after(this.random.between(1, TICK_MS), () => {
       this.#tick(process, boot)
     })
   }
@@ -252,14 +251,7 @@
 
   /** Lets time pass. */
   run(ms: number): void {
-    const end = this.now + ms
-    for (;;) {
-      const next = this.#takeNext(end)
-      if (next === undefined) break
-      this.now = next.at
-      next.run()
-    }
-    this.now = end
+    this.#time.run(ms)
   }
 
   /** Lets time pass until the condition holds; tells whether it came to hold. */
@@ -297,7 +289,7 @@
     this.#runClient(process, process.client.tick(this.now))
     const current = process.client.isCurrent(this.now)
     this.checks.checkCurrent(process.instance, process.version, current)
-    this.#after(TICK_MS, () => {
+    this.#time.after(TICK_MS, () => {
       this.#tick(process, boot)
     })
   }
@@ -348,7 +340,7 @@
   #persist(process: Process, batch: PersistBatch): void {
     const { boot, store } = process
     process.writing = batch
-    this.#after(this.#options.syncMs * this.random.between(0.5, 2), () => {
+    this.#time.after(this.#options.syncMs * this.random.between(0.5, 2), () => {
       if (!process.up || process.boot !== boot || store === undefined) return
       process.writing = undefined
       const { id } = batch
@@ -371,7 +363,7 @@
     for (let copy = 0; copy < copies; copy++) {
       if (!own && this.random.chance(this.link.loss)) continue
       const delay = own ? 0 : this.random.between(0.2, this.link.maxDelayMs)
-      this.#after(delay, () => {
+      this.#time.after(delay, () => {
         if (!this.#cut.has(`${from.instance}>${to}`)) this.#deliver(from.instance, boot, to, bytes)
       })
     }
@@ -394,23 +386,4 @@
     if (cut) this.#cut.add(link)
     else this.#cut.delete(link)
   }
-
-  #after(ms: number, run: () => void): void {
-    const timed = { at: this.now + ms, order: this.#order++, run }
-    let low = 0
-    let high = this.#queue.length
-    while (low < high) {
-      const middle = (low + high) >> 1
-      const other = this.#queue[middle]
-      // Latest first, so that the next one is taken from the end.
-      if (other !== undefined && (other.at > timed.at || other.at === timed.at)) low = middle + 1
-      else high = middle
-    }
-    this.#queue.splice(low, 0, timed)
-  }
-
-  #takeNext(end: number): Timed | undefined {
-    const next = this.#queue.at(-1)
-    return next !== undefined && next.at <= end ? this.#queue.pop() : undefined
-  }
 }
