--- /dev/null
+++ b/packages/dispatch/src/lib/orders/OrderProxy.test.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { create } from '@bufbuild/protobuf'
+import { EndpointOrderSchema } from '@cherryhitch/protocol'
+import type { EndpointOrder } from '@cherryhitch/protocol'
+import { Effect } from 'effect'
+import { EndpointGateway } from '../gateway/EndpointGateway'
+import type { OrderAnswer } from '../gateway/EndpointGateway'
+import { OrderProxy } from './OrderProxy'
+
+/** Endpoints that confirm every stop at once. */
+class ConfirmingGateway extends EndpointGateway {
+  readonly called: string[] = []
+
+  override call({ endpoint }: EndpointOrder): Effect.Effect<OrderAnswer> {
+    this.called.push(endpoint)
+    return Effect.succeed({ case: 'stopped', value: true })
+  }
+}
+
+const stop = (id: number, endpoint: string): EndpointOrder => {
+  const value = { task: 't', run: 1 }
+  return create(EndpointOrderSchema, { id, endpoint, order: { case: 'stop', value } })
+}
+
+/** A proxy, what it sent (receiver and numbers of the orders), and what it put off. */
+function open() {
+  const gateway = new ConfirmingGateway()
+  const sent: { to: string; ids: number[] }[] = []
+  const deferred: (() => void)[] = []
+  const proxy = new OrderProxy({
+    gateway,
+    send: (to, { body }) => {
+      assert.ok(body.case === 'endpointAnswers')
+      sent.push({ to, ids: body.value.answers.map(({ id }) => id) })
+    },
+    defer: (run) => {
+      deferred.push(run)
+    },
+  })
+  const runDeferred = (): void => {
+    for (const run of deferred.splice(0)) run()
+  }
+  return { gateway, sent, proxy, runDeferred }
+}
+
+describe('an instance that carries orders', () => {
+  it('carries out each, and sends the answers that came together in one message', () => {
+    const { gateway, sent, proxy, runDeferred } = open()
+    proxy.onOrders('leader', [stop(1, 'e1'), stop(2, 'e2')])
+    proxy.onOrders('leader', [stop(3, 'e1')])
+    assert.deepEqual(gateway.called, ['e1', 'e2', 'e1'])
+    assert.deepEqual(sent, [])
+    runDeferred()
+    assert.deepEqual(sent, [{ to: 'leader', ids: [1, 2, 3] }])
+  })
+
+  it('answers whoever ordered, also when an old leader and a new one do so at the same time', () => {
+    const { sent, proxy, runDeferred } = open()
+    proxy.onOrders('old', [stop(1, 'e1')])
+    proxy.onOrders('new', [stop(1, 'e1')])
+    runDeferred()
+    assert.deepEqual(sent, [
+      { to: 'old', ids: [1] },
+      { to: 'new', ids: [1] },
+    ])
+  })
+
+  it('begins a new message after one has gone', () => {
+    const { sent, proxy, runDeferred } = open()
+    proxy.onOrders('leader', [stop(1, 'e1')])
+    runDeferred()
+    proxy.onOrders('leader', [stop(2, 'e1')])
+    runDeferred()
+    assert.deepEqual(sent, [
+      { to: 'leader', ids: [1] },
+      { to: 'leader', ids: [2] },
+    ])
+  })
+})
