One clock for simulated runs and one seeded generator, where there were three and five

DispatchWorld kept a queue of its own that was filtered and sorted for each event, and SimulatedTime of the log's runs was a third copy of what the bench's Agenda does; mulberry32 stood in policy, storage, stand-ins, control and dispatch. Change: Agenda moved to packages/runtime, with the order of ties as an option, since the log's runs do last what was asked for first; seededRandom moved to packages/model, and the two classes draw from it.

--- a/apps/bench/src/joint/EndpointRequests.ts
+++ b/apps/bench/src/joint/EndpointRequests.ts
@@ -1,7 +1,7 @@
 import type { OwnerAction, OwnerEvent, RunTaskAction } from '@cherryhitch/owner'
 import { OwnerActionKind, OwnerEventKind, RunResultKind, StopState } from '@cherryhitch/owner'
 import type { SeededRandom } from '@cherryhitch/stand-ins'
-import type { Agenda } from './Agenda'
+import type { Agenda } from '@cherryhitch/runtime'
 import type { JointEndpoint } from './JointEndpoint'
 import { runResult } from './JointEndpoint'
 import type { JointProcess } from './JointProcess'
--- a/apps/bench/src/joint/JointNetwork.ts
+++ b/apps/bench/src/joint/JointNetwork.ts
@@ -1,6 +1,6 @@
 import type { SeededRandom } from '@cherryhitch/stand-ins'
 import type { Envelope } from '@cherryhitch/protocol'
-import type { Agenda } from './Agenda'
+import type { Agenda } from '@cherryhitch/runtime'
 
 /** An envelope on its way from one process to an instance, whichever process that has by then. */
 export interface JointMessage {
--- a/packages/control/src/lib/soak/SimulatedCluster.ts
+++ b/packages/control/src/lib/soak/SimulatedCluster.ts
@@ -7,6 +7,7 @@
   Envelope,
   ReadControlReply,
 } from '@cherryhitch/protocol'
+import { Agenda, TieOrder } from '@cherryhitch/runtime'
 import { MemoryDisk } from '@cherryhitch/storage'
 import { Effect } from 'effect'
 import type { ClientAction, ClientEvent } from '../node/ClientEvent'
@@ -25,7 +26,6 @@
 import type { QuorumRules } from '../voter/QuorumRules'
 import { VoterMachine } from '../voter/VoterMachine'
 import type { VoterLimits } from '../voter/VoterOptions'
-import { SimulatedTime } from './SimulatedTime'
 import { SoakChecks } from './SoakChecks'
 
 /** How the links of a run behave. @internal */
@@ -71,8 +71,6 @@
 const TICK_MS = 50
 const AUDIT_PAGE = 500
 const CLUSTER_ID = 'soak'
-/** Where the clock of a run begins, in milliseconds. */
-const START_MS = 1_000_000
 
 /**
  * The machines of all instances in one process, under a clock of the run's own: messages are
@@ -89,7 +87,8 @@
   readonly lines: string[] = []
   /** Links that lose everything, as `from>to`. */
   readonly #cut = new Set<string>()
-  readonly #time = new SimulatedTime(START_MS)
+  /** The order of ties is that with which the fixed seeds were found. */
+  readonly #agenda = new Agenda({ ties: TieOrder.LastAsked })
   readonly #options: SimulationOptions
   readonly #processes = new Map<string, Process>()
   #lastRead: ReadControlReply | undefined
@@ -105,7 +104,7 @@
   }
 
   get now(): number {
-    return this.#time.now
+    return this.#agenda.now
   }
 
   get instances(): readonly string[] {
@@ -168,7 +167,7 @@
       process.diskId = opened.stored.diskId
       process.voter = new VoterMachine(machine, opened.stored)
     }
-    this.#time.after(this.random.between(1, TICK_MS), () => {
+    this.#agenda.after(this.random.between(1, TICK_MS), () => {
       this.#tick(process, boot)
     })
   }
@@ -251,7 +250,7 @@
 
   /** Lets time pass. */
   run(ms: number): void {
-    this.#time.run(ms)
+    this.#agenda.run(ms)
   }
 
   /** Lets time pass until the condition holds; tells whether it came to hold. */
@@ -289,7 +288,7 @@
     this.#runClient(process, process.client.tick(this.now))
     const current = process.client.isCurrent(this.now)
     this.checks.checkCurrent(process.instance, process.version, current)
-    this.#time.after(TICK_MS, () => {
+    this.#agenda.after(TICK_MS, () => {
       this.#tick(process, boot)
     })
   }
@@ -340,7 +339,7 @@
   #persist(process: Process, batch: PersistBatch): void {
     const { boot, store } = process
     process.writing = batch
-    this.#time.after(this.#options.syncMs * this.random.between(0.5, 2), () => {
+    this.#agenda.after(this.#options.syncMs * this.random.between(0.5, 2), () => {
       if (!process.up || process.boot !== boot || store === undefined) return
       process.writing = undefined
       const { id } = batch
@@ -363,7 +362,7 @@
     for (let copy = 0; copy < copies; copy++) {
       if (!own && this.random.chance(this.link.loss)) continue
       const delay = own ? 0 : this.random.between(0.2, this.link.maxDelayMs)
-      this.#time.after(delay, () => {
+      this.#agenda.after(delay, () => {
         if (!this.#cut.has(`${from.instance}>${to}`)) this.#deliver(from.instance, boot, to, bytes)
       })
     }
--- a/packages/control/src/lib/util/SeededRandom.ts
+++ b/packages/control/src/lib/util/SeededRandom.ts
@@ -1,20 +1,12 @@
-const GOLDEN_STEP = 0x6d2b79f5
-const UINT32_RANGE = 4294967296
+import { seededRandom } from '@cherryhitch/model'
 
-/** A small seeded generator (mulberry32), so that runs with one seed repeat. @internal */
+/** What a run draws from a seeded generator, so that runs with one seed repeat. @internal */
 export class SeededRandom {
-  #state: number
+  /** The next number from 0 (inclusive) to 1 (exclusive). */
+  readonly next: () => number
 
   constructor(seed: number) {
-    this.#state = seed >>> 0
-  }
-
-  /** The next number from 0 (inclusive) to 1 (exclusive). */
-  next(): number {
-    this.#state = (this.#state + GOLDEN_STEP) >>> 0
-    let mixed = Math.imul(this.#state ^ (this.#state >>> 15), this.#state | 1)
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / UINT32_RANGE
+    this.next = seededRandom(seed)
   }
 
   /** A number from `low` (inclusive) to `high` (exclusive). */
--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -6,6 +6,7 @@
   SteppedJobSchema,
 } from '@cherryhitch/protocol'
 import type { EndpointNotice, Envelope, JobOutcome } from '@cherryhitch/protocol'
+import { Agenda } from '@cherryhitch/runtime'
 import { DispatchActionKind } from '../DispatchAction'
 import type { DispatchAction } from '../DispatchAction'
 import { DispatchEventKind } from '../DispatchEvent'
@@ -55,12 +56,6 @@
   services: [SERVICE],
 })
 
-interface Scheduled {
-  readonly at: number
-  readonly order: number
-  readonly run: () => void
-}
-
 /**
  * Dispatchers, an entry and endpoints in one simulated time, with orders that get lost or come
  * late. It checks that no task ever runs twice at the same time, and that what was refused as
@@ -69,7 +64,6 @@
  * @internal
  */
 export class DispatchWorld {
-  now = 0
   readonly endpoints: SimulatedEndpoint[] = []
   readonly outcomes = new Map<string, JobOutcome>()
   /** When each request was answered. */
@@ -82,8 +76,7 @@
   readonly #proxies: ProxyWorld
   readonly #cutEndpoints = new Map<string, Set<string>>()
   readonly #cutFromQuorum = new Set<number>()
-  #queue: Scheduled[] = []
-  #scheduled = 0
+  readonly #agenda = new Agenda({ startMs: 0 })
   #heartbeatDueAt = 0
   #term = 0
   #leader = 0
@@ -118,6 +111,10 @@
     for (let i = 0; i < options.endpoints; i++) this.addEndpoint(`e${i}`)
   }
 
+  get now(): number {
+    return this.#agenda.now
+  }
+
   addEndpoint(id: string, knownTo = this.#leaders.map((_, i) => i)): SimulatedEndpoint {
     const { random, placesEach: places } = this.options
     const drift = random() * 0.02
@@ -215,7 +212,7 @@
   }
 
   after(ms: number, run: () => void): void {
-    this.#queue.push({ at: this.now + ms, order: this.#scheduled++, run })
+    this.#agenda.after(ms, run)
   }
 
   /** Lets time pass. */
@@ -223,24 +220,11 @@
     const end = this.now + ms
     while (this.now < end) {
       const until = Math.min(end, this.now + TICK_MS)
-      this.#runUntil(until)
+      this.#agenda.runUntil(until)
       this.#tick()
     }
   }
 
-  #runUntil(until: number): void {
-    for (;;) {
-      const next = this.#queue
-        .filter(({ at }) => at <= until)
-        .sort((a, b) => a.at - b.at || a.order - b.order)[0]
-      if (next === undefined) break
-      this.#queue = this.#queue.filter((item) => item !== next)
-      this.now = Math.max(this.now, next.at)
-      next.run()
-    }
-    this.now = until
-  }
-
   #tick(): void {
     for (const endpoint of this.endpoints) endpoint.advance(this.now)
     this.#sendHeartbeats()
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.ts
@@ -1,3 +1,4 @@
+import { seededRandom } from '@cherryhitch/model'
 import { JobVerdict } from '@cherryhitch/protocol'
 import { DispatchWorld } from './DispatchWorld'
 
@@ -32,7 +33,7 @@
   steps: number,
   { hasGaps = false, proxies = 0 }: DispatchSoakOptions = {},
 ): DispatchSoakReport {
-  const random = randomOf(seed)
+  const random = seededRandom(seed)
   const below = (n: number): number => Math.floor(random() * n)
   const world = new DispatchWorld({
     leaders: LEADERS,
@@ -66,14 +67,3 @@
   const completed = verdicts.filter((verdict) => verdict === JobVerdict.COMPLETED).length
   return { violations: world.violations, completed, submitted }
 }
-
-/** A small generator (mulberry32): the runs need to repeat, not to be unguessable. */
-function randomOf(seed: number): () => number {
-  let state = seed >>> 0
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1)
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296
-  }
-}
--- a/packages/storage/src/lib/disk/seededRandom.ts
+++ b/packages/model/src/lib/util/seededRandom.ts
@@ -1,7 +1,12 @@
 const INCREMENT = 0x6d2b79f5
 const RANGE = 2 ** 32
 
-/** Numbers from 0 up to 1, the same ones for the same seed (mulberry32). @internal */
+/**
+ * Numbers from 0 up to 1, the same ones for the same seed (mulberry32). For runs that have to
+ * repeat, and for spreading things in time; it can be guessed.
+ *
+ * @public
+ */
 export function seededRandom(seed: number): () => number {
   let state = seed >>> 0
   return () => {
--- a/packages/policy/src/lib/bench/costBench.ts
+++ b/packages/policy/src/lib/bench/costBench.ts
@@ -15,7 +15,7 @@
 import { SpreadFastPicker } from '../placement/SpreadFastPicker'
 import { MeasuredWaitRouter } from '../routing/MeasuredWaitRouter'
 import type { OwnerOffer, RoutedTask } from '../routing/OwnerRouter'
-import { seededRandom } from './seededRandom'
+import { seededRandom } from '@cherryhitch/model'
 
 const ROUNDS = 5
 const JOB_TASKS = 10
--- a/packages/policy/src/lib/bench/estimateBench.ts
+++ b/packages/policy/src/lib/bench/estimateBench.ts
@@ -5,7 +5,8 @@
 import { DeclaredEstimator } from '../estimates/DeclaredEstimator'
 import { LearnedEstimator } from '../estimates/LearnedEstimator'
 import type { RunTimeEstimator } from '../estimates/RunTimeEstimator'
-import { drawNormal, seededRandom } from './seededRandom'
+import { seededRandom } from '@cherryhitch/model'
+import { drawNormal } from './drawNormal'
 
 const TASKS = 400
 const SPREAD = 0.5
--- a/packages/policy/src/lib/bench/simulateAdmission.ts
+++ b/packages/policy/src/lib/bench/simulateAdmission.ts
@@ -2,7 +2,7 @@
 import type { TaskQueue } from '../order/TaskQueue'
 import type { OwnerOffer } from '../routing/OwnerRouter'
 import { IndexedHeap } from '../util/IndexedHeap'
-import { seededRandom } from './seededRandom'
+import { seededRandom } from '@cherryhitch/model'
 import { drawCaller, drawJob, drawSize, idealMs, MEAN_RUN_MS, MEAN_TASKS } from './workload'
 import type { CallerMix, SimulatedJob, SimulatedTask } from './workload'
 
--- a/packages/policy/src/lib/bench/simulateHealth.ts
+++ b/packages/policy/src/lib/bench/simulateHealth.ts
@@ -1,7 +1,7 @@
 import { HealthFailure, HealthState } from '../health/EndpointHealth'
 import type { EndpointHealth } from '../health/EndpointHealth'
 import { IndexedHeap } from '../util/IndexedHeap'
-import { seededRandom } from './seededRandom'
+import { seededRandom } from '@cherryhitch/model'
 import { drawJob, drawSize, MEAN_RUN_MS, MEAN_TASKS } from './workload'
 
 /** How endpoints and jobs misbehave. @internal */
--- a/packages/policy/src/lib/bench/simulateOrder.ts
+++ b/packages/policy/src/lib/bench/simulateOrder.ts
@@ -1,6 +1,6 @@
 import type { TaskQueue } from '../order/TaskQueue'
 import { IndexedHeap } from '../util/IndexedHeap'
-import { seededRandom } from './seededRandom'
+import { seededRandom } from '@cherryhitch/model'
 import { drawCaller, drawJob, drawSize, idealMs, MEAN_RUN_MS, MEAN_TASKS } from './workload'
 import type { CallerMix, SimulatedJob, SimulatedTask } from './workload'
 
--- a/packages/policy/src/lib/bench/simulatePlacement.ts
+++ b/packages/policy/src/lib/bench/simulatePlacement.ts
@@ -2,7 +2,7 @@
 import type { EndpointPicker, PlacementCandidate } from '../placement/EndpointPicker'
 import { SlownessTracker } from '../placement/SlownessTracker'
 import { IndexedHeap } from '../util/IndexedHeap'
-import { seededRandom } from './seededRandom'
+import { seededRandom } from '@cherryhitch/model'
 import { drawJob, drawSize, idealMs, MEAN_RUN_MS, MEAN_TASKS } from './workload'
 import type { SimulatedJob, SimulatedTask } from './workload'
 
--- a/packages/policy/src/lib/bench/simulateRouting.ts
+++ b/packages/policy/src/lib/bench/simulateRouting.ts
@@ -1,7 +1,7 @@
 import { DeadlineFairQueue } from '../order/DeadlineFairQueue'
 import type { OwnerOffer, OwnerRouter } from '../routing/OwnerRouter'
 import { IndexedHeap } from '../util/IndexedHeap'
-import { seededRandom } from './seededRandom'
+import { seededRandom } from '@cherryhitch/model'
 import { drawJob, drawSize, idealMs, MEAN_RUN_MS, MEAN_TASKS } from './workload'
 import type { SimulatedJob, SimulatedTask } from './workload'
 
--- a/packages/policy/src/lib/bench/workload.ts
+++ b/packages/policy/src/lib/bench/workload.ts
@@ -1,6 +1,6 @@
 /** Jobs after the users' pages, drawn from a seed, for measurements. */
 import type { QueuedTask } from '../order/TaskQueue'
-import { drawNormal } from './seededRandom'
+import { drawNormal } from './drawNormal'
 
 /** @internal */
 export interface SimulatedTask extends QueuedTask {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,8 +1,10 @@
 /**
- * Mailboxes around pure state machines, timers and the clock.
+ * Mailboxes around pure state machines, timers, the clock, and that of simulated runs.
  *
  * @packageDocumentation
  */
+export { Agenda, defaultAgendaOptions, TieOrder } from './lib/Agenda'
+export type { AgendaOptions } from './lib/Agenda'
 export { Machine } from './lib/Machine'
 export { startMailbox } from './lib/startMailbox'
 export type { Mailbox, MailboxOptions } from './lib/startMailbox'
--- a/apps/bench/src/joint/Agenda.ts
+++ b/packages/runtime/src/lib/Agenda.ts
@@ -4,25 +4,61 @@
   readonly act: () => void
 }
 
-/** What is to happen at which instant of a run's own clock; equal instants keep their order. */
+/** What comes first of what is due at the same instant. @public */
+export enum TieOrder {
+  FirstAsked = 'first_asked',
+  LastAsked = 'last_asked',
+}
+
+/** @public */
+export interface AgendaOptions {
+  /** Where the clock begins, in milliseconds. */
+  readonly startMs?: number
+  readonly ties?: TieOrder
+}
+
+/** @public */
+export const defaultAgendaOptions: Required<AgendaOptions> = {
+  startMs: 1_000_000,
+  ties: TieOrder.FirstAsked,
+}
+
+/** A clock of a simulated run, and what is to happen by it. @public */
 export class Agenda {
-  now = 1_000_000
+  private time: number
   private readonly heap: Due[] = []
+  /** Rises with each thing asked for, or falls where the last one is to come first. */
   private order = 0
+  private readonly orderStep: number
+
+  constructor(options: AgendaOptions = {}) {
+    const { startMs, ties } = { ...defaultAgendaOptions, ...options }
+    this.time = startMs
+    this.orderStep = ties === TieOrder.FirstAsked ? 1 : -1
+  }
+
+  get now(): number {
+    return this.time
+  }
 
   after(ms: number, act: () => void): void {
-    this.push({ at: this.now + ms, order: this.order++, act })
+    this.order += this.orderStep
+    this.push({ at: this.time + ms, order: this.order, act })
   }
 
   /** Lets time pass, and does what is due on the way. */
   run(ms: number): void {
-    const end = this.now + ms
+    this.runUntil(this.time + ms)
+  }
+
+  /** The same, up to an instant. */
+  runUntil(end: number): void {
     for (let due = this.heap[0]; due !== undefined && due.at <= end; due = this.heap[0]) {
       this.pop()
-      this.now = due.at
+      this.time = due.at
       due.act()
     }
-    this.now = end
+    this.time = end
   }
 
   private push(due: Due): void {
--- a/packages/stand-ins/src/lib/util/SeededRandom.ts
+++ b/packages/stand-ins/src/lib/util/SeededRandom.ts
@@ -1,26 +1,17 @@
-const INCREMENT = 0x6d2b79f5
-const RANGE = 2 ** 32
+import { seededRandom } from '@cherryhitch/model'
 
 /** Something that is drawn in proportion to its weight. @public */
 export interface Weighted {
   readonly weight: number
 }
 
-/** A small seeded generator (mulberry32); equal seeds draw equal numbers. @public */
+/** Draws from a seeded generator; equal seeds draw equal things. @public */
 export class SeededRandom {
-  private state: number
+  /** At least 0, less than 1. */
+  readonly next: () => number
 
   constructor(seed: number) {
-    this.state = seed >>> 0
-  }
-
-  /** At least 0, less than 1. */
-  next(): number {
-    this.state = (this.state + INCREMENT) >>> 0
-    let mixed = this.state
-    mixed = Math.imul(mixed ^ (mixed >>> 15), mixed | 1)
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / RANGE
+    this.next = seededRandom(seed)
   }
 
   between(min: number, max: number): number {
--- a/packages/storage/src/lib/disk/MemoryDisk.ts
+++ b/packages/storage/src/lib/disk/MemoryDisk.ts
@@ -5,7 +5,7 @@
 import { FaultPlan } from './FaultPlan'
 import type { DiskFault } from './FaultPlan'
 import { MemoryFile } from './MemoryFile'
-import { seededRandom } from './seededRandom'
+import { seededRandom } from '@cherryhitch/model'
 
 /** @public */
 export interface MemoryDiskOptions {
