Store and read versioned records through one pair of functions

The directory of endpoints packed, unpacked and migrated its file in the same lines as the settings keeper and the voter's store. packNewest and unpackNewest serve all three; the four functions below them are no door of the package any more. Bytes and errors are the same.

--- a/apps/cherryhitch/src/lib/dispatching/DirectoryKeeper.ts
+++ b/apps/cherryhitch/src/lib/dispatching/DirectoryKeeper.ts
@@ -1,13 +1,7 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
 import { EndpointNoticesSchema } from '@cherryhitch/protocol'
 import type { EndpointNotice } from '@cherryhitch/protocol'
-import {
-  DurableFile,
-  newestVersion,
-  packVersioned,
-  runMigrations,
-  unpackVersioned,
-} from '@cherryhitch/storage'
+import { DurableFile, packNewest, unpackNewest } from '@cherryhitch/storage'
 import type { Disk, Migration } from '@cherryhitch/storage'
 import type { PartLog } from '@cherryhitch/telemetry'
 import { Effect } from 'effect'
@@ -74,9 +68,7 @@
   }
 
   private decode(bytes: Uint8Array): readonly EndpointNotice[] {
-    const content = unpackVersioned(bytes, FILE).andThen((stored) =>
-      runMigrations(stored, migrations, FILE),
-    )
+    const content = unpackNewest(bytes, migrations, FILE)
     if (content.ok) return fromBinary(EndpointNoticesSchema, content.val).notices
     this.options.log.warn('the stored directory is damaged', { err: content.val })
     return []
@@ -85,8 +77,7 @@
 
 function encode(notices: readonly EndpointNotice[]): Uint8Array {
   const all = create(EndpointNoticesSchema, { notices: notices.map(forgetAge) })
-  const content = toBinary(EndpointNoticesSchema, all)
-  return packVersioned({ version: newestVersion(migrations), content })
+  return packNewest(toBinary(EndpointNoticesSchema, all), migrations)
 }
 
 /** How old a notice was when it was stored tells nothing after a restart. */
--- a/packages/control/src/lib/node/startSettingsKeeper.ts
+++ b/packages/control/src/lib/node/startSettingsKeeper.ts
@@ -1,13 +1,7 @@
 import { fromBinary, toBinary } from '@bufbuild/protobuf'
 import { SettingsStateSchema } from '@cherryhitch/protocol'
 import type { SettingsState } from '@cherryhitch/protocol'
-import {
-  DurableFile,
-  newestVersion,
-  packVersioned,
-  runMigrations,
-  unpackVersioned,
-} from '@cherryhitch/storage'
+import { DurableFile, packNewest, unpackNewest } from '@cherryhitch/storage'
 import type { Disk, Migration, StorageError } from '@cherryhitch/storage'
 import { Effect, Queue } from 'effect'
 import type { Scope } from 'effect'
@@ -69,17 +63,14 @@
   return Effect.gen(function* () {
     const bytes = yield* file.read()
     if (bytes === undefined) return undefined
-    const content = unpackVersioned(bytes, FILE).andThen((stored) =>
-      runMigrations(stored, migrations, FILE),
-    )
+    const content = unpackNewest(bytes, migrations, FILE)
     if (content.err) return yield* content.val
     return fromBinary(SettingsStateSchema, content.val)
   })
 }
 
 function encode(settings: SettingsState): Uint8Array {
-  const content = toBinary(SettingsStateSchema, settings)
-  return packVersioned({ version: newestVersion(migrations), content })
+  return packNewest(toBinary(SettingsStateSchema, settings), migrations)
 }
 
 function asControlError(cause: StorageError): ControlError {
--- a/packages/control/src/lib/store/VoterStore.ts
+++ b/packages/control/src/lib/store/VoterStore.ts
@@ -3,13 +3,11 @@
 import type { ControlSnapshot, HardState, LogEntry } from '@cherryhitch/protocol'
 import {
   DurableFile,
-  newestVersion,
-  packVersioned,
+  packNewest,
   RecordLog,
-  runMigrations,
   StorageError,
   StorageErrorKind,
-  unpackVersioned,
+  unpackNewest,
 } from '@cherryhitch/storage'
 import type { Disk, Migration } from '@cherryhitch/storage'
 import { Effect } from 'effect'
@@ -189,17 +187,14 @@
 }
 
 function pack(kind: keyof typeof files, content: Uint8Array): Uint8Array {
-  return packVersioned({ version: newestVersion(migrations[kind]), content })
+  return packNewest(content, migrations[kind])
 }
 
 function unpack(
   kind: keyof typeof files,
   bytes: Uint8Array,
 ): Effect.Effect<Uint8Array, StorageError> {
-  const name = files[kind]
-  const content = unpackVersioned(bytes, name).andThen((stored) =>
-    runMigrations(stored, migrations[kind], name),
-  )
+  const content = unpackNewest(bytes, migrations[kind], files[kind])
   return content.ok ? Effect.succeed(content.val) : Effect.fail(content.val)
 }
 
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -15,10 +15,5 @@
 export type { DataFolder } from './lib/folder/openDataFolder'
 export { RecordLog, defaultRecordLogOptions } from './lib/log/RecordLog'
 export type { RecordLogOptions } from './lib/log/RecordLog'
-export {
-  newestVersion,
-  packVersioned,
-  runMigrations,
-  unpackVersioned,
-} from './lib/migrations/runMigrations'
-export type { Migration, VersionedContent } from './lib/migrations/runMigrations'
+export { packNewest, unpackNewest } from './lib/migrations/runMigrations'
+export type { Migration } from './lib/migrations/runMigrations'
--- a/packages/storage/src/lib/migrations/runMigrations.ts
+++ b/packages/storage/src/lib/migrations/runMigrations.ts
@@ -12,7 +12,7 @@
   readonly migrate: (content: Uint8Array) => Uint8Array
 }
 
-/** Content of a stored record with the version of its format. @public */
+/** Content of a stored record with the version of its format. @internal */
 export interface VersionedContent {
   readonly version: number
   readonly content: Uint8Array
@@ -20,12 +20,12 @@
 
 const VERSION_SIZE = 2
 
-/** The version that a list of migrations leads to, which is the one to write. @public */
+/** The version that a list of migrations leads to, which is the one to write. @internal */
 export function newestVersion(migrations: readonly Migration[], oldest = 1): number {
   return migrations.reduce((version, { from }) => Math.max(version, from + 1), oldest)
 }
 
-/** Puts the version before the content. @public */
+/** Puts the version before the content. @internal */
 export function packVersioned({ version, content }: VersionedContent): Uint8Array {
   const bytes = Buffer.alloc(VERSION_SIZE + content.length)
   bytes.writeUInt16BE(version)
@@ -33,7 +33,7 @@
   return bytes
 }
 
-/** Reads what {@link packVersioned} wrote; `where` names the record in errors. @public */
+/** Reads what {@link packVersioned} wrote; `where` names the record in errors. @internal */
 export function unpackVersioned(
   bytes: Uint8Array,
   where: string,
@@ -52,7 +52,7 @@
  * @param where - names the record in errors
  * @returns the content; an error of kind `TooNew` for a version above the newest, of kind
  *   `Damaged` for one that no migration leads on from
- * @public
+ * @internal
  */
 export function runMigrations(
   stored: VersionedContent,
@@ -75,3 +75,24 @@
   }
   return Ok(content)
 }
+
+/** A record as it is to be stored: content of the newest format, and its version. @public */
+export function packNewest(content: Uint8Array, migrations: readonly Migration[]): Uint8Array {
+  return packVersioned({ version: newestVersion(migrations), content })
+}
+
+/**
+ * The content of a stored record in the newest format.
+ *
+ * @param migrations - without gaps; the order of the list does not matter
+ * @param where - names the record in errors
+ * @returns the content; an error of kind `Damaged` or `TooNew` for a record that can't be read
+ * @public
+ */
+export function unpackNewest(
+  bytes: Uint8Array,
+  migrations: readonly Migration[],
+  where: string,
+): Result<Uint8Array, StorageError> {
+  return unpackVersioned(bytes, where).andThen((stored) => runMigrations(stored, migrations, where))
+}
