Count what is left of a job once a tick and once a rank, not up to three times

remainingMs looks at every task of a job; giving up asked for it up to three times for each waiting job in each tick, ranking twice for a late one. The decisions are the same: latestStart takes the figure from its caller.

--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -15,7 +15,7 @@
 /** Numbers of orders begin anew after these, long after the earlier ones were answered. */
 const ORDER_NUMBERS = 2 ** 32
 
-/** Numbers of the dispatcher; all but `jobs_open` only rise. @internal */
+/** Numbers of the dispatcher, which only rise. @internal */
 export interface DispatchCounters {
   jobs_taken: number
   jobs_completed: number
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -45,14 +45,13 @@
     super()
     this.#core = new DispatchCore(options)
     this.#leases = new LeaseLoop(this.#core)
-    this.#lifecycle = new JobLifecycle(this.#core, this.#leases, () => {
+    const wake = (): void => {
       this.#scheduler.wake()
-    })
+    }
+    this.#lifecycle = new JobLifecycle(this.#core, this.#leases, wake)
     const { jobs, runs } = this.#lifecycle
     this.#requests = new RequestHandler(this.#core, this.#lifecycle)
-    this.#answers = new AnswerHandler(this.#core, this.#leases, this.#lifecycle, () => {
-      this.#scheduler.wake()
-    })
+    this.#answers = new AnswerHandler(this.#core, this.#leases, this.#lifecycle, wake)
     const order = options.order ?? new SlackOrder()
     this.#scheduler = new Scheduler(this.#core, jobs, runs, order)
   }
--- a/packages/dispatch/src/lib/scheduling/JobOrder.ts
+++ b/packages/dispatch/src/lib/scheduling/JobOrder.ts
@@ -25,7 +25,8 @@
  */
 export class SlackOrder extends JobOrder {
   override rank(now: number, job: Job): number {
-    const latest = latestStart(job)
-    return now <= latest ? latest : LATE_RANK + job.remainingMs()
+    const remainingMs = job.remainingMs()
+    const latest = latestStart(job, remainingMs)
+    return now <= latest ? latest : LATE_RANK + remainingMs
   }
 }
--- a/packages/dispatch/src/lib/scheduling/giveUp.ts
+++ b/packages/dispatch/src/lib/scheduling/giveUp.ts
@@ -30,15 +30,12 @@
   return Math.max(MIN_OVERRUN_MS, OVERRUN_FACTOR * expectedMs)
 }
 
-/** The last instant at which an answer is of use to the caller. @internal */
-export function lastUse({ arrivedAt, objectiveAt, deadlineAt }: Job): number {
-  const latest = arrivedAt + USEFUL_OBJECTIVES * (objectiveAt - arrivedAt)
-  return Math.min(deadlineAt, latest) - ANSWER_WAY_MS
-}
-
-/** True once a job can't be done within its objective any more. @internal */
-export function isOverdue(now: number, job: Job): boolean {
-  return now > latestStart(job)
+/** What decides over a job that never started. */
+interface Prospect {
+  /** It can't be done within its objective any more. */
+  readonly isOverdue: boolean
+  /** It can't be done before its answer is of no use. */
+  readonly isUseless: boolean
 }
 
 /**
@@ -49,14 +46,18 @@
  * @internal
  */
 export function findHopeless(now: number, jobs: readonly Job[]): readonly HopelessJob[] {
+  const prospects = new Map<Job, Prospect>()
   const contended = new Set<string>()
   for (const job of jobs) {
-    if (!job.hasStarted && !isOverdue(now, job)) contended.add(job.route.service)
+    if (job.hasStarted) continue
+    const prospect = prospectOf(now, job)
+    prospects.set(job, prospect)
+    if (!prospect.isOverdue) contended.add(job.route.service)
   }
   return jobs.flatMap((job): HopelessJob[] => {
-    const isUseless = now + job.remainingMs() > lastUse(job)
-    const isBehind = contended.has(job.route.service) && isOverdue(now, job)
-    if (!job.hasStarted && (isUseless || isBehind)) {
+    const prospect = prospects.get(job)
+    const isBehind = prospect?.isOverdue === true && contended.has(job.route.service)
+    if (prospect?.isUseless === true || isBehind) {
       const reason = 'it could not be done in time'
       return [{ job, verdict: JobVerdict.REFUSED, reason, retryAfterMs: RETRY_AFTER_MS }]
     }
@@ -65,3 +66,17 @@
     return [{ job, verdict: JobVerdict.UNKNOWN, reason, retryAfterMs: 0 }]
   })
 }
+
+function prospectOf(now: number, job: Job): Prospect {
+  const remainingMs = job.remainingMs()
+  return {
+    isOverdue: now > latestStart(job, remainingMs),
+    isUseless: now + remainingMs > lastUse(job),
+  }
+}
+
+/** The last instant at which an answer is of use to the caller. */
+function lastUse({ arrivedAt, objectiveAt, deadlineAt }: Job): number {
+  const latest = arrivedAt + USEFUL_OBJECTIVES * (objectiveAt - arrivedAt)
+  return Math.min(deadlineAt, latest) - ANSWER_WAY_MS
+}
--- a/packages/dispatch/src/lib/scheduling/latestStart.ts
+++ b/packages/dispatch/src/lib/scheduling/latestStart.ts
@@ -13,8 +13,14 @@
  */
 const KEPT_SHARE = 0.25
 
-/** The last instant at which the rest of a job can start and be in time. @internal */
-export function latestStart(job: Job): number {
-  const slackMs = Math.max(0, job.route.stretch - 1) * job.chainMs
-  return job.objectiveAt - job.remainingMs() - PATH_MS - KEPT_SHARE * slackMs
+/**
+ * The last instant at which the rest of a job can start and be in time.
+ *
+ * @param remainingMs - what `job.remainingMs()` gives; callers need it as well, and it looks at
+ *   every task
+ * @internal
+ */
+export function latestStart({ route, chainMs, objectiveAt }: Job, remainingMs: number): number {
+  const slackMs = Math.max(0, route.stretch - 1) * chainMs
+  return objectiveAt - remainingMs - PATH_MS - KEPT_SHARE * slackMs
 }
