Use effect's Deferred for the end of a process, and no buffer before the log's mailbox

EndReason was a Deferred written by hand. The parts of the log's node tell something only when the host has asked them to, so what was kept for the time before could never be there. Imports of one module in one line.

--- a/apps/cherryhitch/src/lib/dispatching/CallerRequests.ts
+++ b/apps/cherryhitch/src/lib/dispatching/CallerRequests.ts
@@ -1,5 +1,5 @@
-import type { ClientPlace } from '@cherryhitch/platform'
 import { ClientService } from '@cherryhitch/platform'
+import type { ClientPlace } from '@cherryhitch/platform'
 import { RelayEventKind } from '@cherryhitch/dispatch'
 import type { RelayEvent } from '@cherryhitch/dispatch'
 import { JobVerdict } from '@cherryhitch/protocol'
--- a/apps/cherryhitch/src/lib/dispatching/openProcess.ts
+++ b/apps/cherryhitch/src/lib/dispatching/openProcess.ts
@@ -2,12 +2,11 @@
 import { systemClock } from '@cherryhitch/runtime'
 import type { DispatchSettings } from '@cherryhitch/settings'
 import type { PartLog, TelemetryError } from '@cherryhitch/telemetry'
-import { Effect } from 'effect'
+import { Deferred, Effect } from 'effect'
 import type { Scope } from 'effect'
 import { awaitSignal } from '../serve/awaitSignal'
 import { openDispatchTelemetry } from './DispatchTelemetry'
 import type { DispatchTelemetry } from './DispatchTelemetry'
-import { EndReason } from './EndReason'
 import { onReload } from './onReload'
 
 /** What all parts of a process share. @internal */
@@ -38,7 +37,7 @@
   return Effect.gen(function* () {
     const telemetry = yield* openDispatchTelemetry(settings)
     const log = telemetry.logger.forPart(part)
-    const end = new EndReason()
+    const ended = Deferred.makeUnsafe<string>()
     yield* onReload(() => {
       log.info('reloaded; nothing that is in use has changed')
     })
@@ -52,9 +51,10 @@
       log,
       onDefect: (defect) => {
         log.error('a part died of a defect', { defect: String(defect) })
-        end.note('a part died of a defect')
+        // The first reason counts.
+        Deferred.doneUnsafe(ended, Effect.succeed('a part died of a defect'))
       },
-      awaitEnd: Effect.raceFirst(awaitSignal, end.wait),
+      awaitEnd: Effect.raceFirst(awaitSignal, Deferred.await(ended)),
     }
   })
 }
--- a/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
@@ -1,13 +1,12 @@
-import { exhaustive } from '@cherryhitch/model'
 import { DiscoveryActionKind, DiscoveryMachine, instanceAt } from '@cherryhitch/dispatch'
 import type { DiscoveryAction, DiscoveryEvent } from '@cherryhitch/dispatch'
+import { exhaustive, splitAddress } from '@cherryhitch/model'
 import { startPart } from '@cherryhitch/runtime'
 import type { Part } from '@cherryhitch/runtime'
 import type { DispatchSettings } from '@cherryhitch/settings'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import type { ProcessContext } from './openProcess'
-import { splitAddress } from '@cherryhitch/model'
 import type { DispatchLinks } from './startDispatchLinks'
 
 /** A quarter of the pace of announcements, in milliseconds. */
--- a/packages/control/src/lib/node/startControlNode.ts
+++ b/packages/control/src/lib/node/startControlNode.ts
@@ -1,6 +1,7 @@
 import { hash64 } from '@cherryhitch/model'
 import type { SettingsState } from '@cherryhitch/protocol'
 import { startMailbox, startTimer, systemClock } from '@cherryhitch/runtime'
+import type { Mailbox } from '@cherryhitch/runtime'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import type { ControlError } from '../errors/ControlError'
@@ -40,13 +41,9 @@
   return Effect.gen(function* () {
     const { instance, boot, voters } = options
     const timing = { ...defaultClientTiming, ...options.clientTiming }
-    // What the parts tell before the host is there waits for it.
-    const early: NodeEvent[] = []
-    let deliver = (event: NodeEvent): void => {
-      early.push(event)
-    }
+    // The parts tell something only once the host has asked them to.
     const tell = (event: NodeEvent): void => {
-      deliver(event)
+      mailbox.tell(event)
     }
     const opened = yield* openDisk(options)
     const voter = opened && new VoterMachine(machineOptions(options), opened.stored)
@@ -59,12 +56,11 @@
     const keepSettings = keeper?.keep ?? (() => undefined)
     const parts = { options, clock, timing, client, voter, diskId, tell, persist, keepSettings }
     const host = new ControlHost(parts)
+    const mailbox = yield* startHost(host, options)
     for (const settings of [keeper?.settings, voter?.settings]) {
       if (settings === undefined) continue
       tell({ to: NodePart.Client, event: { kind: ClientEventKind.LocalSettings, settings } })
     }
-    deliver = yield* startHost(host, options)
-    early.forEach(deliver)
     return new ControlNode(host)
   })
 }
@@ -125,9 +121,9 @@
 function startHost(
   host: ControlHost,
   options: ControlNodeOptions,
-): Effect.Effect<(event: NodeEvent) => void, never, Scope.Scope> {
+): Effect.Effect<Mailbox<NodeEvent>, never, Scope.Scope> {
   return Effect.gen(function* () {
-    const { tell } = yield* startMailbox<NodeEvent>({
+    const mailbox = yield* startMailbox<NodeEvent>({
       take: (events) => {
         host.handle(events)
       },
@@ -137,8 +133,8 @@
       },
     })
     yield* startTimer(options.tickMs ?? DEFAULT_TICK_MS, () => {
-      tell({ to: NodePart.Timer })
+      mailbox.tell({ to: NodePart.Timer })
     })
-    return tell
+    return mailbox
   })
 }
