--- a/packages/control/src/lib/node/ClientEvent.ts
+++ b/packages/control/src/lib/node/ClientEvent.ts
@@ -17,6 +17,14 @@
   PeerSeen = 'peer_seen',
 }
 
+/** What a read through the quorum is to bring. @internal */
+export interface ReadRange {
+  /** Position of the first audit record; negative for none. */
+  readonly auditFrom: number
+  readonly auditLimit: number
+  readonly withRouting: boolean
+}
+
 /** @internal */
 export type ClientEvent =
   | {
@@ -25,13 +33,7 @@
       /** After this the answer is given as it stands: not accepted, or unknown. */
       readonly timeoutMs: number
     }
-  | {
-      readonly kind: ClientEventKind.Read
-      readonly readId: string
-      readonly auditFrom: number
-      readonly auditLimit: number
-      readonly withRouting: boolean
-    }
+  | ({ readonly kind: ClientEventKind.Read; readonly readId: string } & ReadRange)
   | {
       readonly kind: ClientEventKind.Received
       readonly from: string
--- a/packages/control/src/lib/node/ClientMachine.ts
+++ b/packages/control/src/lib/node/ClientMachine.ts
@@ -10,17 +10,14 @@
 } from '@cherryhitch/protocol'
 import { Machine } from '@cherryhitch/runtime'
 import { ClientActionKind, ClientEventKind } from './ClientEvent'
-import type { ClientAction, ClientEvent } from './ClientEvent'
+import type { ClientAction, ClientEvent, ReadRange } from './ClientEvent'
 import type { ClientOptions } from './ClientOptions'
 import { LeaderFinder } from './LeaderFinder'
 import { ProposalClient } from './ProposalClient'
 import { SettingsClient } from './SettingsClient'
 
-interface PendingRead {
+interface PendingRead extends ReadRange {
   readonly readId: string
-  readonly auditFrom: number
-  readonly auditLimit: number
-  readonly withRouting: boolean
   readonly deadline: number
   requestId: string
   target: string
--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -21,7 +21,7 @@
 import { ClaimBatcher } from './ClaimBatcher'
 import { ClaimEndBatcher } from './ClaimEndBatcher'
 import { ClientActionKind, ClientEventKind } from './ClientEvent'
-import type { ClientAction, ClientEvent } from './ClientEvent'
+import type { ClientAction, ClientEvent, ReadRange } from './ClientEvent'
 import type { ClientMachine } from './ClientMachine'
 import type { ClientTiming } from './ClientOptions'
 import type { KnownSettings } from './ControlNode'
@@ -59,14 +59,6 @@
 
 type Done<T> = (value: T) => void
 
-/** What a read through the quorum is to bring. @internal */
-export interface ReadRange {
-  /** Position of the first audit record; negative for none. */
-  readonly auditFrom: number
-  readonly auditLimit: number
-  readonly withRouting: boolean
-}
-
 /** Holds the machines of an instance and carries out what they ask for. @internal */
 export class ControlHost {
   readonly diskId: string | undefined
--- a/packages/storage/src/lib/migrations/runMigrations.test.ts
+++ b/packages/storage/src/lib/migrations/runMigrations.test.ts
@@ -1,7 +1,14 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { StorageErrorKind } from '../errors/StorageError'
-import { newestVersion, packVersioned, runMigrations, unpackVersioned } from './runMigrations'
+import {
+  newestVersion,
+  packNewest,
+  packVersioned,
+  runMigrations,
+  unpackNewest,
+  unpackVersioned,
+} from './runMigrations'
 import type { Migration } from './runMigrations'
 
 function adding(from: number, letter: string): Migration {
@@ -25,6 +32,18 @@
     })
   }
 
+  it('leave a record alone that was packed as the newest, and bring an older one up', () => {
+    const newest = packNewest(Buffer.from('a'), migrations)
+    const older = packVersioned({ version: 1, content: Buffer.from('a') })
+    const read = (bytes: Uint8Array): string => {
+      return Buffer.from(unpackNewest(bytes, migrations, 'record 7').unwrap()).toString()
+    }
+    assert.equal(read(newest), 'a')
+    assert.equal(read(older), 'abcd')
+    const cut = unpackNewest(new Uint8Array(1), migrations, 'record 7')
+    assert.match(cut.err ? cut.val.message : '', /record 7.*no version/)
+  })
+
   const refusals = [
     { version: 5, list: migrations, kind: StorageErrorKind.TooNew, message: /knows up to 4/ },
     { version: 0, list: migrations, kind: StorageErrorKind.Damaged, message: /reads version 0/ },
