Take nothing half-read from heartbeats and answers of another writer

A record holds when a notice gives it another service, address or zone, or a sequence that it never counted to. Messages of an unknown kind between instances are counted and left.

--- a/apps/cherryhitch/src/lib/dispatching/OperatorCalls.ts
+++ b/apps/cherryhitch/src/lib/dispatching/OperatorCalls.ts
@@ -9,6 +9,11 @@
 import type { NoticeExchange } from './NoticeExchange'
 import { packDocument, unpackDocument } from './RoutingDocument'
 
+/** An endpoint whose heartbeats can't be read is named this often, in milliseconds. */
+const INVALID_NOTICE_LOG_MS = 1_000
+/** Endpoints whose last line is remembered at most. */
+const MAX_INVALID_WRITERS = 1_000
+
 /** @internal */
 export interface OperatorCallsOptions {
   readonly instance: string
@@ -25,6 +30,8 @@
 /** What operators and endpoints ask of a dispatching instance. @internal */
 export class OperatorCalls extends ControlService {
   private commands = 0
+  /** When each endpoint's unreadable heartbeat was last logged. */
+  private readonly invalidLoggedAt = new Map<string, number>()
 
   constructor(private readonly options: OperatorCallsOptions) {
     super()
@@ -63,4 +70,13 @@
   override noteInvalidRouting(reason: string): void {
     this.options.log.warn('an invalid routing was refused', { reason })
   }
+
+  override noteInvalidNotice(endpoint: string, reason: string): void {
+    const now = this.options.now()
+    const loggedAt = this.invalidLoggedAt.get(endpoint) ?? -Infinity
+    if (now - loggedAt < INVALID_NOTICE_LOG_MS) return
+    if (this.invalidLoggedAt.size >= MAX_INVALID_WRITERS) this.invalidLoggedAt.clear()
+    this.invalidLoggedAt.set(endpoint, now)
+    this.options.log.warn('a heartbeat that cannot be read was refused', { endpoint, reason })
+  }
 }
--- /dev/null
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.test.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { create } from '@bufbuild/protobuf'
+import { EndpointNoticeSchema, NoticeState } from '@cherryhitch/protocol'
+import type { EndpointNotice } from '@cherryhitch/protocol'
+import { EndpointRecord } from './EndpointRecord'
+
+interface NoticeFields {
+  readonly service?: string
+  readonly address?: string
+  readonly zone?: string
+  readonly state?: NoticeState
+}
+
+function notice(sequence: number, more: NoticeFields = {}): EndpointNotice {
+  return create(EndpointNoticeSchema, {
+    endpoint: 'e',
+    service: 'tracing',
+    address: '10.0.0.9:80',
+    zone: 'z',
+    state: NoticeState.SERVING,
+    capacity: { cpuMillis: 1_000, memoryMb: 10 },
+    sequence,
+    ...more,
+  })
+}
+
+/** A record that took two notices of the endpoint itself. */
+function known(): EndpointRecord {
+  const record = new EndpointRecord(notice(4), 0, 0)
+  assert.ok(record.take(1, notice(5)))
+  return record
+}
+
+describe('what is known of an endpoint', () => {
+  it('holds when an older notice comes late', () => {
+    const record = known()
+    assert.equal(record.take(2, notice(4, { state: NoticeState.LEAVING })), false)
+    assert.equal(record.notice.state, NoticeState.SERVING)
+  })
+
+  it('holds when another writer names a sequence that the endpoint never counted to', () => {
+    const record = known()
+    assert.equal(record.take(2, notice(2 ** 52, { state: NoticeState.LEAVING })), false)
+    assert.ok(record.take(3, notice(6)))
+  })
+
+  it('is corrected by the endpoint when the first word of it was from another writer', () => {
+    const record = new EndpointRecord(notice(2 ** 52, { service: 'other' }), 0, 0)
+    assert.ok(record.take(1, notice(5)))
+    assert.equal(record.service, 'tracing')
+    assert.ok(record.take(2, notice(6, { state: NoticeState.LEAVING })))
+  })
+
+  for (const [what, more] of [
+    ['service', { service: 'other' }],
+    ['address', { address: '10.0.0.8:80' }],
+    ['zone', { zone: 'y' }],
+  ] as const) {
+    it(`holds when another writer gives it another ${what}`, () => {
+      const record = known()
+      assert.equal(record.take(2, notice(6, more)), false)
+      assert.ok(record.take(3, notice(6)))
+    })
+  }
+
+  it('ends with a goodbye, and no later notice revives it', () => {
+    const record = known()
+    const gone = notice(Number.MAX_SAFE_INTEGER, { state: NoticeState.GONE, service: '' })
+    assert.ok(record.take(2, gone))
+    assert.equal(record.take(3, notice(7)), false)
+    assert.equal(record.take(3, gone), false)
+    assert.equal(record.service, 'tracing')
+  })
+})
--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -6,6 +6,12 @@
 /** Measured slowness changes by some percent a second at most, in milliseconds. */
 const SLOWNESS_REUSE_MS = 200
 
+/**
+ * Sequences count the heartbeats of one life, some a second. One that is this far off was not
+ * counted by the endpoint; it would shut out all of its own for good.
+ */
+const MAX_SEQUENCE_STEP = 1e10
+
 /** What is left of a capacity. @internal */
 export interface FreeRoom {
   cpuMillis: number
@@ -37,6 +43,8 @@
   isReplaced = false
   #notice: EndpointNotice
   #noticedAt: number
+  /** True once two notices agreed on where it is and whom it serves. */
+  #isPlaceSure = false
   /** Kept until a run comes or goes: placing asks for it far more often. */
   #freeRoom: FreeRoom | undefined
   #slowness = { value: 1, readAt: -Infinity }
@@ -97,18 +105,31 @@
     return this.#noticedAt
   }
 
-  /** False for a notice that is older than the last one. */
+  /** False for a notice that is older than the last one, or can't be of this life. */
   take(now: number, notice: EndpointNotice): boolean {
-    if (notice.sequence <= this.#notice.sequence) return false
-    // A goodbye tells nothing but itself.
     const { state, sequence } = notice
-    const isGone = state === NoticeState.GONE
-    this.#notice = isGone ? { ...this.#notice, state, sequence } : notice
+    if (this.#notice.state === NoticeState.GONE) return false
+    if (state === NoticeState.GONE) {
+      // A goodbye tells nothing but itself.
+      this.#notice = { ...this.#notice, state, sequence }
+    } else {
+      if (!isLater(sequence, this.#notice.sequence)) return false
+      const isSamePlace = this.#isSamePlace(notice)
+      if (this.#isPlaceSure && !isSamePlace) return false
+      this.#isPlaceSure = isSamePlace
+      this.#notice = notice
+    }
     this.#noticedAt = now - notice.ageMs
     this.#freeRoom = undefined
     return true
   }
 
+  /** One life of an endpoint keeps its service, address and zone. */
+  #isSamePlace({ service, address, zone }: EndpointNotice): boolean {
+    const known = this.#notice
+    return service === known.service && address === known.address && zone === known.zone
+  }
+
   /** True while new tasks may be started there. */
   mayStart(now: number): boolean {
     const serves = this.#notice.state === NoticeState.SERVING && !this.isReplaced
@@ -144,6 +165,12 @@
   }
 }
 
+/** Whether a sequence is of a later notice than another. */
+function isLater(sequence: number, known: number): boolean {
+  const step = sequence - known
+  return step > 0 ? step <= MAX_SEQUENCE_STEP : step < -MAX_SEQUENCE_STEP
+}
+
 /** @internal */
 export function fits(free: Readonly<FreeRoom>, needs: EndpointCapacity): boolean {
   if (needs.cpuMillis > free.cpuMillis || needs.memoryMb > free.memoryMb) return false
--- a/packages/rpc/src/lib/host/LinkCounters.ts
+++ b/packages/rpc/src/lib/host/LinkCounters.ts
@@ -28,6 +28,8 @@
   failedSessions: number
   /** Envelopes whose handler threw. */
   handlerErrors: number
+  /** Envelopes with a message of a kind that this version doesn't know. */
+  unknownMessages: number
   /** Upper estimate of the bytes of the envelopes sent. */
   bytesSent: number
 }
@@ -50,6 +52,7 @@
     refusedStreams: 0,
     failedSessions: 0,
     handlerErrors: 0,
+    unknownMessages: 0,
     bytesSent: 0,
   }
 }
--- a/packages/rpc/src/lib/host/deliverEnvelope.ts
+++ b/packages/rpc/src/lib/host/deliverEnvelope.ts
@@ -16,10 +16,15 @@
   envelope: Envelope,
 ): void {
   counters.received += 1
+  if (envelope.body.case === undefined) {
+    // An instance of another version sends messages that this one doesn't know.
+    counters.unknownMessages += 1
+    return
+  }
   try {
     handlers.onEnvelope(from, boot, envelope)
   } catch (err) {
     counters.handlerErrors += 1
-    handlers.log(`handler of ${envelope.body.case ?? 'unknown message'} failed: ${String(err)}`)
+    handlers.log(`handler of ${envelope.body.case} failed: ${String(err)}`)
   }
 }
