Renew no lease of an endpoint that may be out of reach

Cause: each question to a silent endpoint asked for 900 ms more of lease, and it was asked every 40 to 320 ms. Such a question may be carried out without its answer coming back, so the lease had to be taken for renewed, and what ran there never counted as over: its jobs heard nothing until their deadline.

Ruled out: a shorter lease (it would end all runs whenever an election takes longer).

Change: a question to an endpoint that owes an answer carries no lease.

--- a/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
+++ b/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
@@ -47,7 +47,9 @@
     timeoutMs: number,
   ): OpenQuestion | undefined {
     if (this.core.token === undefined || endpoint.isReplaced) return undefined
-    const leaseEndsAt = this.leaseEnd(now, endpoint)
+    // Renewing the lease of one that may be out of reach would put off for good the moment from
+    // which on what ran there may begin anew elsewhere.
+    const leaseEndsAt = endpoint.unanswered === 0 ? this.leaseEnd(now, endpoint) : undefined
     if (leaseEndsAt !== undefined) {
       endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, leaseEndsAt)
     }
