Refuse sooner while nobody leads, and answer before callers stop waiting

Change: 10 ms in place of 30 once a leader has been lost for 120 ms, and 40 ms kept back of the deadline in place of 10.

--- a/packages/dispatch/src/lib/relay/JobRelay.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.ts
@@ -24,9 +24,9 @@
 /** @public */
 export const defaultRelayTiming: RelayTiming = {
   leaderlessMs: 120,
-  shortWaitMs: 30,
+  shortWaitMs: 10,
   lostLeaderMs: 700,
-  answerWayMs: 10,
+  answerWayMs: 40,
   retryAfterMs: 1_000,
 }
 
