Refuse at the door by a forecast of places, and finish what is under way first

Hypothesis: a job learns only from its own clock that it gets no place, so that it waits for more than a quarter of its objective and is refused then; and one of which some tasks ran, but not all, is neither refused nor finished: it hears nothing until its deadline.

Change: while more waits than there is room for, it is worked out when places become free (expected ends of the runs, free room, in the order in which jobs get places). A new job that would start too late itself, or make one late that was taken in before, is refused at once, with a time to come back that follows from the forecast and is spread by the job's id. Jobs under way go first. What is under way, has tasks without a place and can't be of use any more ends at once as unknown. An abstract class holds the decision; its baseline takes everything in.

--- a/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
@@ -23,7 +23,9 @@
 ): Effect.Effect<DispatchPart, never, Scope.Scope> {
   const { maxLeaseMs } = settings
   const timing = { leaseMs: maxLeaseMs - LEASE_MARGIN_MS, maxGrantMs: maxLeaseMs }
-  const machine = new DispatchMachine({ timing })
+  const { without = [] } = settings
+  if (without.length > 0) log.warn('mechanisms are left out', { without })
+  const machine = new DispatchMachine({ timing, without })
   const started = startDispatcher({
     machine,
     gateway,
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -36,4 +36,16 @@
 export type { Dispatcher, DispatcherOptions } from './lib/startDispatcher'
 export { runDispatchSoak } from './lib/soak/runDispatchSoak'
 export type { DispatchSoakOptions, DispatchSoakReport } from './lib/soak/runDispatchSoak'
-export { ArrivalOrder, JobOrder, SlackOrder } from './lib/scheduling/JobOrder'
+export { ForecastAdmission } from './lib/scheduling/ForecastAdmission'
+export { JobAdmission } from './lib/scheduling/JobAdmission'
+export type { AdmissionDecision, AdmissionInput, RefusedJob } from './lib/scheduling/JobAdmission'
+export {
+  ArrivalOrder,
+  defaultSlackOrderOptions,
+  JobOrder,
+  SlackOrder,
+} from './lib/scheduling/JobOrder'
+export type { SlackOrderOptions } from './lib/scheduling/JobOrder'
+export { OpenAdmission } from './lib/scheduling/OpenAdmission'
+export { playLoad } from './lib/soak/playLoad'
+export type { LoadOptions, LoadOutcome } from './lib/soak/playLoad'
--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -1,13 +1,20 @@
 import { create } from '@bufbuild/protobuf'
 import type { MessageInitShape } from '@bufbuild/protobuf'
-import { DecayedScoreHealth, LearnedEstimator, SlownessTracker } from '@cherryhitch/policy'
-import type { EndpointHealth, EstimateSubject } from '@cherryhitch/policy'
+import {
+  AlwaysHealthy,
+  DecayedScoreHealth,
+  DeclaredEstimator,
+  LearnedEstimator,
+  SlownessTracker,
+} from '@cherryhitch/policy'
+import type { EndpointHealth, EstimateSubject, RunTimeEstimator } from '@cherryhitch/policy'
 import { EndpointOrderSchema, JobOutcomeSchema } from '@cherryhitch/protocol'
 import type { JobOutcome, JobVerdict, Route, RoutingTable } from '@cherryhitch/protocol'
 import { DispatchActionKind } from './DispatchAction'
 import type { DispatchAction } from './DispatchAction'
 import { defaultDispatchTiming } from './DispatchOptions'
 import type { DispatchOptions, DispatchTiming } from './DispatchOptions'
+import { Mechanism } from '@cherryhitch/model'
 import { EndpointBook } from './endpoints/EndpointBook'
 import type { EndpointRecord } from './endpoints/EndpointRecord'
 import type { JobWaiter } from './jobs/Job'
@@ -21,6 +28,7 @@
   jobs_completed: number
   jobs_failed: number
   jobs_refused: number
+  refused_at_door: number
   jobs_unknown: number
   starts: number
   starts_unanswered: number
@@ -38,14 +46,15 @@
 export class DispatchCore {
   readonly timing: DispatchTiming
   readonly endpoints: EndpointBook
-  readonly estimator = new LearnedEstimator()
+  readonly estimator: RunTimeEstimator
   readonly slowness = new SlownessTracker()
-  readonly health: EndpointHealth = new DecayedScoreHealth()
+  readonly health: EndpointHealth
   readonly counters: DispatchCounters = {
     jobs_taken: 0,
     jobs_completed: 0,
     jobs_failed: 0,
     jobs_refused: 0,
+    refused_at_door: 0,
     jobs_unknown: 0,
     starts: 0,
     starts_unanswered: 0,
@@ -68,14 +77,28 @@
   /** When an order was last taken for lost, at whichever endpoint. */
   silenceAt = -Infinity
   table: RoutingTable | undefined
+  readonly #without: ReadonlySet<Mechanism>
   #out: DispatchAction[] = []
   #orders = 0
 
   constructor(options: DispatchOptions) {
     this.timing = { ...defaultDispatchTiming, ...options.timing }
+    this.#without = new Set(options.without)
+    if (!this.uses(Mechanism.RoundTrips)) {
+      this.timing = { ...this.timing, leastAnswerMs: this.timing.startTimeoutMs }
+    }
+    this.estimator = this.uses(Mechanism.LearnedEstimates)
+      ? new LearnedEstimator()
+      : new DeclaredEstimator()
+    this.health = this.uses(Mechanism.Health) ? new DecayedScoreHealth() : new AlwaysHealthy()
     this.endpoints = new EndpointBook(this.timing, this.health, this.slowness)
   }
 
+  /** False for a mechanism that is left out. */
+  uses(mechanism: Mechanism): boolean {
+    return !this.#without.has(mechanism)
+  }
+
   /** Our time at which all orders of this leader end, unless a majority follows it once more. */
   get ordersEndAt(): number {
     return this.confirmedAt + this.timing.leaderLeaseMs
@@ -83,6 +106,7 @@
 
   /** Run times at an endpoint over those of the same work at its peers. */
   slownessOf(now: number, endpoint: EndpointRecord): number {
+    if (!this.uses(Mechanism.Slowness)) return 1
     return endpoint.slowness(now, () => this.slowness.slowness(now, endpoint.id))
   }
 
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -1,4 +1,4 @@
-import { exhaustive } from '@cherryhitch/model'
+import { exhaustive, Mechanism } from '@cherryhitch/model'
 import { NoticeState } from '@cherryhitch/protocol'
 import type { EndpointNotice } from '@cherryhitch/protocol'
 import { Machine } from '@cherryhitch/runtime'
@@ -14,7 +14,11 @@
 import { JobLifecycle } from './jobs/JobLifecycle'
 import { RequestHandler } from './jobs/RequestHandler'
 import { AnswerHandler } from './orders/AnswerHandler'
-import { SlackOrder } from './scheduling/JobOrder'
+import { ForecastAdmission } from './scheduling/ForecastAdmission'
+import type { JobAdmission } from './scheduling/JobAdmission'
+import { ArrivalOrder, SlackOrder } from './scheduling/JobOrder'
+import type { JobOrder } from './scheduling/JobOrder'
+import { OpenAdmission } from './scheduling/OpenAdmission'
 import { Scheduler } from './scheduling/Scheduler'
 
 /** Endpoints that are gone are looked for this often, in milliseconds; they wait for seconds. */
@@ -52,8 +56,27 @@
     const { jobs, runs } = this.#lifecycle
     this.#requests = new RequestHandler(this.#core, this.#lifecycle)
     this.#answers = new AnswerHandler(this.#core, this.#leases, this.#lifecycle, wake)
-    const order = options.order ?? new SlackOrder()
-    this.#scheduler = new Scheduler(this.#core, jobs, runs, order)
+    const order = options.order ?? this.#defaultOrder()
+    const admission = options.admission ?? this.#defaultAdmission()
+    this.#scheduler = new Scheduler(this.#core, {
+      jobs,
+      runs,
+      order,
+      admission,
+      refuse: (now, refused) => {
+        this.#lifecycle.refuseAtDoor(now, refused)
+      },
+    })
+  }
+
+  #defaultOrder(): JobOrder {
+    if (!this.#core.uses(Mechanism.Order)) return new ArrivalOrder()
+    return new SlackOrder({ underWayFirst: this.#core.uses(Mechanism.UnderWayFirst) })
+  }
+
+  #defaultAdmission(): JobAdmission {
+    if (!this.#core.uses(Mechanism.Admission)) return new OpenAdmission()
+    return new ForecastAdmission()
   }
 
   get counters(): Readonly<DispatchCounters> {
--- a/packages/dispatch/src/lib/DispatchOptions.ts
+++ b/packages/dispatch/src/lib/DispatchOptions.ts
@@ -1,3 +1,5 @@
+import type { Mechanism } from '@cherryhitch/model'
+import type { JobAdmission } from './scheduling/JobAdmission'
 import type { JobOrder } from './scheduling/JobOrder'
 
 /** Times of dispatching, in milliseconds. @public */
@@ -64,4 +66,8 @@
   readonly timing?: Partial<DispatchTiming>
   /** Which waiting job gets the next free place; the least slack first by default. */
   readonly order?: JobOrder
+  /** Which new jobs are taken in; by a forecast of free places by default. */
+  readonly admission?: JobAdmission
+  /** Mechanisms that are left out, to measure what each is worth. */
+  readonly without?: readonly Mechanism[]
 }
--- a/packages/dispatch/src/lib/jobs/Job.ts
+++ b/packages/dispatch/src/lib/jobs/Job.ts
@@ -1,6 +1,9 @@
 import type { JobStep, Route, SteppedJob } from '@cherryhitch/protocol'
 import type { Run } from '../runs/Run'
 
+/** Thousandths of a core in a whole one. */
+const MILLIS = 1_000
+
 /** @internal */
 export enum TaskState {
   /** Steps before its own are not done. */
@@ -32,6 +35,16 @@
   readonly requestId: string
 }
 
+/** How often something went wrong with the runs of a job. @internal */
+export interface JobMishaps {
+  /** Orders to start that got no answer. */
+  unansweredStarts: number
+  /** Runs whose endpoint was lost, or let its lease run out. */
+  lostRuns: number
+  /** Runs that were stopped since they took too long. */
+  overruns: number
+}
+
 /** @internal */
 export interface JobContent {
   readonly id: string
@@ -41,6 +54,8 @@
   readonly deadlineAt: number
   /** Estimated run time of a task of each step, in milliseconds. */
   readonly stepMs: readonly number[]
+  /** What is kept back of its time before its last moment to start, in milliseconds. */
+  readonly startMarginMs: number
   /** Run numbers begin above this, since an earlier leader may have used lower ones. */
   readonly firstRun: number
   /** An earlier leader may have started it. */
@@ -59,6 +74,7 @@
   /** Instant until which the caller is served well. */
   readonly objectiveAt: number
   readonly stepMs: readonly number[]
+  readonly startMarginMs: number
   /** An earlier leader may have started it. */
   readonly isResumed: boolean
   readonly tasks: readonly Task[]
@@ -66,6 +82,11 @@
   /** True once a task was ordered to start, here or by an earlier leader. */
   hasStarted: boolean
   firstStartAt: number | undefined
+  lastStartAt: number | undefined
+  /** What went wrong with its runs, for the log. */
+  readonly mishaps: JobMishaps = { unansweredStarts: 0, lostRuns: 0, overruns: 0 }
+  /** It was found that it gets its places in time; until then it may be refused at the door. */
+  isAdmitted: boolean
   /** Nobody waits for it: nothing more is started, and it goes once nothing runs. */
   isClosed = false
   endpointsUsed = new Set<string>()
@@ -78,8 +99,10 @@
     this.arrivedAt = arrivedAt
     this.deadlineAt = deadlineAt
     this.stepMs = stepMs
+    this.startMarginMs = content.startMarginMs
     this.isResumed = isResumed
     this.hasStarted = isResumed
+    this.isAdmitted = isResumed
     this.chainMs = longestChain(spec.steps, stepMs)
     this.objectiveAt = arrivedAt + route.stretch * this.chainMs + route.targetMs
     this.tasks = spec.steps.flatMap((step, number) => this.#makeTasks(step, number, firstRun))
@@ -89,6 +112,11 @@
     return this.tasks.filter(({ state }) => state === TaskState.Waiting)
   }
 
+  /** Some of it runs or is done. */
+  get isUnderWay(): boolean {
+    return this.tasks.some(({ state }) => state === TaskState.Placed || state === TaskState.Done)
+  }
+
   get isDone(): boolean {
     return this.tasks.every(({ state }) => state === TaskState.Done)
   }
@@ -114,10 +142,12 @@
     return longestChain(this.spec.steps, left)
   }
 
-  /** Work that still waits, in thousandths of a core times milliseconds. */
-  waitingWork(): number {
-    const perTask = (task: Task) => this.#ms(task.step) * (this.step(task).needs?.cpuMillis ?? 0)
-    return this.waiting.reduce((sum, task) => sum + perTask(task), 0)
+  /** All of its work as estimated, in milliseconds of a core. */
+  get workMs(): number {
+    const ofTask = (task: Task): number => {
+      return this.#ms(task.step) * (this.step(task).needs?.cpuMillis ?? 0)
+    }
+    return this.tasks.reduce((sum, task) => sum + ofTask(task), 0) / MILLIS
   }
 
   /** Lets tasks wait for an endpoint whose earlier steps are done. */
--- a/packages/dispatch/src/lib/jobs/JobBook.ts
+++ b/packages/dispatch/src/lib/jobs/JobBook.ts
@@ -3,7 +3,9 @@
 import { DispatchActionKind, Stage } from '../DispatchAction'
 import { estimateSubject } from '../DispatchCore'
 import type { DispatchCore, OutcomeFields } from '../DispatchCore'
-import { Job, TaskState } from './Job'
+import { Mechanism } from '@cherryhitch/model'
+import { startMargin } from '../scheduling/latestStart'
+import { Job, longestChain, TaskState } from './Job'
 import type { JobWaiter, Task } from './Job'
 
 interface EndedJob {
@@ -56,13 +58,16 @@
       known.deadlineAt = Math.max(known.deadlineAt, deadlineAt)
       return known
     }
+    const stepMs = spec.steps.map(({ estimateMs }) => this.#estimate(route, estimateMs))
+    const keepsMargin = this.core.uses(Mechanism.StartMargin)
     const job = new Job({
       id: spec.jobId,
       route,
       spec,
       arrivedAt: now - req.waitedMs,
       deadlineAt,
-      stepMs: spec.steps.map(({ estimateMs }) => this.#estimate(route, estimateMs)),
+      stepMs,
+      startMarginMs: keepsMargin ? startMargin(route, longestChain(spec.steps, stepMs)) : 0,
       firstRun: req.earlierAttempts * RUNS_PER_LEADER,
       isResumed: req.earlierAttempts > 0,
     })
@@ -155,7 +160,7 @@
   }
 
   #report(now: number, job: Job, verdict: JobVerdict, reason: string): void {
-    const { route, arrivedAt, firstStartAt, objectiveAt, chainMs, tasks } = job
+    const { route, arrivedAt, firstStartAt, lastStartAt, objectiveAt, chainMs, tasks } = job
     const ms = Math.round(now - arrivedAt)
     this.core.emit({ kind: DispatchActionKind.Measure, stage: Stage.Whole, route: route.name, ms })
     this.core.log('a job ended', {
@@ -165,11 +170,15 @@
       reason,
       ms,
       queuedMs: firstStartAt === undefined ? undefined : Math.round(firstStartAt - arrivedAt),
+      lastStartMs: lastStartAt === undefined ? undefined : Math.round(lastStartAt - arrivedAt),
       overdueMs: Math.round(now - objectiveAt),
+      coreMs: Math.round(job.workMs),
       estimateMs: Math.round(chainMs),
       tasks: tasks.length,
       unfinished: tasks.filter(({ state }) => state !== TaskState.Done).length,
       failures: tasks.reduce((sum: number, task: Task) => sum + task.failures, 0),
+      ...job.mishaps,
+      ...(job.isResumed && { isResumed: true }),
       endpoints: [...job.endpointsUsed],
       term: this.core.token,
       open: this.#jobs.size,
--- a/packages/dispatch/src/lib/jobs/JobLifecycle.ts
+++ b/packages/dispatch/src/lib/jobs/JobLifecycle.ts
@@ -1,6 +1,7 @@
 import { HealthFailure } from '@cherryhitch/policy'
 import { JobVerdict } from '@cherryhitch/protocol'
 import type { DispatchCore } from '../DispatchCore'
+import { Mechanism } from '@cherryhitch/model'
 import type { LeaseLoop } from '../endpoints/LeaseLoop'
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
 import { RunEnd } from '../runs/Run'
@@ -8,7 +9,9 @@
 import { RunHealth } from '../runs/RunHealth'
 import { RunTracker } from '../runs/RunTracker'
 import type { RunListener } from '../runs/RunTracker'
+import type { RefusedJob } from '../scheduling/JobAdmission'
 import { findHopeless, overrunAfter } from '../scheduling/giveUp'
+import { retryAfter } from '../scheduling/retryAfter'
 import { JobBook } from './JobBook'
 import { TaskState } from './Job'
 import type { Job, Task } from './Job'
@@ -88,6 +91,13 @@
     this.onChange()
   }
 
+  /** It would get its places too late: its caller hears so at once. */
+  refuseAtDoor(now: number, { job, lateByMs }: RefusedJob): void {
+    this.core.counters.refused_at_door++
+    const reason = 'no place becomes free in time'
+    this.end(now, job, JobVerdict.REFUSED, reason, retryAfter(job.id, lateByMs))
+  }
+
   #findTask(name: string): Task | undefined {
     const job = this.jobs.get(name.slice(0, name.indexOf('.')))
     return job?.tasks.find((task) => task.name === name)
@@ -111,7 +121,9 @@
     const { job } = task
     task.state = TaskState.Waiting
     if (end === RunEnd.Failed) task.failures++
-    if (end !== RunEnd.NotRun) task.avoid.add(endpoint.id)
+    if (end === RunEnd.Lost) job.mishaps.lostRuns++
+    const avoids = this.core.uses(Mechanism.Avoidance)
+    if (end !== RunEnd.NotRun && avoids) task.avoid.add(endpoint.id)
     if (job.isClosed) {
       this.jobs.removeIfOver(job)
       return
@@ -126,6 +138,7 @@
     for (const { job, verdict, reason, retryAfterMs } of findHopeless(now, this.jobs.open())) {
       this.end(now, job, verdict, reason, retryAfterMs)
     }
+    if (!this.core.uses(Mechanism.Overrun)) return
     for (const job of this.jobs.open()) {
       for (const { run } of job.placed) {
         if (run?.confirmedAt === undefined || run.stopReason !== '') continue
@@ -135,6 +148,7 @@
   }
 
   #stopOverrun(now: number, run: Run): void {
+    if (run.task !== undefined) run.task.job.mishaps.overruns++
     this.core.log('a run takes too long and is stopped', {
       job: run.task?.job.id ?? '',
       task: run.name,
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -1,6 +1,7 @@
 import { ListedEnd, StartResult } from '@cherryhitch/protocol'
 import type { HoldReport, ListedRun, ListedRunEnd } from '@cherryhitch/protocol'
 import { DispatchActionKind, Stage } from '../DispatchAction'
+import { Mechanism } from '@cherryhitch/model'
 import type { DispatchCore } from '../DispatchCore'
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
 import type { LeaseLoop } from '../endpoints/LeaseLoop'
@@ -104,6 +105,7 @@
         return
       case StartResult.UNKNOWN:
         counters.starts_unanswered++
+        if (run.task !== undefined) run.task.job.mishaps.unansweredStarts++
         this.leases.noteSilence(now, run.endpoint)
         this.#onStartLost(now, run)
         return
@@ -183,7 +185,7 @@
     }
     for (const run of endpoint.runs.values()) {
       if (now >= run.stopDueAt) this.#sendStop(now, run)
-      if (now < run.lookDueAt) continue
+      if (now < run.lookDueAt || !this.core.uses(Mechanism.Looks)) continue
       run.lookDueAt = lookAgainAt(now, run)
       this.leases.look(now, endpoint)
     }
@@ -201,7 +203,8 @@
   #onStartLost(now: number, run: Run): void {
     if (run.state !== RunState.Starting) return
     const isValid = run.endpoint.clock.at(now) < run.orderEndsAt
-    if (run.task === undefined || run.startOrders >= MAX_START_ORDERS || !isValid) {
+    const mayRepeat = this.core.uses(Mechanism.RepeatedStarts) && run.startOrders < MAX_START_ORDERS
+    if (run.task === undefined || !mayRepeat || !isValid) {
       this.stop(now, run, 'its start got no answer')
       return
     }
--- /dev/null
+++ b/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
@@ -0,0 +1,95 @@
+import type { Job } from '../jobs/Job'
+import { isNew, JobAdmission } from './JobAdmission'
+import type { AdmissionDecision, AdmissionInput, RefusedJob } from './JobAdmission'
+import { latestStart } from './latestStart'
+import { PlaceForecast } from './PlaceForecast'
+
+/**
+ * A job that was admitted is refused after all while no more than this share of its time has
+ * passed, if places are lost meanwhile: its caller can still go elsewhere.
+ */
+const EARLY_SHARE = 0.2
+/**
+ * Shares of its objective by which a job may seem to start too late when it comes, and when it can
+ * be refused for the last time: places become free sooner or later than estimated, and a job that
+ * is refused for nothing is lost. On the users' heaviest day 82 % and 79 % of the requests were
+ * served in time without them (two seeds), and 83 % and 82 % with them.
+ */
+const DOOR_TOLERANCE = 0.15
+const LAST_TOLERANCE = 0.05
+
+/**
+ * Decides at once which new jobs will get their places in time, so that the caller of another one
+ * learns it at the door and not at the end of its time. A new job is refused when it would start
+ * too late itself, or would make one late that was admitted before it.
+ *
+ * It answers a load above what the places can do. At 1.3 times of it, 80 % of the jobs were in time
+ * with it and 71 % without; refusals after a quarter of the objective and jobs that hear nothing of
+ * use fell from 16 % of the jobs to 3 % (load.test.ts, three seeds). Its price: at 0.9 it refuses
+ * 2 % that would mostly have been in time.
+ *
+ * @public
+ */
+export class ForecastAdmission extends JobAdmission {
+  override decide(now: number, input: AdmissionInput): AdmissionDecision {
+    const { ranked } = input
+    if (forecastLate(now, ranked, input).size === 0) {
+      return { admitted: ranked.filter(isNew), refused: [] }
+    }
+    const taken = new Set(ranked.filter((job) => !isNew(job)))
+    const lateBefore = forecastLate(now, only(ranked, taken), input)
+    const refused: RefusedJob[] = []
+    for (const [job, lateByMs] of lateBefore) {
+      if (!mayStillRefuse(now, job)) continue
+      refused.push({ job, lateByMs })
+      taken.delete(job)
+    }
+    const admitted: Job[] = []
+    for (const job of ranked.filter(isNew).sort((a, b) => a.arrivedAt - b.arrivedAt)) {
+      taken.add(job)
+      const late = forecastLate(now, only(ranked, taken), input)
+      const harmed = [...late].find(([other]) => other === job || !lateBefore.has(other))
+      if (harmed === undefined) {
+        admitted.push(job)
+        continue
+      }
+      taken.delete(job)
+      refused.push({ job, lateByMs: harmed[1] })
+    }
+    return { admitted, refused }
+  }
+}
+
+/** The jobs that would get their last place too late, and by how much. */
+function forecastLate(
+  now: number,
+  ranked: readonly Job[],
+  { places }: AdmissionInput,
+): Map<Job, number> {
+  const forecast = new PlaceForecast(places)
+  const late = new Map<Job, number>()
+  for (const job of ranked) {
+    let lastStartAt = now
+    for (const task of job.waiting) lastStartAt = forecast.take(now, job.runMs(task))
+    const lateByMs = lastStartAt - latestStart(job, job.remainingMs())
+    // What can begin at once loses nothing by it, late as it is.
+    if (lateByMs > tolerance(now, job) && lastStartAt > now) late.set(job, lateByMs)
+  }
+  return late
+}
+
+/** How late a job may seem to start while it is taken in all the same, in milliseconds. */
+function tolerance(now: number, { arrivedAt, objectiveAt }: Job): number {
+  const objectiveMs = objectiveAt - arrivedAt
+  const age = Math.min(1, (now - arrivedAt) / (EARLY_SHARE * objectiveMs))
+  return objectiveMs * (DOOR_TOLERANCE + (LAST_TOLERANCE - DOOR_TOLERANCE) * age)
+}
+
+function only(ranked: readonly Job[], taken: ReadonlySet<Job>): readonly Job[] {
+  return ranked.filter((job) => taken.has(job))
+}
+
+function mayStillRefuse(now: number, job: Job): boolean {
+  const { arrivedAt, objectiveAt, hasStarted } = job
+  return !hasStarted && now - arrivedAt <= EARLY_SHARE * (objectiveAt - arrivedAt)
+}
--- a/packages/dispatch/src/lib/scheduling/JobOrder.ts
+++ b/packages/dispatch/src/lib/scheduling/JobOrder.ts
@@ -14,19 +14,43 @@
   }
 }
 
+/** @public */
+export interface SlackOrderOptions {
+  /** Jobs of which some tasks run or are done go before all others. */
+  readonly underWayFirst: boolean
+}
+
+/** @public */
+export const defaultSlackOrderOptions: SlackOrderOptions = {
+  underWayFirst: true,
+}
+
 /** Ranks of jobs that can't be in time any more begin here, in milliseconds. */
 const LATE_RANK = 1e15
+/** Ranks of jobs that are under way lie this far before those of the others, in milliseconds. */
+const UNDER_WAY_LEAD = 1e12
 
 /**
- * The job that has to start first to be in time goes first. Those that can't be in time any more
- * get only what the others leave, the shortest first, so that they don't make others late.
+ * The job that has to start first to be in time goes first, and before all others one of which
+ * some tasks run or are done: what they cost is lost if the rest comes too late. With such jobs
+ * among the others, at 1.3 times of what the places can do 75 % of the jobs were in time, and 80 %
+ * with them first (load.test.ts, three seeds that spread by 15 %). Those that can't be in time any more get only what the others
+ * leave, the shortest first, so that they don't make others late.
  *
  * @public
  */
 export class SlackOrder extends JobOrder {
+  readonly #options: SlackOrderOptions
+
+  constructor(options: Partial<SlackOrderOptions> = {}) {
+    super()
+    this.#options = { ...defaultSlackOrderOptions, ...options }
+  }
+
   override rank(now: number, job: Job): number {
     const remainingMs = job.remainingMs()
     const latest = latestStart(job, remainingMs)
+    if (this.#options.underWayFirst && job.isUnderWay) return latest - UNDER_WAY_LEAD
     return now <= latest ? latest : LATE_RANK + remainingMs
   }
 }
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -1,22 +1,35 @@
+import { create } from '@bufbuild/protobuf'
+import { EndpointCapacitySchema } from '@cherryhitch/protocol'
 import type { EndpointCapacity } from '@cherryhitch/protocol'
 import { DispatchActionKind, Stage } from '../DispatchAction'
 import type { DispatchCore } from '../DispatchCore'
+import { groupBy, Mechanism } from '@cherryhitch/model'
 import type { JobBook } from '../jobs/JobBook'
 import type { Job, Task } from '../jobs/Job'
 import type { RunTracker } from '../runs/RunTracker'
 import type { JobOrder } from './JobOrder'
+import type { JobAdmission, RefusedJob } from './JobAdmission'
+import { collectPlaces } from './collectPlaces'
 import { collectCandidates, pickEndpoint } from './pickEndpoint'
 import type { Candidate } from './pickEndpoint'
 
+/** What placing needs. @internal */
+export interface SchedulerParts {
+  readonly jobs: JobBook
+  readonly runs: RunTracker
+  readonly order: JobOrder
+  readonly admission: JobAdmission
+  /** Ends a job that is refused, as not run. */
+  readonly refuse: (now: number, refused: RefusedJob) => void
+}
+
 /** Places waiting tasks on endpoints, in the order of their jobs. @internal */
 export class Scheduler {
   #isDue = false
 
   constructor(
     private readonly core: DispatchCore,
-    private readonly jobs: JobBook,
-    private readonly runs: RunTracker,
-    private readonly order: JobOrder,
+    private readonly parts: SchedulerParts,
   ) {}
 
   /** Something changed that may let a task start. */
@@ -29,17 +42,20 @@
     this.#isDue = false
     // A job that no earlier leader had can't run anywhere yet, so it needs not wait for that.
     const isSettled = this.isSettled(now)
-    const waiting = this.jobs.open().filter((job) => {
-      return job.waiting.length > 0 && (isSettled || !job.isResumed)
+    const startsEarly = this.core.uses(Mechanism.EarlyNewJobs)
+    const waiting = this.parts.jobs.open().filter((job) => {
+      return job.waiting.length > 0 && (isSettled || (startsEarly && !job.isResumed))
     })
     if (waiting.length === 0) return
     const ranked = waiting
-      .map((job) => ({ job, rank: this.order.rank(now, job) }))
+      .map((job) => ({ job, rank: this.parts.order.rank(now, job) }))
       .sort((a, b) => a.rank - b.rank)
+      .map(({ job }) => job)
+    for (const [service, jobs] of groupBy(ranked, serviceOf)) this.#admit(now, service, jobs)
     const candidates = collectCandidates(now, this.core)
     const full = new Map<string, EndpointCapacity>()
-    for (const { job } of ranked) {
-      this.#place(now, job, candidates.get(job.route.service) ?? [], full)
+    for (const job of ranked) {
+      if (!job.isClosed) this.#place(now, job, candidates.get(job.route.service) ?? [], full)
     }
   }
 
@@ -56,6 +72,24 @@
     return [...endpoints.all()].every((endpoint) => endpoint.isAdopted || endpoint.isReplaced)
   }
 
+  /** Takes new jobs in, or refuses them, as long as more wait than there is room for. */
+  #admit(now: number, service: string, ranked: readonly Job[]): void {
+    const places = collectPlaces(now, this.core, service, meanNeeds(ranked))
+    const { admitted, refused } = this.parts.admission.decide(now, { ranked, places })
+    for (const job of admitted) job.isAdmitted = true
+    for (const one of refused) {
+      this.core.log('a job gets no place in time', {
+        job: one.job.id,
+        lateByMs: Math.round(one.lateByMs),
+        tasks: one.job.tasks.length,
+        waitingJobs: ranked.length,
+        places: places.length,
+        freePlaces: places.filter((freeAt) => freeAt <= now).length,
+      })
+      this.parts.refuse(now, one)
+    }
+  }
+
   /**
    * Places what fits of a job.
    *
@@ -86,12 +120,13 @@
     candidates: readonly Candidate[],
   ): boolean {
     const { job } = task
-    const picked = pickEndpoint(task, needs, candidates)
+    const picked = pickEndpoint(task, needs, candidates, this.core.uses(Mechanism.CloseFit))
     if (picked === undefined) return false
     const { endpoint, slowness } = picked
     const expectedMs = job.runMs(task) * slowness
-    if (!this.runs.start(now, task, endpoint, expectedMs)) return false
+    if (!this.parts.runs.start(now, task, endpoint, expectedMs)) return false
     if (job.firstStartAt === undefined) this.#noteFirstStart(now, job)
+    job.lastStartAt = now
     job.hasStarted = true
     job.endpointsUsed.add(endpoint.id)
     return true
@@ -108,6 +143,23 @@
   }
 }
 
+function serviceOf({ route }: Job): string {
+  return route.service
+}
+
+/** What a waiting task wants on average. */
+function meanNeeds(jobs: readonly Job[]): EndpointCapacity {
+  const needs = jobs.flatMap((job) => job.waiting.flatMap((task) => job.step(task).needs ?? []))
+  const mean = (of: (one: EndpointCapacity) => number): number => {
+    return needs.reduce((sum, one) => sum + of(one), 0) / Math.max(1, needs.length)
+  }
+  return create(EndpointCapacitySchema, {
+    cpuMillis: mean(({ cpuMillis }) => cpuMillis),
+    memoryMb: mean(({ memoryMb }) => memoryMb),
+    gpus: mean(({ gpus }) => gpus),
+  })
+}
+
 /** True when one need is at least as large as another in every respect. */
 function covers(needs: EndpointCapacity, other: EndpointCapacity): boolean {
   if (needs.cpuMillis < other.cpuMillis || needs.memoryMb < other.memoryMb) return false
--- a/packages/dispatch/src/lib/scheduling/giveUp.ts
+++ b/packages/dispatch/src/lib/scheduling/giveUp.ts
@@ -41,7 +41,8 @@
 /**
  * Jobs to give up now. One that never started is refused as soon as it can't be of use any more,
  * or can't be in time while others that can be wait as well: it would get a place after them only.
- * One that started goes on until its caller's deadline, since its answer is delivered also late.
+ * One that started goes on until its caller's deadline, since its answer is delivered also late; but
+ * with a part of it still waiting it ends as soon as the whole can't be of use any more.
  *
  * @internal
  */
@@ -61,6 +62,11 @@
       const reason = 'it could not be done in time'
       return [{ job, verdict: JobVerdict.REFUSED, reason, retryAfterMs: RETRY_AFTER_MS }]
     }
+    // Some of its tasks have no place, and would end too late to be of use.
+    if (job.hasStarted && job.waiting.length > 0 && prospectOf(now, job).isUseless) {
+      const reason = 'the rest of it could not be done in time'
+      return [{ job, verdict: JobVerdict.UNKNOWN, reason, retryAfterMs: 0 }]
+    }
     if (now < job.deadlineAt) return []
     const reason = 'its deadline passed while it was under way'
     return [{ job, verdict: JobVerdict.UNKNOWN, reason, retryAfterMs: 0 }]
--- a/packages/dispatch/src/lib/scheduling/latestStart.ts
+++ b/packages/dispatch/src/lib/scheduling/latestStart.ts
@@ -1,3 +1,4 @@
+import type { Route } from '@cherryhitch/protocol'
 import type { Job } from '../jobs/Job'
 
 /**
@@ -13,6 +14,15 @@
  */
 const KEPT_SHARE = 0.25
 
+/**
+ * What is kept back of a job's time before its last moment to start, in milliseconds.
+ *
+ * @internal
+ */
+export function startMargin({ stretch }: Route, chainMs: number): number {
+  return PATH_MS + KEPT_SHARE * Math.max(0, stretch - 1) * chainMs
+}
+
 /**
  * The last instant at which the rest of a job can start and be in time.
  *
@@ -20,7 +30,6 @@
  *   every task
  * @internal
  */
-export function latestStart({ route, chainMs, objectiveAt }: Job, remainingMs: number): number {
-  const slackMs = Math.max(0, route.stretch - 1) * chainMs
-  return objectiveAt - remainingMs - PATH_MS - KEPT_SHARE * slackMs
+export function latestStart({ objectiveAt, startMarginMs }: Job, remainingMs: number): number {
+  return objectiveAt - remainingMs - startMarginMs
 }
--- a/packages/dispatch/src/lib/scheduling/pickEndpoint.ts
+++ b/packages/dispatch/src/lib/scheduling/pickEndpoint.ts
@@ -44,12 +44,13 @@
   task: Task,
   needs: EndpointCapacity,
   candidates: readonly Candidate[],
+  prefersCloseFit = true,
 ): Candidate | undefined {
   let best: Candidate | undefined
   let bestCost = Infinity
   for (const candidate of candidates) {
     if (!isAllowed(task, needs, candidate)) continue
-    const cost = costOf(task, needs, candidate)
+    const cost = costOf(task, needs, candidate, prefersCloseFit ? FIT_WEIGHT : 0)
     if (cost >= bestCost) continue
     best = candidate
     bestCost = cost
@@ -72,11 +73,16 @@
   return [...endpoint.runs.keys()].filter((name) => name.startsWith(prefix)).length
 }
 
-function costOf(task: Task, needs: EndpointCapacity, { endpoint, slowness }: Candidate): number {
+function costOf(
+  task: Task,
+  needs: EndpointCapacity,
+  { endpoint, slowness }: Candidate,
+  fitWeight: number,
+): number {
   const { dataRack } = task.job.step(task)
   const isRemote = dataRack !== '' && !endpoint.notice.labels.includes(dataRack)
   const avoided = task.avoid.has(endpoint.id) ? REMOTE_PENALTY : 1
   const total = endpoint.notice.capacity?.cpuMillis ?? 1
   const leftShare = (endpoint.freeRoom().cpuMillis - needs.cpuMillis) / Math.max(1, total)
-  return slowness * (isRemote ? REMOTE_PENALTY : 1) * avoided * (1 + FIT_WEIGHT * leftShare)
+  return slowness * (isRemote ? REMOTE_PENALTY : 1) * avoided * (1 + fitWeight * leftShare)
 }
--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -6,6 +6,7 @@
   SteppedJobSchema,
 } from '@cherryhitch/protocol'
 import type { EndpointNotice, Envelope, JobOutcome } from '@cherryhitch/protocol'
+import type { Mechanism } from '@cherryhitch/model'
 import { Agenda } from '@cherryhitch/runtime'
 import { DispatchActionKind } from '../DispatchAction'
 import type { DispatchAction } from '../DispatchAction'
@@ -14,6 +15,7 @@
 import { DispatchMachine } from '../DispatchMachine'
 import { JobRelay, RelayActionKind, RelayEventKind } from '../relay/JobRelay'
 import type { RelayAction } from '../relay/JobRelay'
+import type { JobAdmission } from '../scheduling/JobAdmission'
 import type { JobOrder } from '../scheduling/JobOrder'
 import { OrderCarrier, WAY_MS } from './OrderCarrier'
 import type { WorldChances } from './OrderCarrier'
@@ -30,8 +32,10 @@
   readonly random: () => number
   readonly chances?: Partial<WorldChances>
   readonly order?: JobOrder
-  /** How long each run takes, in milliseconds; drawn from 20 to 220 by default. */
-  readonly runMs?: number
+  readonly admission?: JobAdmission
+  readonly without?: readonly Mechanism[]
+  /** How long each run takes, in milliseconds, or what tells it of a task; drawn by default. */
+  readonly runMs?: number | ((task: string) => number)
 }
 
 /** @internal */
@@ -39,6 +43,8 @@
   readonly deadlineMs?: number
   /** What the caller believes that each task takes, in milliseconds. */
   readonly estimateMs?: number
+  /** Number of its queue, below `QUEUES`: each learns the run times of its own jobs. */
+  readonly queue?: number
 }
 
 const SERVICE = 'tracing'
@@ -48,11 +54,19 @@
 const MAX_LEASE_MS = 1_000
 const HEARTBEAT_MS = 1_500
 
+/** Queues that callers may use. @internal */
+export const QUEUES = 3
+
 const TABLE = create(RoutingTableSchema, {
   version: 1,
-  routes: [
-    { name: 'r', host: HOST, pathPrefix: '/q/', service: SERVICE, targetMs: 60, stretch: 1.6 },
-  ],
+  routes: Array.from({ length: QUEUES }, (_, queue) => ({
+    name: `r${queue}`,
+    host: HOST,
+    pathPrefix: `/q${queue}/`,
+    service: SERVICE,
+    targetMs: 60,
+    stretch: 1.6,
+  })),
   services: [SERVICE],
 })
 
@@ -85,7 +99,10 @@
     this.#orders = new OrderCarrier({
       endpoints: this.endpoints,
       chances: { lostAnswer: 0, lateOrder: 0, failedRun: 0, ...options.chances },
-      drawRunMs: () => options.runMs ?? 20 + options.random() * 200,
+      drawRunMs: (task) => {
+        const { runMs, random } = options
+        return typeof runMs === 'function' ? runMs(task) : (runMs ?? 20 + random() * 200)
+      },
       random: options.random,
       now: () => this.now,
       after: (ms, run) => {
@@ -106,7 +123,12 @@
       },
     })
     this.#leaders = Array.from({ length: options.leaders }, () => {
-      return new DispatchMachine(options.order === undefined ? {} : { order: options.order })
+      const { order, admission, without = [] } = options
+      return new DispatchMachine({
+        without,
+        ...(order !== undefined && { order }),
+        ...(admission !== undefined && { admission }),
+      })
     })
     for (let i = 0; i < options.endpoints; i++) this.addEndpoint(`e${i}`)
   }
@@ -195,14 +217,14 @@
   submit(
     id: string,
     tasks: number,
-    { deadlineMs = 5_000, estimateMs = 60 }: SubmitOptions = {},
+    { deadlineMs = 5_000, estimateMs = 60, queue = 0 }: SubmitOptions = {},
   ): void {
     const needs = { cpuMillis: TASK_CPU_MILLIS, memoryMb: 1 }
     const step = create(JobStepSchema, { count: tasks, needs, estimateMs })
     const spec = create(SteppedJobSchema, { jobId: id, payload: 'p', steps: [step] })
     const place = {
       host: HOST,
-      path: `/q/${id}`,
+      path: `/q${queue}/${id}`,
       receivedAt: this.now,
       deadlineAt: this.now + deadlineMs,
     }
--- a/packages/dispatch/src/lib/soak/OrderCarrier.ts
+++ b/packages/dispatch/src/lib/soak/OrderCarrier.ts
@@ -19,8 +19,8 @@
 export interface OrderWorld {
   readonly endpoints: readonly SimulatedEndpoint[]
   readonly chances: WorldChances
-  /** How long the next run takes, in milliseconds. */
-  readonly drawRunMs: () => number
+  /** How long a run of a task takes, in milliseconds. */
+  readonly drawRunMs: (task: string) => number
   readonly random: () => number
   readonly now: () => number
   readonly after: (ms: number, run: () => void) => void
@@ -87,7 +87,7 @@
 
   private start(target: SimulatedEndpoint, token: number, order: StartOrder): OrderAnswer {
     const { random, drawRunMs, chances, now } = this.world
-    const fate = { runMs: drawRunMs(), fails: random() < chances.failedRun }
+    const fate = { runMs: drawRunMs(order.task), fails: random() < chances.failedRun }
     return { case: 'started', value: target.start(now(), token, order, fate) }
   }
 
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -38,3 +38,4 @@
   StopsBody,
 } from './lib/endpointApi/endpointApi'
 export { Err, Ok } from './lib/util/results'
+export { Mechanism } from './lib/dispatching/Mechanism'
--- a/packages/settings/src/lib/dispatching/dispatchSettings.ts
+++ b/packages/settings/src/lib/dispatching/dispatchSettings.ts
@@ -1,7 +1,7 @@
 import fs from 'node:fs'
 import { Result as Decoded, Schema, SchemaIssue } from 'effect'
 import type { Result } from 'ts-results'
-import { Err, Ok } from '@cherryhitch/model'
+import { Err, Mechanism, Ok } from '@cherryhitch/model'
 import { SettingsText } from '../parse/SettingsText'
 import { formatFound } from '../problems/SettingsProblem'
 import type { SettingPath, SettingsProblem } from '../problems/SettingsProblem'
@@ -35,6 +35,8 @@
   heartbeatMs: Schema.Number,
   /** Longest lease that endpoints grant, in milliseconds. */
   maxLeaseMs: Schema.Number,
+  /** Mechanisms of dispatching that are left out, to measure what each is worth; none otherwise. */
+  without: Schema.optional(Schema.Array(Schema.Enum(Mechanism))),
   /** Time from the order to stop until the process is killed, in milliseconds. */
   stopGraceMs: Schema.Number,
 })
