Bound the places that are counted at an endpoint

Cause: a task that asks for no cores, memory or accelerators fits without end, so that the list of places of the new forecast grew until the memory of the leader was full.

Change: 64 places an endpoint at the most; and where all that waits fits at once, nothing is worked out.

Figures: weightless.test.ts ended with the heap full before, and passes. Found in a reading of the change.

--- a/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
@@ -33,7 +33,7 @@
 export class ForecastAdmission extends JobAdmission {
   override decide(now: number, input: AdmissionInput): AdmissionDecision {
     const { ranked } = input
-    if (forecastLate(now, ranked, input).size === 0) {
+    if (hasRoomForAll(now, input) || forecastLate(now, ranked, input).size === 0) {
       return { admitted: ranked.filter(isNew), refused: [] }
     }
     const taken = new Set(ranked.filter((job) => !isNew(job)))
@@ -60,6 +60,12 @@
   }
 }
 
+/** Whether all tasks that wait can begin at once: then nothing has to be worked out. */
+function hasRoomForAll(now: number, { ranked, places }: AdmissionInput): boolean {
+  const free = places.filter((freeAt) => freeAt <= now).length
+  return ranked.reduce((sum, job) => sum + job.waiting.length, 0) <= free
+}
+
 /** The jobs that would get their last place too late, and by how much. */
 function forecastLate(
   now: number,
--- a/packages/dispatch/src/lib/scheduling/collectPlaces.ts
+++ b/packages/dispatch/src/lib/scheduling/collectPlaces.ts
@@ -14,6 +14,12 @@
 /** An endpoint that a new leader has not heard from yet is counted on after this: two ways. */
 const ADOPTION_MS = 30
 
+/**
+ * Places of one endpoint that are counted at most: tasks that ask for little or nothing fit without
+ * end, and a forecast of more costs time for nothing.
+ */
+const MOST_PLACES = 64
+
 /**
  * When the places of a service's endpoints become free: at once for room that is free, and at the
  * expected end of what runs.
@@ -52,7 +58,7 @@
     [gpus, needs.gpus],
   ] as const
   const counts = parts.flatMap(([free, need]) => (need > 0 ? Math.floor(free / need) : []))
-  return Math.max(0, Math.min(...counts))
+  return Math.max(0, Math.min(MOST_PLACES, ...counts))
 }
 
 function expectedEnd(now: number, { confirmedAt, sentAt, expectedMs }: Run): number {
--- /dev/null
+++ b/packages/dispatch/src/lib/scheduling/weightless.test.ts
@@ -0,0 +1,23 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { JobVerdict } from '@cherryhitch/protocol'
+import { DispatchWorld } from '../soak/DispatchWorld'
+
+describe('a job whose tasks ask for no cores and no memory', () => {
+  it('is served beside others', () => {
+    const world = new DispatchWorld({
+      leaders: 1,
+      endpoints: 2,
+      placesEach: 4,
+      random: () => 0.5,
+      runMs: 60,
+    })
+    world.elect(0, 0)
+    world.run(1_500)
+    world.submit('a', 4)
+    world.submit('b', 3, { isWeightless: true })
+    world.run(1_000)
+    assert.equal(world.outcomes.get('a')?.verdict, JobVerdict.COMPLETED)
+    assert.equal(world.outcomes.get('b')?.verdict, JobVerdict.COMPLETED)
+  })
+})
--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -45,6 +45,8 @@
   readonly estimateMs?: number
   /** Number of its queue, below `QUEUES`: each learns the run times of its own jobs. */
   readonly queue?: number
+  /** The tasks ask for no cores and no memory. */
+  readonly isWeightless?: boolean
 }
 
 const SERVICE = 'tracing'
@@ -217,9 +219,9 @@
   submit(
     id: string,
     tasks: number,
-    { deadlineMs = 5_000, estimateMs = 60, queue = 0 }: SubmitOptions = {},
+    { deadlineMs = 5_000, estimateMs = 60, queue = 0, isWeightless = false }: SubmitOptions = {},
   ): void {
-    const needs = { cpuMillis: TASK_CPU_MILLIS, memoryMb: 1 }
+    const needs = isWeightless ? {} : { cpuMillis: TASK_CPU_MILLIS, memoryMb: 1 }
     const step = create(JobStepSchema, { count: tasks, needs, estimateMs })
     const spec = create(SteppedJobSchema, { jobId: id, payload: 'p', steps: [step] })
     const place = {
