--- a/packages/dispatch/src/lib/scheduling/JobOrder.ts
+++ b/packages/dispatch/src/lib/scheduling/JobOrder.ts
@@ -34,8 +34,8 @@
  * The job that has to start first to be in time goes first, and before all others one of which
  * some tasks run or are done: what they cost is lost if the rest comes too late. With such jobs
  * among the others, at 1.3 times of what the places can do 75 % of the jobs were in time, and 80 %
- * with them first (load.test.ts, three seeds that spread by 15 %). Those that can't be in time any more get only what the others
- * leave, the shortest first, so that they don't make others late.
+ * with them first (load.test.ts, three seeds that spread by 15 %). Those that can't be in time any
+ * more get only what the others leave, the shortest first, so that they don't make others late.
  *
  * @public
  */
