Show what a process uses and what placing looks at

Sight for the report that too little is served on the grown sites. The hypotheses (idle price of processes, garbage and cold code, price of a decision) can't be told apart by today's logs.

No decision is changed.

--- a/apps/bench/src/capacity/measureSlopes.ts
+++ b/apps/bench/src/capacity/measureSlopes.ts
@@ -3,7 +3,7 @@
  * state machines, driven directly, and the size of encoded messages.
  *
  * Run: npx tsx apps/bench/src/capacity/measureSlopes.ts [part...]
- * Parts: owner, coordinator, membership, control, wire, link, idleLinks, http, shards, instances; all without an argument.
+ * Parts: owner, coordinator, membership, control, wire, link, idleLinks, http, shards, instances, processes; all without an argument.
  */
 import { cpus, loadavg } from 'node:os'
 import { measureControlSlopes } from './measureControlSlopes'
@@ -14,6 +14,7 @@
 import { measureLinkSlopes } from './measureLinkSlopes'
 import { measureMembershipSlopes } from './measureMembershipSlopes'
 import { measureOwnerSlopes } from './measureOwnerSlopes'
+import { measureProcesses } from './measureProcesses'
 import { measureShards } from './measureShards'
 import { measureWire } from './measureWire'
 import { REPETITIONS } from './measuring'
@@ -29,6 +30,7 @@
   http: measureHttp,
   shards: measureShards,
   instances: measureInstances,
+  processes: measureProcesses,
 }
 
 function sayLoad(): void {
--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -23,6 +23,7 @@
 import { startDispatchPart } from './startDispatchPart'
 import type { DispatchPart } from './startDispatchPart'
 import { startMetricsServer } from './startMetricsServer'
+import { startUseReport } from './startUseReport'
 import { startVoter } from './startVoter'
 
 /** Pace at which the parts learn what the log's leader knows, in milliseconds. */
@@ -85,6 +86,10 @@
     parts.notices.bind(notices)
     const server = yield* startOperators(context, { dispatcher, control, discovery, notices })
     yield* startStatus(context, { dispatcher, control, discovery, notices })
+    yield* startUseReport(context, () => {
+      const { leads, endpoints, openJobs, counters } = dispatcher.machine
+      return { leads: Number(leads), endpoints, openJobs, ...counters, ...links.counters() }
+    })
     const { host, zone, seeds } = settings
     log.info('started', { host, zone, seeds, disk: control.diskId(), term: control.term() })
     const why = yield* context.awaitEnd
--- a/apps/cherryhitch/src/lib/dispatching/runEntry.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runEntry.ts
@@ -22,6 +22,7 @@
 import type { DiscoveryPart } from './startDiscovery'
 import { startMetricsServer } from './startMetricsServer'
 import { startDispatchLinks } from './startDispatchLinks'
+import { startUseReport } from './startUseReport'
 import type { DispatchLinks } from './startDispatchLinks'
 
 /** Two thirds of the shortest time that a relay goes by; each tick wakes an idle entry up. */
@@ -88,6 +89,7 @@
     let isDraining = false
     const isReady = (): boolean => relay.hasLeader && !isDraining
     const front = yield* startInterfaces(context, requests, isReady)
+    yield* startUseReport(context, () => ({ requestsOpen: requests.size, ...links.counters() }))
     log.info('started', { host: settings.host, zone: settings.zone, seeds: settings.seeds })
     const why = yield* context.awaitEnd
     isDraining = true
--- a/apps/cherryhitch/src/lib/dispatching/startDispatchLinks.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchLinks.ts
@@ -34,6 +34,12 @@
     this.host.setPeers(instances.map((instance) => ({ instance, host: hostOf(instance), port })))
   }
 
+  /** Batches sent to other instances, and received from them. */
+  counters(): Readonly<Record<'batchesSent' | 'batchesReceived', number>> {
+    const { batchesSent, batchesReceived } = this.host.counters()
+    return { batchesSent, batchesReceived }
+  }
+
   drain(limitMs: number): Effect.Effect<boolean> {
     return this.host.drain(limitMs)
   }
--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -40,6 +40,14 @@
   holds_missed: number
   looks: number
   starts_repeated: number
+  /** Rounds of placing in which a job waited. */
+  rounds: number
+  /** Waiting jobs that these rounds put in order. */
+  jobs_ranked: number
+  /** Endpoints that these rounds looked at. */
+  endpoints_visited: number
+  /** Places that were taken by forecast to tell when a job would start. */
+  places_forecast: number
 }
 
 /** What all parts of the dispatcher share, and the actions of the running step. @internal */
@@ -66,6 +74,10 @@
     holds_missed: 0,
     looks: 0,
     starts_repeated: 0,
+    rounds: 0,
+    jobs_ranked: 0,
+    endpoints_visited: 0,
+    places_forecast: 0,
   }
   /** Term in which this instance leads, which is its fencing token; undefined if it doesn't. */
   token: number | undefined
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -92,6 +92,11 @@
     return this.#core.endpoints.size
   }
 
+  /** Whether an endpoint has announced itself and was not forgotten. */
+  knows(endpoint: string): boolean {
+    return this.#core.endpoints.get(endpoint) !== undefined
+  }
+
   get leads(): boolean {
     return this.#core.token !== undefined
   }
--- a/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
@@ -33,11 +33,19 @@
 export class ForecastAdmission extends JobAdmission {
   override decide(now: number, input: AdmissionInput): AdmissionDecision {
     const { ranked } = input
-    if (hasRoomForAll(now, input) || forecastLate(now, ranked, input).size === 0) {
-      return { admitted: ranked.filter(isNew), refused: [] }
+    if (hasRoomForAll(now, input)) {
+      return { admitted: ranked.filter(isNew), refused: [], placesForecast: 0 }
+    }
+    let placesForecast = 0
+    const forecast = (jobs: readonly Job[]): Map<Job, number> => {
+      placesForecast += waitingTasks(jobs)
+      return forecastLate(now, jobs, input)
+    }
+    if (forecast(ranked).size === 0) {
+      return { admitted: ranked.filter(isNew), refused: [], placesForecast }
     }
     const taken = new Set(ranked.filter((job) => !isNew(job)))
-    const lateBefore = forecastLate(now, only(ranked, taken), input)
+    const lateBefore = forecast(only(ranked, taken))
     const refused: RefusedJob[] = []
     for (const [job, lateByMs] of lateBefore) {
       if (!mayStillRefuse(now, job)) continue
@@ -47,7 +55,7 @@
     const admitted: Job[] = []
     for (const job of ranked.filter(isNew).sort((a, b) => a.arrivedAt - b.arrivedAt)) {
       taken.add(job)
-      const late = forecastLate(now, only(ranked, taken), input)
+      const late = forecast(only(ranked, taken))
       const harmed = [...late].find(([other]) => other === job || !lateBefore.has(other))
       if (harmed === undefined) {
         admitted.push(job)
@@ -56,14 +64,18 @@
       taken.delete(job)
       refused.push({ job, lateByMs: harmed[1] })
     }
-    return { admitted, refused }
+    return { admitted, refused, placesForecast }
   }
 }
 
 /** Whether all tasks that wait can begin at once: then nothing has to be worked out. */
 function hasRoomForAll(now: number, { ranked, places }: AdmissionInput): boolean {
   const free = places.filter((freeAt) => freeAt <= now).length
-  return ranked.reduce((sum, job) => sum + job.waiting.length, 0) <= free
+  return waitingTasks(ranked) <= free
+}
+
+function waitingTasks(jobs: readonly Job[]): number {
+  return jobs.reduce((sum, job) => sum + job.waiting.length, 0)
 }
 
 /** The jobs that would get their last place too late, and by how much. */
--- a/packages/dispatch/src/lib/scheduling/JobAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/JobAdmission.ts
@@ -10,6 +10,8 @@
 export interface AdmissionDecision {
   readonly admitted: readonly Job[]
   readonly refused: readonly RefusedJob[]
+  /** Places that were taken by forecast for it: what the decision cost. */
+  readonly placesForecast: number
 }
 
 /** What is known when new jobs come. @public */
--- a/packages/dispatch/src/lib/scheduling/OpenAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/OpenAdmission.ts
@@ -4,6 +4,6 @@
 /** Takes every job in; what gets no place learns it at the end of its time: the baseline. @public */
 export class OpenAdmission extends JobAdmission {
   override decide(_now: number, { ranked }: AdmissionInput): AdmissionDecision {
-    return { admitted: ranked.filter(isNew), refused: [] }
+    return { admitted: ranked.filter(isNew), refused: [], placesForecast: 0 }
   }
 }
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -47,6 +47,8 @@
       return job.waiting.length > 0 && (isSettled || (startsEarly && !job.isResumed))
     })
     if (waiting.length === 0) return
+    this.core.counters.rounds++
+    this.core.counters.jobs_ranked += waiting.length
     const ranked = waiting
       .map((job) => ({ job, rank: this.parts.order.rank(now, job) }))
       .sort((a, b) => a.rank - b.rank)
@@ -75,7 +77,9 @@
   /** Takes new jobs in, or refuses them, as long as more wait than there is room for. */
   #admit(now: number, service: string, ranked: readonly Job[]): void {
     const places = collectPlaces(now, this.core, service, meanNeeds(ranked))
-    const { admitted, refused } = this.parts.admission.decide(now, { ranked, places })
+    const decision = this.parts.admission.decide(now, { ranked, places })
+    const { admitted, refused, placesForecast } = decision
+    this.core.counters.places_forecast += placesForecast
     for (const job of admitted) job.isAdmitted = true
     for (const one of refused) {
       this.core.log('a job gets no place in time', {
--- a/packages/dispatch/src/lib/scheduling/collectPlaces.ts
+++ b/packages/dispatch/src/lib/scheduling/collectPlaces.ts
@@ -34,6 +34,7 @@
   needs: EndpointCapacity,
 ): readonly number[] {
   const places: number[] = []
+  core.counters.endpoints_visited += core.endpoints.size
   for (const endpoint of core.endpoints.all()) {
     if (endpoint.service !== service || !isCounted(now, core, endpoint)) continue
     const freeAt = endpoint.isAdopted ? now : now + ADOPTION_MS
--- a/packages/dispatch/src/lib/scheduling/pickEndpoint.ts
+++ b/packages/dispatch/src/lib/scheduling/pickEndpoint.ts
@@ -24,6 +24,7 @@
 /** The endpoints that may get tasks now, by service. @internal */
 export function collectCandidates(now: number, core: DispatchCore): Map<string, Candidate[]> {
   const byService = new Map<string, Candidate[]>()
+  core.counters.endpoints_visited += core.endpoints.size
   for (const endpoint of core.endpoints.all()) {
     // The next leader has to know of it: whoever it asks, a majority was told before this.
     if (!endpoint.mayStart(now) || core.confirmedAt < endpoint.spreadAt) continue
--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -12,6 +12,7 @@
 import type { DispatchAction } from '../DispatchAction'
 import { DispatchEventKind } from '../DispatchEvent'
 import type { DispatchEvent } from '../DispatchEvent'
+import type { DispatchCounters } from '../DispatchCore'
 import { DispatchMachine } from '../DispatchMachine'
 import { JobRelay, RelayActionKind, RelayEventKind } from '../relay/JobRelay'
 import type { RelayAction } from '../relay/JobRelay'
@@ -19,7 +20,11 @@
 import type { JobOrder } from '../scheduling/JobOrder'
 import { OrderCarrier, WAY_MS } from './OrderCarrier'
 import type { WorldChances } from './OrderCarrier'
+import { PayingLeader } from './PayingLeader'
+import type { LeaderCosts } from './PayingLeader'
 import { ProxyWorld } from './ProxyWorld'
+import { FreeLeader } from './SimulatedLeader'
+import type { SimulatedLeader } from './SimulatedLeader'
 import { SimulatedEndpoint, TASK_CPU_MILLIS } from './SimulatedEndpoint'
 
 /** @internal */
@@ -36,6 +41,8 @@
   readonly without?: readonly Mechanism[]
   /** How long each run takes, in milliseconds, or what tells it of a task; drawn by default. */
   readonly runMs?: number | ((task: string) => number)
+  /** What the leaders' work costs them; their decisions take no time by default. */
+  readonly costs?: LeaderCosts
 }
 
 /** @internal */
@@ -86,7 +93,8 @@
   readonly answeredAt = new Map<string, number>()
   readonly violations: string[] = []
   readonly startedTasks = new Map<string, number>()
-  readonly #leaders: DispatchMachine[]
+  readonly #machines: DispatchMachine[]
+  readonly #leaders: SimulatedLeader[]
   readonly #relay = new JobRelay()
   readonly #orders: OrderCarrier
   readonly #proxies: ProxyWorld
@@ -124,7 +132,7 @@
         this.#tell(leader, event)
       },
     })
-    this.#leaders = Array.from({ length: options.leaders }, () => {
+    this.#machines = Array.from({ length: options.leaders }, () => {
       const { order, admission, without = [] } = options
       return new DispatchMachine({
         without,
@@ -132,14 +140,37 @@
         ...(admission !== undefined && { admission }),
       })
     })
+    this.#leaders = this.#machines.map((machine, i) => this.#makeLeader(machine, i))
     for (let i = 0; i < options.endpoints; i++) this.addEndpoint(`e${i}`)
   }
 
+  #makeLeader(machine: DispatchMachine, i: number): SimulatedLeader {
+    const around = {
+      machine,
+      now: () => this.now,
+      after: (ms: number, run: () => void) => {
+        this.after(ms, run)
+      },
+      perform: (actions: readonly DispatchAction[]) => {
+        this.#perform(i, actions)
+      },
+    }
+    const { costs } = this.options
+    return costs === undefined ? new FreeLeader(around) : new PayingLeader(around, costs)
+  }
+
   get now(): number {
     return this.#agenda.now
   }
 
-  addEndpoint(id: string, knownTo = this.#leaders.map((_, i) => i)): SimulatedEndpoint {
+  /** Numbers of the dispatcher that leads. */
+  get counters(): Readonly<DispatchCounters> {
+    const machine = this.#machines[this.#leader]
+    if (machine === undefined) throw new Error('nobody leads')
+    return machine.counters
+  }
+
+  addEndpoint(id: string, knownTo = this.#machines.map((_, i) => i)): SimulatedEndpoint {
     const { random, placesEach: places } = this.options
     const drift = random() * 0.02
     const clockStartMs = Math.floor(random() * 1e6)
@@ -196,7 +227,7 @@
 
   /** A majority tells the new leader what it knows: one instance beside it, drawn at random. */
   #readDirectories(leader: number, term: number): void {
-    const others = this.#leaders.flatMap((machine, i) => (i === leader ? [] : [machine]))
+    const others = this.#machines.flatMap((machine, i) => (i === leader ? [] : [machine]))
     const told = others[Math.floor(this.options.random() * others.length)]?.notices(this.now) ?? []
     for (const notice of told) this.#tell(leader, { kind: DispatchEventKind.Notice, notice })
     this.#tell(leader, { kind: DispatchEventKind.DirectoryRead, term })
@@ -256,8 +287,8 @@
       if (!this.#cutFromQuorum.has(i)) {
         this.#tell(i, { kind: DispatchEventKind.Confirmed, at: this.now - 2 * WAY_MS })
       }
-      this.#perform(i, leader.tick(this.now))
-      this.#proxies.tick(i, leader.endpoints)
+      leader.tick()
+      this.#proxies.tick(i, this.#machines[i]?.endpoints ?? 0)
     }
     this.#performRelay(this.#relay.tick(this.now))
   }
@@ -268,17 +299,15 @@
     this.#heartbeatDueAt = this.now + HEARTBEAT_MS
     for (const endpoint of this.endpoints) {
       const notice = endpoint.notice()
-      for (const [i, leader] of this.#leaders.entries()) {
-        const known = leader.notices(this.now)
-        if (!known.some((other) => other.endpoint === notice.endpoint)) continue
+      for (const [i, machine] of this.#machines.entries()) {
+        if (!machine.knows(notice.endpoint)) continue
         this.#tell(i, { kind: DispatchEventKind.Notice, notice })
       }
     }
   }
 
   #tell(leader: number, event: DispatchEvent): void {
-    const machine = this.#leaders[leader]
-    if (machine !== undefined) this.#perform(leader, machine.step(this.now, event))
+    this.#leaders[leader]?.tell(event)
   }
 
   #perform(leader: number, actions: readonly DispatchAction[]): void {
--- a/packages/dispatch/src/lib/soak/playLoad.ts
+++ b/packages/dispatch/src/lib/soak/playLoad.ts
@@ -1,9 +1,11 @@
 import { seededRandom } from '@cherryhitch/model'
 import type { Mechanism } from '@cherryhitch/model'
 import { JobVerdict } from '@cherryhitch/protocol'
+import type { DispatchCounters } from '../DispatchCore'
 import type { JobAdmission } from '../scheduling/JobAdmission'
 import type { JobOrder } from '../scheduling/JobOrder'
 import { DispatchWorld } from './DispatchWorld'
+import type { LeaderCosts } from './PayingLeader'
 
 /** A kind of job: how many tasks, and how long each takes. */
 interface JobKind {
@@ -28,11 +30,9 @@
 /** A late answer has a use up to so many times the objective. */
 const USEFUL_OBJECTIVES = 3
 const DEADLINE_MS = 1_500
-const ENDPOINTS = 33
 const PLACES_EACH = 2
 /** Until the estimates are learnt, in milliseconds; what comes then isn't counted. */
 const WARM_UP_MS = 2_000
-const PLAY_MS = 9_000
 const LEARN_LOAD = 0.6
 /** A refusal is early within this share of the objective. */
 const EARLY_SHARE = 0.25
@@ -47,8 +47,16 @@
   readonly without?: readonly Mechanism[]
   /** Share of the orders that get no answer and are carried out late. */
   readonly lateOrder?: number
+  readonly endpoints?: number
+  /** How long jobs come at this load, in milliseconds. */
+  readonly playMs?: number
+  /** What the leader's work costs it; its decisions take no time by default. */
+  readonly costs?: LeaderCosts
 }
 
+/** The size of the users' small sites. @internal */
+export const defaultLoadOptions = { seed: 1, lateOrder: 0, endpoints: 33, playMs: 9_000 } as const
+
 /** Shares of the jobs, 0 to 1. @internal */
 export interface LoadOutcome {
   readonly inTime: number
@@ -58,6 +66,8 @@
   readonly refusedLate: number
   /** Heard nothing of use: neither an answer within three objectives nor a refusal. */
   readonly unserved: number
+  /** What the dispatcher counted while jobs came at this load. */
+  readonly counted: Readonly<DispatchCounters>
   readonly violations: readonly string[]
 }
 
@@ -74,14 +84,12 @@
  *
  * @internal
  */
-export function playLoad({
-  load,
-  seed = 1,
-  order,
-  admission,
-  without = [],
-  lateOrder = 0,
-}: LoadOptions): LoadOutcome {
+export function playLoad(options: LoadOptions): LoadOutcome {
+  const { load, seed, order, admission, without, lateOrder, endpoints, playMs, costs } = {
+    without: [],
+    ...defaultLoadOptions,
+    ...options,
+  }
   const random = seededRandom(seed)
   const normal = (): number =>
     Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random())
@@ -89,7 +97,7 @@
   const workOf = new Map<string, number>()
   const world = new DispatchWorld({
     leaders: 1,
-    endpoints: ENDPOINTS,
+    endpoints,
     placesEach: PLACES_EACH,
     random,
     without,
@@ -97,12 +105,13 @@
     runMs: (task) => (workOf.get(task.split('.')[0] ?? '') ?? 0) * spread(TASK_SPREAD),
     ...(order !== undefined && { order }),
     ...(admission !== undefined && { admission }),
+    ...(costs !== undefined && { costs }),
   })
   world.elect(0, 0)
   world.run(200)
   const meanWork =
     KINDS.reduce((sum, { tasks, runMs, share }) => sum + tasks * runMs * share, 0) / 100
-  const gapMs = (load_: number): number => meanWork / (ENDPOINTS * PLACES_EACH * load_)
+  const gapMs = (load_: number): number => meanWork / (endpoints * PLACES_EACH * load_)
   const sent: SentJob[] = []
   const submit = (): SentJob => {
     const kind = drawKind(random())
@@ -119,12 +128,20 @@
     submit()
     world.run(-gapMs(LEARN_LOAD) * Math.log(1 - random()))
   }
-  while (world.now < WARM_UP_MS + PLAY_MS) {
+  const before = { ...world.counters }
+  while (world.now < WARM_UP_MS + playMs) {
     sent.push(submit())
     world.run(-gapMs(load) * Math.log(1 - random()))
   }
+  const counted = difference(world.counters, before)
   world.run(2 * DEADLINE_MS)
-  return summarize(world, sent)
+  return { ...summarize(world, sent), counted }
+}
+
+function difference(after: DispatchCounters, before: DispatchCounters): DispatchCounters {
+  const entries = Object.entries(after) as [keyof DispatchCounters, number][]
+  const changes = entries.map(([name, value]) => [name, value - before[name]])
+  return Object.fromEntries(changes) as DispatchCounters
 }
 
 function drawKind(draw: number): number {
@@ -132,7 +149,7 @@
   return KINDS.findIndex(({ share }) => (left -= share) < 0)
 }
 
-function summarize(world: DispatchWorld, sent: readonly SentJob[]): LoadOutcome {
+function summarize(world: DispatchWorld, sent: readonly SentJob[]): Omit<LoadOutcome, 'counted'> {
   const ends = sent.map(({ id, kind, at, objectiveMs }) => {
     const ms = (world.answeredAt.get(id) ?? Infinity) - at
     const verdict = world.outcomes.get(id)?.verdict
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -17,6 +17,8 @@
   MetricsText,
   ReadCounters,
 } from './lib/metrics/Metrics'
+export { ProcessUseReader } from './lib/metrics/ProcessUseReader'
+export type { ProcessUse } from './lib/metrics/ProcessUseReader'
 export { createTracer } from './lib/traces/createTracer'
 export { Tracer } from './lib/traces/Tracer'
 export { defaultTracerOptions } from './lib/traces/TracerOptions'
