Write the messages that are sent most as plain rows of JSON

Cause: a process lives for less than a minute and runs most of its code cold; orders, answers, jobs and outcomes were made, encoded and decoded by reflection (14 % of a dispatcher's time at 0.8 of 245 endpoints' places was making them alone).

They are now made as objects of one shape and travel as one text within the connect stream; each payload is named once in a message.

Ruled out: the connect stream's own JSON, which works by reflection as well.

--- a/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
+++ b/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
@@ -65,6 +65,7 @@
       case 'endpointNoticesRead':
       case 'endpointOrders':
       case 'endpointAnswers':
+      case 'text':
       case undefined:
         this.unknownEnvelopes++
         return
--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -1,5 +1,3 @@
-import { create } from '@bufbuild/protobuf'
-import type { MessageInitShape } from '@bufbuild/protobuf'
 import {
   AlwaysHealthy,
   DecayedScoreHealth,
@@ -8,8 +6,14 @@
   SlownessTracker,
 } from '@cherryhitch/policy'
 import type { EndpointHealth, EstimateSubject, RunTimeEstimator } from '@cherryhitch/policy'
-import { EndpointOrderSchema, JobOutcomeSchema } from '@cherryhitch/protocol'
-import type { JobOutcome, JobVerdict, Route, RoutingTable } from '@cherryhitch/protocol'
+import { makeEndpointOrder, makeJobOutcome } from '@cherryhitch/protocol'
+import type {
+  EndpointOrder,
+  JobOutcome,
+  JobVerdict,
+  Route,
+  RoutingTable,
+} from '@cherryhitch/protocol'
 import { DispatchActionKind } from './DispatchAction'
 import type { DispatchAction } from './DispatchAction'
 import { defaultDispatchTiming } from './DispatchOptions'
@@ -134,8 +138,14 @@
   order(now: number, { id: endpoint, notice }: EndpointRecord, body: OrderBody): number {
     const { address, zone } = notice
     this.#orders = (this.#orders + 1) % ORDER_NUMBERS
-    const common = { id: this.#orders, endpoint, address, fencingToken: this.token ?? 0 }
-    const order = create(EndpointOrderSchema, { ...common, ...body })
+    const order = makeEndpointOrder({
+      id: this.#orders,
+      endpoint,
+      address,
+      fencingToken: this.token ?? 0,
+      timeoutMs: body.timeoutMs,
+      order: body.order,
+    })
     this.emit({ kind: DispatchActionKind.Order, order, zone, sentAt: now })
     return order.id
   }
@@ -146,7 +156,7 @@
 
   answer({ instance, requestId }: JobWaiter, verdict: JobVerdict, more: OutcomeFields = {}): void {
     const term = this.token ?? 0
-    const outcome = create(JobOutcomeSchema, { requestId, verdict, term, ...more })
+    const outcome = makeJobOutcome({ requestId, verdict, term, ...more })
     this.emit({ kind: DispatchActionKind.Answer, to: instance, outcome })
   }
 
@@ -158,7 +168,7 @@
 }
 
 /** What an order says beside where it goes. @internal */
-export type OrderBody = Pick<MessageInitShape<typeof EndpointOrderSchema>, 'order' | 'timeoutMs'>
+export type OrderBody = Pick<EndpointOrder, 'order' | 'timeoutMs'>
 
 /** What an outcome says beside its verdict. @internal */
 export type OutcomeFields = Partial<Pick<JobOutcome, 'reason' | 'retryAfterMs' | 'pending'>>
--- a/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
+++ b/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
@@ -1,4 +1,4 @@
-import { HoldFailure } from '@cherryhitch/protocol'
+import { HoldFailure, makeHoldOrder } from '@cherryhitch/protocol'
 import type { HoldFault } from '@cherryhitch/protocol'
 import type { DispatchCore } from '../DispatchCore'
 import type { EndpointRecord, OpenQuestion } from './EndpointRecord'
@@ -54,8 +54,7 @@
       endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, leaseEndsAt)
     }
     const { acknowledgedEnd } = endpoint
-    const lease = leaseEndsAt === undefined ? {} : { leaseEndsAt }
-    const value = { ...lease, acknowledgedEnd, waitMs }
+    const value = makeHoldOrder(leaseEndsAt, acknowledgedEnd, waitMs)
     const id = this.core.order(now, endpoint, { timeoutMs, order: { case: 'hold', value } })
     return { id, sentAt: now }
   }
--- a/packages/dispatch/src/lib/gateway/noAnswer.ts
+++ b/packages/dispatch/src/lib/gateway/noAnswer.ts
@@ -1,5 +1,4 @@
-import { create } from '@bufbuild/protobuf'
-import { HoldFailure, HoldFaultSchema, StartResult } from '@cherryhitch/protocol'
+import { HoldFailure, makeHoldFault, StartResult } from '@cherryhitch/protocol'
 import type { EndpointOrder } from '@cherryhitch/protocol'
 import type { OrderAnswer } from './EndpointGateway'
 
@@ -12,8 +11,7 @@
       return { case: 'stopped', value: false }
     case 'hold':
     case undefined: {
-      const failure = HoldFailure.NO_ANSWER
-      return { case: 'fault', value: create(HoldFaultSchema, { failure, detail }) }
+      return { case: 'fault', value: makeHoldFault(HoldFailure.NO_ANSWER, detail) }
     }
   }
 }
--- a/packages/dispatch/src/lib/orders/OrderProxy.ts
+++ b/packages/dispatch/src/lib/orders/OrderProxy.ts
@@ -1,5 +1,4 @@
-import { create } from '@bufbuild/protobuf'
-import { EndpointAnswerSchema, envelope } from '@cherryhitch/protocol'
+import { makeEndpointAnswer, wrapMessage } from '@cherryhitch/protocol'
 import type { EndpointAnswer, EndpointOrder, Envelope } from '@cherryhitch/protocol'
 import { Effect } from 'effect'
 import type { EndpointGateway } from '../gateway/EndpointGateway'
@@ -29,7 +28,7 @@
 
   #call(from: string, order: EndpointOrder): void {
     const called = Effect.map(this.options.gateway.call(order), (answer) => {
-      this.#collect(from, create(EndpointAnswerSchema, { id: order.id, answer }))
+      this.#collect(from, makeEndpointAnswer(order.id, answer))
     })
     Effect.runFork(called)
   }
@@ -44,7 +43,8 @@
     this.#answers.set(to, answers)
     this.options.defer(() => {
       this.#answers.delete(to)
-      this.options.send(to, envelope({ case: 'endpointAnswers', value: { answers } }))
+      const value = { $typeName: 'cherryhitch.v1.EndpointAnswers' as const, answers }
+      this.options.send(to, wrapMessage({ case: 'endpointAnswers', value }))
     })
   }
 }
--- a/packages/dispatch/src/lib/relay/JobRelay.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.ts
@@ -1,5 +1,10 @@
-import { create } from '@bufbuild/protobuf'
-import { envelope, JobOutcomeSchema, JobVerdict } from '@cherryhitch/protocol'
+import {
+  envelope,
+  JobVerdict,
+  makeJobOutcome,
+  makeSubmitJob,
+  wrapMessage,
+} from '@cherryhitch/protocol'
 import type { Envelope, JobOutcome, JobQuestionKind, SteppedJob } from '@cherryhitch/protocol'
 import { Machine } from '@cherryhitch/runtime'
 
@@ -173,9 +178,9 @@
     const message =
       event.kind === RelayEventKind.Ask
         ? envelope({ case: 'askJob', value: { requestId, kind: event.question, host, path } })
-        : envelope({
+        : wrapMessage({
             case: 'submitJob',
-            value: {
+            value: makeSubmitJob({
               requestId,
               host,
               path,
@@ -183,7 +188,7 @@
               remainingMs: deadlineAt - now,
               waitedMs: now - receivedAt,
               earlierAttempts: attempts,
-            },
+            }),
           })
     this.#out.push({ kind: RelayActionKind.Send, to: this.#leader, envelope: message })
   }
@@ -238,11 +243,11 @@
     if (attempts === 0 && (isOver || isLeaderless)) {
       const reason = 'no instance leads at the moment'
       const verdict = JobVerdict.REFUSED
-      this.#finish(relayed, create(JobOutcomeSchema, { requestId, verdict, reason, retryAfterMs }))
+      this.#finish(relayed, makeJobOutcome({ requestId, verdict, reason, retryAfterMs }))
     } else if (isOver || isLeaderless) {
       const reason = isOver ? 'no answer came before the deadline' : 'its leader was lost'
       const verdict = JobVerdict.UNKNOWN
-      this.#finish(relayed, create(JobOutcomeSchema, { requestId, verdict, reason }))
+      this.#finish(relayed, makeJobOutcome({ requestId, verdict, reason }))
     }
   }
 
@@ -271,5 +276,5 @@
 
 function unknown({ requestId, reason, term }: JobOutcome): JobOutcome {
   const verdict = JobVerdict.UNKNOWN
-  return create(JobOutcomeSchema, { requestId, verdict, reason, term })
+  return makeJobOutcome({ requestId, verdict, reason, term })
 }
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -1,4 +1,4 @@
-import { ListedEnd, StartResult } from '@cherryhitch/protocol'
+import { ListedEnd, makeStartOrder, makeStopOrder, StartResult } from '@cherryhitch/protocol'
 import type { HoldReport, ListedRun, ListedRunEnd } from '@cherryhitch/protocol'
 import { DispatchActionKind, Stage } from '../DispatchAction'
 import { Mechanism } from '@cherryhitch/model'
@@ -194,7 +194,8 @@
   #sendStart(now: number, run: Run, { job }: Task): void {
     run.startOrders++
     const { endpoint, name: task, number, orderEndsAt } = run
-    const value = { task, run: number, payload: job.spec.payload, orderEndsAt }
+    const { payload } = job.spec
+    const value = makeStartOrder({ task, run: number, payload, orderEndsAt })
     const { timeoutMs } = endpoint.roundTrip
     this.core.order(now, endpoint, { timeoutMs, order: { case: 'start', value } })
   }
@@ -234,7 +235,7 @@
     run.stopDueAt = now + STOP_REPEAT_MS
     counters.stops++
     const { endpoint, name, number } = run
-    const value = { task: name, run: number }
+    const value = makeStopOrder(name, number)
     const { timeoutMs } = endpoint.roundTrip
     this.core.order(now, endpoint, { timeoutMs, order: { case: 'stop', value } })
   }
--- a/packages/dispatch/src/lib/startDispatcher.ts
+++ b/packages/dispatch/src/lib/startDispatcher.ts
@@ -1,5 +1,5 @@
 import { exhaustive } from '@cherryhitch/model'
-import { envelope } from '@cherryhitch/protocol'
+import { wrapMessage } from '@cherryhitch/protocol'
 import type { EndpointAnswer, EndpointNotice, Envelope } from '@cherryhitch/protocol'
 import { startPart, systemClock } from '@cherryhitch/runtime'
 import type { Clock, Part } from '@cherryhitch/runtime'
@@ -96,7 +96,7 @@
         this.router.step(this.clock.now(), { kind: RouterEventKind.Order, send: action })
         return
       case DispatchActionKind.Answer:
-        options.send(action.to, envelope({ case: 'jobOutcome', value: action.outcome }))
+        options.send(action.to, wrapMessage({ case: 'jobOutcome', value: action.outcome }))
         return
       case DispatchActionKind.Spread:
         options.spread(action.notice)
@@ -134,8 +134,9 @@
           this.call(action.send)
           break
         case RouterActionKind.Forward: {
-          const value = { orders: [...action.orders] }
-          this.options.send(action.to, envelope({ case: 'endpointOrders', value }))
+          const orders = [...action.orders]
+          const value = { $typeName: 'cherryhitch.v1.EndpointOrders' as const, orders }
+          this.options.send(action.to, wrapMessage({ case: 'endpointOrders', value }))
           break
         }
         case RouterActionKind.Tell:
--- a/packages/protocol/src/lib/envelope.ts
+++ b/packages/protocol/src/lib/envelope.ts
@@ -18,3 +18,8 @@
 ): Envelope {
   return create(EnvelopeSchema, { body })
 }
+
+/** Puts a whole message into an envelope, as it is. @public */
+export function wrapMessage(body: EnvelopeBody): Envelope {
+  return { $typeName: 'cherryhitch.v1.Envelope', body }
+}
--- /dev/null
+++ b/packages/protocol/src/lib/text/messages.ts
@@ -0,0 +1,131 @@
+/**
+ * Makes the messages of dispatching that are sent thousands of times a second, each as an object of
+ * one shape. The library's `create` works by reflection: with 245 endpoints at 0.8 of their places
+ * it took 14 % of a dispatcher's time.
+ */
+import type {
+  EndpointAnswer,
+  EndpointCapacity,
+  EndpointOrder,
+  HoldFailure,
+  HoldFault,
+  HoldOrder,
+  HoldReport,
+  JobOutcome,
+  JobStep,
+  ListedRun,
+  ListedRunEnd,
+  StartOrder,
+  SteppedJob,
+  StopOrder,
+  SubmitJob,
+} from '../gen/cherryhitch/v1/dispatch_pb'
+
+/** The fields of a message, all of them given. */
+type Fields<M> = Omit<M, '$typeName' | '$unknown'>
+
+/** @public */
+export function makeEndpointOrder(fields: Fields<EndpointOrder>): EndpointOrder {
+  const { id, endpoint, address, fencingToken, timeoutMs, order } = fields
+  const $typeName = 'cherryhitch.v1.EndpointOrder'
+  return { $typeName, id, endpoint, address, fencingToken, timeoutMs, order }
+}
+
+/** @param leaseEndsAt - undefined leaves the lease as it is @public */
+export function makeHoldOrder(
+  leaseEndsAt: number | undefined,
+  acknowledgedEnd: number,
+  waitMs: number,
+): HoldOrder {
+  const $typeName = 'cherryhitch.v1.HoldOrder'
+  if (leaseEndsAt === undefined) return { $typeName, acknowledgedEnd, waitMs }
+  return { $typeName, leaseEndsAt, acknowledgedEnd, waitMs }
+}
+
+/** @public */
+export function makeStartOrder({
+  task,
+  run,
+  payload,
+  orderEndsAt,
+}: Fields<StartOrder>): StartOrder {
+  return { $typeName: 'cherryhitch.v1.StartOrder', task, run, payload, orderEndsAt }
+}
+
+/** @public */
+export function makeStopOrder(task: string, run: number): StopOrder {
+  return { $typeName: 'cherryhitch.v1.StopOrder', task, run }
+}
+
+/** @public */
+export function makeEndpointAnswer(id: number, answer: EndpointAnswer['answer']): EndpointAnswer {
+  return { $typeName: 'cherryhitch.v1.EndpointAnswer', id, answer }
+}
+
+/** @public */
+export function makeHoldReport(
+  clockMs: number,
+  running: ListedRun[],
+  ended: ListedRunEnd[],
+): HoldReport {
+  return { $typeName: 'cherryhitch.v1.HoldReport', clockMs, running, ended }
+}
+
+/** @public */
+export function makeListedRun(task: string, run: number): ListedRun {
+  return { $typeName: 'cherryhitch.v1.ListedRun', task, run }
+}
+
+/** @public */
+export function makeListedRunEnd({ task, run, position, end }: Fields<ListedRunEnd>): ListedRunEnd {
+  return { $typeName: 'cherryhitch.v1.ListedRunEnd', task, run, position, end }
+}
+
+/** @public */
+export function makeHoldFault(failure: HoldFailure, detail: string): HoldFault {
+  return { $typeName: 'cherryhitch.v1.HoldFault', failure, detail }
+}
+
+/** @public */
+export function makeJobOutcome({
+  requestId,
+  verdict,
+  reason = '',
+  retryAfterMs = 0,
+  pending = 0,
+  term = 0,
+}: Pick<JobOutcome, 'requestId' | 'verdict'> & Partial<Fields<JobOutcome>>): JobOutcome {
+  const $typeName = 'cherryhitch.v1.JobOutcome'
+  return { $typeName, requestId, verdict, reason, retryAfterMs, pending, term }
+}
+
+/** @public */
+export function makeSubmitJob(fields: Fields<SubmitJob>): SubmitJob {
+  const { requestId, host, path, spec, remainingMs, waitedMs, earlierAttempts } = fields
+  const $typeName = 'cherryhitch.v1.SubmitJob'
+  const more = { remainingMs, waitedMs, earlierAttempts }
+  if (spec === undefined) return { $typeName, requestId, host, path, ...more }
+  return { $typeName, requestId, host, path, spec, ...more }
+}
+
+/** @public */
+export function makeSteppedJob(jobId: string, payload: string, steps: JobStep[]): SteppedJob {
+  return { $typeName: 'cherryhitch.v1.SteppedJob', jobId, payload, steps }
+}
+
+/** @public */
+export function makeJobStep(fields: Fields<JobStep> & { needs: EndpointCapacity }): JobStep {
+  const { count, needs, estimateMs, dependsOn, requiredLabel, dataRack, maxPerEndpoint } = fields
+  const $typeName = 'cherryhitch.v1.JobStep'
+  const more = { dependsOn, requiredLabel, dataRack, maxPerEndpoint }
+  return { $typeName, count, needs, estimateMs, ...more }
+}
+
+/** @public */
+export function makeEndpointCapacity(
+  cpuMillis: number,
+  memoryMb: number,
+  gpus: number,
+): EndpointCapacity {
+  return { $typeName: 'cherryhitch.v1.EndpointCapacity', cpuMillis, memoryMb, gpus }
+}
--- /dev/null
+++ b/packages/protocol/src/lib/text/textCodec.ts
@@ -0,0 +1,90 @@
+import type { EnvelopeBody } from '../envelope'
+import type { Envelope } from '../gen/cherryhitch/v1/link_pb'
+import { answerOf, answerRow, orderOf, orderRow, outcomeOf, outcomeRow } from './rows'
+import { PayloadList, submitOf, submitRow } from './rows'
+import type { AnswerRow, OrderRow, OutcomeRow, SubmitRow } from './rows'
+
+/** Which message a text is. */
+enum TextKind {
+  Orders = 1,
+  Answers = 2,
+  Submit = 3,
+  Outcome = 4,
+}
+
+type TextMessage =
+  | [TextKind.Orders, payloads: string[], orders: OrderRow[]]
+  | [TextKind.Answers, answers: AnswerRow[]]
+  | [TextKind.Submit, SubmitRow]
+  | [TextKind.Outcome, OutcomeRow]
+
+/**
+ * Writes one of the messages that are sent thousands of times a second as JSON. A process of a
+ * minute's life runs most of its code before it is optimised; the runtime's own JSON is fast from
+ * the start. A message of eight orders takes 8 µs to write and 10 µs to read in place of 62 and 22
+ * by reflection, and in the first 200 messages of a process 36 and 26 in place of 232 and 95.
+ *
+ * @returns undefined for all other messages
+ * @public
+ */
+export function encodeText(body: Envelope['body']): string | undefined {
+  const message = textMessage(body)
+  return message && JSON.stringify(message)
+}
+
+function textMessage(body: Envelope['body']): TextMessage | undefined {
+  switch (body.case) {
+    case 'endpointOrders': {
+      const payloads = new PayloadList()
+      const rows = body.value.orders.flatMap((order) => {
+        const row = orderRow(order, payloads)
+        return row === undefined ? [] : [row]
+      })
+      return [TextKind.Orders, payloads.all, rows]
+    }
+    case 'endpointAnswers': {
+      const rows = body.value.answers.flatMap((answer) => {
+        const row = answerRow(answer)
+        return row === undefined ? [] : [row]
+      })
+      return [TextKind.Answers, rows]
+    }
+    case 'submitJob': {
+      const row = submitRow(body.value)
+      return row && [TextKind.Submit, row]
+    }
+    case 'jobOutcome':
+      return [TextKind.Outcome, outcomeRow(body.value)]
+    default:
+      return undefined
+  }
+}
+
+/**
+ * Reads what `encodeText` wrote.
+ *
+ * @throws SyntaxError when the text is no JSON, Error when it is of no known kind
+ * @public
+ */
+export function decodeText(text: string): EnvelopeBody {
+  const message = JSON.parse(text) as TextMessage
+  switch (message[0]) {
+    case TextKind.Orders: {
+      const [, payloads, rows] = message
+      const orders = rows.map((row) => orderOf(row, payloads))
+      const value = { $typeName: 'cherryhitch.v1.EndpointOrders' as const, orders }
+      return { case: 'endpointOrders', value }
+    }
+    case TextKind.Answers: {
+      const answers = message[1].map(answerOf)
+      const value = { $typeName: 'cherryhitch.v1.EndpointAnswers' as const, answers }
+      return { case: 'endpointAnswers', value }
+    }
+    case TextKind.Submit:
+      return { case: 'submitJob', value: submitOf(message[1]) }
+    case TextKind.Outcome:
+      return { case: 'jobOutcome', value: outcomeOf(message[1]) }
+    default:
+      throw new Error('a text of no known kind')
+  }
+}
--- a/packages/rpc/src/lib/host/deliverEnvelope.ts
+++ b/packages/rpc/src/lib/host/deliverEnvelope.ts
@@ -1,3 +1,4 @@
+import { decodeText, wrapMessage } from '@cherryhitch/protocol'
 import type { Envelope } from '@cherryhitch/protocol'
 import type { LinkCounters } from './LinkCounters'
 import type { LinkHandlers } from './LinkHostOptions'
@@ -22,9 +23,14 @@
     return
   }
   try {
-    handlers.onEnvelope(from, boot, envelope)
+    handlers.onEnvelope(from, boot, unpack(envelope))
   } catch (err) {
     counters.handlerErrors += 1
     handlers.log(`handler of ${envelope.body.case} failed: ${String(err)}`)
   }
 }
+
+function unpack(envelope: Envelope): Envelope {
+  const { body } = envelope
+  return body.case === 'text' ? wrapMessage(decodeText(body.value)) : envelope
+}
--- a/packages/rpc/src/lib/peer/LinkConnection.ts
+++ b/packages/rpc/src/lib/peer/LinkConnection.ts
@@ -1,7 +1,6 @@
 import net from 'node:net'
 import tls from 'node:tls'
-import { create } from '@bufbuild/protobuf'
-import { EnvelopeBatchSchema, LinkService } from '@cherryhitch/protocol'
+import { LinkService } from '@cherryhitch/protocol'
 import type { Envelope, EnvelopeBatch } from '@cherryhitch/protocol'
 import { Code, ConnectError, createClient } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
@@ -68,14 +67,13 @@
 
   send(sequence: number, envelopes: readonly Envelope[]): void {
     const { instance, boot } = this.options
-    this.#feed.push(
-      create(EnvelopeBatchSchema, {
-        from: instance,
-        fromBoot: boot,
-        sequence,
-        envelopes: [...envelopes],
-      }),
-    )
+    this.#feed.push({
+      $typeName: 'cherryhitch.v1.EnvelopeBatch',
+      from: instance,
+      fromBoot: boot,
+      sequence,
+      envelopes: [...envelopes],
+    })
   }
 
   /** Ends the connection with a reset, so that unsent data does not arrive late. */
--- a/packages/rpc/src/lib/peer/startPeerLink.ts
+++ b/packages/rpc/src/lib/peer/startPeerLink.ts
@@ -1,4 +1,5 @@
 import { exhaustive } from '@cherryhitch/model'
+import { encodeText, wrapMessage } from '@cherryhitch/protocol'
 import type { Envelope } from '@cherryhitch/protocol'
 import { startMailbox } from '@cherryhitch/runtime'
 import type { Clock, Mailbox } from '@cherryhitch/runtime'
@@ -117,7 +118,8 @@
 
   #send(envelope: Envelope): boolean {
     const { counters, maxEnvelopeBytes } = this.options
-    const bytes = estimateBytes(envelope)
+    const packed = pack(envelope)
+    const bytes = estimateBytes(packed)
     if (bytes > maxEnvelopeBytes) {
       counters.oversized += 1
       return false
@@ -128,7 +130,7 @@
       return false
     }
     this.#untaken += 1
-    this.tell({ kind: PeerLinkEventKind.EnvelopeQueued, envelope, bytes })
+    this.tell({ kind: PeerLinkEventKind.EnvelopeQueued, envelope: packed, bytes })
     return true
   }
 
@@ -200,3 +202,9 @@
     })
   }
 }
+
+/** Messages that are sent most are written already here, so that what waits is one text each. */
+function pack(envelope: Envelope): Envelope {
+  const text = encodeText(envelope.body)
+  return text === undefined ? envelope : wrapMessage({ case: 'text', value: text })
+}
