Let a leader that is behind refuse new jobs unseen

Nothing looked at the instance's own lateness.

A machine is told how far each of its steps lay behind; the dispatcher takes in as many new jobs a step as keep that under 24 ms, refuses the others before any work on them with a Retry-After, and lets the limit rise again. What an earlier leader may have started is always taken in. A single pause binds nothing. It is one of the mechanisms that can be left out (intake_limit).

The load model's generator became a class; its plays are the same (thresholds of load.test.ts unchanged).

--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -33,6 +33,8 @@
   jobs_failed: number
   jobs_refused: number
   refused_at_door: number
+  /** Refused since this instance was behind with its work. */
+  refused_busy: number
   jobs_unknown: number
   starts: number
   starts_unanswered: number
@@ -67,6 +69,7 @@
     jobs_failed: 0,
     jobs_refused: 0,
     refused_at_door: 0,
+    refused_busy: 0,
     jobs_unknown: 0,
     starts: 0,
     starts_unanswered: 0,
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -11,6 +11,7 @@
 import type { DispatchOptions } from './DispatchOptions'
 import type { EndpointRecord } from './endpoints/EndpointRecord'
 import { LeaseLoop } from './endpoints/LeaseLoop'
+import { IntakeLimit } from './jobs/IntakeLimit'
 import { JobLifecycle } from './jobs/JobLifecycle'
 import { RequestHandler } from './jobs/RequestHandler'
 import { AnswerHandler } from './orders/AnswerHandler'
@@ -43,6 +44,7 @@
   readonly #requests: RequestHandler
   readonly #answers: AnswerHandler
   readonly #scheduler: Scheduler
+  readonly #intake = new IntakeLimit()
   #forgetDueAt = -Infinity
 
   constructor(options: DispatchOptions) {
@@ -54,7 +56,7 @@
     }
     this.#lifecycle = new JobLifecycle(this.#core, this.#leases, wake)
     const { jobs, runs } = this.#lifecycle
-    this.#requests = new RequestHandler(this.#core, this.#lifecycle)
+    this.#requests = new RequestHandler(this.#core, this.#lifecycle, this.#intake)
     this.#answers = new AnswerHandler(this.#core, this.#leases, this.#lifecycle, wake)
     const order = options.order ?? this.#defaultOrder()
     const admission = options.admission ?? this.#defaultAdmission()
@@ -130,6 +132,10 @@
     return this.#core.takeActions()
   }
 
+  override noteStep(_now: number, behindMs: number): void {
+    this.#intake.noteStep(behindMs)
+  }
+
   /** Without the leadership only endpoints that are gone have to be forgotten. */
   override get tickDueAt(): number {
     return this.leads ? -Infinity : this.#forgetDueAt
--- a/packages/dispatch/src/lib/jobs/RequestHandler.ts
+++ b/packages/dispatch/src/lib/jobs/RequestHandler.ts
@@ -1,13 +1,17 @@
-import { exhaustive } from '@cherryhitch/model'
+import { exhaustive, Mechanism } from '@cherryhitch/model'
 import { JobQuestionKind, JobVerdict } from '@cherryhitch/protocol'
 import type { AbandonJob, AskJob, SubmitJob } from '@cherryhitch/protocol'
 import type { DispatchCore } from '../DispatchCore'
+import { retryAfter } from '../scheduling/retryAfter'
 import { findRoute } from './findRoute'
+import type { IntakeLimit } from './IntakeLimit'
 import type { JobWaiter } from './Job'
 import type { JobLifecycle } from './JobLifecycle'
 
 /** When callers may come back while no routing is known, in milliseconds. */
 const NO_ROUTING_RETRY_MS = 1_000
+/** What a leader that is behind needs to catch up, in milliseconds: its limit adapts in less. */
+const BUSY_BACKLOG_MS = 1_000
 
 /** A question that is answered once a majority has followed this leader after it came. */
 interface Unconfirmed {
@@ -24,12 +28,13 @@
   constructor(
     private readonly core: DispatchCore,
     private readonly lifecycle: JobLifecycle,
+    private readonly intake: IntakeLimit,
   ) {}
 
   submit(now: number, from: string, req: SubmitJob): void {
     const waiter = { instance: from, requestId: req.requestId }
     const { spec, host, path } = req
-    if (!this.#leads(waiter)) return
+    if (!this.#leads(waiter) || this.#isTooBusy(waiter, req)) return
     const found = findRoute(this.core.table, host, path)
     if (found === undefined || spec === undefined) {
       this.#answerNoRoute(now, waiter, () => {
@@ -99,6 +104,23 @@
     this.#unconfirmed = []
   }
 
+  /**
+   * Refuses a new job at once while this instance has no time for it. One that an earlier leader
+   * had may have run, and so is always taken in.
+   */
+  #isTooBusy(waiter: JobWaiter, { spec, earlierAttempts }: SubmitJob): boolean {
+    if (!this.core.uses(Mechanism.IntakeLimit)) return false
+    const jobId = spec?.jobId ?? ''
+    if (earlierAttempts > 0 || this.lifecycle.jobs.get(jobId) !== undefined) return false
+    if (this.lifecycle.jobs.ended(jobId) !== undefined || this.intake.admit()) return false
+    this.core.counters.refused_busy++
+    const retryAfterMs = retryAfter(jobId, BUSY_BACKLOG_MS)
+    const reason = 'the leader is behind with its work'
+    this.core.log('a job is refused unseen, since this instance is behind', { job: jobId })
+    this.core.answer(waiter, JobVerdict.REFUSED, { reason, retryAfterMs })
+    return true
+  }
+
   #leads(waiter: JobWaiter): boolean {
     if (this.core.token !== undefined) return true
     this.core.answer(waiter, JobVerdict.NOT_LEADER)
--- a/packages/dispatch/src/lib/soak/PayingLeader.ts
+++ b/packages/dispatch/src/lib/soak/PayingLeader.ts
@@ -44,6 +44,8 @@
   /** Time that its work took so far, in milliseconds. */
   busyMs = 0
   #waiting: DispatchEvent[] = []
+  /** When the first of what waits came. */
+  #waitsSince = 0
   #isTickDue = false
   #isBusy = false
 
@@ -55,6 +57,7 @@
   }
 
   override tell(event: DispatchEvent): void {
+    if (this.#waiting.length === 0) this.#waitsSince = this.around.now()
     this.#waiting.push(event)
     this.#work()
   }
@@ -68,6 +71,7 @@
     if (this.#isBusy || (this.#waiting.length === 0 && !this.#isTickDue)) return
     const { machine, now, after, perform } = this.around
     const events = this.#waiting
+    const since = events.length > 0 ? this.#waitsSince : now()
     this.#waiting = []
     this.#isBusy = true
     const before = this.#decisionUs(machine)
@@ -80,6 +84,7 @@
     this.busyMs += ms
     after(ms, () => {
       perform(actions)
+      machine.noteStep(now(), now() - since)
       this.#isBusy = false
       this.#work()
     })
--- a/packages/dispatch/src/lib/soak/playLoad.ts
+++ b/packages/dispatch/src/lib/soak/playLoad.ts
@@ -34,6 +34,13 @@
 /** Until the estimates are learnt, in milliseconds; what comes then isn't counted. */
 const WARM_UP_MS = 2_000
 const LEARN_LOAD = 0.6
+/** The leader has read all endpoints by then. */
+const START_MS = 200
+/** Work of a mean job: tasks times their run time. */
+const MEAN_WORK_MS =
+  KINDS.reduce((sum, { tasks, runMs, share }) => sum + tasks * runMs * share, 0) / 100
+/** Jobs that come so soon after a change of the load tell of what was before it. */
+const SETTLE_MS = 1_000
 /** A refusal is early within this share of the objective. */
 const EARLY_SHARE = 0.25
 
@@ -50,6 +57,8 @@
   readonly endpoints?: number
   /** How long jobs come at this load, in milliseconds. */
   readonly playMs?: number
+  /** The load that follows; then only jobs that come a second after the change or later count. */
+  readonly then?: { readonly load: number; readonly playMs: number }
   /** What the leader's work costs it; its decisions take no time by default. */
   readonly costs?: LeaderCosts
 }
@@ -85,57 +94,83 @@
  * @internal
  */
 export function playLoad(options: LoadOptions): LoadOutcome {
-  const { load, seed, order, admission, without, lateOrder, endpoints, playMs, costs } = {
-    without: [],
-    ...defaultLoadOptions,
-    ...options,
+  const { load, playMs, then } = { ...defaultLoadOptions, ...options }
+  const play = new LoadPlay(options)
+  play.submitUntil(WARM_UP_MS, LEARN_LOAD)
+  const before = { ...play.world.counters }
+  const endAt = WARM_UP_MS + playMs
+  let sent = play.submitUntil(endAt, load)
+  if (then !== undefined) {
+    play.submitUntil(endAt + SETTLE_MS, then.load)
+    sent = play.submitUntil(endAt + SETTLE_MS + then.playMs, then.load)
   }
-  const random = seededRandom(seed)
-  const normal = (): number =>
-    Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random())
-  const spread = (deviation: number): number => Math.exp(deviation * normal() - deviation ** 2 / 2)
-  const workOf = new Map<string, number>()
-  const world = new DispatchWorld({
-    leaders: 1,
-    endpoints,
-    placesEach: PLACES_EACH,
-    random,
-    without,
-    chances: { lateOrder },
-    runMs: (task) => (workOf.get(task.split('.')[0] ?? '') ?? 0) * spread(TASK_SPREAD),
-    ...(order !== undefined && { order }),
-    ...(admission !== undefined && { admission }),
-    ...(costs !== undefined && { costs }),
-  })
-  world.elect(0, 0)
-  world.run(200)
-  const meanWork =
-    KINDS.reduce((sum, { tasks, runMs, share }) => sum + tasks * runMs * share, 0) / 100
-  const gapMs = (load_: number): number => meanWork / (endpoints * PLACES_EACH * load_)
-  const sent: SentJob[] = []
-  const submit = (): SentJob => {
-    const kind = drawKind(random())
-    const { tasks: meanTasks, runMs } = KINDS[kind] ?? { tasks: 1, runMs: 1 }
-    const id = `j${workOf.size}`
-    const workMs = runMs * spread(WORK_SPREAD)
-    workOf.set(id, workMs)
-    const tasks = Math.max(1, Math.round(meanTasks * spread(WORK_SPREAD)))
-    const estimateMs = workMs * spread(ESTIMATE_SPREAD)
-    world.submit(id, tasks, { deadlineMs: DEADLINE_MS, estimateMs, queue: kind })
-    return { id, kind, at: world.now, objectiveMs: STRETCH * workMs + TARGET_MS }
+  const counted = difference(play.world.counters, before)
+  play.world.run(2 * DEADLINE_MS)
+  return { ...summarize(play.world, sent), counted }
+}
+
+/** Jobs of the users' mix, drawn one by one, and the dispatcher that gets them. */
+class LoadPlay {
+  readonly world: DispatchWorld
+  private readonly random: () => number
+  /** Run time of each job's tasks on average, in milliseconds. */
+  private readonly workOf = new Map<string, number>()
+
+  constructor(private readonly options: LoadOptions) {
+    const { seed, order, admission, without, lateOrder, endpoints, costs } = {
+      without: [],
+      ...defaultLoadOptions,
+      ...options,
+    }
+    this.random = seededRandom(seed)
+    this.world = new DispatchWorld({
+      leaders: 1,
+      endpoints,
+      placesEach: PLACES_EACH,
+      random: this.random,
+      without,
+      chances: { lateOrder },
+      runMs: (task) => {
+        return (this.workOf.get(task.split('.')[0] ?? '') ?? 0) * this.spread(TASK_SPREAD)
+      },
+      ...(order !== undefined && { order }),
+      ...(admission !== undefined && { admission }),
+      ...(costs !== undefined && { costs }),
+    })
+    this.world.elect(0, 0)
+    this.world.run(START_MS)
   }
-  while (world.now < WARM_UP_MS) {
-    submit()
-    world.run(-gapMs(LEARN_LOAD) * Math.log(1 - random()))
+
+  /** Submits jobs at random times, so many on average that they fill a share of the places. */
+  submitUntil(end: number, load: number): SentJob[] {
+    const { endpoints = defaultLoadOptions.endpoints } = this.options
+    const gapMs = MEAN_WORK_MS / (endpoints * PLACES_EACH * load)
+    const sent: SentJob[] = []
+    while (this.world.now < end) {
+      sent.push(this.submit())
+      this.world.run(-gapMs * Math.log(1 - this.random()))
+    }
+    return sent
+  }
+
+  private submit(): SentJob {
+    const kind = drawKind(this.random())
+    const { tasks: meanTasks, runMs } = KINDS[kind] ?? { tasks: 1, runMs: 1 }
+    const id = `j${this.workOf.size}`
+    const workMs = runMs * this.spread(WORK_SPREAD)
+    this.workOf.set(id, workMs)
+    const tasks = Math.max(1, Math.round(meanTasks * this.spread(WORK_SPREAD)))
+    const estimateMs = workMs * this.spread(ESTIMATE_SPREAD)
+    this.world.submit(id, tasks, { deadlineMs: DEADLINE_MS, estimateMs, queue: kind })
+    return { id, kind, at: this.world.now, objectiveMs: STRETCH * workMs + TARGET_MS }
   }
-  const before = { ...world.counters }
-  while (world.now < WARM_UP_MS + playMs) {
-    sent.push(submit())
-    world.run(-gapMs(load) * Math.log(1 - random()))
+
+  /** A factor of mean 1 whose logarithm has this standard deviation. */
+  private spread(deviation: number): number {
+    const { random } = this
+    const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random())
+    return Math.exp(deviation * normal - deviation ** 2 / 2)
   }
-  const counted = difference(world.counters, before)
-  world.run(2 * DEADLINE_MS)
-  return { ...summarize(world, sent), counted }
 }
 
 function difference(after: DispatchCounters, before: DispatchCounters): DispatchCounters {
--- a/packages/model/src/lib/dispatching/Mechanism.ts
+++ b/packages/model/src/lib/dispatching/Mechanism.ts
@@ -26,6 +26,8 @@
   Overrun = 'overrun',
   /** Preferring endpoints where little room is left, so that room is kept together. */
   CloseFit = 'close_fit',
+  /** Refusing new jobs while the leader itself is behind with its work. */
+  IntakeLimit = 'intake_limit',
   /** Starting new jobs before what an earlier leader started is known. */
   EarlyNewJobs = 'early_new_jobs',
 }
--- a/packages/runtime/src/lib/Machine.ts
+++ b/packages/runtime/src/lib/Machine.ts
@@ -22,6 +22,14 @@
   /** Lets time pass: due timeouts, heartbeats, renewals. */
   abstract tick(now: number): readonly Action[]
 
+  /**
+   * A step is over; its owner tells how long its first event waited, until all of it was done, in
+   * milliseconds. What a machine makes of it is a decision of its own; by default it is nothing.
+   */
+  noteStep(_now: number, _behindMs: number): void {
+    // Most machines never have more to do than they have time for.
+  }
+
   /**
    * When the next tick has something to do, in milliseconds, as long as no event comes before;
    * Infinity for never. Ticks come at a steady pace by default.
--- a/packages/runtime/src/lib/startMailbox.ts
+++ b/packages/runtime/src/lib/startMailbox.ts
@@ -3,8 +3,11 @@
 
 /** @public */
 export interface MailboxOptions<Item> {
-  /** Takes in all items that have arrived since the last call; it must not block. */
-  readonly take: (items: readonly Item[]) => void
+  /**
+   * Takes in all items that have arrived since the last call; it must not block. It is also told
+   * when it was to be called, by `performance.now()`: a busy process calls it later.
+   */
+  readonly take: (items: readonly Item[], dueAt: number) => void
   /** Called when `take` throws: the mailbox is dead after it. */
   readonly onDefect: (defect: unknown) => void
   /**
@@ -49,6 +52,7 @@
   private isClosed = false
   private takenAt = -Infinity
   private tookMs = 0
+  private dueAt = -Infinity
 
   constructor(private readonly options: MailboxOptions<Item>) {}
 
@@ -58,7 +62,9 @@
     if (this.isScheduled) return
     this.isScheduled = true
     const gapMs = this.options.gapMs?.(this.tookMs) ?? 0
-    const waitMs = gapMs > 0 ? gapMs - (performance.now() - this.takenAt) : 0
+    const now = performance.now()
+    const waitMs = gapMs > 0 ? gapMs - (now - this.takenAt) : 0
+    this.dueAt = now + Math.max(0, waitMs)
     if (waitMs <= 0) setImmediate(this.drain)
     else setTimeout(this.drain, waitMs)
   }
@@ -77,7 +83,7 @@
     if (this.isClosed) return
     if (this.options.gapMs !== undefined) this.takenAt = performance.now()
     try {
-      this.options.take(items)
+      this.options.take(items, this.dueAt)
       if (this.options.gapMs !== undefined) this.tookMs = performance.now() - this.takenAt
     } catch (err) {
       this.close()
--- a/packages/runtime/src/lib/startPart.ts
+++ b/packages/runtime/src/lib/startPart.ts
@@ -41,7 +41,7 @@
     for (const action of actions) options.perform(action)
   }
   /** Events that arrived together are taken in together, which may share work. */
-  const take = (waiting: readonly (Event | typeof TICK)[]): void => {
+  const take = (waiting: readonly (Event | typeof TICK)[], dueAt: number): void => {
     const events = waiting.filter((event): event is Event => event !== TICK)
     if (events.length > 0) perform(machine.stepAll(clock.now(), events))
     if (events.length < waiting.length) {
@@ -50,6 +50,7 @@
       perform(machine.tick(now))
     }
     options.onStepEnd?.()
+    machine.noteStep(clock.now(), performance.now() - dueAt)
     ticks.arm()
   }
   const ticks = new TickTimer({
