Take a run for lost only if a majority followed this leader after its lease had run out

Cause: a lease that has run out proves that nothing runs only while nobody else may have renewed it. A leader that is cut off with a majority on the other side sees its own lease run out, while the next leader has found the run and keeps it.

Ruled out: an older list of the endpoint (the run was confirmed and never listed as ended), another life at its address, a rejected start. The lease now counts as run out only if it had when a majority last followed this leader; a run that is truly lost is noticed later by as much as the last confirmation is old, some 0.1 s. All tests of packages/dispatch pass, 176; before the change the new one failed at each of its cuts.

--- a/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
+++ b/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
@@ -138,8 +138,13 @@
     this.core.silenceAt = now
   }
 
-  /** True when everything that was ever ordered there has surely ended by itself. */
-  hasLapsed(now: number, endpoint: EndpointRecord): boolean {
-    return endpoint.isReplaced || endpoint.clock.isPast(now, endpoint.leaseEndsAt)
+  /**
+   * True when everything that was ever ordered there has surely ended by itself: the lease had run
+   * out when a majority last followed this leader. After that a next leader may have renewed it, and a
+   * leader that is cut off would start again what still runs (cutOffLeader.test.ts).
+   */
+  hasLapsed(endpoint: EndpointRecord): boolean {
+    const { confirmedAt } = this.core
+    return endpoint.isReplaced || endpoint.clock.isPast(confirmedAt, endpoint.leaseEndsAt)
   }
 }
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -179,7 +179,7 @@
   #tickEndpoint(now: number, endpoint: EndpointRecord): void {
     if (endpoint.runs.size === 0) return
     const isLost = endpoint.isReplaced || endpoint.unanswered > 0
-    if (isLost && this.leases.hasLapsed(now, endpoint)) {
+    if (isLost && this.leases.hasLapsed(endpoint)) {
       for (const run of [...endpoint.runs.values()]) this.#finish(now, run, RunEnd.Lost)
       return
     }
