Bind nothing after a single standstill of a leader, however long

A standstill of 5 s made the mean of how far steps lie behind exceed the bound for some 20 steps (the test failed with 5,000 in place of 100 ms). One step now counts as 100 ms behind at most.

--- a/packages/dispatch/src/lib/jobs/IntakeLimit.ts
+++ b/packages/dispatch/src/lib/jobs/IntakeLimit.ts
@@ -4,6 +4,11 @@
  * answer; the shortest jobs have some 96 ms to spare, and go through four steps.
  */
 const MOST_BEHIND_MS = 24
+/**
+ * A step counts as no further behind than this, in milliseconds: after a standstill of seconds, two
+ * steps more have to show that there is still too little time.
+ */
+const MOST_NOTED_MS = 100
 /**
  * Weight of the last step in what is taken for the present state: a single pause, such as a collection of
  * garbage of 50 ms, is no lack of time.
@@ -47,7 +52,7 @@
 
   /** A step is over; its first message came so long before. */
   noteStep(behindMs: number): void {
-    this.#meanBehindMs += (behindMs - this.#meanBehindMs) * WEIGHT
+    this.#meanBehindMs += (Math.min(behindMs, MOST_NOTED_MS) - this.#meanBehindMs) * WEIGHT
     this.#meanTaken += (this.#taken - this.#meanTaken) * WEIGHT
     this.#taken = 0
     if (this.#meanBehindMs > MOST_BEHIND_MS) {
--- a/packages/dispatch/src/lib/jobs/busyLeader.test.ts
+++ b/packages/dispatch/src/lib/jobs/busyLeader.test.ts
@@ -82,7 +82,7 @@
     const limit = new IntakeLimit()
     for (let step = 0; step < 20; step++) {
       takeMany(limit, 4)
-      limit.noteStep(step === 10 ? 100 : 3)
+      limit.noteStep(step === 10 ? 5_000 : 3)
       assert.equal(limit.isBinding, false)
     }
   })
