--- a/packages/dispatch/src/lib/soak/PayingLeader.ts
+++ b/packages/dispatch/src/lib/soak/PayingLeader.ts
@@ -18,9 +18,9 @@
 }
 
 /**
- * Of `Scheduler.run` alone: fitted to 245 endpoints at 0.8 and 1.3 of their places (0.125 and
- * 0.626 ms a round, one core of this project's machines). Messages: 16 µs to encode and 7 µs to
- * decode on loopback, and as much again in streams and timers (docs/design/platform.md).
+ * Decisions: for 3 s of load at 245 endpoints they give 6.3 s where placing took 4.4 s at 1.3 of the
+ * places, and 0.20 s where it took 0.34 s at 0.8, on a core of this project's machines. Messages: what
+ * it takes to write and read one, and as much again in streams and timers (docs/design/platform.md).
  *
  * @internal
  */
