Keep one copy of the pause and of a role's Node.js options in the measurements

The pause stood in four files of the slopes, and the reading of a role's options in the measurement of idle processes and in the test of the deployment.

--- a/apps/bench/src/capacity/measureIdleLinks.ts
+++ b/apps/bench/src/capacity/measureIdleLinks.ts
@@ -1,7 +1,7 @@
 import { startLinkHost } from '@cherryhitch/rpc'
 import type { LinkHost } from '@cherryhitch/rpc'
 import { Effect, Exit, Scope } from 'effect'
-import { head, heapBytes, median, row, slopeOf } from './measuring'
+import { head, heapBytes, median, pause, row, slopeOf } from './measuring'
 
 const HOST = '127.0.0.1'
 const POLL_MS = 10
@@ -9,10 +9,6 @@
 const WINDOW_MS = 2000
 const WINDOWS = 3
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 async function startHosts(count: number, scope: Scope.Closeable): Promise<LinkHost[]> {
   const nothing = (): void => undefined
   const handlers = { onEnvelope: nothing, onLinkUp: nothing, onLinkDown: nothing, log: nothing }
--- a/apps/bench/src/capacity/measureInstances.ts
+++ b/apps/bench/src/capacity/measureInstances.ts
@@ -1,7 +1,7 @@
 import { startCluster } from '@cherryhitch/app'
 import type { Instance, InstanceTiming } from '@cherryhitch/app'
 import { Effect, Exit, Scope } from 'effect'
-import { head, heapBytes, median, row } from './measuring'
+import { head, heapBytes, median, pause, row } from './measuring'
 
 const ZONES = 3
 const VOTERS = 3
@@ -10,10 +10,6 @@
 const WINDOWS = 3
 const US_PER_S = 1_000_000
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 function membersOf(count: number) {
   return Array.from({ length: count }, (_, n) => ({
     instance: `i${n}`,
--- a/apps/bench/src/capacity/measureLinkSlopes.ts
+++ b/apps/bench/src/capacity/measureLinkSlopes.ts
@@ -3,17 +3,13 @@
 import { startLinkHost } from '@cherryhitch/rpc'
 import type { LinkHost } from '@cherryhitch/rpc'
 import { Effect, Exit, Scope } from 'effect'
-import { head, median, REPETITIONS, row } from './measuring'
+import { head, median, pause, REPETITIONS, row } from './measuring'
 import { makePlacement } from './samples'
 
 const HOST = '127.0.0.1'
 const MAX_WAITING = 500
 const POLL_MS = 1
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 /** Two hosts in this process, of which the first sends and the second counts. */
 class LinkPair {
   arrived = 0
--- a/apps/bench/src/capacity/measureProcesses.ts
+++ b/apps/bench/src/capacity/measureProcesses.ts
@@ -3,7 +3,8 @@
 import fs from 'node:fs'
 import os from 'node:os'
 import path from 'node:path'
-import { head, median, row } from './measuring'
+import { head, median, pause, row } from './measuring'
+import { nodeOptions } from './nodeOptions'
 
 /** What the processes of one role cost, measured from outside of them. */
 interface ProcessSample {
@@ -42,13 +43,6 @@
 const START_MS = 4_000
 const WINDOW_MS = 8_000
 
-/** Node.js options of a role, as the deployment starts it. */
-function nodeOptions(role: Role): string[] {
-  const deployment = fs.readFileSync(path.join(root, 'deploy/system.toml'), 'utf8')
-  const run = new RegExp(`^run = "node (.*) target/\\S+ ${role} `, 'm').exec(deployment)
-  return run?.[1]?.split(' ') ?? []
-}
-
 function settingsOf(role: Role, host: string, seeds: readonly string[], folder: string): object {
   const common = {
     name: `${role}-${host}`,
@@ -91,10 +85,6 @@
   return { processorMs: ticks * MS_PER_TICK, wakeUps, batches }
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 /**
  * Prints what processes of the bundled program cost while they have no work: their start, and
  * each second after it. Build the program before: `npm run bundle`.
--- a/apps/bench/src/capacity/measuring.ts
+++ b/apps/bench/src/capacity/measuring.ts
@@ -8,6 +8,11 @@
 setFlagsFromString('--expose-gc')
 const collectGarbage = runInNewContext('gc') as () => void
 
+/** Lets time pass, while what is measured goes on. */
+export function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms))
+}
+
 /** The middle one of several values. */
 export function median(values: readonly number[]): number {
   const sorted = [...values].sort((a, b) => a - b)
--- a/scripts/deployment.test.ts
+++ b/scripts/deployment.test.ts
@@ -12,24 +12,14 @@
  */
 import assert from 'node:assert/strict'
 import { execFileSync } from 'node:child_process'
-import fs from 'node:fs'
-import path from 'node:path'
 import { describe, it } from 'node:test'
+import { nodeOptions } from '../apps/bench/src/capacity/nodeOptions'
 
-const root = path.resolve(import.meta.dirname, '..')
 const BYTES_PER_MB = 2 ** 20
 const READ_YOUNG_BYTES = `
   const spaces = require('node:v8').getHeapSpaceStatistics()
   console.log(spaces.find((space) => space.space_name === 'new_space').space_size)`
 
-/** What Node.js is started with for a role. */
-function nodeOptions(role: string): string[] {
-  const deployment = fs.readFileSync(path.join(root, 'deploy/system.toml'), 'utf8')
-  const run = new RegExp(`^run = "node (.*) target/\\S+ ${role} `, 'm').exec(deployment)
-  assert.ok(run?.[1] !== undefined, `no role ${role}`)
-  return run[1].split(' ')
-}
-
 /** Megabytes of the young generation that a process of a role begins with. */
 function youngMb(role: string): number {
   const args = [...nodeOptions(role), '--eval', READ_YOUNG_BYTES]
