Reproduce a set of voters that stays at three whatever it has to bear (fails)

Cause: the first set are the three seeds of the first start, and the leader promotes a learner only where a voter is missing.

--- a/packages/control/src/lib/node/ControlNodeOptions.ts
+++ b/packages/control/src/lib/node/ControlNodeOptions.ts
@@ -38,6 +38,8 @@
   readonly onLeadership?: (term: number | undefined, routing: RoutingState | undefined) => void
   readonly voterTiming?: Partial<VoterTiming>
   readonly voterLimits?: Partial<VoterLimits>
+  /** Voters that may be lost at once; see `VoterMachineOptions`. */
+  readonly toleratedLosses?: number
   readonly clientTiming?: Partial<ClientTiming>
   readonly state?: ControlStateOptions
   /** Seed of the random election timeouts; from the instance and boot by default. */
--- a/packages/control/src/lib/node/startControlNode.ts
+++ b/packages/control/src/lib/node/startControlNode.ts
@@ -82,7 +82,7 @@
 }
 
 function machineOptions(options: ControlNodeOptions): VoterMachineOptions {
-  const { instance, boot, voterTiming, voterLimits, state } = options
+  const { instance, boot, voterTiming, voterLimits, state, toleratedLosses } = options
   const seed = options.seed ?? parseInt(hash64(`${instance}.${boot}`).slice(0, 8), 16)
   return {
     instance,
@@ -90,6 +90,7 @@
     ...(voterTiming && { timing: voterTiming }),
     ...(voterLimits && { limits: voterLimits }),
     ...(state && { state }),
+    ...(toleratedLosses !== undefined && { toleratedLosses }),
   }
 }
 
--- a/packages/control/src/lib/soak/SimulatedCluster.ts
+++ b/packages/control/src/lib/soak/SimulatedCluster.ts
@@ -45,6 +45,8 @@
   readonly link: LinkBehaviour
   readonly syncMs: number
   readonly limits?: Partial<VoterLimits>
+  /** Voters that may be lost at once. */
+  readonly toleratedLosses?: number
   /** Broken on purpose, to see that the checks notice. */
   readonly rules?: QuorumRules
   readonly makeDisk?: (seed: number) => MemoryDisk
@@ -149,7 +151,7 @@
     process.boot++
     process.writing = undefined
     const { boot } = process
-    const { voters, seed, limits, rules } = this.#options
+    const { voters, seed, limits, rules, toleratedLosses } = this.#options
     const settingsLeaseMs = this.#options.clientLeaseMs ?? defaultClientTiming.settingsLeaseMs
     const timing = { ...defaultClientTiming, settingsLeaseMs }
     process.client = new ClientMachine({ instance, boot, voters, timing, keepsSettings: false })
@@ -162,6 +164,7 @@
         seed: machineSeed,
         ...(limits && { limits }),
         ...(rules && { rules }),
+        ...(toleratedLosses !== undefined && { toleratedLosses }),
       }
       process.store = opened.store
       process.diskId = opened.stored.diskId
--- a/packages/control/src/lib/testing/simulation.ts
+++ b/packages/control/src/lib/testing/simulation.ts
@@ -1,7 +1,9 @@
-import { CommandResult } from '@cherryhitch/protocol'
+import assert from 'node:assert/strict'
+import { CommandResult, VoterChangeKind } from '@cherryhitch/protocol'
 import type { Command, CommandAnswer } from '@cherryhitch/protocol'
 import { SimulatedCluster } from '../soak/SimulatedCluster'
 import type { SimulationOptions } from '../soak/SimulatedCluster'
+import { changeVoters } from './commands'
 
 const PATIENCE_MS = 30_000
 
@@ -60,3 +62,18 @@
   if (first === undefined || second === undefined) throw new Error('three voters are needed')
   return [first, second]
 }
+
+/** Adds the instance's disk as a learner; answers with the disk's id. */
+export function addLearner(cluster: SimulatedCluster, instance: string): string {
+  const diskId = cluster.diskId(instance)
+  const command = changeVoters(`add ${diskId}`, VoterChangeKind.ADD_LEARNER, instance, diskId)
+  assert.equal(resultOf(decide(cluster, 'f', command)), 'APPLIED')
+  return diskId
+}
+
+/** Disks of the members as the leader knows them; those of learners in brackets. */
+export function votersOf(cluster: SimulatedCluster): string[] {
+  const leader = awaitLeader(cluster)
+  const members = cluster.voter(leader)?.status(cluster.now)?.members ?? []
+  return members.map(({ diskId, learner }) => (learner ? `(${diskId})` : diskId)).sort()
+}
--- a/packages/control/src/lib/voter/VoterMachine.test.ts
+++ b/packages/control/src/lib/voter/VoterMachine.test.ts
@@ -5,7 +5,15 @@
 import type { SimulatedCluster } from '../soak/SimulatedCluster'
 import { changeVoters, claimKeys, keyClaim, setPreset } from '../testing/commands'
 import { VoterRole } from './ControlAction'
-import { awaitLeader, decide, othersThan, resultOf, simulate } from '../testing/simulation'
+import {
+  addLearner,
+  awaitLeader,
+  decide,
+  othersThan,
+  resultOf,
+  simulate,
+  votersOf,
+} from '../testing/simulation'
 
 const both = { from: true, to: true }
 const none = { from: false, to: false }
@@ -14,19 +22,6 @@
   return cluster.client(instance).settings?.version
 }
 
-function addLearner(cluster: SimulatedCluster, instance: string): string {
-  const diskId = cluster.diskId(instance)
-  const command = changeVoters(`add ${diskId}`, VoterChangeKind.ADD_LEARNER, instance, diskId)
-  assert.equal(resultOf(decide(cluster, 'f', command)), 'APPLIED')
-  return diskId
-}
-
-function votersOf(cluster: SimulatedCluster): string[] {
-  const leader = awaitLeader(cluster)
-  const members = cluster.voter(leader)?.status(cluster.now)?.members ?? []
-  return members.map(({ diskId, learner }) => (learner ? `(${diskId})` : diskId)).sort()
-}
-
 describe('a leader that is cut off silently', () => {
   for (const how of [both, { from: true, to: false }, { from: false, to: true }]) {
     it(`steps down and comes back as a follower (${JSON.stringify(how)})`, () => {
--- a/packages/control/src/lib/voter/VoterOptions.ts
+++ b/packages/control/src/lib/voter/VoterOptions.ts
@@ -68,6 +68,8 @@
   readonly timing?: Partial<VoterTiming>
   readonly limits?: Partial<VoterLimits>
   readonly state?: ControlStateOptions
+  /** Voters that may be lost at once; the leader grows the set until it bears that. One by default. */
+  readonly toleratedLosses?: number
   /** Replaced by randomised runs only, to see that they notice. @internal */
   readonly rules?: QuorumRules
 }
@@ -79,8 +81,13 @@
   readonly timing: VoterTiming
   readonly limits: VoterLimits
   readonly state: ControlStateOptions
+  /** The set is grown up to this many voters. */
+  readonly wantedVoters: number
 }
 
+/** Voters that may be lost at once where nothing else is asked for. */
+const DEFAULT_TOLERATED_LOSSES = 1
+
 /** @internal */
 export function completeOptions(options: VoterMachineOptions): VoterConfig {
   return {
@@ -89,6 +96,8 @@
     timing: { ...defaultVoterTiming, ...options.timing },
     limits: { ...defaultVoterLimits, ...options.limits },
     state: options.state ?? defaultControlStateOptions,
+    // A majority is left after the loss of any so many of them.
+    wantedVoters: 2 * (options.toleratedLosses ?? DEFAULT_TOLERATED_LOSSES) + 1,
   }
 }
 
--- /dev/null
+++ b/packages/control/src/lib/voter/VoterRepair.test.ts
@@ -0,0 +1,103 @@
+/**
+ * A deployment that had to bear two lost instances stood still when one had lost its disk and
+ * another was cut off: its set had three voters whatever it had to bear, so that nobody had a
+ * majority until one of them was back, and callers were refused for all that time.
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { SimulatedCluster } from '../soak/SimulatedCluster'
+import { setPreset } from '../testing/commands'
+import {
+  addLearner,
+  awaitLeader,
+  decide,
+  resultOf,
+  simulate,
+  votersOf,
+} from '../testing/simulation'
+
+const both = { from: true, to: true }
+const HOSTS = ['a', 'b', 'c', 'd', 'e']
+const GROWTH_MS = 10_000
+const REPAIR_MS = 40_000
+
+function countVoters(cluster: SimulatedCluster): number {
+  return votersOf(cluster).filter((disk) => !disk.startsWith('(')).length
+}
+
+/** Bears two losses: three first voters, and spare hosts that join as learners. */
+function simulateGroup(spares: readonly string[]): SimulatedCluster {
+  const cluster = simulate({ spares, toleratedLosses: 2 })
+  for (const spare of spares) addLearner(cluster, spare)
+  cluster.run(GROWTH_MS)
+  return cluster
+}
+
+type Loss = (cluster: SimulatedCluster, instance: string) => void
+
+const losses: Readonly<Record<string, Loss>> = {
+  killed: (cluster, instance) => {
+    cluster.crash(instance)
+  },
+  'left without its disk': (cluster, instance) => {
+    cluster.wipe(instance)
+    cluster.start(instance)
+  },
+  'cut off': (cluster, instance) => {
+    cluster.cut(instance, both)
+  },
+  'cut off one way': (cluster, instance) => {
+    cluster.cut(instance, { from: false, to: true })
+  },
+}
+
+describe('a set of voters that has to bear two losses at once', () => {
+  it('grows to five from the first three once two more have caught up', () => {
+    const cluster = simulateGroup(['d', 'e'])
+    assert.equal(countVoters(cluster), 5)
+  })
+
+  for (const spares of [[], ['d']]) {
+    it(`stays at three with ${3 + spares.length} hosts, where a fourth would bear no more`, () => {
+      const cluster = simulateGroup(spares)
+      assert.equal(countVoters(cluster), 3)
+    })
+  }
+
+  it('decides on after any two are lost, with the leader and without', () => {
+    for (const [first, loseFirst] of Object.entries(losses)) {
+      for (const [second, loseSecond] of Object.entries(losses)) {
+        for (const withLeader of [true, false]) {
+          const cluster = simulateGroup(['d', 'e'])
+          const leader = awaitLeader(cluster)
+          const [one = '', other = ''] = HOSTS.filter((instance) => instance !== leader)
+          decide(cluster, leader, setPreset('before', 'peak', 1))
+          loseFirst(cluster, withLeader ? leader : one)
+          loseSecond(cluster, other)
+          const next = awaitLeader(cluster, withLeader ? leader : undefined)
+          const answer = decide(cluster, next, setPreset('after', 'maintenance', 2))
+          assert.equal(resultOf(answer), 'APPLIED', `${first}, then ${second}`)
+        }
+      }
+    }
+  })
+
+  it('is whole again after two disks are lost, and bears two more', () => {
+    const cluster = simulateGroup(['d', 'e'])
+    decide(cluster, awaitLeader(cluster), setPreset('before', 'peak', 1))
+    const lostDisks = ['a', 'd'].map((lost) => cluster.diskId(lost))
+    for (const lost of ['a', 'd']) losses['left without its disk']?.(cluster, lost)
+    awaitLeader(cluster)
+    cluster.run(GROWTH_MS)
+    for (const lost of ['a', 'd']) addLearner(cluster, lost)
+    const isWhole = (): boolean => {
+      const disks = votersOf(cluster)
+      const isOld = disks.some((disk) => disk.startsWith('(') || lostDisks.includes(disk))
+      return disks.length === 5 && !isOld
+    }
+    assert.ok(cluster.runUntil(isWhole, REPAIR_MS), votersOf(cluster).join(' '))
+    for (const lost of ['b', 'e']) cluster.wipe(lost)
+    const next = awaitLeader(cluster)
+    assert.equal(resultOf(decide(cluster, next, setPreset('after', 'maintenance', 2))), 'APPLIED')
+  })
+})
