Grow the set of voters to what the deployment has to bear

Change: the settings carry how many instances with a voter may be lost at once; the leader promotes learners, two at a time, up to twice as many and one more. An even set below that is made whole before a lost disk is removed. Ruled out: joint sets (a second kind of quorum for nothing gained), a first set found among all instances (a process isn't told how many there are), and shrinking to three for silence (loses everything when two are cut off for seconds and two others lose their disks; tested).

--- a/apps/bench/src/lib/soak/runMachineSoak.ts
+++ b/apps/bench/src/lib/soak/runMachineSoak.ts
@@ -5,6 +5,8 @@
 
 /** Seeds go by turns without proxies, with one, with two and with three. */
 const PROXY_COUNTS = 4
+/** Seeds go by turns with one lost voter to bear, and with two. */
+const MOST_LOSSES = 2
 
 /** Machines of coordinators, owners and membership, by `runJointSoak`. */
 export function runJointPart(seed: number, steps: number): SoakVerdict {
@@ -17,7 +19,11 @@
 /** Machines of voters and their followers, by `runControlSoak`. */
 export function runControlPart(seed: number, steps: number): SoakVerdict {
   return verdictOf(() => {
-    const { entries, crashes, wipes } = runControlSoak({ seed, steps })
+    const { entries, crashes, wipes } = runControlSoak({
+      seed,
+      steps,
+      toleratedLosses: 1 + (seed % MOST_LOSSES),
+    })
     return `${entries} entries, ${crashes} crashes, ${wipes} wiped disks`
   })
 }
--- a/apps/cherryhitch/src/lib/dispatching/startVoter.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startVoter.ts
@@ -45,6 +45,7 @@
 ): Effect.Effect<ControlNode, ControlError, Scope.Scope> {
   const { settings, instance, boot, telemetry, log, onDefect } = context
   const seeds = seedInstances(settings)
+  const { toleratedLosses } = settings
   const isFirst = settings.firstStart && seeds.includes(instance)
   const started = startControlNode({
     instance,
@@ -53,6 +54,7 @@
     voters: seeds,
     disk,
     ...(isFirst && { autoInit: { clusterId: CLUSTER_ID } }),
+    ...(toleratedLosses !== undefined && { toleratedLosses }),
     send,
     log: telemetry.lines('control'),
     onDefect,
--- a/packages/control/src/lib/soak/runControlSoak.test.ts
+++ b/packages/control/src/lib/soak/runControlSoak.test.ts
@@ -18,6 +18,11 @@
       const report = runControlSoak({ seed, steps: 100 })
       assert.ok(report.entries > 20 && report.crashes > 3, JSON.stringify(report))
     })
+
+    it(`holds its invariants with two disks lost at once and seed ${seed}`, () => {
+      const report = runControlSoak({ seed, steps: 100, toleratedLosses: 2 })
+      assert.ok(report.entries > 20 && report.crashes > 3, JSON.stringify(report))
+    })
   }
 
   it('repeats itself with the same seed', () => {
--- a/packages/control/src/lib/soak/runControlSoak.ts
+++ b/packages/control/src/lib/soak/runControlSoak.ts
@@ -17,10 +17,15 @@
   readonly seed: number
   /** Random operations and faults; each takes about half a second of the run's own clock. */
   readonly steps: number
+  /** Disks that may be lost at once, 1 or 2. */
+  readonly toleratedLosses?: number
   /** Broken on purpose, to see that the checks notice. @internal */
   readonly broken?: Partial<SimulationOptions>
 }
 
+/** @public */
+export const defaultControlSoakOptions = { toleratedLosses: 1 } as const
+
 /** What a run did; a breach of an invariant throws instead. @public */
 export interface ControlSoakReport {
   readonly simulatedMs: number
@@ -33,10 +38,15 @@
 }
 
 const voters = ['v1', 'v2', 'v3']
-/** Has an empty disk: a learner, and a voter once it takes the place of a lost one. */
-const spares = ['v4']
-const hosts = [...voters, ...spares]
 const followers = ['f1', 'f2']
+/**
+ * Those that begin with an empty disk: learners, and voters once they take the place of a lost one or
+ * the set grows. By the losses that the set has to bear.
+ */
+const sparesFor: Readonly<Record<number, readonly string[]>> = {
+  1: ['v4'],
+  2: ['v4', 'v5', 'v6'],
+}
 const calmLink = { maxDelayMs: 3, loss: 0, duplication: 0 }
 const roughLink = { maxDelayMs: 120, loss: 0.08, duplication: 0.08 }
 const diskFaults = [DiskOperation.Sync, DiskOperation.Rename, DiskOperation.Append]
@@ -44,18 +54,27 @@
 const HEAL_LIMIT_MS = 60_000
 
 /**
- * Runs the machines of three voters, a spare one and two followers under random commands and faults, and
+ * Runs the machines of three voters, spare ones and two followers under random commands and faults, and
  * asserts the invariants at each step. The same seed gives the same run.
  *
  * @throws Error when an invariant is broken, or nothing commits once all faults are over
  * @public
  */
-export function runControlSoak({ seed, steps, broken }: ControlSoakOptions): ControlSoakReport {
-  const link = roughLink
-  const limits = { entriesPerMessage: 1, snapshotEvery: 40, entriesKept: 10 }
-  const options = { seed, voters, spares, followers, link, syncMs: 8, limits, ...broken }
-  const cluster = new SimulatedCluster(options)
-  const report = new SoakRun(cluster).run(steps)
+export function runControlSoak(options: ControlSoakOptions): ControlSoakReport {
+  const { seed, steps, broken, toleratedLosses } = { ...defaultControlSoakOptions, ...options }
+  const spares = sparesFor[toleratedLosses] ?? []
+  const cluster = new SimulatedCluster({
+    seed,
+    voters,
+    spares,
+    followers,
+    link: roughLink,
+    syncMs: 8,
+    limits: { entriesPerMessage: 1, snapshotEvery: 40, entriesKept: 10 },
+    toleratedLosses,
+    ...broken,
+  })
+  const report = new SoakRun(cluster, [...voters, ...spares], toleratedLosses).run(steps)
   // No disk of a run loses what it synced, unless the run is broken on purpose.
   const distrusted = cluster.lines.find((line) => line.includes('not counted'))
   assertThat(broken !== undefined || distrusted === undefined, distrusted ?? '')
@@ -73,10 +92,14 @@
    * its vote to those who have (see `VoterCore.isFresh`), so no disk may be lost before.
    */
   #hasStarted = false
-  /** Disk that was wiped and is still among the voters. */
-  #lostDisk: string | undefined
+  /** Disks that were wiped and for which the set is not whole again. */
+  readonly #lostDisks = new Set<string>()
 
-  constructor(cluster: SimulatedCluster) {
+  constructor(
+    cluster: SimulatedCluster,
+    private readonly hosts: readonly string[],
+    private readonly toleratedLosses: number,
+  ) {
     this.#cluster = cluster
   }
 
@@ -133,7 +156,7 @@
 
   #disturb(): void {
     const { random } = this.#cluster
-    const instance = random.pick(hosts)
+    const instance = random.pick(this.hosts)
     const fault = Math.floor(random.between(0, 9))
     if (fault === 0) this.#crash(instance)
     if (fault === 1) this.#wipe(instance)
@@ -159,29 +182,41 @@
     this.#crash(this.#cluster.leader() ?? otherwise)
   }
 
-  /** One disk at a time: the next as soon as the set is whole again, not a moment later. */
+  /** As many disks as the set bears: the next as soon as it is whole again, not a moment later. */
   #wipe(instance: string): void {
-    if (this.#lostDisk !== undefined || !this.#hasStarted) return
-    this.#wipes++
-    this.#lostDisk = this.#cluster.diskId(instance)
-    this.#cluster.wipe(instance)
-    this.#cluster.start(instance)
+    if (!this.#hasStarted) return
+    const { random } = this.#cluster
+    const atOnce = this.toleratedLosses > 1 && random.chance(0.5) ? [random.pick(this.hosts)] : []
+    for (const lost of [instance, ...atOnce]) {
+      if (this.#lostDisks.size >= this.toleratedLosses) return
+      this.#wipes++
+      this.#lostDisks.add(this.#cluster.diskId(lost))
+      this.#cluster.wipe(lost)
+      this.#cluster.start(lost)
+    }
   }
 
   /** What operators and the platform do: restart processes, add new disks. */
   #repair(): void {
-    for (const instance of hosts) this.#restart(instance)
+    for (const instance of this.hosts) this.#restart(instance)
     const leader = this.#cluster.leader()
     const voter = this.#cluster.voter(leader ?? 'v1')
     const status = voter?.status(this.#cluster.now)
     if (leader === undefined || voter === undefined || status === undefined) return
     const { members } = status
-    this.#hasStarted ||= members.every(({ matchIndex }) => matchIndex > 0)
-    if (this.#lostDisk === undefined) return
-    for (const instance of hosts) this.#addDisk(leader, instance, members)
-    const whole = members.filter(({ learner }) => !learner).length >= voters.length
-    const gone = !members.some(({ diskId }) => diskId === this.#lostDisk)
-    if (whole && gone && status.commitIndex === voter.lastIndex) this.#lostDisk = undefined
+    const isWhole = this.#isWhole(members)
+    this.#hasStarted ||= isWhole && members.every(({ matchIndex }) => matchIndex > 0)
+    const isGrowing = this.toleratedLosses > 1 && !this.#hasStarted
+    if (!isGrowing && this.#lostDisks.size === 0) return
+    for (const instance of this.hosts) this.#addDisk(leader, instance, members)
+    if (isWhole && status.commitIndex === voter.lastIndex) this.#lostDisks.clear()
+  }
+
+  /** As many voters as it takes to bear the losses, and no lost disk among the members. */
+  #isWhole(members: readonly VoterStatus[]): boolean {
+    const voting = members.filter(({ learner }) => !learner)
+    const isGone = !members.some(({ diskId }) => this.#lostDisks.has(diskId))
+    return isGone && voting.length > 2 * this.toleratedLosses
   }
 
   #restart(instance: string): void {
@@ -203,7 +238,7 @@
   /** All faults end: then something must commit, and everything must be there. */
   #heal(): void {
     this.#cluster.link = calmLink
-    for (const instance of hosts) {
+    for (const instance of this.hosts) {
       this.#cluster.cut(instance, { from: false, to: false })
       // Also clears the faults that are still planned for its disk.
       this.#cluster.crash(instance)
@@ -230,7 +265,7 @@
       simulatedMs: cluster.now,
       entries: cluster.checks.highestIndex,
       answered: cluster.answers.size,
-      terms: Math.max(...hosts.map((instance) => cluster.voter(instance)?.term ?? 0)),
+      terms: Math.max(...this.hosts.map((instance) => cluster.voter(instance)?.term ?? 0)),
       crashes: this.#crashes,
       wipes: this.#wipes,
       diskFaults: this.#diskFaults,
--- a/packages/control/src/lib/voter/VoterRepair.test.ts
+++ b/packages/control/src/lib/voter/VoterRepair.test.ts
@@ -17,6 +17,7 @@
 } from '../testing/simulation'
 
 const both = { from: true, to: true }
+const none = { from: false, to: false }
 const HOSTS = ['a', 'b', 'c', 'd', 'e']
 const GROWTH_MS = 10_000
 const REPAIR_MS = 40_000
@@ -64,6 +65,12 @@
     })
   }
 
+  it('keeps a sixth host as a learner', () => {
+    const cluster = simulateGroup(['d', 'e', 'g'])
+    assert.equal(countVoters(cluster), 5)
+    assert.equal(votersOf(cluster).length, 6)
+  })
+
   it('decides on after any two are lost, with the leader and without', () => {
     for (const [first, loseFirst] of Object.entries(losses)) {
       for (const [second, loseSecond] of Object.entries(losses)) {
@@ -100,4 +107,20 @@
     const next = awaitLeader(cluster)
     assert.equal(resultOf(decide(cluster, next, setPreset('after', 'maintenance', 2))), 'APPLIED')
   })
+
+  it('counts on silent voters, whose disks hold what two others may lose', () => {
+    const cluster = simulateGroup(['d', 'e'])
+    const leader = awaitLeader(cluster)
+    const [one = '', other = '', third = '', fourth = ''] = HOSTS.filter(
+      (instance) => instance !== leader,
+    )
+    for (const silent of [one, other]) cluster.cut(silent, both)
+    cluster.run(30_000)
+    decide(cluster, leader, setPreset('kept', 'peak', 1))
+    for (const lost of [third, fourth]) cluster.wipe(lost)
+    for (const silent of [one, other]) cluster.cut(silent, none)
+    const next = awaitLeader(cluster)
+    assert.equal(cluster.voter(next)?.settings?.version, 2)
+    assert.equal(resultOf(decide(cluster, next, setPreset('after', 'maintenance', 2))), 'APPLIED')
+  })
 })
--- a/packages/control/src/lib/voter/VoterRepair.ts
+++ b/packages/control/src/lib/voter/VoterRepair.ts
@@ -10,9 +10,12 @@
 /**
  * Decides which changes of the voters are safe now, and which the leader makes on its own.
  *
- * A voter that is gone is removed before its successor is promoted: in between, the two others are
- * needed, as they were before. One that is only silent may be needed again, if another is lost: a
- * learner is promoted first, and the silent one goes when the larger set is committed.
+ * The set grows by two at a time, up to the size that bears the losses asked for, and never shrinks
+ * below that for silence: the disks of silent voters hold what others may still lose.
+ *
+ * A voter that is gone is removed before its successor is promoted: in between, as many losses are
+ * borne as before. One that is only silent may be needed again, if another is lost: a learner is
+ * promoted first, and the silent one goes when the larger set is committed.
  *
  * @internal
  */
@@ -44,30 +47,31 @@
 
   /** The change that the leader should make by itself, if any. */
   next(now: number): ChangeVoters | undefined {
-    const { members } = this.#core
-    const learner = members.find(({ learner, diskId }) => {
+    const { members, config } = this.#core
+    const ready = members.filter(({ learner, diskId }) => {
       return learner && this.#hasCaughtUp(now, diskId)
     })
-    const gone = members.find((member) => this.#isGone(now, member, learner))
-    if (gone !== undefined) return this.#change(VoterChangeKind.REMOVE, gone, now)
     const voters = members.filter((member) => !member.learner)
-    const silent = voters.find(({ diskId }) => this.#isSilent(now, diskId))
     const isEven = voters.length % 2 === 0
-    if (isEven && voters.length > 2 && silent !== undefined) {
-      return this.#change(VoterChangeKind.REMOVE, silent, now)
-    }
-    // An even set tolerates no more losses than the odd one below it.
-    if (learner === undefined || (!isEven && silent === undefined)) return undefined
-    return this.#change(VoterChangeKind.PROMOTE, learner, now)
+    const isShort = voters.length < config.wantedVoters
+    // An even set bears no more losses than the odd one below it: it is made whole first.
+    if (isEven && isShort && ready[0] !== undefined) return this.#promote(ready[0], now)
+    const gone = members.find((member) => this.#isGone(now, member, ready))
+    if (gone !== undefined) return this.#remove(gone, now)
+    const silent = voters.find(({ diskId }) => this.#isSilent(now, diskId))
+    if (isEven && voters.length > 2 && silent !== undefined) return this.#remove(silent, now)
+    const canGrow = isShort && ready.length >= 2
+    const isWanted = isEven || silent !== undefined || canGrow
+    return ready[0] !== undefined && isWanted ? this.#promote(ready[0], now) : undefined
   }
 
   /** It can't come back: an instance has one disk, and there is a new one in its place. */
-  #isGone(now: number, member: Voter, successor: Voter | undefined): boolean {
-    if (member.diskId === this.#core.diskId || member === successor) return false
-    if (this.#replication.hasLostEntries(member.diskId)) return true
-    if (member.instance !== successor?.instance) return false
-    const silentMs = this.#replication.silentMs(now, member.diskId)
-    return silentMs > this.#core.config.timing.electionMaxMs
+  #isGone(now: number, member: Voter, ready: readonly Voter[]): boolean {
+    const { diskId, instance } = member
+    if (diskId === this.#core.diskId || ready.includes(member)) return false
+    if (this.#replication.hasLostEntries(diskId)) return true
+    if (!ready.some((learner) => learner.instance === instance)) return false
+    return this.#replication.silentMs(now, diskId) > this.#core.config.timing.electionMaxMs
   }
 
   #isSilent(now: number, diskId: string): boolean {
@@ -90,12 +94,22 @@
     return reachable.length >= majorityOf(members)
   }
 
-  #change(kind: VoterChangeKind, { instance, diskId }: Voter, atMs: number): ChangeVoters {
+  #promote(learner: Voter, now: number): ChangeVoters {
+    const reason = 'it has caught up and takes a free place'
+    return this.#change(VoterChangeKind.PROMOTE, learner, reason, now)
+  }
+
+  #remove(lost: Voter, now: number): ChangeVoters {
+    return this.#change(VoterChangeKind.REMOVE, lost, 'the disk is lost', now)
+  }
+
+  #change(
+    kind: VoterChangeKind,
+    { instance, diskId }: Voter,
+    reason: string,
+    atMs: number,
+  ): ChangeVoters {
     const operator = `leader ${this.#core.config.instance}`
-    const reason =
-      kind === VoterChangeKind.REMOVE
-        ? 'the disk is lost'
-        : 'it has caught up and takes a free place'
     return create(ChangeVotersSchema, { kind, instance, diskId, operator, reason, atMs })
   }
 }
--- a/packages/settings/src/lib/dispatching/dispatchSettings.test.ts
+++ b/packages/settings/src/lib/dispatching/dispatchSettings.test.ts
@@ -28,6 +28,14 @@
   it('are taken when all that the role needs is there', () => {
     assert.deepEqual(problemsOf(entry, DispatchRole.Entry), [])
     assert.deepEqual(problemsOf(dispatch, DispatchRole.Dispatch), [])
+    assert.deepEqual(problemsOf({ ...dispatch, toleratedLosses: 2 }, DispatchRole.Dispatch), [])
+  })
+
+  it('are refused with losses to bear that are no whole number from 0 on', () => {
+    for (const toleratedLosses of [-1, 1.5]) {
+      const problems = problemsOf({ ...dispatch, toleratedLosses }, DispatchRole.Dispatch)
+      assert.match(problems.join(), /toleratedLosses/)
+    }
   })
 
   it('may hold more than is known', () => {
--- a/packages/settings/src/lib/dispatching/dispatchSettings.ts
+++ b/packages/settings/src/lib/dispatching/dispatchSettings.ts
@@ -7,6 +7,8 @@
 import type { SettingPath, SettingsProblem } from '../problems/SettingsProblem'
 
 const Port = Schema.Number
+/** More instances with a voter than any deployment has. */
+const MOST_LOSSES = 100
 
 /** The settings of an instance that takes jobs, or that dispatches them. */
 const schema = Schema.Struct({
@@ -23,6 +25,10 @@
   seeds: Schema.Array(Schema.String),
   /** True when the whole system starts for the first time, with empty disks. */
   firstStart: Schema.Boolean,
+  /** Instances with a voter that may be lost at once; one where it is not given. */
+  toleratedLosses: Schema.optional(
+    Schema.Int.check(Schema.isBetween({ minimum: 0, maximum: MOST_LOSSES })),
+  ),
   /** Folder of the voter; none where the instance only takes jobs. */
   dataFolder: Schema.optional(Schema.String),
   /** Host and port for callers. */
