Keep the queue and the room at endpoints up to date, and replay forecasts by the millisecond

Cause: each round of placing ranked and sorted all waiting jobs, walked all endpoints twice, and for each new job copied and sorted all places: endpoints x waiting jobs x new jobs. Change: jobs are put in their place where they change (JobQueue), open endpoints are columns of numbers written where one changes (OpenEndpoints, EndpointIndex), a forecast counts places by the millisecond so that a task costs the same however many there are (PlaceForecast), and what was admitted is looked at again each 10 ms instead of each round.

--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -253,5 +253,6 @@
     for (const endpoint of [...endpoints.all()]) {
       if (endpoints.isForgettable(now, endpoint)) endpoints.remove(endpoint)
     }
+    this.#scheduler.refresh(now)
   }
 }
--- a/packages/dispatch/src/lib/endpoints/EndpointBook.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointBook.ts
@@ -7,6 +7,8 @@
 /** The endpoints that announced themselves, each life by its id. @internal */
 export class EndpointBook {
   readonly #records = new Map<string, EndpointRecord>()
+  /** Those that have changed since they were last handed out. */
+  readonly #changed = new Set<EndpointRecord>()
 
   constructor(
     private readonly timing: DispatchTiming,
@@ -33,7 +35,11 @@
     if (notice.state === NoticeState.GONE) return undefined
     const { clockDrift: drift, leastAnswerMs: minMs, startTimeoutMs: maxMs } = this.timing
     const roundTrip = { minMs, maxMs }
-    const record = new EndpointRecord(notice, now, { drift, roundTrip })
+    const onChange = (changed: EndpointRecord): void => {
+      this.#changed.add(changed)
+    }
+    const record = new EndpointRecord(notice, now, { drift, roundTrip, onChange })
+    this.#changed.add(record)
     this.#records.set(notice.endpoint, record)
     this.health.add(record.id, record.service)
     return record
@@ -43,6 +49,18 @@
     this.#records.delete(record.id)
     this.health.remove(record.id)
     this.slowness.remove(record.id)
+    this.#changed.add(record)
+  }
+
+  /** False once it was removed. */
+  has(record: EndpointRecord): boolean {
+    return this.#records.get(record.id) === record
+  }
+
+  /** Hands out the records that have changed, come or gone since the last call. */
+  drainChanged(visit: (record: EndpointRecord) => void): void {
+    for (const record of this.#changed) visit(record)
+    this.#changed.clear()
   }
 
   /** True when nothing was heard of it for so long, or it said so, that it may be forgotten. */
--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -27,14 +27,22 @@
   gpus: number
 }
 
+/** @internal */
+export interface EndpointRecordOptions {
+  /** Most that its clock lags behind in one second of ours, as a share. */
+  readonly drift: number
+  readonly roundTrip: RoundTripBounds
+  /** Told of every change that may decide whether it gets tasks. */
+  readonly onChange?: (record: EndpointRecord) => void
+}
+
 /** One life of an endpoint: what it said, what it was ordered, what runs there. @internal */
 export class EndpointRecord {
   readonly clock: EndpointClock
   readonly #runs = new Map<string, Run>()
-  /** When all who may lead were last told of it. */
-  spreadAt: number
-  /** True once its lists were read under the present fencing token. */
-  isAdopted = false
+  readonly #onChange: (record: EndpointRecord) => void
+  #spreadAt: number
+  #isAdopted = false
   /** Ends up to this number were taken in. */
   acknowledgedEnd = 0
   /** Latest endpoint time until which anything may run there, by any order sent from here. */
@@ -44,17 +52,14 @@
   nextHoldAt = 0
   /** Asks it to answer at once. */
   look: OpenQuestion | undefined
-  /** Calls in a row without an answer. */
-  unanswered = 0
+  #unanswered = 0
   /** Its clock in the newest of its reports. */
   reportedClockMs = -Infinity
   /** How long it takes to answer what it answers at once. */
   readonly roundTrip: RoundTrip
   answeredAt = -Infinity
-  /** Gets nothing before this, since it refused for want of room. */
-  pausedUntil = -Infinity
-  /** Another life answered at its address. */
-  isReplaced = false
+  #pausedUntil = -Infinity
+  #isReplaced = false
   #notice: EndpointNotice
   #noticedAt: number
   /** True once two notices agreed on where it is and whom it serves. */
@@ -63,15 +68,13 @@
   #freeRoom: FreeRoom | undefined
   #slowness = { value: 1, readAt: -Infinity }
 
-  constructor(
-    notice: EndpointNotice,
-    now: number,
-    { drift, roundTrip }: { drift: number; roundTrip: RoundTripBounds },
-  ) {
+  constructor(notice: EndpointNotice, now: number, options: EndpointRecordOptions) {
+    const { drift, roundTrip, onChange } = options
+    this.#onChange = onChange ?? (() => undefined)
     this.roundTrip = new RoundTrip(roundTrip)
     this.#notice = notice
     this.#noticedAt = now - notice.ageMs
-    this.spreadAt = now
+    this.#spreadAt = now
     this.clock = new EndpointClock(drift)
   }
 
@@ -80,19 +83,72 @@
     return this.#runs
   }
 
+  /** When all who may lead were last told of it. */
+  get spreadAt(): number {
+    return this.#spreadAt
+  }
+
+  set spreadAt(at: number) {
+    this.#spreadAt = at
+    this.noteChange()
+  }
+
+  /** True once its lists were read under the present fencing token. */
+  get isAdopted(): boolean {
+    return this.#isAdopted
+  }
+
+  set isAdopted(isAdopted: boolean) {
+    if (this.#isAdopted === isAdopted) return
+    this.#isAdopted = isAdopted
+    this.noteChange()
+  }
+
+  /** Calls in a row without an answer. */
+  get unanswered(): number {
+    return this.#unanswered
+  }
+
+  set unanswered(calls: number) {
+    if (this.#unanswered === calls) return
+    this.#unanswered = calls
+    this.noteChange()
+  }
+
+  /** Gets nothing before this, since it refused for want of room. */
+  get pausedUntil(): number {
+    return this.#pausedUntil
+  }
+
+  set pausedUntil(until: number) {
+    this.#pausedUntil = until
+    this.noteChange()
+  }
+
+  /** Another life answered at its address. */
+  get isReplaced(): boolean {
+    return this.#isReplaced
+  }
+
+  set isReplaced(isReplaced: boolean) {
+    this.#isReplaced = isReplaced
+    this.noteChange()
+  }
+
   addRun(run: Run): void {
     this.#runs.set(run.name, run)
-    this.#freeRoom = undefined
+    this.noteChange()
   }
 
   removeRun(run: Run): void {
     if (this.#runs.get(run.name) === run) this.#runs.delete(run.name)
-    this.#freeRoom = undefined
+    this.noteChange()
   }
 
-  /** What a run needs has become known. */
-  noteNeeds(): void {
+  /** What runs there, what it may get, or how well it does has changed. */
+  noteChange(): void {
     this.#freeRoom = undefined
+    this.#onChange(this)
   }
 
   /** Run times here over those at its peers, read anew every so often. */
@@ -139,7 +195,7 @@
       this.#notice = notice
     }
     this.#noticedAt = now - notice.ageMs
-    this.#freeRoom = undefined
+    this.noteChange()
     return true
   }
 
@@ -186,14 +242,14 @@
   /** Starts anew under another fencing token: what was known of its runs counts no more. */
   reset(): void {
     this.#runs.clear()
-    this.#freeRoom = undefined
-    this.isAdopted = false
+    this.#isAdopted = false
     this.hold = undefined
     this.nextHoldAt = 0
     this.look = undefined
-    this.unanswered = 0
+    this.#unanswered = 0
     this.reportedClockMs = -Infinity
     this.acknowledgedEnd = 0
+    this.noteChange()
   }
 }
 
--- a/packages/dispatch/src/lib/jobs/Job.ts
+++ b/packages/dispatch/src/lib/jobs/Job.ts
@@ -61,8 +61,8 @@
   readonly firstRun: number
   /** An earlier leader may have started it. */
   readonly isResumed: boolean
-  /** Told when the first task waits for an endpoint, and when none does any more. */
-  readonly onWaiting?: (job: Job) => void
+  /** Told when a task has changed its state. */
+  readonly onMove?: (job: Job) => void
 }
 
 /** A task as its job sees it. */
@@ -70,7 +70,7 @@
 
 /**
  * A job and its tasks. What placing asks in each round is kept up to date where a task changes its
- * state: worked out anew for each of 700 open jobs it took a leader longer than the decisions.
+ * state, so that jobs without news cost nothing.
  *
  * @internal
  */
@@ -101,7 +101,7 @@
   /** Nobody waits for it: nothing more is started, and it goes once nothing runs. */
   isClosed = false
   endpointsUsed = new Set<string>()
-  readonly #onWaiting: (job: Job) => void
+  readonly #onMove: (job: Job) => void
   /** Tasks of each step that are not done. */
   readonly #leftOfStep: number[]
   #left: number
@@ -126,7 +126,7 @@
     this.tasks = spec.steps.flatMap((step, number) => this.#makeTasks(step, number, firstRun))
     this.#leftOfStep = spec.steps.map(({ count }) => count)
     this.#left = this.tasks.length
-    this.#onWaiting = content.onWaiting ?? (() => undefined)
+    this.#onMove = content.onMove ?? (() => undefined)
   }
 
   /** Tasks that wait for an endpoint. The list is the same one until a task changes its state. */
@@ -148,7 +148,6 @@
   move(task: Task, state: TaskState): void {
     const before = task.state
     if (before === state) return
-    const hadWaiting = this.waiting.length > 0
     ;(task as OwnTask).state = state
     this.#placed += countIf(state === TaskState.Placed) - countIf(before === TaskState.Placed)
     const left = countIf(before === TaskState.Done) - countIf(state === TaskState.Done)
@@ -156,8 +155,7 @@
     this.#leftOfStep[task.step] = (this.#leftOfStep[task.step] ?? 0) + left
     if (left !== 0) this.#remainingMs = undefined
     this.#waiting = undefined
-    const hasWaiting = this.waiting.length > 0
-    if (hasWaiting !== hadWaiting) this.#onWaiting(this)
+    this.#onMove(this)
   }
 
   step(task: Task): JobStep {
--- a/packages/dispatch/src/lib/jobs/JobBook.ts
+++ b/packages/dispatch/src/lib/jobs/JobBook.ts
@@ -25,6 +25,8 @@
   /** Those that somebody waits for, and of them those with tasks that wait for an endpoint. */
   readonly #open = new Set<Job>()
   readonly #waiting = new Set<Job>()
+  /** Those that came, changed or went since they were last handed out. */
+  readonly #changed = new Set<Job>()
   readonly #ended = new Map<string, EndedJob>()
   /** Which job each open request waits for. */
   readonly #requests = new Map<string, Job>()
@@ -79,7 +81,7 @@
       startMarginMs: keepsMargin ? startMargin(route, longestChain(spec.steps, stepMs)) : 0,
       firstRun: req.earlierAttempts * RUNS_PER_LEADER,
       isResumed: req.earlierAttempts > 0,
-      onWaiting: (changed) => {
+      onMove: (changed) => {
         if (this.#open.has(changed)) this.#noteOpen(changed)
       },
     })
@@ -118,6 +120,7 @@
     job.isClosed = true
     this.#open.delete(job)
     this.#waiting.delete(job)
+    this.#changed.add(job)
     for (const waiter of job.waiters) {
       this.core.answer(waiter, verdict, more)
       this.#requests.delete(requestKey(waiter))
@@ -140,6 +143,7 @@
     for (const job of this.#jobs.values()) {
       for (const waiter of job.waiters) this.core.answer(waiter, verdict, { reason })
     }
+    for (const job of this.#waiting) this.#changed.add(job)
     this.#jobs.clear()
     this.#open.clear()
     this.#waiting.clear()
@@ -155,8 +159,15 @@
     return pending
   }
 
+  /** Hands out the jobs that may wait for endpoints, or did, and have changed since the last call. */
+  drainChanged(visit: (job: Job) => void): void {
+    for (const job of this.#changed) visit(job)
+    this.#changed.clear()
+  }
+
   #noteOpen(job: Job): void {
     this.#open.add(job)
+    this.#changed.add(job)
     if (job.waiting.length > 0) this.#waiting.add(job)
     else this.#waiting.delete(job)
   }
--- a/packages/dispatch/src/lib/runs/RunHealth.ts
+++ b/packages/dispatch/src/lib/runs/RunHealth.ts
@@ -31,6 +31,7 @@
     const jobId = task?.job.id ?? ''
     const { id, service } = endpoint
     this.core.health.recordFailure(now, { endpoint: id, service, jobId }, failure)
+    endpoint.noteChange()
   }
 
   #noteDone(now: number, { task, endpoint, confirmedAt, sentAt, stopReason }: Run): void {
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -159,7 +159,7 @@
     run.task = task
     run.needs = task.job.step(task).needs
     run.expectedMs = task.job.runMs(task) * this.core.slownessOf(now, run.endpoint)
-    run.endpoint.noteNeeds()
+    run.endpoint.noteChange()
     run.lookDueAt = firstLookAt(now, run, this.core.silenceAt)
     task.run = run
     task.lastRun = Math.max(task.lastRun, run.number)
@@ -223,7 +223,10 @@
   }
 
   #noteBegun(now: number, run: Run): void {
-    run.confirmedAt ??= now
+    if (run.confirmedAt === undefined) {
+      run.confirmedAt = now
+      run.endpoint.noteChange()
+    }
     if (run.state !== RunState.Starting) return
     run.state = RunState.Running
     run.lookDueAt = firstLookAt(now, run, this.core.silenceAt)
--- a/packages/dispatch/src/lib/scheduling/JobAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/JobAdmission.ts
@@ -18,23 +18,24 @@
 export interface AdmissionInput {
   /** All waiting jobs of one service, in the order in which they get places. */
   readonly ranked: readonly Job[]
+  /** Those of them over which nothing was decided yet. */
+  readonly newcomers: readonly Job[]
+  /** Tasks of all of them that wait for a place. */
+  readonly waitingTasks: number
   readonly places: Places
 }
 
-/** The places of a service; what they are is worked out once somebody asks. @public */
+/** The places of a service. @public */
 export abstract class Places {
-  /** How many are free now. */
-  abstract get free(): number
-  /** When each becomes free, the earliest first; now for those that are free. */
-  abstract all(): readonly number[]
+  /** How many there are, free or not. */
+  abstract get size(): number
+  /** How many are free now; counting may end once there are enough. */
+  abstract free(enough: number): number
+  /** How many become free in each millisecond from now on; of those free now, enough are counted. */
+  abstract freeByMs(enough: number): Int32Array
 }
 
 /** Decides which new jobs are taken in, and which are refused as not run. @public */
 export abstract class JobAdmission {
   abstract decide(now: number, input: AdmissionInput): AdmissionDecision
 }
-
-/** Whether nothing was decided over a job yet. */
-export function isNew(job: Job): boolean {
-  return !job.isAdmitted
-}
--- a/packages/dispatch/src/lib/scheduling/JobOrder.ts
+++ b/packages/dispatch/src/lib/scheduling/JobOrder.ts
@@ -5,6 +5,10 @@
 export abstract class JobOrder {
   /** The job with the smallest rank goes first. */
   abstract rank(now: number, job: Job): number
+  /** The last instant at which a job that stays as it is has its present rank; Infinity by default. */
+  rankHoldsUntil(_now: number, _job: Job): number {
+    return Infinity
+  }
 }
 
 /** First come, first served: the baseline. @public */
@@ -32,10 +36,9 @@
 
 /**
  * The job that has to start first to be in time goes first, and before all others one of which
- * some tasks run or are done: what they cost is lost if the rest comes too late. With such jobs
- * among the others, at 1.3 times of what the places can do 75 % of the jobs were in time, and 80 %
- * with them first (load.test.ts, three seeds that spread by 15 %). Those that can't be in time any
- * more get only what the others leave, the shortest first, so that they don't make others late.
+ * some tasks run or are done: what they cost is lost if the rest comes too late. Those that can't be
+ * in time any more get only what the others leave, the shortest first, so that they don't make others
+ * late.
  *
  * @public
  */
@@ -53,4 +56,10 @@
     if (this.#options.underWayFirst && job.isUnderWay) return latest - UNDER_WAY_LEAD
     return now <= latest ? latest : LATE_RANK + remainingMs
   }
+
+  /** The rank of a job that can be in time is its latest start: after that it can't. */
+  override rankHoldsUntil(now: number, job: Job): number {
+    const rank = this.rank(now, job)
+    return rank >= now && rank < LATE_RANK ? rank : Infinity
+  }
 }
--- a/packages/dispatch/src/lib/scheduling/OpenAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/OpenAdmission.ts
@@ -1,9 +1,9 @@
-import { isNew, JobAdmission } from './JobAdmission'
+import { JobAdmission } from './JobAdmission'
 import type { AdmissionDecision, AdmissionInput } from './JobAdmission'
 
 /** Takes every job in; what gets no place learns it at the end of its time: the baseline. @public */
 export class OpenAdmission extends JobAdmission {
-  override decide(_now: number, { ranked }: AdmissionInput): AdmissionDecision {
-    return { admitted: ranked.filter(isNew), refused: [], placesForecast: 0 }
+  override decide(_now: number, { newcomers }: AdmissionInput): AdmissionDecision {
+    return { admitted: newcomers, refused: [], placesForecast: 0 }
   }
 }
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -1,16 +1,17 @@
+import { Mechanism } from '@cherryhitch/model'
 import type { EndpointCapacity } from '@cherryhitch/protocol'
 import { DispatchActionKind, Stage } from '../DispatchAction'
 import type { DispatchCore } from '../DispatchCore'
-import { groupBy, Mechanism } from '@cherryhitch/model'
-import type { JobBook } from '../jobs/JobBook'
 import type { Job, Task } from '../jobs/Job'
-import type { FreeRoom } from '../endpoints/EndpointRecord'
+import type { JobBook } from '../jobs/JobBook'
 import type { RunTracker } from '../runs/RunTracker'
-import type { JobOrder } from './JobOrder'
+import { EndpointIndex } from './EndpointIndex'
 import type { JobAdmission, RefusedJob } from './JobAdmission'
+import type { JobOrder } from './JobOrder'
+import type { JobQueue } from './JobQueue'
+import type { ServiceEndpoints } from './ServiceEndpoints'
 import { ServicePlaces } from './ServicePlaces'
-import { collectCandidates, pickEndpoint } from './pickEndpoint'
-import type { Candidate } from './pickEndpoint'
+import { WaitingJobs } from './WaitingJobs'
 
 /** What placing needs. @internal */
 export interface SchedulerParts {
@@ -27,55 +28,68 @@
   needs: EndpointCapacity | undefined
 }
 
+/**
+ * Jobs that were admitted are looked at again this often, in milliseconds, when none is new: places
+ * may have been lost meanwhile, and a caller that learns it so soon can still go elsewhere.
+ */
+const REVIEW_MS = 10
+
 /** Places waiting tasks on endpoints, in the order of their jobs. @internal */
 export class Scheduler {
+  readonly #endpoints: EndpointIndex
+  readonly #waiting: WaitingJobs
   #isDue = false
+  #reviewDueAt = -Infinity
 
   constructor(
     private readonly core: DispatchCore,
     private readonly parts: SchedulerParts,
-  ) {}
+  ) {
+    this.#endpoints = new EndpointIndex(core)
+    this.#waiting = new WaitingJobs(core, parts.jobs, parts.order)
+  }
 
   /** Something changed that may let a task start. */
   wake(): void {
     this.#isDue = true
   }
 
+  /** Takes in what has changed, so that nothing that is gone is held on to while nothing waits. */
+  refresh(now: number): void {
+    this.#endpoints.refresh(now)
+    this.#waiting.refresh(now)
+  }
+
   run(now: number): void {
     if (!this.#isDue || this.core.token === undefined) return
     this.#isDue = false
     if (this.parts.jobs.waiting.size === 0) return
-    const waiting = this.#startable(now)
-    if (waiting.length === 0) return
+    this.refresh(now)
+    const isSettled = this.isSettled(now)
+    const isReviewDue = now >= this.#reviewDueAt
+    if (isReviewDue) this.#reviewDueAt = now + REVIEW_MS
     this.core.counters.rounds++
-    this.core.counters.jobs_ranked += waiting.length
-    for (const [service, jobs] of groupBy(this.#rank(now, waiting), serviceOf)) {
-      this.#admit(now, service, jobs)
-      this.#placeAll(now, service, jobs)
+    for (const [service, queue] of this.#waiting.entries()) {
+      const ranked = isSettled ? queue.ranked : this.#startable(queue)
+      if (ranked.length === 0) continue
+      const endpoints = this.#endpoints.of(service)
+      if (isReviewDue || queue.newcomers.size > 0) this.#admit(now, queue, ranked, endpoints)
+      this.#placeAll(now, ranked, endpoints)
     }
   }
 
-  /** Jobs with waiting tasks that may start now. */
-  #startable(now: number): Job[] {
-    const waiting = [...this.parts.jobs.waiting]
-    if (this.isSettled(now)) return waiting
-    // A job that no earlier leader had can't run anywhere yet, so it needs not wait for that.
-    const startsEarly = this.core.uses(Mechanism.EarlyNewJobs)
-    return waiting.filter(({ isResumed }) => startsEarly && !isResumed)
+  /** A job that no earlier leader had can't run anywhere yet, so it needs not wait for that. */
+  #startable(queue: JobQueue): readonly Job[] {
+    if (!this.core.uses(Mechanism.EarlyNewJobs)) return []
+    return queue.ranked.filter(({ isResumed }) => !isResumed)
   }
 
-  #rank(now: number, jobs: readonly Job[]): readonly Job[] {
-    return jobs
-      .map((job) => ({ job, rank: this.parts.order.rank(now, job) }))
-      .sort((a, b) => a.rank - b.rank)
-      .map(({ job }) => job)
-  }
-
-  #placeAll(now: number, service: string, ranked: readonly Job[]): void {
-    const candidates = collectCandidates(now, this.core, service, leastCpu(ranked))
-    if (candidates.length === 0) return
+  #placeAll(now: number, ranked: readonly Job[], endpoints: ServiceEndpoints): void {
     const full: FullRoom = { needs: undefined }
-    for (const job of ranked) if (!job.isClosed) this.#place(now, job, candidates, full)
+    for (const job of ranked) {
+      if (endpoints.open.size === 0) return
+      if (!job.isClosed) this.#place(now, job, endpoints, full)
+    }
   }
 
   /**
@@ -95,10 +109,12 @@
   }
 
   /** Takes new jobs in, or refuses them, as long as more wait than there is room for. */
-  #admit(now: number, service: string, ranked: readonly Job[]): void {
-    const places = new ServicePlaces(now, this.core, service, meanNeeds(ranked))
-    const decision = this.parts.admission.decide(now, { ranked, places })
-    const { admitted, refused, placesForecast } = decision
+  #admit(now: number, queue: JobQueue, ranked: readonly Job[], endpoints: ServiceEndpoints): void {
+    const places = new ServicePlaces(now, endpoints, queue.meanNeeds)
+    const newcomers = [...queue.newcomers]
+    const input = { ranked, newcomers, waitingTasks: queue.tasks, places }
+    const { admitted, refused, placesForecast } = this.parts.admission.decide(now, input)
+    queue.noteDecided()
     this.core.counters.places_forecast += placesForecast
     for (const job of admitted) job.isAdmitted = true
     for (const one of refused) {
@@ -107,8 +123,8 @@
         lateByMs: Math.round(one.lateByMs),
         tasks: one.job.tasks.length,
         waitingJobs: ranked.length,
-        places: places.all().length,
-        freePlaces: places.free,
+        places: places.size,
+        freePlaces: places.free(Infinity),
       })
       this.parts.refuse(now, one)
     }
@@ -120,12 +136,12 @@
    * @param full - what fitted nowhere in this round: nothing larger is tried again, so that a long
    *   queue costs little while there is no room
    */
-  #place(now: number, job: Job, candidates: readonly Candidate[], full: FullRoom): void {
+  #place(now: number, job: Job, endpoints: ServiceEndpoints, full: FullRoom): void {
     for (const task of job.waiting) {
       const { needs, requiredLabel, maxPerEndpoint } = job.step(task)
       if (needs === undefined) return
       if (full.needs !== undefined && covers(needs, full.needs)) return
-      if (this.#placeTask(now, task, needs, candidates)) continue
+      if (this.#placeTask(now, task, needs, endpoints)) continue
       if (requiredLabel === '' && maxPerEndpoint === 0) full.needs = needs
       return
     }
@@ -135,14 +151,16 @@
     now: number,
     task: Task,
     needs: EndpointCapacity,
-    candidates: readonly Candidate[],
+    { open }: ServiceEndpoints,
   ): boolean {
     const { job } = task
-    const picked = pickEndpoint(task, needs, candidates, this.core.uses(Mechanism.CloseFit))
+    this.core.counters.endpoints_visited += open.size
+    const picked = open.pick(task, needs, this.core.uses(Mechanism.CloseFit))
     if (picked === undefined) return false
     const { endpoint, slowness } = picked
     const expectedMs = job.runMs(task) * slowness
     if (!this.parts.runs.start(now, task, endpoint, expectedMs)) return false
+    this.#endpoints.refreshChanged(now)
     if (job.firstStartAt === undefined) this.#noteFirstStart(now, job)
     job.lastStartAt = now
     job.hasStarted = true
@@ -161,37 +179,6 @@
   }
 }
 
-function serviceOf({ route }: Job): string {
-  return route.service
-}
-
-/** What a waiting task wants on average. */
-function meanNeeds(jobs: readonly Job[]): Readonly<FreeRoom> {
-  const sum = { cpuMillis: 0, memoryMb: 0, gpus: 0 }
-  let count = 0
-  for (const job of jobs) {
-    for (const task of job.waiting) {
-      const { needs } = job.step(task)
-      if (needs === undefined) continue
-      count++
-      sum.cpuMillis += needs.cpuMillis
-      sum.memoryMb += needs.memoryMb
-      sum.gpus += needs.gpus
-    }
-  }
-  const over = Math.max(1, count)
-  return { cpuMillis: sum.cpuMillis / over, memoryMb: sum.memoryMb / over, gpus: sum.gpus / over }
-}
-
-/** The least that any waiting task wants, in thousandths of a core. */
-function leastCpu(jobs: readonly Job[]): number {
-  let least = Infinity
-  for (const job of jobs) {
-    for (const task of job.waiting) least = Math.min(least, job.step(task).needs?.cpuMillis ?? 0)
-  }
-  return least
-}
-
 /** True when one need is at least as large as another in every respect. */
 function covers(needs: EndpointCapacity, other: EndpointCapacity): boolean {
   if (needs.cpuMillis < other.cpuMillis || needs.memoryMb < other.memoryMb) return false
