--- a/apps/bench/src/capacity/measureProcesses.ts
+++ b/apps/bench/src/capacity/measureProcesses.ts
@@ -5,6 +5,7 @@
 import path from 'node:path'
 import { head, median, pause, row } from './measuring'
 import { nodeOptions } from './nodeOptions'
+import { METRICS_PORT, Role, writeRoleSettings } from './roleSettings'
 
 /** What the processes of one role cost, measured from outside of them. */
 interface ProcessSample {
@@ -22,19 +23,9 @@
   readonly metricsUrl: string
 }
 
-enum Role {
-  Entry = 'entry',
-  Dispatch = 'dispatch',
-}
-
 const root = path.resolve(import.meta.dirname, '../../../..')
 /** Instances are named by their addresses: each gets one of the loopback's own. */
 const ADDRESS_PREFIX = '127.0.41.'
-const LINK_PORT = 27_720
-const METRICS_PORT = 27_721
-const CONTROL_PORT = 27_722
-const CALLERS_PORT = 27_723
-const READINESS_PORT = 27_724
 /** Clock ticks of the kernel's processor times: 100 a second on all Linux machines. */
 const MS_PER_TICK = 10
 /** Fields of `/proc/PID/stat` after the name in brackets. */
@@ -43,30 +34,8 @@
 const START_MS = 4_000
 const WINDOW_MS = 8_000
 
-function settingsOf(role: Role, host: string, seeds: readonly string[], folder: string): object {
-  const common = {
-    name: `${role}-${host}`,
-    host,
-    zone: 'z1',
-    linkPort: LINK_PORT,
-    metricsPort: METRICS_PORT,
-    seeds: seeds.map((seed) => `${seed}:${CONTROL_PORT}`),
-    firstStart: true,
-    heartbeatMs: 1_500,
-    maxLeaseMs: 1_000,
-    stopGraceMs: 6_000,
-  }
-  if (role === Role.Dispatch) {
-    const dataFolder = path.join(folder, `data-${host}`)
-    fs.mkdirSync(dataFolder)
-    return { ...common, dataFolder, control: `${host}:${CONTROL_PORT}` }
-  }
-  return { ...common, callers: `${host}:${CALLERS_PORT}`, readiness: `${host}:${READINESS_PORT}` }
-}
-
 function startOne(role: Role, host: string, seeds: readonly string[], folder: string): Running {
-  const file = path.join(folder, `${host}.jsonc`)
-  fs.writeFileSync(file, JSON.stringify(settingsOf(role, host, seeds, folder)))
+  const file = writeRoleSettings({ role, host, seeds, folder })
   const program = path.join(root, 'target/cherryhitch.cjs')
   const args = [...nodeOptions(role), program, role, '--settings', file]
   const child = spawn(process.execPath, args, { stdio: 'ignore' })
