--- a/apps/cherryhitch/src/lib/dispatching/DirectoryKeeper.ts
+++ b/apps/cherryhitch/src/lib/dispatching/DirectoryKeeper.ts
@@ -18,7 +18,7 @@
 
 /**
  * Keeps on the disk which endpoints were known. After a restart of all instances the endpoints
- * announce themselves only within their heartbeat (1.5 s); asked at their old addresses, they take
+ * announce themselves only within their heartbeat; asked at their old addresses, they take
  * tasks at once. It is a hint only: each of them is asked before it is used.
  *
  * @internal
--- a/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
+++ b/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
@@ -13,8 +13,8 @@
 
 /**
  * Heartbeats that say nothing new are passed on together, at most this long after the first of them,
- * in milliseconds. Endpoints are forgotten after eight seconds; with 245 of them and five other
- * hosts of voters, each heartbeat by itself was 820 messages a second without any work.
+ * in milliseconds. Endpoints are forgotten only after seconds, and each message goes to all hosts of
+ * voters.
  */
 const GATHER_MS = 500
 /** Endpoints call another instance after a second without an answer. */
--- a/apps/cherryhitch/src/lib/dispatching/startDispatchLinks.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchLinks.ts
@@ -7,8 +7,8 @@
 import type { ProcessContext } from './openProcess'
 
 /**
- * Detection of a silent connection within 0.6 s, below the deadlines of callers (1.5 s). What
- * waits for a peer longer than an election is of no use to it any more.
+ * A silent connection is found out well before callers give up. What waits for a peer longer than an
+ * election is of no use to it any more.
  */
 const TUNING: Partial<LinkTuning> = {
   silentAfterMs: 350,
@@ -18,9 +18,8 @@
   reconnectMaxMs: 400,
   staleAfterMs: 1_200,
   tickMs: 50,
-  // A leader of five others sends and gets a batch of each some 200 times a second, an entry one of
-  // its leader a dozen times: with a receipt for each, half of all frames were receipts. A link is
-  // taken for silent three times later.
+  // One receipt for many batches: with one for each, half of all frames are receipts. A link is taken
+  // for silent three times later.
   receiptGapMs: 120,
   // What is sent within the gap of receipts, four times over.
   maxBatchesInFlight: 128,
--- a/apps/cherryhitch/src/lib/dispatching/startVoter.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startVoter.ts
@@ -19,9 +19,8 @@
  */
 const HEARTBEAT_MS = 60
 /**
- * Shortest and longest wait for a silent leader: five heartbeats at least. Callers wait for most
- * answers less than 0.4 s, so each tenth of a second without a leader loses a tenth of a second of
- * their requests.
+ * Shortest and longest wait for a silent leader: five heartbeats at least. Callers wait for
+ * most answers no longer than that, so what comes without a leader is lost to them.
  */
 const ELECTION_MIN_MS = 300
 const ELECTION_MAX_MS = 600
--- a/apps/cherryhitch/src/lib/instance/Instance.ts
+++ b/apps/cherryhitch/src/lib/instance/Instance.ts
@@ -19,10 +19,7 @@
 
 /** How long the last messages may take to get their receipts. */
 const LAST_MESSAGES_MS = 1000
-/**
- * An owner that went 50 ms after it had drained lost 1 job of 2,229 in a trial, and none at
- * 300 ms: questions about tasks that moved on are still answered meanwhile.
- */
+/** An owner that has drained still answers questions about tasks that moved on, in milliseconds. */
 const LINGER_MS = 300
 
 /** What an instance is made of once everything has started. @internal */
--- a/packages/control/src/lib/voter/Election.ts
+++ b/packages/control/src/lib/voter/Election.ts
@@ -110,6 +110,8 @@
     const hearsLeader = now - this.#heardLeaderAt < config.timing.electionMinMs
     const covered = log.isCoveredBy(req.lastIndex, req.lastTerm)
     const granted = req.term > term && covered && !leads && !hearsLeader
+    // Voters that were all restarted would else ask within the same moment, and none would win.
+    if (granted && this.#isFirst) this.#restartTimer(now)
     const value = { term: granted ? req.term : term, diskId, granted, preVote: true }
     this.#core.send(from, { case: 'voteReply', value: value })
   }
--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
@@ -30,10 +30,9 @@
 /**
  * Only the leader has to be watched closely, and only by those that don't follow it by a voter of
  * their own: it tells them by itself, three times within the time after which it counts as lost,
- * and not while its answers to jobs tell the same. When each entry asked each host instead, a leader
- * of 28 entries sent 340 messages a second without any work and an entry 20, each with a receipt
- * (idleGroup.test.ts). An election takes as long as a leader may be silent, so that callers are sent on about when the
- * next one leads.
+ * and not while its answers to jobs tell the same. If each entry asked each host instead, messages
+ * would grow with both. An election takes as long as a leader may be silent, so that callers are sent
+ * on about when the next one leads.
  *
  * @public
  */
--- a/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
+++ b/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
@@ -141,7 +141,7 @@
   /**
    * True when everything that was ever ordered there has surely ended by itself: the lease had run
    * out when a majority last followed this leader. After that a next leader may have renewed it, and a
-   * leader that is cut off would start again what still runs (cutOffLeader.test.ts).
+   * leader that is cut off would start again what still runs.
    */
   hasLapsed(endpoint: EndpointRecord): boolean {
     const { confirmedAt } = this.core
--- a/packages/dispatch/src/lib/gateway/EndpointGateway.ts
+++ b/packages/dispatch/src/lib/gateway/EndpointGateway.ts
@@ -8,8 +8,8 @@
   /**
    * Carries an order out. It never fails: what went wrong is told by the answer.
    *
-   * @param done - called once with the answer. A plain callback: thousands of orders a second go
-   *   this way, and a fiber for each took 16 % of the time of an instance that carries them
+   * @param done - called once with the answer; a plain callback, since thousands of orders a second
+   *   go this way
    */
   abstract call(order: EndpointOrder, done: (answer: OrderAnswer) => void): void
 }
--- a/packages/dispatch/src/lib/jobs/IntakeLimit.ts
+++ b/packages/dispatch/src/lib/jobs/IntakeLimit.ts
@@ -1,7 +1,7 @@
 /**
  * How far a step may lie behind, in milliseconds: from when its first message came until it is over.
  * What a leader takes in waits so long for its turn, and then once more for each order and each
- * answer; the shortest jobs have some 96 ms to spare, and go through four steps.
+ * answer, and even the shortest jobs have to get through four steps in time.
  */
 const MOST_BEHIND_MS = 24
 /**
@@ -11,7 +11,7 @@
 const MOST_NOTED_MS = 100
 /**
  * Weight of the last step in what is taken for the present state: a single pause, such as a collection of
- * garbage of 50 ms, is no lack of time.
+ * garbage, is no lack of time.
  */
 const WEIGHT = 1 / 8
 /** Factors on the limit, a step: while the instance is behind, and when it isn't any more. */
@@ -26,9 +26,7 @@
  * renews. It refuses at once what it has no time for, before any work on it, and keeps its time for what it has
  * taken in.
  *
- * It answers a load above what the instance's processor can do, whatever the endpoints could. At
- * twice of it 1 % were in time without a limit and 47 % with it, 53 % and 3 % were refused late or not
- * served at all; a second after 2.5 times of it 0.7 of it is served as ever (busyLeader.test.ts).
+ * It answers a load above what the instance's processor can do, whatever the endpoints could.
  *
  * @internal
  */
--- a/packages/dispatch/src/lib/orders/OrderRouter.ts
+++ b/packages/dispatch/src/lib/orders/OrderRouter.ts
@@ -11,15 +11,13 @@
 /** @public */
 export interface RouterOptions {
   /**
-   * Up to this many endpoints the leader calls them itself, which saves a hop each way (1.4 ms
-   * between zones). At 33 endpoints and 350 starts a second it takes half a core for all that it
-   * does; at 245 and 1,400 it had less than it needed of 1.08, and served almost nothing.
+   * Up to this many endpoints the leader calls them itself, which saves a hop each way; the calls to
+   * more of them would leave it no time to decide.
    */
   readonly directEndpoints: number
   /**
-   * What the way to a proxy and back adds to the timeout of an order: some 50 round trips. 60 ms
-   * were too little for a leader whose core is full: it took its proxies for silent 17 times in
-   * 8 s, and what it began anew made it worse.
+   * What the way to a proxy and back adds to the timeout of an order, in milliseconds: some 50 round
+   * trips. A leader whose core is full would take its proxies for silent, and begin anew what they do.
    */
   readonly wayMs: number
   /** A proxy that didn't answer gets no order for this long; a restart takes about as long. */
--- a/packages/dispatch/src/lib/orders/ProxyAssignments.ts
+++ b/packages/dispatch/src/lib/orders/ProxyAssignments.ts
@@ -11,8 +11,8 @@
 }
 
 /**
- * A call from another zone takes one way between zones longer, 1.4 ms of some 10 until a task
- * starts. It's worth half as much load again, not a proxy that has twice as many endpoints.
+ * A call from another zone takes one way between zones longer. It's worth half as much load
+ * again, not a proxy that has twice as many endpoints.
  */
 const OTHER_ZONE_WEIGHT = 1.5
 /** An endpoint that got no order for this long is gone; each gets several a second. */
--- a/packages/dispatch/src/lib/runs/lookTimes.ts
+++ b/packages/dispatch/src/lib/runs/lookTimes.ts
@@ -3,8 +3,8 @@
 /**
  * A run that takes this many times its estimate may have ended without our hearing of it: while
  * orders get lost, and otherwise. One sound run in two takes longer than its estimate, and one in
- * twenty twice as long; then a look costs two short messages. With one order in five lost, 69 % of
- * the jobs of eight tasks were in time when 1.3 was used throughout (unanswered.test.ts).
+ * twenty twice as long; then a look costs two short messages. While orders get lost, a
+ * job of many tasks is in time only if each lost answer is made up for at once.
  */
 const LOSSY_FACTOR = 1.05
 const CALM_FACTOR = 2
--- a/packages/dispatch/src/lib/scheduling/giveUp.ts
+++ b/packages/dispatch/src/lib/scheduling/giveUp.ts
@@ -17,9 +17,8 @@
 /** When a refused caller may come back: a burst's backlog is gone by then, in milliseconds. */
 const RETRY_AFTER_MS = 1_000
 /**
- * A run that takes this many times its estimate hangs or sits on a very slow endpoint. Estimates
- * are off by 0.4 and run times spread by 0.4 (standard deviations of logarithms): 0.2 % of sound
- * runs take longer than five times.
+ * A run that takes this many times its estimate hangs or sits on a very slow endpoint: hardly any
+ * sound run takes so long, as far off as estimates are.
  */
 const OVERRUN_FACTOR = 5
 /** Shorter runs than this aren't worth a second start, in milliseconds. */
--- a/packages/dispatch/src/lib/scheduling/latestStart.ts
+++ b/packages/dispatch/src/lib/scheduling/latestStart.ts
@@ -2,15 +2,14 @@
 import type { Job } from '../jobs/Job'
 
 /**
- * What is spent beside waiting and working: the ways between caller, entry, leader and endpoint
- * (some 12 ms on the users' platform), the order to start, and noticing the end.
+ * What is spent beside waiting and working, in milliseconds: the ways between caller, entry, leader and
+ * endpoint, the order to start, and noticing the end.
  */
 const PATH_MS = 25
 /**
- * Share of the slack that grows with the work which is kept back, since estimates are off by 0.4
- * (standard deviation of the logarithm) and a job that turns out shorter has less slack. Without
- * both, at 1.5 times of what the places can do, 24 % of the jobs were in time and 66 % served, each
- * started at the last moment and just late; with both 66 % are in time (overload.test.ts).
+ * Share of the slack that grows with the work which is kept back: estimates are off, and a job that
+ * turns out shorter has less slack. Without both margins, jobs that wait for places start at their
+ * last moment and are just late.
  */
 const KEPT_SHARE = 0.25
 
--- a/packages/dispatch/src/lib/soak/PayingLeader.ts
+++ b/packages/dispatch/src/lib/soak/PayingLeader.ts
@@ -18,9 +18,8 @@
 }
 
 /**
- * Decisions: for 3 s of load at 245 endpoints they give 6.3 s where placing took 4.4 s at 1.3 of the
- * places, and 0.20 s where it took 0.34 s at 0.8, on a core of this project's machines. Messages: what
- * it takes to write and read one, and as much again in streams and timers (docs/design/platform.md).
+ * Decisions cost what placing takes on a core of this project's machines. Messages cost what it takes
+ * to write and read one, and as much again in streams and timers.
  *
  * @internal
  */
--- a/packages/dispatch/src/lib/startDispatcher.ts
+++ b/packages/dispatch/src/lib/startDispatcher.ts
@@ -38,9 +38,8 @@
 
 /**
  * Where proxies carry the orders, the leader takes in together what came within this, in
- * milliseconds. On loopback, at 120 endpoints and 1,070 starts a second, a leader with a step and
- * messages for each single answer took all of a core, and 0.93 of it with this. It delays a task
- * by three milliseconds on average, of the 156 that the shortest jobs have.
+ * milliseconds: a step and messages for each single answer cost more than what they decide. It delays
+ * a task by half of it on average, little of what the shortest jobs have.
  */
 const STEP_GAP_MS = 6
 /**
--- a/packages/policy/src/lib/routing/MeasuredWaitRouter.ts
+++ b/packages/policy/src/lib/routing/MeasuredWaitRouter.ts
@@ -13,7 +13,7 @@
 /** @public */
 export const defaultMeasuredWaitRouterOptions: MeasuredWaitRouterOptions = {
   spillMarginMs: 3,
-  // A margin of 0.3 kept jobs of 100 tasks in a zone of 88 slots while others idled (routing.md).
+  // A margin that grows with the tasks keeps large jobs in a full zone while others idle.
   spillMarginPerRun: 0,
 }
 
--- a/packages/protocol/src/lib/text/messages.ts
+++ b/packages/protocol/src/lib/text/messages.ts
@@ -1,7 +1,6 @@
 /**
  * Makes the messages of dispatching that are sent thousands of times a second, each as an object of
- * one shape. The library's `create` works by reflection: with 245 endpoints at 0.8 of their places
- * it took 14 % of a dispatcher's time.
+ * one shape. The library's `create` works by reflection, which is too dear here.
  */
 import type {
   EndpointAnswer,
--- a/packages/rpc/src/lib/host/LinkHostOptions.ts
+++ b/packages/rpc/src/lib/host/LinkHostOptions.ts
@@ -54,7 +54,7 @@
 
 /**
  * Detection takes at most `keepAliveMs + silentAfterMs + tickMs`, and `probeTimeoutMs` more until
- * a peer counts as down: 1.85 s. Batch limits are from the measurements in `docs/design/links.md`.
+ * a peer counts as down.
  *
  * @public
  */
--- a/packages/runtime/src/lib/TickTimer.ts
+++ b/packages/runtime/src/lib/TickTimer.ts
@@ -12,9 +12,8 @@
 }
 
 /**
- * Wakes a part up when time alone has something to do, and not before. At a steady pace of 10 to
- * 50 ms for each part an idle entry woke up 182 times a second and took 3.9 % of a core, on
- * loopback with 12 entries and 6 dispatching instances; nearly all of that was for nothing.
+ * Wakes a part up when time alone has something to do, and not before: at a steady pace
+ * for each part an idle process wakes up hundreds of times a second for nothing.
  *
  * @internal
  */
--- a/packages/runtime/src/lib/startMailbox.ts
+++ b/packages/runtime/src/lib/startMailbox.ts
@@ -30,8 +30,7 @@
  * Starts a mailbox whose items are taken in by one function, never while another call of it runs.
  * What arrives in one turn of the event loop is taken in together. It ends with the scope.
  *
- * A plain callback in place of a fiber that waits on a queue: an idle entry with three peers on
- * loopback took 0.125 of a core with it and 0.17 with fibers, both with the profiler on.
+ * A plain callback and not a fiber that waits on a queue, which costs more than most items do.
  *
  * @public
  */
--- a/packages/stand-ins/src/lib/util/DelayTimer.ts
+++ b/packages/stand-ins/src/lib/util/DelayTimer.ts
@@ -1,6 +1,6 @@
 /**
- * What a Node.js timer adds to the whole milliseconds it is asked for: 0.22 to 0.37 ms were
- * measured here (design note). It also drops the fraction of a millisecond.
+ * What a Node.js timer adds to the whole milliseconds it is asked for. It also drops the fraction of
+ * a millisecond.
  */
 const TIMER_OVERHEAD_MS = 0.3
 
