Write the waiting jobs down once for all replays of a forecast

Change: run times and limits of the waiting jobs are columns of numbers, a replay ends at the first job that a new one harms.

--- a/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
@@ -1,7 +1,7 @@
 import type { Job } from '../jobs/Job'
 import { JobAdmission } from './JobAdmission'
 import type { AdmissionDecision, AdmissionInput, RefusedJob } from './JobAdmission'
-import { latestStart } from './latestStart'
+import { ForecastReplay } from './ForecastReplay'
 import { PlaceForecast } from './PlaceForecast'
 
 /**
@@ -33,81 +33,40 @@
     const { newcomers, waitingTasks, places } = input
     const all = { admitted: newcomers, refused: [] }
     if (waitingTasks <= places.free(waitingTasks)) return { ...all, placesForecast: 0 }
-    const replay = new Replay(now, input, this.#forecast)
-    if (newcomers.length > 0 && replay.findLate(new Set()).size === 0) {
+    const toleranceOf = (job: Job): number => tolerance(now, job)
+    const replay = new ForecastReplay(now, input, toleranceOf, this.#forecast)
+    if (newcomers.length > 1 && replay.findLate().size === 0) {
       return { ...all, placesForecast: replay.placesTaken }
     }
-    const left = new Set(newcomers)
-    const lateBefore = replay.findLate(left)
-    const refused = this.#refuseAdmitted(now, lateBefore, left)
+    const rows = replay.newcomers()
+    for (const row of rows) replay.leaveOut(row, true)
+    const refused = refuseAdmitted(now, replay)
     const admitted: Job[] = []
-    for (const job of [...newcomers].sort((a, b) => a.arrivedAt - b.arrivedAt)) {
-      left.delete(job)
-      const late = replay.findLate(left)
-      const harmed = [...late].find(([other]) => other === job || !lateBefore.has(other))
-      if (harmed === undefined) {
-        admitted.push(job)
+    for (const row of rows) {
+      replay.leaveOut(row, false)
+      const lateByMs = replay.harmBy(row)
+      if (lateByMs === undefined) {
+        admitted.push(replay.jobAt(row))
         continue
       }
-      left.add(job)
-      refused.push({ job, lateByMs: harmed[1] })
+      replay.leaveOut(row, true)
+      refused.push({ job: replay.jobAt(row), lateByMs })
     }
     return { admitted, refused, placesForecast: replay.placesTaken }
   }
-
-  /** Jobs that were admitted and lost their places since, as long as their callers can go elsewhere. */
-  #refuseAdmitted(now: number, late: ReadonlyMap<Job, number>, left: Set<Job>): RefusedJob[] {
-    const refused: RefusedJob[] = []
-    for (const [job, lateByMs] of late) {
-      if (!mayStillRefuse(now, job)) continue
-      refused.push({ job, lateByMs })
-      left.add(job)
-    }
-    return refused
-  }
 }
 
-/** Plays, from the same places, who would get the last of its places too late. */
-class Replay {
-  /** Places taken in all plays. */
-  placesTaken = 0
-  readonly #freeByMs: Int32Array
-
-  constructor(
-    private readonly now: number,
-    private readonly input: AdmissionInput,
-    private readonly forecast: PlaceForecast,
-  ) {
-    this.#freeByMs = input.places.freeByMs(input.waitingTasks)
-  }
-
-  /**
-   * The jobs that would get their last place too late, and by how much, in milliseconds.
-   *
-   * @param left - jobs that get none
-   */
-  findLate(left: ReadonlySet<Job>): Map<Job, number> {
-    const { now, forecast } = this
-    const late = new Map<Job, number>()
-    forecast.reset(this.#freeByMs)
-    for (const job of this.input.ranked) {
-      if (left.has(job)) continue
-      const waitMs = this.#takePlaces(job)
-      const lateByMs = now + waitMs - latestStart(job, job.remainingMs())
-      // What can begin at once loses nothing by it, late as it is.
-      if (waitMs > 0 && lateByMs > tolerance(now, job)) late.set(job, lateByMs)
-    }
-    return late
-  }
-
-  /** @returns milliseconds until the last of its tasks begins */
-  #takePlaces(job: Job): number {
-    const { waiting } = job
-    this.placesTaken += waiting.length
-    let waitMs = 0
-    for (const task of waiting) waitMs = this.forecast.take(job.runMs(task))
-    return waitMs
+/** Jobs that were admitted and lost their places since, as long as their callers can go elsewhere. */
+function refuseAdmitted(now: number, replay: ForecastReplay): RefusedJob[] {
+  const refused: RefusedJob[] = []
+  for (const [row, lateByMs] of replay.findLate()) {
+    replay.noteLate(row)
+    const job = replay.jobAt(row)
+    if (!mayStillRefuse(now, job)) continue
+    replay.leaveOut(row, true)
+    refused.push({ job, lateByMs })
   }
+  return refused
 }
 
 /** How late a job may seem to start while it is taken in all the same, in milliseconds. */
