End what a lost leader had at once when no next one can be found

Change: an entry that has lost its leader asks all hosts of voters, which answer such a search with news or without; with no majority of them after 0.2 s it ends what is open, truthfully: unknown where the lost leader had it. Tests first for the relay and for discovery.

--- a/apps/cherryhitch/src/lib/dispatching/runEntry.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runEntry.ts
@@ -85,7 +85,11 @@
     const onLeader = (leader: string, term: number): void => {
       parts.tellRelay({ kind: RelayEventKind.Leader, leader, term })
     }
-    parts.discovery.bind(yield* startDiscovery(context, { hostsVoter: false, links, onLeader }))
+    const onNoLeaderInReach = (): void => {
+      parts.tellRelay({ kind: RelayEventKind.NoLeaderInReach })
+    }
+    const discovery = { hostsVoter: false, links, onLeader, onNoLeaderInReach }
+    parts.discovery.bind(yield* startDiscovery(context, discovery))
     let isDraining = false
     const isReady = (): boolean => relay.hasLeader && !isDraining
     const front = yield* startInterfaces(context, requests, isReady)
--- a/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
@@ -17,6 +17,7 @@
   readonly hostsVoter: boolean
   readonly links: DispatchLinks
   readonly onLeader?: (leader: string, term: number) => void
+  readonly onNoLeaderInReach?: () => void
 }
 
 /** Discovery, running. @internal */
@@ -32,7 +33,7 @@
 /** @internal */
 export function startDiscovery(
   { settings, instance, startedAt, log, onDefect }: ProcessContext,
-  { hostsVoter, links, onLeader }: DiscoveryPartOptions,
+  { hostsVoter, links, onLeader, onNoLeaderInReach }: DiscoveryPartOptions,
   onVoterHost: (instance: string) => void = () => undefined,
 ): Effect.Effect<DiscoveryPart, never, Scope.Scope> {
   const machine = new DiscoveryMachine({
@@ -57,6 +58,10 @@
         noteLeader(log, action.leader, action.term)
         onLeader?.(action.leader, action.term)
         return
+      case DiscoveryActionKind.NoLeaderInReach:
+        log.info('no majority of the hosts of voters is in reach', { hosts: machine.voterHosts })
+        onNoLeaderInReach?.()
+        return
       default:
         exhaustive(action)
     }
--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
@@ -52,6 +52,48 @@
     assert.equal(entry.leader, 'b')
   })
 
+  describe('after the leader was lost', () => {
+    const { leaderSilentMs, searchMs } = defaultDiscoveryTiming
+    const lostAt = leaderSilentMs + 1
+    const loseLeader = (): DiscoveryMachine => {
+      const entry = makeEntry()
+      entry.step(0, told('a', 'b', 3, ['a', 'b', 'c']))
+      entry.tick(lostAt)
+      return entry
+    }
+    const searchEnd = (entry: DiscoveryMachine): DiscoveryAction[] => {
+      return ofKind(entry.tick(lostAt + searchMs), DiscoveryActionKind.NoLeaderInReach)
+    }
+
+    it('tells when no majority of the hosts of voters answers', () => {
+      const entry = loseLeader()
+      entry.step(lostAt + 10, told('a', '', 3, ['b', 'c']))
+      assert.equal(searchEnd(entry).length, 1)
+      assert.equal(entry.tick(lostAt + 2 * searchMs).length > 0, true, 'it goes on to search')
+    })
+
+    it('goes on waiting for the next one when a majority answers', () => {
+      const entry = loseLeader()
+      for (const host of ['a', 'c']) entry.step(lostAt + 10, told(host, '', 3, ['a', 'b', 'c']))
+      assert.deepEqual(searchEnd(entry), [])
+    })
+
+    it('is answered by hosts that have no news', () => {
+      const host = new DiscoveryMachine({
+        instance: 'a',
+        zone: 'z',
+        hostsVoter: true,
+        seeds: ['b'],
+        startedAt: 0,
+      })
+      host.step(0, announced('entry', false, 100))
+      const fields = { zone: 'z', hostsVoter: false, ageMs: 200, leaderless: true }
+      const announcement = create(AnnounceInstanceSchema, fields)
+      const event = { kind: DiscoveryEventKind.Announced, from: 'entry', announcement } as const
+      assert.equal(ofKind(host.step(100, event), DiscoveryActionKind.Send).length, 1)
+    })
+  })
+
   it('gives a leader up that does not answer for itself', () => {
     const entry = makeEntry()
     entry.step(0, told('a', 'b', 3))
--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
@@ -25,6 +25,11 @@
    * announcements fit in, so that one may be lost.
    */
   readonly helperSilentMs: number
+  /**
+   * Hosts of voters that are there have answered a search for the next leader by then. With no
+   * majority of them in reach nobody that is elected can be found.
+   */
+  readonly searchMs: number
 }
 
 /**
@@ -45,6 +50,7 @@
   forgetMs: 15_000,
   leaderSilentMs: 450,
   helperSilentMs: 1_200,
+  searchMs: 200,
 }
 
 /** @public */
@@ -105,6 +111,8 @@
   /** An instance that hosts a voter was heard for the first time, or has restarted. */
   VoterHostSeen = 'voter_host_seen',
   LeaderChanged = 'leader_changed',
+  /** The leader was lost, and too few hosts of voters can be reached to learn of the next one. */
+  NoLeaderInReach = 'no_leader_in_reach',
 }
 
 /** @public */
@@ -118,6 +126,7 @@
       readonly leader: string
       readonly term: number
     }
+  | { readonly kind: DiscoveryActionKind.NoLeaderInReach }
 
 type VotersKnown = Extract<DiscoveryEvent, { kind: DiscoveryEventKind.Voters }>
 
@@ -152,6 +161,9 @@
   #followed = { leader: '', term: 0 }
   #term = 0
   #leaderHeardAt = -Infinity
+  #leaderLostAt = -Infinity
+  /** When it is known whether the next leader can be found; Infinity while there is one. */
+  #searchDueAt = Infinity
   #isLeaving = false
   #out: DiscoveryAction[] = []
 
@@ -206,13 +218,14 @@
     this.#forget(now)
     if (now >= this.#announceDueAt) this.#announce(now)
     if (now >= this.#tellDueAt) this.#tellFollowers(now)
+    if (now >= this.#searchDueAt) this.#endSearch()
     return this.#endStep()
   }
 
   override get tickDueAt(): number {
     const { leaderSilentMs } = this.#timing
     const silentAt = this.#leader === '' ? Infinity : this.#leaderHeardAt + leaderSilentMs
-    return Math.min(this.#announceDueAt, this.#tellDueAt, silentAt)
+    return Math.min(this.#announceDueAt, this.#tellDueAt, silentAt, this.#searchDueAt)
   }
 
   get #leads(): boolean {
@@ -258,7 +271,8 @@
     const { announceMs, announceToHostsMs, announceByFollowersMs } = this.#timing
     const calmMs = hostsVoter ? announceToHostsMs : announceByFollowersMs
     this.#announceDueAt = now + (this.#leader === '' ? announceMs : calmMs)
-    const value = { zone, hostsVoter, ageMs: now - startedAt, leaving: this.#isLeaving }
+    const leaderless = this.#leader === ''
+    const value = { zone, hostsVoter, ageMs: now - startedAt, leaving: this.#isLeaving, leaderless }
     for (const to of this.voterHosts) {
       this.#send(to, envelope({ case: 'announceInstance', value }))
     }
@@ -271,7 +285,8 @@
     }
     // A link has to be there before the answer can go out.
     this.#refreshPeers()
-    if (isNew || announcement.hostsVoter || this.#hasNewsFor(now, from)) this.#tell(now, from)
+    const { hostsVoter, leaderless } = announcement
+    if (isNew || hostsVoter || leaderless || this.#hasNewsFor(now, from)) this.#tell(now, from)
   }
 
   /** Whether an instance was told something else than it would be now, or nothing for long. */
@@ -322,12 +337,26 @@
     this.#term = term
     this.#out.push({ kind: DiscoveryActionKind.LeaderChanged, leader, term })
     // Whoever has lost its leader asks all hosts for the next one, at once and often.
-    if (leader === '') this.#announceDueAt = now
+    if (leader === '') {
+      this.#announceDueAt = now
+      this.#leaderLostAt = now
+      this.#searchDueAt = now + this.#timing.searchMs
+    } else {
+      this.#searchDueAt = Infinity
+    }
     // All who rely on this instance hear of it at once.
     if (!this.#options.hostsVoter || (leader !== this.#options.instance && !wasOwn)) return
     for (const to of this.#known.announced) this.#tell(now, to)
   }
 
+  /** Those that could elect the next leader, or know of it, have answered by now. */
+  #endSearch(): void {
+    this.#searchDueAt = Infinity
+    const answered = this.#known.answeredSince(this.#leaderLostAt).length
+    if (this.#options.hostsVoter || 2 * answered > this.voterHosts.length) return
+    this.#out.push({ kind: DiscoveryActionKind.NoLeaderInReach })
+  }
+
   #forget(now: number): void {
     const { forgetMs, leaderSilentMs } = this.#timing
     this.#known.forget(now, forgetMs)
--- a/packages/dispatch/src/lib/discovery/KnownInstances.ts
+++ b/packages/dispatch/src/lib/discovery/KnownInstances.ts
@@ -79,6 +79,11 @@
     this.#answeredAt.set(from, now)
   }
 
+  /** Hosts of voters that have answered an announcement since a time. */
+  answeredSince(time: number): readonly string[] {
+    return this.voterHosts.filter((host) => (this.#answeredAt.get(host) ?? -Infinity) > time)
+  }
+
   /** Other hosts of voters that were heard and have answered within a time, and don't stop. */
   helpers(now: number, withinMs: number): ProxyInstance[] {
     return [...this.#announced].flatMap(([instance, { zone, hostsVoter, isLeaving, heardAt }]) => {
--- a/packages/dispatch/src/lib/relay/JobRelay.test.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.test.ts
@@ -44,6 +44,28 @@
     assert.equal(relay.openRequests, 0)
   })
 
+  it('ends at once when no next leader can be found, as unknown if the last one had it', () => {
+    const relay = new JobRelay()
+    relay.step(0, leader('a', 1))
+    relay.step(1, submit)
+    relay.step(10, leader('', 1))
+    const out = { kind: RelayEventKind.NoLeaderInReach } as const
+    assert.deepEqual(verdicts(relay.step(210, out)), [JobVerdict.UNKNOWN])
+    relay.step(211, { ...submit, requestId: '2' })
+    assert.deepEqual(verdicts(relay.step(212, out)), [JobVerdict.REFUSED])
+    assert.equal(relay.openRequests, 0)
+  })
+
+  it('stays with a leader that was found meanwhile', () => {
+    const relay = new JobRelay()
+    relay.step(0, leader('a', 1))
+    relay.step(1, submit)
+    relay.step(10, leader('', 1))
+    relay.step(200, leader('b', 2))
+    assert.deepEqual(verdicts(relay.step(210, { kind: RelayEventKind.NoLeaderInReach })), [])
+    assert.equal(relay.openRequests, 1)
+  })
+
   it('is refused as not run soon after no leader is found', () => {
     const relay = new JobRelay()
     relay.step(0, submit)
--- a/packages/dispatch/src/lib/relay/JobRelay.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.ts
@@ -42,6 +42,8 @@
   Abandon = 'abandon',
   Outcome = 'outcome',
   Leader = 'leader',
+  /** The leader is lost, and the next one can't be found from here for now. */
+  NoLeaderInReach = 'no_leader_in_reach',
 }
 
 interface CallerRequest {
@@ -62,6 +64,7 @@
   | { readonly kind: RelayEventKind.Outcome; readonly from: string; readonly outcome: JobOutcome }
   /** Empty while no leader is known. */
   | { readonly kind: RelayEventKind.Leader; readonly leader: string; readonly term: number }
+  | { readonly kind: RelayEventKind.NoLeaderInReach }
 
 /** @public */
 export enum RelayActionKind {
@@ -134,6 +137,9 @@
       case RelayEventKind.Leader:
         this.#onLeader(now, event.leader, event.term)
         break
+      case RelayEventKind.NoLeaderInReach:
+        this.#endOpen()
+        break
     }
     return this.#takeActions()
   }
@@ -233,19 +239,32 @@
     return event.kind === RelayEventKind.Submit && attempts > 1
   }
 
+  /** Nobody is left to answer what is open: callers hear so at once. */
+  #endOpen(): void {
+    if (this.#leader !== '') return
+    for (const relayed of this.#open.values()) this.#endLeaderless(relayed)
+  }
+
+  /** Refuses what no leader has had; what one had may have run. */
+  #endLeaderless(relayed: Relayed): void {
+    const { requestId } = relayed.event
+    const { retryAfterMs } = this.#timing
+    const isNotRun = relayed.attempts === 0
+    const verdict = isNotRun ? JobVerdict.REFUSED : JobVerdict.UNKNOWN
+    const reason = isNotRun ? 'no instance leads at the moment' : 'its leader was lost'
+    const more = isNotRun ? { retryAfterMs } : {}
+    this.#finish(relayed, makeJobOutcome({ requestId, verdict, reason, ...more }))
+  }
+
   #tickOne(now: number, relayed: Relayed): void {
     const { event, sentTo, attempts, waitsSince } = relayed
-    const { answerWayMs, retryAfterMs } = this.#timing
     const { requestId, deadlineAt } = event
     if (sentTo === '' && this.#leader !== '' && now > waitsSince) this.#send(now, relayed)
-    const isOver = now >= deadlineAt - answerWayMs
-    const isLeaderless = this.#isLeaderless(now, relayed)
-    if (attempts === 0 && (isOver || isLeaderless)) {
-      const reason = 'no instance leads at the moment'
-      const verdict = JobVerdict.REFUSED
-      this.#finish(relayed, makeJobOutcome({ requestId, verdict, reason, retryAfterMs }))
-    } else if (isOver || isLeaderless) {
-      const reason = isOver ? 'no answer came before the deadline' : 'its leader was lost'
+    const isOver = now >= deadlineAt - this.#timing.answerWayMs
+    if (this.#isLeaderless(now, relayed) || (isOver && attempts === 0)) {
+      this.#endLeaderless(relayed)
+    } else if (isOver) {
+      const reason = 'no answer came before the deadline'
       const verdict = JobVerdict.UNKNOWN
       this.#finish(relayed, makeJobOutcome({ requestId, verdict, reason }))
     }
