--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -12,6 +12,7 @@
 import type { Scope } from 'effect'
 import { DispatchParts } from './DispatchParts'
 import { DirectoryKeeper } from './DirectoryKeeper'
+import { heardProxies } from './heardProxies'
 import { JoinKeeper } from './JoinKeeper'
 import { NoticeExchange } from './NoticeExchange'
 import { openProcess } from './openProcess'
@@ -177,7 +178,8 @@
     dispatcher.tell({ kind: DispatchEventKind.Confirmed, at: control.confirmedAt() })
     const voters = votersOf(control, dispatcher.machine, instance)
     discovery.tell({ kind: DiscoveryEventKind.Voters, ...voters })
-    dispatcher.setProxies(discovery.machine.helpers(now()))
+    const members = control.status()?.members ?? []
+    dispatcher.setProxies(heardProxies(discovery.machine.helpers(now()), members))
     join.tick()
     if (voters.leader !== leaderKnown) {
       leaderKnown = voters.leader
