--- a/apps/bench/src/main.ts
+++ b/apps/bench/src/main.ts
@@ -12,6 +12,7 @@
 import { runScenario } from './lib/runScenario'
 import { scenarios } from './lib/scenarios/scenarios'
 import { buildPrograms } from './lib/system/buildPrograms'
+import { addLoadCommand } from './load/loadCommand'
 
 interface Flags {
   readonly deployment: string
@@ -110,9 +111,14 @@
     .option('--seed <n>', 'Seed of load and faults', { default: 1 })
     .option('--json <file>', 'Write all results as JSON')
     .option('--report <folder>', 'Write a table, a plot and the results')
+  addLoadCommand(cli)
   cli.help()
-  const flags = cli.parse().options as Flags
+  const flags = cli.parse(process.argv, { run: false }).options as Flags
   if (flags.help === true) return
+  if (cli.matchedCommand !== undefined) {
+    cli.runMatchedCommand()
+    return
+  }
   const runs = await runAll(flags)
   process.stdout.write(`${[tableHead, ...runs.map(formatRow)].join('\n')}\n`)
   if (flags.compare !== undefined) {
--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -14,6 +14,7 @@
 import type { DispatchEvent } from '../DispatchEvent'
 import type { DispatchCounters } from '../DispatchCore'
 import { DispatchMachine } from '../DispatchMachine'
+import type { DispatchOptions } from '../DispatchOptions'
 import { JobRelay, RelayActionKind, RelayEventKind } from '../relay/JobRelay'
 import type { RelayAction } from '../relay/JobRelay'
 import type { JobAdmission } from '../scheduling/JobAdmission'
@@ -43,6 +44,8 @@
   readonly runMs?: number | ((task: string) => number)
   /** What the leaders' work costs them; their decisions take no time by default. */
   readonly costs?: LeaderCosts
+  /** Makes the dispatchers, for measurements. */
+  readonly makeMachine?: (options: DispatchOptions) => DispatchMachine
 }
 
 /** @internal */
@@ -133,12 +136,13 @@
       },
     })
     this.#machines = Array.from({ length: options.leaders }, () => {
-      const { order, admission, without = [] } = options
-      return new DispatchMachine({
+      const { order, admission, without = [], makeMachine } = options
+      const chosen = {
         without,
         ...(order !== undefined && { order }),
         ...(admission !== undefined && { admission }),
-      })
+      }
+      return makeMachine?.(chosen) ?? new DispatchMachine(chosen)
     })
     this.#leaders = this.#machines.map((machine, i) => this.#makeLeader(machine, i))
     for (let i = 0; i < options.endpoints; i++) this.addEndpoint(`e${i}`)
--- a/packages/dispatch/src/lib/soak/playLoad.ts
+++ b/packages/dispatch/src/lib/soak/playLoad.ts
@@ -2,6 +2,8 @@
 import type { Mechanism } from '@cherryhitch/model'
 import { JobVerdict } from '@cherryhitch/protocol'
 import type { DispatchCounters } from '../DispatchCore'
+import type { DispatchMachine } from '../DispatchMachine'
+import type { DispatchOptions } from '../DispatchOptions'
 import type { JobAdmission } from '../scheduling/JobAdmission'
 import type { JobOrder } from '../scheduling/JobOrder'
 import { DispatchWorld } from './DispatchWorld'
@@ -65,6 +67,8 @@
   readonly then?: { readonly load: number; readonly playMs: number }
   /** What the leader's work costs it; its decisions take no time by default. */
   readonly costs?: LeaderCosts
+  /** Makes the dispatcher, for measurements. */
+  readonly makeMachine?: (options: DispatchOptions) => DispatchMachine
 }
 
 /** The size of the users' small sites. @internal */
@@ -125,7 +129,7 @@
   private readonly workOf = new Map<string, number>()
 
   constructor(private readonly options: LoadOptions) {
-    const { seed, order, admission, without, lateOrder, endpoints, costs } = {
+    const { seed, order, admission, without, lateOrder, endpoints, costs, makeMachine } = {
       without: [],
       ...defaultLoadOptions,
       ...options,
@@ -145,6 +149,7 @@
       ...(order !== undefined && { order }),
       ...(admission !== undefined && { admission }),
       ...(costs !== undefined && { costs }),
+      ...(makeMachine !== undefined && { makeMachine }),
     })
     this.world.elect(0, 0)
     this.world.run(START_MS)
