--- a/packages/control/src/lib/voter/Election.test.ts
+++ b/packages/control/src/lib/voter/Election.test.ts
@@ -4,7 +4,7 @@
 import { setPreset } from '../testing/commands'
 import { awaitLeader, decide, othersThan, resultOf, simulate } from '../testing/simulation'
 
-const voterTiming = { firstElectionMinMs: 120, firstElectionMaxMs: 240 }
+const voterTiming = { firstElectionMs: 120, firstElectionStepMs: 100 }
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8]
 
 /** Milliseconds until somebody leads. */
@@ -19,9 +19,24 @@
     for (const seed of SEEDS) {
       const cluster = simulate({ seed, voterTiming })
       for (const instance of ['a', 'b', 'c']) cluster.crash(instance)
+      const term = Math.max(
+        ...['a', 'b', 'c'].map((instance) => cluster.voter(instance)?.term ?? 0),
+      )
       for (const instance of ['a', 'b', 'c']) cluster.start(instance)
-      // Three tries: two of them may ask at the same moment.
-      assert.ok(timeToLead(cluster) < 750)
+      // The first one asks, is voted for by two that sync their votes, and is seen at the next tick.
+      assert.ok(timeToLead(cluster) <= 350)
+      assert.equal(cluster.voter(cluster.leader() ?? '')?.term, term + 1, 'the first try wins')
+    }
+  })
+
+  it('is won by another when the first to ask hears no answer', () => {
+    for (const seed of SEEDS) {
+      const cluster = simulate({ seed, voterTiming })
+      for (const instance of ['a', 'b', 'c']) cluster.crash(instance)
+      for (const instance of ['a', 'b', 'c']) cluster.start(instance)
+      cluster.cut('a', { from: false, to: true })
+      assert.ok(timeToLead(cluster) < 1_000)
+      assert.notEqual(cluster.leader(), 'a')
     }
   })
 
--- a/packages/control/src/lib/voter/Election.ts
+++ b/packages/control/src/lib/voter/Election.ts
@@ -12,6 +12,7 @@
   #heardLeaderAt = -Infinity
   /** No leader was heard of since the start, and none was this voter. */
   #isFirst = true
+  #hasYielded = false
 
   constructor(core: VoterCore) {
     this.#core = core
@@ -110,8 +111,12 @@
     const hearsLeader = now - this.#heardLeaderAt < config.timing.electionMinMs
     const covered = log.isCoveredBy(req.lastIndex, req.lastTerm)
     const granted = req.term > term && covered && !leads && !hearsLeader
-    // Voters that were all restarted would else ask within the same moment, and none would win.
-    if (granted && this.#isFirst) this.#restartTimer(now)
+    // Voters that were all restarted would else ask within the same moment, and none would win. Once
+    // only: the other may never hear of its votes.
+    if (granted && this.#isFirst && !this.#hasYielded) {
+      this.#hasYielded = true
+      this.#restartTimer(now)
+    }
     const value = { term: granted ? req.term : term, diskId, granted, preVote: true }
     this.#core.send(from, { case: 'voteReply', value: value })
   }
@@ -136,9 +141,17 @@
   }
 
   #restartTimer(now: number): void {
-    const { timing } = this.#core.config
-    const minMs = this.#isFirst ? timing.firstElectionMinMs : timing.electionMinMs
-    const maxMs = this.#isFirst ? timing.firstElectionMaxMs : timing.electionMaxMs
-    this.#dueAt = now + this.#random.between(minMs, maxMs)
+    const { electionMinMs, electionMaxMs } = this.#core.config.timing
+    const waitMs = this.#isFirst
+      ? this.#firstWaitMs()
+      : this.#random.between(electionMinMs, electionMaxMs)
+    this.#dueAt = now + waitMs
+  }
+
+  #firstWaitMs(): number {
+    const { config, members, rules, diskId } = this.#core
+    const { firstElectionMs, firstElectionStepMs } = config.timing
+    const before = members.filter((member) => rules.counts(member) && member.diskId < diskId)
+    return firstElectionMs + (before.length + this.#random.between(0, 0.5)) * firstElectionStepMs
   }
 }
--- a/packages/control/src/lib/voter/VoterOptions.ts
+++ b/packages/control/src/lib/voter/VoterOptions.ts
@@ -14,11 +14,12 @@
   readonly electionMinMs: number
   readonly electionMaxMs: number
   /**
-   * The same between which a process asks that has heard of no leader since its start. Others that
-   * follow one refuse it without any harm, and when all were restarted nobody serves before an election.
+   * A process that has heard of no leader since its start asks after this, and after the step more for
+   * each voter before it in the order of their disks. Voters that follow a leader refuse it without any
+   * harm; those that were all restarted ask one after the other, so that the first one wins.
    */
-  readonly firstElectionMinMs: number
-  readonly firstElectionMaxMs: number
+  readonly firstElectionMs: number
+  readonly firstElectionStepMs: number
   /** Entries that were sent without an answer are sent again after this. */
   readonly resendMs: number
   /** The same for a snapshot, which takes longer to send and to store. */
@@ -38,8 +39,8 @@
   heartbeatMs: 150,
   electionMinMs: 600,
   electionMaxMs: 1_200,
-  firstElectionMinMs: 600,
-  firstElectionMaxMs: 1_200,
+  firstElectionMs: 600,
+  firstElectionStepMs: 200,
   resendMs: 500,
   snapshotResendMs: 5_000,
   replaceSilentMs: 10_000,
