--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -11,18 +11,14 @@
 export { DispatchMachine } from './lib/DispatchMachine'
 export { defaultDispatchTiming } from './lib/DispatchOptions'
 export type { DispatchOptions, DispatchTiming } from './lib/DispatchOptions'
-export {
-  defaultDiscoveryTiming,
-  DiscoveryActionKind,
-  DiscoveryEventKind,
-  DiscoveryMachine,
-} from './lib/discovery/DiscoveryMachine'
-export type {
-  DiscoveryAction,
-  DiscoveryEvent,
-  DiscoveryOptions,
-  DiscoveryTiming,
-} from './lib/discovery/DiscoveryMachine'
+export { DiscoveryActionKind } from './lib/discovery/DiscoveryAction'
+export type { DiscoveryAction } from './lib/discovery/DiscoveryAction'
+export { DiscoveryEventKind } from './lib/discovery/DiscoveryEvent'
+export type { DiscoveryEvent } from './lib/discovery/DiscoveryEvent'
+export { DiscoveryMachine } from './lib/discovery/DiscoveryMachine'
+export type { DiscoveryOptions } from './lib/discovery/DiscoveryMachine'
+export { defaultDiscoveryTiming } from './lib/discovery/DiscoveryTiming'
+export type { DiscoveryTiming } from './lib/discovery/DiscoveryTiming'
 export { hostOf, instanceAt } from './lib/discovery/instanceNames'
 export { EndpointGateway } from './lib/gateway/EndpointGateway'
 export type { OrderAnswer } from './lib/gateway/EndpointGateway'
--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
@@ -2,13 +2,12 @@
 import { describe, it } from 'node:test'
 import { create } from '@bufbuild/protobuf'
 import { AnnounceInstanceSchema, InstanceDirectorySchema } from '@cherryhitch/protocol'
-import {
-  defaultDiscoveryTiming,
-  DiscoveryActionKind,
-  DiscoveryEventKind,
-  DiscoveryMachine,
-} from './DiscoveryMachine'
-import type { DiscoveryAction, DiscoveryEvent } from './DiscoveryMachine'
+import { DiscoveryActionKind } from './DiscoveryAction'
+import type { DiscoveryAction } from './DiscoveryAction'
+import { DiscoveryEventKind } from './DiscoveryEvent'
+import type { DiscoveryEvent } from './DiscoveryEvent'
+import { DiscoveryMachine } from './DiscoveryMachine'
+import { defaultDiscoveryTiming } from './DiscoveryTiming'
 import { hostOf, instanceAt } from './instanceNames'
 
 function makeEntry(): DiscoveryMachine {
--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
@@ -2,57 +2,14 @@
 import type { AnnounceInstance, Envelope, InstanceDirectory } from '@cherryhitch/protocol'
 import { Machine } from '@cherryhitch/runtime'
 import type { ProxyInstance } from '../orders/ProxyAssignments'
+import { DiscoveryActionKind } from './DiscoveryAction'
+import type { DiscoveryAction } from './DiscoveryAction'
+import { DiscoveryEventKind } from './DiscoveryEvent'
+import type { DiscoveryEvent } from './DiscoveryEvent'
+import { defaultDiscoveryTiming } from './DiscoveryTiming'
+import type { DiscoveryTiming } from './DiscoveryTiming'
 import { KnownInstances } from './KnownInstances'
 
-/** Times of discovery, in milliseconds. @public */
-export interface DiscoveryTiming {
-  /** Between two announcements to all hosts of voters while no leader is known. */
-  readonly announceMs: number
-  /** The same between hosts of voters while there is a leader. */
-  readonly announceToHostsMs: number
-  /** The same of an instance that hosts no voter. */
-  readonly announceByFollowersMs: number
-  /** The leader says that it is there to each that it told nothing for so long. */
-  readonly leaderTellsMs: number
-  /** An instance that announces itself is answered at least this often, if nothing has changed. */
-  readonly answerMs: number
-  /** An instance that was silent for longer is no peer any more. */
-  readonly forgetMs: number
-  /** A leader that was silent for longer is taken for lost. */
-  readonly leaderSilentMs: number
-  /**
-   * A host of voters that neither announced itself nor answered for longer is no help now. Two
-   * announcements fit in, so that one may be lost.
-   */
-  readonly helperSilentMs: number
-  /**
-   * Hosts of voters that are there have answered a search for the next leader by then. With no
-   * majority of them in reach nobody that is elected can be found.
-   */
-  readonly searchMs: number
-}
-
-/**
- * Only the leader has to be watched closely, and only by those that don't follow it by a voter of
- * their own: it tells them by itself, three times within the time after which it counts as lost,
- * and not while its answers to jobs tell the same. If each entry asked each host instead, messages
- * would grow with both. An election takes as long as a leader may be silent, so that callers are sent
- * on about when the next one leads.
- *
- * @public
- */
-export const defaultDiscoveryTiming: DiscoveryTiming = {
-  announceMs: 100,
-  announceToHostsMs: 500,
-  announceByFollowersMs: 1_000,
-  leaderTellsMs: 140,
-  answerMs: 4_000,
-  forgetMs: 15_000,
-  leaderSilentMs: 450,
-  helperSilentMs: 1_200,
-  searchMs: 200,
-}
-
 /** @public */
 export interface DiscoveryOptions {
   readonly instance: string
@@ -64,70 +21,6 @@
   readonly timing?: Partial<DiscoveryTiming>
 }
 
-/** @public */
-export enum DiscoveryEventKind {
-  Announced = 'announced',
-  Told = 'told',
-  /** Instances that the replicated log names as hosts of voters, and who leads. */
-  Voters = 'voters',
-  /** This process was told to stop. */
-  Leaving = 'leaving',
-  /** A message came that only the leader of a term sends. */
-  Heard = 'heard',
-  /** This instance, as the leader, sent such a message. */
-  Answered = 'answered',
-}
-
-/** @public */
-export type DiscoveryEvent =
-  | {
-      readonly kind: DiscoveryEventKind.Announced
-      readonly from: string
-      readonly announcement: AnnounceInstance
-    }
-  | {
-      readonly kind: DiscoveryEventKind.Told
-      readonly from: string
-      readonly directory: InstanceDirectory
-    }
-  | {
-      readonly kind: DiscoveryEventKind.Voters
-      readonly instances: readonly string[]
-      readonly leader: string
-      readonly term: number
-    }
-  | { readonly kind: DiscoveryEventKind.Leaving }
-  | {
-      readonly kind: DiscoveryEventKind.Heard
-      readonly from: string
-      readonly term: number
-    }
-  | { readonly kind: DiscoveryEventKind.Answered; readonly to: string }
-
-/** @public */
-export enum DiscoveryActionKind {
-  Send = 'send',
-  SetPeers = 'set_peers',
-  /** An instance that hosts a voter was heard for the first time, or has restarted. */
-  VoterHostSeen = 'voter_host_seen',
-  LeaderChanged = 'leader_changed',
-  /** The leader was lost, and too few hosts of voters can be reached to learn of the next one. */
-  NoLeaderInReach = 'no_leader_in_reach',
-}
-
-/** @public */
-export type DiscoveryAction =
-  | { readonly kind: DiscoveryActionKind.Send; readonly to: string; readonly envelope: Envelope }
-  | { readonly kind: DiscoveryActionKind.SetPeers; readonly instances: readonly string[] }
-  | { readonly kind: DiscoveryActionKind.VoterHostSeen; readonly instance: string }
-  | {
-      readonly kind: DiscoveryActionKind.LeaderChanged
-      /** Empty while none is known. */
-      readonly leader: string
-      readonly term: number
-    }
-  | { readonly kind: DiscoveryActionKind.NoLeaderInReach }
-
 type VotersKnown = Extract<DiscoveryEvent, { kind: DiscoveryEventKind.Voters }>
 
 /** What an instance was last told, and when. */
--- a/packages/dispatch/src/lib/discovery/idleGroup.test.ts
+++ b/packages/dispatch/src/lib/discovery/idleGroup.test.ts
@@ -17,8 +17,11 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { Agenda } from '@cherryhitch/runtime'
-import { DiscoveryActionKind, DiscoveryEventKind, DiscoveryMachine } from './DiscoveryMachine'
-import type { DiscoveryAction, DiscoveryEvent } from './DiscoveryMachine'
+import { DiscoveryActionKind } from './DiscoveryAction'
+import type { DiscoveryAction } from './DiscoveryAction'
+import { DiscoveryEventKind } from './DiscoveryEvent'
+import type { DiscoveryEvent } from './DiscoveryEvent'
+import { DiscoveryMachine } from './DiscoveryMachine'
 
 const WAY_MS = 2
 const TICK_MS = 10
--- /dev/null
+++ b/packages/dispatch/src/lib/runs/RunOrders.ts
@@ -0,0 +1,34 @@
+import { makeStartOrder, makeStopOrder } from '@cherryhitch/protocol'
+import type { DispatchCore } from '../DispatchCore'
+import type { Task } from '../jobs/Job'
+import type { Run } from './Run'
+
+/** How often an order to stop is repeated until the end is listed, in milliseconds. */
+const STOP_REPEAT_MS = 100
+
+/** Orders endpoints to start and to stop runs. @internal */
+export class RunOrders {
+  constructor(private readonly core: DispatchCore) {}
+
+  /** Orders a run to start, the first time or once more. */
+  start(now: number, run: Run, { job }: Task): void {
+    run.startOrders++
+    const { endpoint, name: task, number, orderEndsAt } = run
+    const { payload } = job.spec
+    const value = makeStartOrder({ task, run: number, payload, orderEndsAt })
+    const { timeoutMs } = endpoint.roundTrip
+    this.core.order(now, endpoint, { timeoutMs, order: { case: 'start', value } })
+  }
+
+  /** Orders a run to stop, again and again until its end is listed. */
+  stop(now: number, run: Run): void {
+    const { token, counters } = this.core
+    if (token === undefined) return
+    run.stopDueAt = now + STOP_REPEAT_MS
+    counters.stops++
+    const { endpoint, name, number } = run
+    const value = makeStopOrder(name, number)
+    const { timeoutMs } = endpoint.roundTrip
+    this.core.order(now, endpoint, { timeoutMs, order: { case: 'stop', value } })
+  }
+}
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -1,4 +1,4 @@
-import { ListedEnd, makeStartOrder, makeStopOrder, StartResult } from '@cherryhitch/protocol'
+import { ListedEnd, StartResult } from '@cherryhitch/protocol'
 import type { HoldReport, ListedRun, ListedRunEnd } from '@cherryhitch/protocol'
 import { DispatchActionKind, Stage } from '../DispatchAction'
 import { Mechanism } from '@cherryhitch/model'
@@ -7,9 +7,12 @@
 import type { LeaseLoop } from '../endpoints/LeaseLoop'
 import { TaskState } from '../jobs/Job'
 import type { Task } from '../jobs/Job'
+import { foundRun } from './foundRun'
 import { firstLookAt, lookAgainAt } from './lookTimes'
 import { RunEnd, RunState } from './Run'
 import type { Run } from './Run'
+import { runEndOf } from './runEndOf'
+import { RunOrders } from './RunOrders'
 
 /** Told of each run that is over, and of runs that nobody here knows. @internal */
 export interface RunListener {
@@ -20,9 +23,7 @@
   onForeignDone(now: number, name: string): void
 }
 
-/** How often an order to stop is repeated until the end is listed, in milliseconds. */
-const STOP_REPEAT_MS = 100
-/** The same after an order to stop that got no answer. */
+/** An order to stop that got no answer is repeated after this, in milliseconds. */
 const STOP_RETRY_MS = 20
 /**
  * An order to start is sent so many times at the most. The endpoint answers a repeated one as the
@@ -39,12 +40,15 @@
 export class RunTracker {
   /** Runs found at take-over whose job is not known, by task. */
   readonly #orphans = new Map<string, Run>()
+  readonly #orders: RunOrders
 
   constructor(
     private readonly core: DispatchCore,
     private readonly leases: LeaseLoop,
     private readonly listener: RunListener,
-  ) {}
+  ) {
+    this.#orders = new RunOrders(core)
+  }
 
   clear(): void {
     this.#orphans.clear()
@@ -79,7 +83,7 @@
     endpoint.addRun(run)
     endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, orderEndsAt)
     counters.starts++
-    this.#sendStart(now, run, task)
+    this.#orders.start(now, run, task)
     return true
   }
 
@@ -88,7 +92,7 @@
     if (run.state === RunState.Stopping) return
     run.state = RunState.Stopping
     run.stopReason = reason
-    this.#sendStop(now, run)
+    this.#orders.stop(now, run)
   }
 
   onStartAnswered(now: number, run: Run, result: StartResult): void {
@@ -184,22 +188,13 @@
       return
     }
     for (const run of endpoint.runs.values()) {
-      if (now >= run.stopDueAt) this.#sendStop(now, run)
+      if (now >= run.stopDueAt) this.#orders.stop(now, run)
       if (now < run.lookDueAt || !this.core.uses(Mechanism.Looks)) continue
       run.lookDueAt = lookAgainAt(now, run)
       this.leases.look(now, endpoint)
     }
   }
 
-  #sendStart(now: number, run: Run, { job }: Task): void {
-    run.startOrders++
-    const { endpoint, name: task, number, orderEndsAt } = run
-    const { payload } = job.spec
-    const value = makeStartOrder({ task, run: number, payload, orderEndsAt })
-    const { timeoutMs } = endpoint.roundTrip
-    this.core.order(now, endpoint, { timeoutMs, order: { case: 'start', value } })
-  }
-
   /** An order to start got no answer: it is sent again, unless the lists have shown the run. */
   #onStartLost(now: number, run: Run): void {
     if (run.state !== RunState.Starting) return
@@ -210,7 +205,7 @@
       return
     }
     this.core.counters.starts_repeated++
-    this.#sendStart(now, run, run.task)
+    this.#orders.start(now, run, run.task)
   }
 
   /** What a rejection tells is sure only if the order was the first: an earlier one may have run. */
@@ -232,17 +227,6 @@
     run.lookDueAt = firstLookAt(now, run, this.core.silenceAt)
   }
 
-  #sendStop(now: number, run: Run): void {
-    const { token, counters } = this.core
-    if (token === undefined) return
-    run.stopDueAt = now + STOP_REPEAT_MS
-    counters.stops++
-    const { endpoint, name, number } = run
-    const value = makeStopOrder(name, number)
-    const { timeoutMs } = endpoint.roundTrip
-    this.core.order(now, endpoint, { timeoutMs, order: { case: 'stop', value } })
-  }
-
   #onListedEnd(
     now: number,
     endpoint: EndpointRecord,
@@ -310,39 +294,3 @@
     this.listener.onRunOver(now, run, end)
   }
 }
-
-function foundRun(now: number, endpoint: EndpointRecord, { task, run }: ListedRun): Run {
-  return {
-    task: undefined,
-    name: task,
-    number: run,
-    endpoint,
-    needs: undefined,
-    state: RunState.Running,
-    sentAt: now,
-    startOrders: 0,
-    orderEndsAt: -Infinity,
-    confirmedAt: now,
-    expectedMs: 0,
-    stopConfirmedAt: undefined,
-    stopDueAt: Infinity,
-    lookDueAt: Infinity,
-    stopReason: '',
-  }
-}
-
-function runEndOf(end: ListedEnd): RunEnd {
-  switch (end) {
-    case ListedEnd.DONE:
-      return RunEnd.Done
-    case ListedEnd.FAILED:
-      return RunEnd.Failed
-    case ListedEnd.STOPPED:
-    case ListedEnd.GROUP_BROKEN:
-    case ListedEnd.GROUP_INCOMPLETE:
-    case ListedEnd.UNSPECIFIED:
-      return RunEnd.Stopped
-    case ListedEnd.LEASE_EXPIRED:
-      return RunEnd.Lost
-  }
-}
