--- a/packages/dispatch/src/lib/scheduling/JobQueue.ts
+++ b/packages/dispatch/src/lib/scheduling/JobQueue.ts
@@ -1,14 +1,18 @@
 import type { FreeRoom } from '../endpoints/EndpointRecord'
 import type { Job } from '../jobs/Job'
 
-/** A waiting job as it was when it last changed. */
-interface QueuedJob {
-  readonly job: Job
+/** Where a waiting job stands. @internal */
+export interface JobPlace {
   /** The smallest goes first; of equal ones the one that came first. */
   readonly rank: number
   readonly arrival: number
   /** The last instant at which the rank holds. */
   readonly holdsUntil: number
+}
+
+/** A waiting job as it was when it last changed. */
+interface QueuedJob extends JobPlace {
+  readonly job: Job
   /** Tasks that wait, and what all of them want. */
   readonly tasks: number
   readonly needs: Readonly<FreeRoom>
@@ -66,11 +70,12 @@
   }
 
   /** Puts a job in its place, whether it waited here before or not. */
-  set(job: Job, arrival: number, rank: number, holdsUntil: number): void {
+  set(job: Job, place: JobPlace): void {
     this.delete(job)
     const needs = needsOf(job)
     const tasks = job.waiting.length
     const leastCpuMillis = leastCpuOf(job)
+    const { rank, arrival, holdsUntil } = place
     const queued = { job, rank, arrival, holdsUntil, tasks, needs, leastCpuMillis }
     this.#byJob.set(job, queued)
     this.#queue.splice(this.#placeOf(queued), 0, queued)
--- a/packages/dispatch/src/lib/scheduling/WaitingJobs.ts
+++ b/packages/dispatch/src/lib/scheduling/WaitingJobs.ts
@@ -42,8 +42,9 @@
     const arrival = this.#arrivals.get(job) ?? ++this.#arrived
     this.#arrivals.set(job, arrival)
     this.core.counters.jobs_ranked++
-    const { order } = this
-    queue.set(job, arrival, order.rank(now, job), order.rankHoldsUntil(now, job))
+    const rank = this.order.rank(now, job)
+    const holdsUntil = this.order.rankHoldsUntil(now, job)
+    queue.set(job, { rank, arrival, holdsUntil })
   }
 
   #queueOf(service: string): JobQueue {
--- a/packages/dispatch/src/lib/scheduling/incremental.test.ts
+++ b/packages/dispatch/src/lib/scheduling/incremental.test.ts
@@ -213,7 +213,10 @@
           const job = jobs[n]
           if (job === undefined) return
           if (job.waiting.length === 0) queue.delete(job)
-          else queue.set(job, n, order.rank(at, job), order.rankHoldsUntil(at, job))
+          else {
+            const rank = order.rank(at, job)
+            queue.set(job, { rank, arrival: n, holdsUntil: order.rankHoldsUntil(at, job) })
+          }
         }
         let now = 0
         for (const n of jobs.keys()) put(now, n)
