Put the first election back: shorter waits did not bring a leader sooner

Cause, from the logs of the last: the links between the five come up from 6.80 to 7.29 s, while 97 entries connect to each cold process, so that earlier tries find no majority. A line tells each try of an election, which was missing to see this.

--- a/apps/cherryhitch/src/lib/dispatching/startVoter.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startVoter.ts
@@ -24,13 +24,6 @@
  */
 const ELECTION_MIN_MS = 300
 const ELECTION_MAX_MS = 600
-/**
- * The same for a process that has heard of no leader since its start: two heartbeats, and what it takes
- * to elect the one before it, for each before it. After a loss of power everywhere callers wait for
- * this election alone.
- */
-const FIRST_ELECTION_MS = 120
-const FIRST_ELECTION_STEP_MS = 100
 /** Half of the pace of heartbeats, in milliseconds. */
 const TICK_MS = 30
 /**
@@ -70,8 +63,6 @@
       heartbeatMs: HEARTBEAT_MS,
       electionMinMs: ELECTION_MIN_MS,
       electionMaxMs: ELECTION_MAX_MS,
-      firstElectionMs: FIRST_ELECTION_MS,
-      firstElectionStepMs: FIRST_ELECTION_STEP_MS,
       resendMs: ELECTION_MIN_MS,
     },
     tickMs: TICK_MS,
--- a/packages/control/src/lib/soak/SimulatedCluster.ts
+++ b/packages/control/src/lib/soak/SimulatedCluster.ts
@@ -25,7 +25,7 @@
 import type { ControlEvent } from '../voter/ControlEvent'
 import type { QuorumRules } from '../voter/QuorumRules'
 import { VoterMachine } from '../voter/VoterMachine'
-import type { VoterLimits, VoterTiming } from '../voter/VoterOptions'
+import type { VoterLimits } from '../voter/VoterOptions'
 import { SoakChecks } from './SoakChecks'
 
 /** How the links of a run behave. @internal */
@@ -45,7 +45,6 @@
   readonly link: LinkBehaviour
   readonly syncMs: number
   readonly limits?: Partial<VoterLimits>
-  readonly voterTiming?: Partial<VoterTiming>
   /** Voters that may be lost at once. */
   readonly toleratedLosses?: number
   /** Broken on purpose, to see that the checks notice. */
@@ -152,7 +151,7 @@
     process.boot++
     process.writing = undefined
     const { boot } = process
-    const { voters, seed, limits, rules, toleratedLosses, voterTiming } = this.#options
+    const { voters, seed, limits, rules, toleratedLosses } = this.#options
     const settingsLeaseMs = this.#options.clientLeaseMs ?? defaultClientTiming.settingsLeaseMs
     const timing = { ...defaultClientTiming, settingsLeaseMs }
     process.client = new ClientMachine({ instance, boot, voters, timing, keepsSettings: false })
@@ -164,7 +163,6 @@
         instance,
         seed: machineSeed,
         ...(limits && { limits }),
-        ...(voterTiming && { timing: voterTiming }),
         ...(rules && { rules }),
         ...(toleratedLosses !== undefined && { toleratedLosses }),
       }
--- a/packages/control/src/lib/voter/Election.ts
+++ b/packages/control/src/lib/voter/Election.ts
@@ -10,9 +10,6 @@
   readonly #votes = new Set<string>()
   #dueAt: number | undefined
   #heardLeaderAt = -Infinity
-  /** No leader was heard of since the start, and none was this voter. */
-  #isFirst = true
-  #hasYielded = false
 
   constructor(core: VoterCore) {
     this.#core = core
@@ -33,14 +30,12 @@
   /** A leader of the current term was heard. */
   noteLeader(now: number): void {
     this.#heardLeaderAt = now
-    this.#isFirst = false
     this.#restartTimer(now)
   }
 
   /** The own leadership ended: others are to be heard out first. */
   noteStepDown(now: number): void {
     this.#heardLeaderAt = -Infinity
-    this.#isFirst = false
     this.#restartTimer(now)
   }
 
@@ -89,6 +84,7 @@
     const core = this.#core
     core.setTerm(core.term + 1, core.diskId)
     core.setRole(VoterRole.Candidate, '')
+    core.say(`asks for votes in term ${core.term}`)
     this.#votes.clear()
     this.#sendRequests(core.term, false)
     const reply = { term: core.term, diskId: core.diskId, granted: true, preVote: false }
@@ -111,12 +107,6 @@
     const hearsLeader = now - this.#heardLeaderAt < config.timing.electionMinMs
     const covered = log.isCoveredBy(req.lastIndex, req.lastTerm)
     const granted = req.term > term && covered && !leads && !hearsLeader
-    // Voters that were all restarted would else ask within the same moment, and none would win. Once
-    // only: the other may never hear of its votes.
-    if (granted && this.#isFirst && !this.#hasYielded) {
-      this.#hasYielded = true
-      this.#restartTimer(now)
-    }
     const value = { term: granted ? req.term : term, diskId, granted, preVote: true }
     this.#core.send(from, { case: 'voteReply', value: value })
   }
@@ -142,16 +132,6 @@
 
   #restartTimer(now: number): void {
     const { electionMinMs, electionMaxMs } = this.#core.config.timing
-    const waitMs = this.#isFirst
-      ? this.#firstWaitMs()
-      : this.#random.between(electionMinMs, electionMaxMs)
-    this.#dueAt = now + waitMs
-  }
-
-  #firstWaitMs(): number {
-    const { config, members, rules, diskId } = this.#core
-    const { firstElectionMs, firstElectionStepMs } = config.timing
-    const before = members.filter((member) => rules.counts(member) && member.diskId < diskId)
-    return firstElectionMs + (before.length + this.#random.between(0, 0.5)) * firstElectionStepMs
+    this.#dueAt = now + this.#random.between(electionMinMs, electionMaxMs)
   }
 }
--- a/packages/control/src/lib/voter/VoterOptions.ts
+++ b/packages/control/src/lib/voter/VoterOptions.ts
@@ -13,13 +13,6 @@
    */
   readonly electionMinMs: number
   readonly electionMaxMs: number
-  /**
-   * A process that has heard of no leader since its start asks after this, and after the step more for
-   * each voter before it in the order of their disks. Voters that follow a leader refuse it without any
-   * harm; those that were all restarted ask one after the other, so that the first one wins.
-   */
-  readonly firstElectionMs: number
-  readonly firstElectionStepMs: number
   /** Entries that were sent without an answer are sent again after this. */
   readonly resendMs: number
   /** The same for a snapshot, which takes longer to send and to store. */
@@ -39,8 +32,6 @@
   heartbeatMs: 150,
   electionMinMs: 600,
   electionMaxMs: 1_200,
-  firstElectionMs: 600,
-  firstElectionStepMs: 200,
   resendMs: 500,
   snapshotResendMs: 5_000,
   replaceSilentMs: 10_000,
