--- a/apps/cherryhitch/src/lib/dispatching/heardProxies.test.ts
+++ b/apps/cherryhitch/src/lib/dispatching/heardProxies.test.ts
@@ -27,6 +27,14 @@
     assert.deepEqual(names([member('a', 0, -1), member('b', 0)]), ['b'])
   })
 
+  it('are all kept when the leader itself stood still and has heard nobody', () => {
+    assert.deepEqual(names([member('a', 900), member('b', 930), member('c', 880)]), ['a', 'b', 'c'])
+  })
+
+  it('are none while nobody has answered in this term', () => {
+    assert.deepEqual(names([member('a', 0, -1), member('b', 0, -1)]), [])
+  })
+
   it('count by their new disk when the old one is still listed', () => {
     assert.deepEqual(names([member('a', 9_000, -1), member('a', 10)]), ['a'])
   })
