--- a/apps/cherryhitch/src/launch.ts
+++ b/apps/cherryhitch/src/launch.ts
@@ -37,6 +37,8 @@
 }
 
 if (isStoring) {
+  // A build that is broken off leaves no process behind.
+  process.stdin.resume().on('end', () => process.exit(1))
   process.on(STORE_SIGNAL, () => {
     writeCodeCache(cacheFile, source, script.createCachedData())
     process.exit(0)
--- a/apps/cherryhitch/src/lib/codeCache/codeCache.test.ts
+++ b/apps/cherryhitch/src/lib/codeCache/codeCache.test.ts
@@ -62,6 +62,15 @@
     assert.deepEqual(await run(), expected)
   })
 
+  it('is not waited for once the build that asked for it is gone', async () => {
+    const args = [path.join(folder, 'cherryhitch.cjs'), ROLE]
+    const env = { ...process.env, CHERRYHITCH_STORE_CODE: '1' }
+    const child = spawn(process.execPath, args, { env })
+    child.stdin.end()
+    const [code] = (await once(child, 'exit')) as [number | null]
+    assert.equal(code, 1)
+  })
+
   it('of an earlier program is not used, even when both are as long', async () => {
     fs.writeFileSync(programFile(), PROGRAM.replace('slice(2)', 'slice(3)'))
     assert.deepEqual(await run(), { out: '--quick program.cjs', err: '' })
--- a/scripts/storeCompiledCode.ts
+++ b/scripts/storeCompiledCode.ts
@@ -47,7 +47,7 @@
   const program = path.join(folder, 'cherryhitch.cjs')
   const args = [...nodeOptions(role), program, role, '--settings', settings]
   const env = { ...process.env, CHERRYHITCH_STORE_CODE: '1' }
-  return spawn(process.execPath, args, { stdio: 'ignore', env })
+  return spawn(process.execPath, args, { stdio: ['pipe', 'ignore', 'ignore'], env })
 }
 
 async function startWorkers(first: number, count: number): Promise<StandInWorker[]> {
