Drop a check that nothing calls any more, and keep one copy of what fits

Found on reading the whole change: fits() of EndpointRecord had no caller left since endpoints are picked from columns, and OpenEndpoints wrote the same conditions twice. The doc of RunOrders.stop promised more than one order. No behaviour changes; tests as before.

--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -1,5 +1,5 @@
 import { NoticeState } from '@cherryhitch/protocol'
-import type { EndpointCapacity, EndpointNotice } from '@cherryhitch/protocol'
+import type { EndpointNotice } from '@cherryhitch/protocol'
 import type { Run } from '../runs/Run'
 import { EndpointClock } from './EndpointClock'
 import { RoundTrip } from './RoundTrip'
@@ -258,9 +258,3 @@
   const step = sequence - known
   return step > 0 ? step <= MAX_SEQUENCE_STEP : step < -MAX_SEQUENCE_STEP
 }
-
-/** @internal */
-export function fits(free: Readonly<FreeRoom>, needs: EndpointCapacity): boolean {
-  if (needs.cpuMillis > free.cpuMillis || needs.memoryMb > free.memoryMb) return false
-  return needs.gpus <= free.gpus
-}
--- a/packages/dispatch/src/lib/runs/RunOrders.ts
+++ b/packages/dispatch/src/lib/runs/RunOrders.ts
@@ -20,7 +20,7 @@
     this.core.order(now, endpoint, { timeoutMs, order: { case: 'start', value } })
   }
 
-  /** Orders a run to stop, again and again until its end is listed. */
+  /** Orders a run to stop, and notes when to do so again if its end is not listed by then. */
   stop(now: number, run: Run): void {
     const { token, counters } = this.core
     if (token === undefined) return
--- a/packages/dispatch/src/lib/scheduling/OpenEndpoints.ts
+++ b/packages/dispatch/src/lib/scheduling/OpenEndpoints.ts
@@ -99,14 +99,12 @@
   }
 
   /** Row of the endpoint with the least cost; -1 when it fits nowhere. */
-  #cheapestRow({ cpuMillis, memoryMb, gpus }: EndpointCapacity, fitWeight: number): number {
-    const cpu = this.#cpuMillis
+  #cheapestRow(needs: EndpointCapacity, fitWeight: number): number {
     let best = -1
     let bestCost = Infinity
     for (let row = 0; row < this.#rows.length; row++) {
-      if ((cpu[row] ?? 0) < cpuMillis) continue
-      if ((this.#memoryMb[row] ?? 0) < memoryMb || (this.#gpus[row] ?? 0) < gpus) continue
-      const cost = this.#costAt(row, cpuMillis, fitWeight)
+      if (!this.#fits(row, needs)) continue
+      const cost = this.#costAt(row, needs.cpuMillis, fitWeight)
       if (cost >= bestCost) continue
       best = row
       bestCost = cost
