Log which process of a peer answers, and how many leaders may have a request

Sight for the incident of a job that was refused and had run. Neither log could tell whether a request was sent again to a later process of its leader: receipts name the boot of the receiver's process, a link logs when its peer has started again and how many messages without a receipt it has, an entry logs who says that it doesn't lead and with its answer how many leaders may have taken the request. No change of what is sent.

--- a/apps/cherryhitch/src/lib/dispatching/CallerRequests.ts
+++ b/apps/cherryhitch/src/lib/dispatching/CallerRequests.ts
@@ -50,12 +50,16 @@
     this.options.log.info('a request was refused unread', { host, path, reason })
   }
 
-  /** An answer has come. */
-  answer(outcome: JobOutcome): void {
+  /**
+   * An answer has come.
+   *
+   * @param attempts - leaders that may have taken the request
+   */
+  answer(outcome: JobOutcome, attempts: number): void {
     const request = this.open.get(outcome.requestId)
     if (request === undefined) return
     this.open.delete(outcome.requestId)
-    this.report(request.place, outcome)
+    this.report(request.place, outcome, attempts)
     request.done(outcome)
   }
 
@@ -84,13 +88,14 @@
     this.options.tell({ kind: RelayEventKind.Abandon, requestId })
   }
 
-  private report(place: ClientPlace, outcome: JobOutcome): void {
+  private report(place: ClientPlace, outcome: JobOutcome, attempts: number): void {
     const { host, path, receivedAt, deadlineAt } = place
-    const { verdict, reason, term, retryAfterMs } = outcome
+    const { requestId, verdict, reason, term, retryAfterMs } = outcome
     const now = this.options.now()
     const ms = Math.round(now - receivedAt)
     this.options.measure('request', JobVerdict[verdict], ms)
     this.options.log.info('a request was answered', {
+      requestId,
       host,
       path,
       verdict: JobVerdict[verdict],
@@ -98,6 +103,7 @@
       ms,
       leftMs: Math.round(deadlineAt - now),
       term,
+      attempts,
       ...(retryAfterMs > 0 && { retryAfterMs }),
     })
   }
--- a/apps/cherryhitch/src/lib/dispatching/runEntry.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runEntry.ts
@@ -12,6 +12,7 @@
 import { startPart } from '@cherryhitch/runtime'
 import type { Part } from '@cherryhitch/runtime'
 import type { DispatchSettings } from '@cherryhitch/settings'
+import type { PartLog } from '@cherryhitch/telemetry'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import { LateBound } from '../instance/LateBound'
@@ -37,8 +38,11 @@
   readonly relay = new LateBound<Part<RelayEvent>>()
   readonly discovery = new LateBound<DiscoveryPart>()
 
-  receive(from: string, { body }: Envelope): void {
+  constructor(private readonly log: PartLog) {}
+
+  receive(from: string, boot: number, { body }: Envelope): void {
     if (body.case === 'jobOutcome') {
+      this.logRejection(from, boot, body.value)
       this.tellRelay({ kind: RelayEventKind.Outcome, from, outcome: body.value })
       this.noteAnswer(from, body.value)
     } else if (body.case === 'instanceDirectory') {
@@ -49,6 +53,11 @@
     }
   }
 
+  private logRejection(from: string, boot: number, { requestId, verdict }: JobOutcome): void {
+    if (verdict !== JobVerdict.NOT_LEADER) return
+    this.log.info('a request came to an instance that does not lead', { requestId, from, boot })
+  }
+
   /** An answer that only a leader gives shows that it is there. */
   private noteAnswer(from: string, { verdict, term }: JobOutcome): void {
     if (verdict === JobVerdict.NOT_LEADER || verdict === JobVerdict.LEADER_LOST) return
@@ -76,9 +85,9 @@
     const context = yield* openProcess(settings, 'entry')
     const { log } = context
     yield* startMetricsServer(context)
-    const parts = new EntryParts()
-    const links = yield* startDispatchLinks(context, (from, _boot, message) => {
-      parts.receive(from, message)
+    const parts = new EntryParts(log)
+    const links = yield* startDispatchLinks(context, (from, boot, message) => {
+      parts.receive(from, boot, message)
     })
     const relay = new JobRelay()
     const requests = yield* startRelay(context, parts, relay, links)
@@ -125,7 +134,7 @@
   const requests = new CallerRequests({ tell, now, log, measure })
   const perform = (action: RelayAction): void => {
     if (action.kind === RelayActionKind.Send) links.send(action.to, action.envelope)
-    else requests.answer(action.outcome)
+    else requests.answer(action.outcome, action.attempts)
   }
   telemetry.metrics.registerCounters('entry', 'Counted by the entry.', () => {
     return { requests_open: requests.size, relayed_open: relay.openRequests }
--- a/packages/dispatch/src/lib/relay/JobRelay.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.ts
@@ -75,7 +75,12 @@
 /** @public */
 export type RelayAction =
   | { readonly kind: RelayActionKind.Send; readonly to: string; readonly envelope: Envelope }
-  | { readonly kind: RelayActionKind.Answer; readonly outcome: JobOutcome }
+  | {
+      readonly kind: RelayActionKind.Answer
+      readonly outcome: JobOutcome
+      /** Leaders that may have taken the request. */
+      readonly attempts: number
+    }
 
 type Submit = Extract<RelayEvent, { kind: RelayEventKind.Submit }>
 type Ask = Extract<RelayEvent, { kind: RelayEventKind.Ask }>
@@ -289,7 +294,8 @@
 
   #finish(relayed: Relayed, outcome: JobOutcome): void {
     this.#open.delete(relayed.event.requestId)
-    this.#out.push({ kind: RelayActionKind.Answer, outcome })
+    const { attempts } = relayed
+    this.#out.push({ kind: RelayActionKind.Answer, outcome, attempts })
   }
 }
 
--- a/packages/rpc/src/lib/host/startLinkHost.ts
+++ b/packages/rpc/src/lib/host/startLinkHost.ts
@@ -32,7 +32,7 @@
     }
     const delivery = { handlers: options, counters }
     const { maxSenders, receiptGapMs } = tuning
-    const receiver = new BatchReceiver({ ...delivery, token, maxSenders, receiptGapMs })
+    const receiver = new BatchReceiver({ ...delivery, boot, token, maxSenders, receiptGapMs })
     const port = yield* listenForLinks({ listen: options.listen, tls, tuning, receiver, counters })
     const { maxQueuedEnvelopes } = tuning
     const selfDelivery = yield* startSelfDelivery({
--- a/packages/rpc/src/lib/peer/LinkConnection.ts
+++ b/packages/rpc/src/lib/peer/LinkConnection.ts
@@ -16,7 +16,7 @@
   readonly token: string | undefined
   readonly tls: LinkTls | undefined
   readonly onOpen: () => void
-  readonly onReceipt: (sequence: number) => void
+  readonly onReceipt: (sequence: number, boot: number) => void
 }
 
 /** How a connection ended. */
@@ -55,7 +55,9 @@
   async run(): Promise<ConnectionEnd> {
     try {
       const receipts = this.#client().exchange(this.#feed, this.#callOptions())
-      for await (const receipt of receipts) this.options.onReceipt(receipt.sequence)
+      for await (const { sequence, fromBoot } of receipts) {
+        this.options.onReceipt(sequence, fromBoot)
+      }
       return { reason: 'closed by the peer', refused: false }
     } catch (err) {
       const failure = ConnectError.from(err)
--- a/packages/rpc/src/lib/peer/Outbox.ts
+++ b/packages/rpc/src/lib/peer/Outbox.ts
@@ -63,6 +63,11 @@
     return this.#handedOver
   }
 
+  /** Envelopes in batches that were handed to a connection and have no receipt. */
+  get unanswered(): number {
+    return this.#unacknowledged.reduce((sum, { envelopes }) => sum + envelopes.length, 0)
+  }
+
   /** Highest sequence that will never be sent again. */
   get floor(): number {
     return (this.#unacknowledged[0]?.sequence ?? this.#nextSequence) - 1
--- a/packages/rpc/src/lib/peer/PeerLink.test.ts
+++ b/packages/rpc/src/lib/peer/PeerLink.test.ts
@@ -71,7 +71,8 @@
     const sequence = this.#receive(id, batch)
     if (sequence === undefined) this.reset(id)
     else if (!connection.deaf) {
-      this.tell({ kind: PeerLinkEventKind.ReceiptArrived, connection: id, sequence })
+      const receipt = { connection: id, sequence, boot: 1 }
+      this.tell({ kind: PeerLinkEventKind.ReceiptArrived, ...receipt })
     }
   }
 
--- a/packages/rpc/src/lib/peer/PeerLink.ts
+++ b/packages/rpc/src/lib/peer/PeerLink.ts
@@ -9,6 +9,8 @@
 import type { PeerLinkEvent } from './PeerLinkEvent'
 import { PeerLinkEventKind } from './PeerLinkEvent'
 
+type Receipt = Extract<PeerLinkEvent, { kind: PeerLinkEventKind.ReceiptArrived }>
+
 /** A batch that was handed over to a connection. */
 interface UnansweredBatch {
   readonly sequence: number
@@ -25,6 +27,8 @@
   lastHeardAt: number
   /** When its first receipt came. */
   provenAt: number
+  /** Boot of the process at its other end; undefined before the first receipt. */
+  peerBoot: number | undefined
 }
 
 /** @internal */
@@ -69,6 +73,8 @@
   #roundTripMs = 0
   #samples = 0
   #lastReason = ''
+  /** Boot of the process that the last proven connection led to. */
+  #peerBoot: number | undefined
 
   constructor(private readonly options: PeerLinkOptions) {
     super()
@@ -129,7 +135,7 @@
       case PeerLinkEventKind.ConnectionOpened:
         return this.#askForAnswer(now, this.#find(event.connection))
       case PeerLinkEventKind.ReceiptArrived:
-        return this.#takeReceipt(now, event.connection, event.sequence)
+        return this.#takeReceipt(now, event)
       case PeerLinkEventKind.ConnectionClosed:
         return this.#takeClosed(now, event)
       default:
@@ -194,12 +200,16 @@
     counters.bytesSent += batch.bytes
   }
 
-  #takeReceipt(now: number, id: number, sequence: number): readonly PeerLinkAction[] {
+  #takeReceipt(
+    now: number,
+    { connection: id, sequence, boot }: Receipt,
+  ): readonly PeerLinkAction[] {
     const connection = this.#find(id)
     // A late receipt of a connection that was replaced still says what arrived.
     this.outbox.acknowledge(sequence)
     if (connection === undefined) return []
     connection.lastHeardAt = now
+    connection.peerBoot = boot
     this.#settle(now, connection, sequence)
     if (connection === this.#candidate) return this.#promote(now, connection)
     return this.#closeCandidate()
@@ -225,6 +235,7 @@
     this.#current = connection
     this.#candidate = undefined
     connection.provenAt = now
+    actions.push(...this.#noteProcess(connection))
     this.outbox.rewind()
     // Also while up: a batch that ends every stream it travels on must not block the rest.
     this.#dropStale(now)
@@ -240,6 +251,17 @@
     return actions
   }
 
+  /** Logs when the connection leads to another process than the one before. */
+  #noteProcess({ peerBoot }: Connection): readonly PeerLinkAction[] {
+    const earlier = this.#peerBoot
+    this.#peerBoot = peerBoot
+    if (earlier === undefined || earlier === peerBoot) return []
+    const { unanswered } = this.outbox
+    return [
+      this.#log(`started again (boot ${peerBoot}), messages without a receipt: ${unanswered}`),
+    ]
+  }
+
   #closeCandidate(): readonly PeerLinkAction[] {
     const candidate = this.#candidate
     if (candidate === undefined) return []
@@ -358,6 +380,7 @@
       lastSentAt: now,
       lastHeardAt: now,
       provenAt: now,
+      peerBoot: undefined,
     }
     return [{ kind: PeerLinkActionKind.Dial, connection: id }]
   }
--- a/packages/rpc/src/lib/peer/PeerLinkEvent.ts
+++ b/packages/rpc/src/lib/peer/PeerLinkEvent.ts
@@ -21,6 +21,8 @@
       readonly connection: number
       /** Highest batch that the receiver has of this process. */
       readonly sequence: number
+      /** Boot of the process that gave the receipt. */
+      readonly boot: number
     }
   | {
       readonly kind: PeerLinkEventKind.ConnectionClosed
--- a/packages/rpc/src/lib/peer/startPeerLink.ts
+++ b/packages/rpc/src/lib/peer/startPeerLink.ts
@@ -192,8 +192,9 @@
       onOpen: () => {
         this.tell({ kind: PeerLinkEventKind.ConnectionOpened, connection: id })
       },
-      onReceipt: (sequence) => {
-        this.tell({ kind: PeerLinkEventKind.ReceiptArrived, connection: id, sequence })
+      onReceipt: (sequence, receiver) => {
+        const receipt = { connection: id, sequence, boot: receiver }
+        this.tell({ kind: PeerLinkEventKind.ReceiptArrived, ...receipt })
       },
     })
     this.#connections.set(id, connection)
--- a/packages/rpc/src/lib/server/BatchReceiver.ts
+++ b/packages/rpc/src/lib/server/BatchReceiver.ts
@@ -13,6 +13,8 @@
 
 /** @internal */
 export interface BatchReceiverOptions extends DeliveryOptions {
+  /** Boot of this process, which its receipts name. */
+  readonly boot: number
   readonly token: string | undefined
   readonly maxSenders: number
   /** See `LinkTuning`. */
@@ -73,7 +75,8 @@
   #answer({ from }: EnvelopeBatch, pace: GatherPace, receipts: BatchFeed<BatchReceipt>): void {
     const send = (): void => {
       pace.noteSent(systemClock.now())
-      receipts.push(create(BatchReceiptSchema, { sequence: this.#inbox.highest(from) }))
+      const sequence = this.#inbox.highest(from)
+      receipts.push(create(BatchReceiptSchema, { sequence, fromBoot: this.options.boot }))
     }
     const waitMs = pace.note(systemClock.now())
     if (waitMs === undefined) return
