Reproduce a request that a later process of its leader calls not run (fails)

Callers were told that a job had not run, and it had. A link keeps what has no receipt and sends it again over the next connection, also when that one leads to a new process of the peer; an entry takes the word of that process, that it doesn't lead, as proof that the request was never taken.

--- a/packages/dispatch/src/lib/relay/JobRelay.test.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.test.ts
@@ -127,6 +127,17 @@
     ])
   })
 
+  it('is not called not run by a later process of the leader that was lost with it', () => {
+    const relay = new JobRelay()
+    relay.step(0, leader('a', 1))
+    relay.step(1, submit)
+    relay.step(100, leader('', 1))
+    const said = relay.step(300, outcome('a', JobVerdict.NOT_LEADER))
+    const { lostLeaderMs } = defaultRelayTiming
+    const ended = relay.tick(100 + lostLeaderMs)
+    assert.deepEqual(verdicts([...said, ...ended]), [JobVerdict.UNKNOWN])
+  })
+
   it('ends as unknown before its caller leaves', () => {
     const relay = new JobRelay()
     relay.step(0, leader('a', 1))
--- a/packages/rpc/src/lib/host/startLinkHost.test.ts
+++ b/packages/rpc/src/lib/host/startLinkHost.test.ts
@@ -105,6 +105,30 @@
     assert.deepEqual(a.changes, ['up b', 'down b', 'up b'])
   })
 
+  it('does not resend to the next process of a peer what an earlier one may have taken', async () => {
+    const a = await start('a', { staleAfterMs: 60_000 })
+    const first = await start('b')
+    const between = await PassThrough.start(first.host.port)
+    cleanups.push(() => {
+      between.close()
+    })
+    a.dial('b', between.port)
+    await until('up', () => a.host.isUp('b'))
+    // The first process takes the message, and its receipt is lost with it.
+    between.silenceAnswers()
+    a.sendNumbers('b', 1, 1)
+    await until('taken', () => first.numbers.length === 1)
+    const next = await start('b', { boot: 2 })
+    between.leadTo(next.host.port)
+    between.resetOpen()
+    await until('the next process is reached', () =>
+      a.lines.some((line) => line.includes('boot 2')),
+    )
+    a.sendNumbers('b', 2, 2)
+    await until('the next message arrived', () => next.numbers.includes(2))
+    assert.deepEqual(next.numbers, [2])
+  })
+
   it('keeps the newest messages for a peer that is down', async () => {
     const a = await start('a', { maxQueuedEnvelopes: 10, staleAfterMs: 5000 })
     a.dial('b', 1)
--- a/packages/rpc/src/lib/peer/PeerLink.test.ts
+++ b/packages/rpc/src/lib/peer/PeerLink.test.ts
@@ -22,10 +22,12 @@
 class SimulatedPair {
   now = 0
   readonly delivered: number[] = []
+  /** What each process of the receiver was given: those that have ended, then the present one. */
+  readonly givenToProcess: number[][] = [this.delivered]
   readonly changes: string[] = []
   readonly counters = newLinkCounters()
   readonly link: PeerLink
-  readonly inbox = new Inbox(4)
+  inbox = new Inbox(4)
   readonly open = new Map<number, { batches: SentBatch[]; silent: boolean; deaf: boolean }>()
   silenceNew = false
   #streams = new Map<number, number>()
@@ -71,11 +73,19 @@
     const sequence = this.#receive(id, batch)
     if (sequence === undefined) this.reset(id)
     else if (!connection.deaf) {
-      const receipt = { connection: id, sequence, boot: 1 }
+      const receipt = { connection: id, sequence, boot: this.givenToProcess.length }
       this.tell({ kind: PeerLinkEventKind.ReceiptArrived, ...receipt })
     }
   }
 
+  /** The receiver's process ends with all connections to it, and the next one starts. */
+  restartReceiver(): void {
+    this.inbox = new Inbox(4)
+    this.#streams = new Map()
+    this.givenToProcess.push([])
+    for (const id of [...this.open.keys()]) this.reset(id)
+  }
+
   /** What the receiver answers; undefined when it ends the stream. */
   #receive(id: number, batch: SentBatch): number | undefined {
     if (!this.#streams.has(id)) {
@@ -94,7 +104,7 @@
     if (verdict === InboxVerdict.Superseded) return undefined
     if (verdict === InboxVerdict.Deliver) {
       for (const { body } of batch.envelopes) {
-        this.delivered.push(body.case === 'jobQuery' ? Number(body.value.jobId) : NaN)
+        this.givenToProcess.at(-1)?.push(body.case === 'jobQuery' ? Number(body.value.jobId) : NaN)
       }
     }
     return this.inbox.highest('a')
@@ -125,6 +135,30 @@
   }
 }
 
+/** Random faults and restarts of the receiver, none of whose processes may be given the same message. */
+function checkRestarts(seed: number): void {
+  const random = randomOf(seed)
+  const pair = new SimulatedPair()
+  let sent = 0
+  for (let round = 0; round < 3000; round++) {
+    for (let i = random(4); i > 0; i--) pair.queue(++sent)
+    const connections = [...pair.open.values()]
+    const hit = connections[random(connections.length)]
+    const fault = random(60)
+    if (fault === 0 && hit !== undefined) hit.silent = true
+    if (fault === 1 && hit !== undefined) hit.deaf = true
+    if (fault === 2) pair.reset([...pair.open.keys()][0] ?? 0)
+    if (fault === 3) pair.restartReceiver()
+    pair.pass(random(3))
+  }
+  pair.passFor(10_000)
+  const given = pair.givenToProcess.flat()
+  assert.ok(pair.givenToProcess.length > 10)
+  assert.ok(given.length > sent / 2, `seed ${seed}: ${given.length} of ${sent} arrived`)
+  assert.equal(new Set(given).size, given.length, `seed ${seed}`)
+  assert.equal(pair.link.outbox.size, 0)
+}
+
 describe('PeerLink', () => {
   for (const seed of seeds) {
     it(`delivers each message once and in order under resets and silence, seed ${seed}`, () => {
@@ -154,6 +188,10 @@
     })
   }
 
+  it('hands no message to two processes of its peer', () => {
+    for (const seed of seeds) checkRestarts(seed)
+  })
+
   it('reports a lost peer within the sum of its limits, and only after the probe failed', () => {
     const pair = new SimulatedPair()
     pair.passFor(1000)
