Hand a message to one process of a peer at most

Callers were told that a job had not run, and it had. Cause: a link sent what had no receipt again over the next connection, also when that one led to a new process of the peer, which then answered for its predecessor. Ruled out: a later leader that refuses it as new (none led), an answer to another request of the entry (its process did not change).

Receipts name the boot of the receiver's process; what was handed to an earlier process and has no receipt is given up and counted. Senders need their own timeouts for that already, as a peer that is unreachable loses messages as well.

--- a/packages/rpc/src/lib/host/LinkCounters.ts
+++ b/packages/rpc/src/lib/host/LinkCounters.ts
@@ -14,6 +14,8 @@
   dropped: number
   /** Envelopes dropped because a peer stayed unreachable for longer than the limit. */
   droppedStale: number
+  /** Envelopes given up because the process of the peer that may have taken them has ended. */
+  droppedInDoubt: number
   /** Envelopes refused because they exceed the size limit. */
   oversized: number
   /** Connections dialled after the first one to a peer. */
@@ -45,6 +47,7 @@
     duplicateBatches: 0,
     dropped: 0,
     droppedStale: 0,
+    droppedInDoubt: 0,
     oversized: 0,
     reconnects: 0,
     silentConnections: 0,
--- a/packages/rpc/src/lib/peer/Outbox.ts
+++ b/packages/rpc/src/lib/peer/Outbox.ts
@@ -63,11 +63,6 @@
     return this.#handedOver
   }
 
-  /** Envelopes in batches that were handed to a connection and have no receipt. */
-  get unanswered(): number {
-    return this.#unacknowledged.reduce((sum, { envelopes }) => sum + envelopes.length, 0)
-  }
-
   /** Highest sequence that will never be sent again. */
   get floor(): number {
     return (this.#unacknowledged[0]?.sequence ?? this.#nextSequence) - 1
@@ -114,6 +109,13 @@
     return before - this.#envelopes
   }
 
+  /** Gives up what was handed to a connection and has no receipt; returns the number of envelopes. */
+  dropUnacknowledged(): number {
+    const before = this.#envelopes
+    while (this.#unacknowledged.length > 0) this.#forgetOldestBatch()
+    return before - this.#envelopes
+  }
+
   /** Gives up the oldest envelope, or the oldest batch; returns the number of envelopes. */
   dropOldest(): number {
     const before = this.#envelopes
--- a/packages/rpc/src/lib/peer/PeerLink.test.ts
+++ b/packages/rpc/src/lib/peer/PeerLink.test.ts
@@ -30,6 +30,8 @@
   inbox = new Inbox(4)
   readonly open = new Map<number, { batches: SentBatch[]; silent: boolean; deaf: boolean }>()
   silenceNew = false
+  /** A receiver of an earlier version names no boot in its receipts. */
+  namesBoot = true
   #streams = new Map<number, number>()
 
   constructor(maxBatchEnvelopes = 4) {
@@ -37,6 +39,11 @@
     this.link = new PeerLink({ ...tuning, peer: 'b', counters: this.counters })
   }
 
+  /** What the receiver's receipts name. */
+  get boot(): number {
+    return this.namesBoot ? this.givenToProcess.length : 0
+  }
+
   tell(event: PeerLinkEvent): void {
     this.#perform(this.link.stepAll(this.now, [event]))
   }
@@ -73,7 +80,7 @@
     const sequence = this.#receive(id, batch)
     if (sequence === undefined) this.reset(id)
     else if (!connection.deaf) {
-      const receipt = { connection: id, sequence, boot: this.givenToProcess.length }
+      const receipt = { connection: id, sequence, boot: this.boot }
       this.tell({ kind: PeerLinkEventKind.ReceiptArrived, ...receipt })
     }
   }
@@ -192,6 +199,31 @@
     for (const seed of seeds) checkRestarts(seed)
   })
 
+  it('takes each connection to a peer that names no process for one to a new process', () => {
+    const pair = new SimulatedPair()
+    pair.namesBoot = false
+    pair.passFor(1000)
+    pair.silenceAll()
+    pair.queue(1)
+    pair.pass(1)
+    pair.restartReceiver()
+    pair.queue(2)
+    pair.passFor(1000)
+    assert.deepEqual(pair.givenToProcess, [[], [2]])
+  })
+
+  it('gives a peer that has started again what its earlier process was never sent', () => {
+    const pair = new SimulatedPair()
+    pair.passFor(1000)
+    pair.silenceAll()
+    pair.queue(1)
+    pair.pass(1)
+    pair.restartReceiver()
+    pair.queue(2)
+    pair.passFor(1000)
+    assert.deepEqual(pair.givenToProcess, [[], [2]])
+  })
+
   it('reports a lost peer within the sum of its limits, and only after the probe failed', () => {
     const pair = new SimulatedPair()
     pair.passFor(1000)
--- a/packages/rpc/src/lib/peer/PeerLink.ts
+++ b/packages/rpc/src/lib/peer/PeerLink.ts
@@ -47,6 +47,8 @@
  * as much again as the slowest pace at which that is done.
  */
 const STALL_MS = 300
+/** In the receipts of versions that don't name their process: any connection may lead to a new one. */
+const UNNAMED_BOOT = 0
 const HASH_RANGE = 0xffffffff
 const HASH_DIGITS = 8
 
@@ -57,6 +59,9 @@
  * current one is missing or silent. The candidate must answer an empty batch before it takes
  * over, and it replaces the current one without the peer being reported as down.
  *
+ * A message is handed to one process of the peer at most, so an answer to it is that of the process
+ * that may have acted on it.
+ *
  * @internal
  */
 export class PeerLink extends Machine<PeerLinkEvent, PeerLinkAction> {
@@ -251,15 +256,18 @@
     return actions
   }
 
-  /** Logs when the connection leads to another process than the one before. */
+  /**
+   * Gives up what an earlier process of the peer may have taken. The next one can't know, so what it
+   * says of a message that it is given as well would not be true of the message.
+   */
   #noteProcess({ peerBoot }: Connection): readonly PeerLinkAction[] {
     const earlier = this.#peerBoot
     this.#peerBoot = peerBoot
-    if (earlier === undefined || earlier === peerBoot) return []
-    const { unanswered } = this.outbox
-    return [
-      this.#log(`started again (boot ${peerBoot}), messages without a receipt: ${unanswered}`),
-    ]
+    if (earlier === undefined) return []
+    if (earlier === peerBoot && peerBoot !== UNNAMED_BOOT) return []
+    const dropped = this.outbox.dropUnacknowledged()
+    this.options.counters.droppedInDoubt += dropped
+    return [this.#log(`started again (boot ${peerBoot}), messages given up: ${dropped}`)]
   }
 
   #closeCandidate(): readonly PeerLinkAction[] {
