Doubt the word of an instance that was lost while it had a request

Callers were told that a job had not run, and it had: after the news that its leader was lost, an entry took NOT_LEADER under that leader's name for proof that the request had never been taken. The name is that of an instance, whose process may have started since. Links hand a request to one process now; this holds also for what they can't see. Price: a request that came to a leader just after it handed over is resumed, not new, at the next one.

--- a/packages/dispatch/src/lib/relay/JobRelay.test.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.test.ts
@@ -138,6 +138,18 @@
     assert.deepEqual(verdicts([...said, ...ended]), [JobVerdict.UNKNOWN])
   })
 
+  it('tells the next leader of the lost one, whatever a later process of that one says', () => {
+    const relay = new JobRelay()
+    relay.step(0, leader('a', 1))
+    relay.step(1, submit)
+    relay.step(100, leader('', 1))
+    relay.step(300, outcome('a', JobVerdict.NOT_LEADER))
+    const [action] = relay.step(400, leader('b', 2))
+    assert.equal(action?.kind, RelayActionKind.Send)
+    const { body } = action.envelope
+    assert.equal(body.case === 'submitJob' && body.value.earlierAttempts, 1)
+  })
+
   it('ends as unknown before its caller leaves', () => {
     const relay = new JobRelay()
     relay.step(0, leader('a', 1))
--- a/packages/dispatch/src/lib/relay/JobRelay.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.ts
@@ -92,6 +92,8 @@
   sentTerm: number
   /** Leaders that may have taken it. */
   attempts: number
+  /** Its leader was lost after it was sent: an answer under its name may be that of a later process. */
+  isLeaderLost: boolean
   /** Since when it waits for a leader. */
   waitsSince: number
 }
@@ -174,7 +176,14 @@
   }
 
   #take(now: number, event: Submit | Ask): void {
-    const relayed = { event, sentTo: '', sentTerm: 0, attempts: 0, waitsSince: now }
+    const relayed = {
+      event,
+      sentTo: '',
+      sentTerm: 0,
+      attempts: 0,
+      isLeaderLost: false,
+      waitsSince: now,
+    }
     this.#open.set(event.requestId, relayed)
     if (this.#leader !== '') this.#send(now, relayed)
     this.#noteDue(relayed)
@@ -185,6 +194,7 @@
     const { requestId, host, path, receivedAt, deadlineAt } = event
     relayed.sentTo = this.#leader
     relayed.sentTerm = this.#term
+    relayed.isLeaderLost = false
     relayed.attempts++
     const message =
       event.kind === RelayEventKind.Ask
@@ -209,6 +219,7 @@
     this.#leader = leader
     this.#term = term
     if (leader === '') {
+      for (const relayed of this.#open.values()) relayed.isLeaderLost = true
       if (this.#open.size > 0) this.#dueAt = -Infinity
       return
     }
@@ -225,8 +236,8 @@
       case JobVerdict.NOT_LEADER:
       case JobVerdict.LEADER_LOST:
         if (relayed.sentTo !== from) return
-        // An instance that doesn't lead has truly not taken it.
-        if (outcome.verdict === JobVerdict.NOT_LEADER) relayed.attempts--
+        // The link hands a request to one process only, so this one has truly not taken it.
+        if (outcome.verdict === JobVerdict.NOT_LEADER && !relayed.isLeaderLost) relayed.attempts--
         relayed.sentTo = ''
         relayed.waitsSince = now
         this.#noteDue(relayed)
