Don't say that there is no route for a request that a lost leader had

A caller could be told that its job has no queue, though a task of it had run: the leader that had it was lost, and the next one had a routing without the route. Only REFUSED was turned into "unknown" then. The test fails without the change (404 in place of 504).

--- a/packages/dispatch/src/lib/relay/JobRelay.test.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.test.ts
@@ -150,6 +150,16 @@
     assert.equal(body.case === 'submitJob' && body.value.earlierAttempts, 1)
   })
 
+  it('is not said to have no route once a lost leader had it', () => {
+    const relay = new JobRelay()
+    relay.step(0, leader('a', 1))
+    relay.step(1, submit)
+    relay.step(100, leader('b', 2))
+    assert.deepEqual(verdicts(relay.step(120, outcome('b', JobVerdict.NO_ROUTE))), [
+      JobVerdict.UNKNOWN,
+    ])
+  })
+
   it('ends as unknown before its caller leaves', () => {
     const relay = new JobRelay()
     relay.step(0, leader('a', 1))
--- a/packages/dispatch/src/lib/relay/JobRelay.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.ts
@@ -243,6 +243,7 @@
         this.#noteDue(relayed)
         return
       case JobVerdict.REFUSED:
+      case JobVerdict.NO_ROUTE:
         this.#finish(relayed, this.#mayHaveRun(relayed) ? unknown(outcome) : outcome)
         return
       default:
