Number an entry's requests by its process

An entry that starts again numbered its requests from 1 once more, while the leader still held jobs of its earlier process: an answer to one of those ended the new request of the same number, so that a caller could be told the outcome of another caller's job, "not run" among them; its withdrawal could end the other job as well. The test fails without the change.

--- /dev/null
+++ b/apps/cherryhitch/src/lib/dispatching/CallerRequests.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { RelayEventKind } from '@cherryhitch/dispatch'
+import type { RelayEvent } from '@cherryhitch/dispatch'
+import { JobVerdict, makeJobOutcome, makeSteppedJob } from '@cherryhitch/protocol'
+import type { JobOutcome } from '@cherryhitch/protocol'
+import { Effect } from 'effect'
+import { CallerRequests } from './CallerRequests'
+
+const place = { host: 'h', path: '/p/j', receivedAt: 0, deadlineAt: 1_500 }
+const spec = makeSteppedJob('j', '', [])
+
+/** The requests of one process of an entry, and what it told its relay. */
+class EntryProcess {
+  readonly told: RelayEvent[] = []
+  readonly requests: CallerRequests
+
+  constructor(boot: number) {
+    const { told } = this
+    const log = { debug: ignore, info: ignore, warn: ignore, error: ignore }
+    this.requests = new CallerRequests({
+      boot,
+      tell: (event) => told.push(event),
+      now: () => 0,
+      log,
+      measure: ignore,
+    })
+  }
+
+  /** Takes a request in; the id that its answer has to name, and its answer. */
+  submit(): { requestId: string; answer: Promise<JobOutcome> } {
+    const answer = Effect.runPromise(this.requests.submit(place, spec))
+    const event = this.told.at(-1)
+    assert.equal(event?.kind, RelayEventKind.Submit)
+    return { requestId: event.requestId, answer }
+  }
+}
+
+describe('the requests of an entry', () => {
+  it('are not ended by the answer to one of an earlier process of the entry', async () => {
+    const earlier = new EntryProcess(1).submit()
+    const later = new EntryProcess(2)
+    const { requestId, answer } = later.submit()
+    const refused = { verdict: JobVerdict.REFUSED, reason: 'no place' }
+    later.requests.answer(makeJobOutcome({ requestId: earlier.requestId, ...refused }), 1)
+    assert.equal(later.requests.size, 1)
+    const verdict = JobVerdict.COMPLETED
+    later.requests.answer(makeJobOutcome({ requestId, verdict, reason: 'all done' }), 1)
+    assert.equal((await answer).verdict, JobVerdict.COMPLETED)
+  })
+})
+
+function ignore(): void {
+  // What is logged and measured doesn't matter here.
+}
--- a/apps/cherryhitch/src/lib/dispatching/CallerRequests.ts
+++ b/apps/cherryhitch/src/lib/dispatching/CallerRequests.ts
@@ -14,6 +14,8 @@
 
 /** @internal */
 export interface CallerRequestsOptions {
+  /** Boot of this process: answers to requests of an earlier one must not end those of this one. */
+  readonly boot: number
   readonly tell: (event: RelayEvent) => void
   readonly now: () => number
   readonly log: PartLog
@@ -69,7 +71,7 @@
     toEvent: (requestId: string) => RelayEvent,
   ): Effect.Effect<JobOutcome> {
     return Effect.callback((resume) => {
-      const requestId = String(++this.counted)
+      const requestId = `${this.options.boot}.${++this.counted}`
       const done = (outcome: JobOutcome): void => {
         resume(Effect.succeed(outcome))
       }
--- a/apps/cherryhitch/src/lib/dispatching/runEntry.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runEntry.ts
@@ -120,7 +120,7 @@
 
 /** Starts the part that brings requests to the leader. */
 function startRelay(
-  { now, log, telemetry, onDefect }: ProcessContext,
+  { boot, now, log, telemetry, onDefect }: ProcessContext,
   parts: EntryParts,
   relay: JobRelay,
   links: DispatchLinks,
@@ -131,7 +131,7 @@
   const measure = (stage: string, route: string, ms: number): void => {
     telemetry.measure(stage, route, ms)
   }
-  const requests = new CallerRequests({ tell, now, log, measure })
+  const requests = new CallerRequests({ boot, tell, now, log, measure })
   const perform = (action: RelayAction): void => {
     if (action.kind === RelayActionKind.Send) links.send(action.to, action.envelope)
     else requests.answer(action.outcome, action.attempts)
