Tell answers to orders of a leader's earlier process from those of the present one

A leader that starts again and leads again numbers its orders from 1 once more, while other instances still carry orders of its earlier process: an answer to one of those was taken for that to the order of the same number, so that a start that was carried out could count as rejected, and its task be started a second time elsewhere. Only where orders go through other instances (over 60 endpoints).

--- a/apps/cherryhitch/src/lib/dispatching/DispatchParts.ts
+++ b/apps/cherryhitch/src/lib/dispatching/DispatchParts.ts
@@ -28,7 +28,7 @@
         return
       case 'endpointOrders':
       case 'endpointAnswers':
-        this.#receiveOrders(from, body)
+        this.#receiveOrders(from, boot, body)
         return
       case 'announceInstance':
       case 'instanceDirectory':
@@ -73,15 +73,15 @@
     })
   }
 
-  #receiveOrders(from: string, body: OrderBody): void {
+  #receiveOrders(from: string, boot: number, body: OrderBody): void {
     if (body.case === 'endpointOrders') {
       const { orders } = body.value
       this.proxy.use((proxy) => {
-        proxy.onOrders(from, orders)
+        proxy.onOrders(from, boot, orders)
       })
       return
     }
-    const { answers } = body.value
+    const answers = body.value
     this.dispatcher.use((dispatcher) => {
       dispatcher.onAnswers(from, answers)
     })
--- a/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
@@ -16,7 +16,7 @@
 
 /** @internal */
 export function startDispatchPart(
-  { settings, telemetry, log, onDefect }: ProcessContext,
+  { settings, boot, telemetry, log, onDefect }: ProcessContext,
   parts: DispatchParts,
   gateway: EndpointGateway,
   send: (to: string, message: Envelope) => void,
@@ -27,6 +27,7 @@
   if (without.length > 0) log.warn('mechanisms are left out', { without })
   const machine = new DispatchMachine({ timing, without })
   const started = startDispatcher({
+    boot,
     machine,
     gateway,
     send,
--- a/packages/dispatch/src/lib/orders/OrderProxy.ts
+++ b/packages/dispatch/src/lib/orders/OrderProxy.ts
@@ -21,6 +21,8 @@
 
 /** Answers on their way to one leader. */
 interface Collected {
+  /** Boot of the process that gave the orders. */
+  readonly boot: number
   readonly pace: GatherPace
   answers: EndpointAnswer[]
 }
@@ -37,19 +39,22 @@
 
   constructor(private readonly options: OrderProxyOptions) {}
 
-  onOrders(from: string, orders: readonly EndpointOrder[]): void {
-    for (const order of orders) this.#call(from, order)
+  /**
+   * Carries orders out.
+   *
+   * @param boot - that of the leader's process that gave them; their numbers are unique within it
+   */
+  onOrders(from: string, boot: number, orders: readonly EndpointOrder[]): void {
+    const collected = this.#collectedFor(from, boot)
+    for (const order of orders) {
+      this.options.gateway.call(order, (answer) => {
+        this.#collect(from, collected, makeEndpointAnswer(order.id, answer))
+      })
+    }
   }
 
-  #call(from: string, order: EndpointOrder): void {
-    this.options.gateway.call(order, (answer) => {
-      this.#collect(from, makeEndpointAnswer(order.id, answer))
-    })
-  }
-
-  #collect(to: string, answer: EndpointAnswer): void {
+  #collect(to: string, collected: Collected, answer: EndpointAnswer): void {
     const { now, after } = this.options
-    const collected = this.#collectedFor(to)
     collected.answers.push(answer)
     const waitMs = collected.pace.note(now())
     if (waitMs === undefined) return
@@ -59,18 +64,18 @@
     })
   }
 
-  #collectedFor(to: string): Collected {
+  #collectedFor(to: string, boot: number): Collected {
     const known = this.#collected.get(to)
-    if (known !== undefined) return known
-    const collected = { pace: new GatherPace(GATHER_MS), answers: [] }
+    if (known?.boot === boot) return known
+    const collected = { boot, pace: new GatherPace(GATHER_MS), answers: [] }
     this.#collected.set(to, collected)
     return collected
   }
 
   #send(to: string, collected: Collected): void {
-    const { answers } = collected
+    const { answers, boot: forBoot } = collected
     collected.answers = []
-    const value = { $typeName: 'cherryhitch.v1.EndpointAnswers' as const, answers }
+    const value = { $typeName: 'cherryhitch.v1.EndpointAnswers' as const, answers, forBoot }
     this.options.send(to, wrapMessage({ case: 'endpointAnswers', value }))
   }
 }
--- a/packages/dispatch/src/lib/orders/OrderRouter.test.ts
+++ b/packages/dispatch/src/lib/orders/OrderRouter.test.ts
@@ -7,6 +7,7 @@
 import { OrderRouter, RouterActionKind, RouterEventKind } from './OrderRouter'
 import type { RouterAction } from './OrderRouter'
 
+const BOOT = 7
 const TICK_MS = 10
 const TIMEOUT_MS = 80
 const WAY_MS = 60
@@ -15,7 +16,7 @@
 /** A leader with some endpoints, and the instances that may bring its orders there. */
 class Leader {
   now = 0
-  private readonly router = new OrderRouter({ directEndpoints: 4, wayMs: WAY_MS })
+  private readonly router = new OrderRouter({ boot: BOOT, directEndpoints: 4, wayMs: WAY_MS })
   private orders = 0
 
   proxies(endpoints: number, ...names: readonly string[]): void {
@@ -38,10 +39,10 @@
     return id
   }
 
-  answer(from: string, id: number): readonly RouterAction[] {
+  answer(from: string, id: number, forBoot = BOOT): readonly RouterAction[] {
     const answer = { case: 'started', value: StartResult.RUNS } as const
     const answers = [create(EndpointAnswerSchema, { id, answer })]
-    return this.router.step(this.now, { kind: RouterEventKind.Answers, from, answers })
+    return this.router.step(this.now, { kind: RouterEventKind.Answers, from, forBoot, answers })
   }
 
   /** Lets time pass, tick by tick. */
@@ -123,6 +124,15 @@
 })
 
 describe('a proxy', () => {
+  it('answers no order by what it knows of one that an earlier process of the leader gave', () => {
+    const leader = new Leader()
+    leader.proxies(100, 'a')
+    const id = leader.start('e1')
+    leader.tick()
+    assert.deepEqual(toldStarts(leader.answer('a', id, BOOT - 1)), [])
+    assert.deepEqual(toldStarts(leader.answer('a', id)), [StartResult.RUNS])
+  })
+
   it('brings back what came of an order, once', () => {
     const leader = new Leader()
     leader.proxies(100, 'a')
--- a/packages/dispatch/src/lib/orders/OrderRouter.ts
+++ b/packages/dispatch/src/lib/orders/OrderRouter.ts
@@ -10,6 +10,8 @@
 
 /** @public */
 export interface RouterOptions {
+  /** Boot of this process. */
+  readonly boot: number
   /**
    * Up to this many endpoints the leader calls them itself, which saves a hop each way; the calls to
    * more of them would leave it no time to decide.
@@ -26,6 +28,7 @@
 
 /** @public */
 export const defaultRouterOptions: RouterOptions = {
+  boot: 0,
   directEndpoints: 60,
   wayMs: 150,
   distrustMs: 1_000,
@@ -44,6 +47,8 @@
   | {
       readonly kind: RouterEventKind.Answers
       readonly from: string
+      /** Boot of the process whose orders these are the answers to. */
+      readonly forBoot: number
       readonly answers: readonly EndpointAnswer[]
     }
   /** Which instances are there to be proxies, and how many endpoints there are. */
@@ -126,6 +131,8 @@
         return []
       case RouterEventKind.Answers:
         this.#heardAt.set(event.from, now)
+        // An earlier process of this instance numbered its orders alike.
+        if (event.forBoot !== this.#options.boot) break
         for (const answer of event.answers) this.#onAnswer(answer)
         break
       case RouterEventKind.Proxies:
--- a/packages/dispatch/src/lib/rehearsal/Rehearsal.ts
+++ b/packages/dispatch/src/lib/rehearsal/Rehearsal.ts
@@ -166,11 +166,11 @@
 
   #answer(answers: EndpointAnswer[]): void {
     if (answers.length === 0) return
-    const value = { $typeName: 'cherryhitch.v1.EndpointAnswers' as const, answers }
+    const value = { $typeName: 'cherryhitch.v1.EndpointAnswers' as const, answers, forBoot: 0 }
     const sent = sendAndRead({ case: 'endpointAnswers', value })
     if (sent?.case !== 'endpointAnswers') return
     const from = PROXIES[0]?.instance ?? ''
-    const event = { kind: RouterEventKind.Answers, from, answers: sent.value.answers } as const
+    const event = { kind: RouterEventKind.Answers, from, ...sent.value } as const
     this.#route(this.#router.step(this.#now, event))
   }
 }
--- a/packages/dispatch/src/lib/soak/ProxyWorld.ts
+++ b/packages/dispatch/src/lib/soak/ProxyWorld.ts
@@ -83,7 +83,7 @@
     this.bring(proxy, () => {
       this.options.orders.carry(proxy, order, (answer) => {
         const answers = [create(EndpointAnswerSchema, { id: order.id, answer })]
-        const event = { kind: RouterEventKind.Answers, from: proxy, answers } as const
+        const event = { kind: RouterEventKind.Answers, from: proxy, forBoot: 0, answers } as const
         this.bring(proxy, () => {
           this.step(leader, (router, now) => router.step(now, event))
         })
--- a/packages/dispatch/src/lib/startDispatcher.ts
+++ b/packages/dispatch/src/lib/startDispatcher.ts
@@ -1,6 +1,6 @@
 import { exhaustive } from '@cherryhitch/model'
 import { wrapMessage } from '@cherryhitch/protocol'
-import type { EndpointAnswer, EndpointNotice, Envelope } from '@cherryhitch/protocol'
+import type { EndpointAnswers, EndpointNotice, Envelope } from '@cherryhitch/protocol'
 import { startPart, systemClock } from '@cherryhitch/runtime'
 import type { Clock, Part } from '@cherryhitch/runtime'
 import { Effect } from 'effect'
@@ -17,6 +17,8 @@
 
 /** @public */
 export interface DispatcherOptions {
+  /** Boot of this process. */
+  readonly boot: number
   readonly machine: DispatchMachine
   readonly gateway: EndpointGateway
   readonly send: (to: string, message: Envelope) => void
@@ -31,7 +33,7 @@
 /** @public */
 export interface Dispatcher extends Part<DispatchEvent> {
   /** A proxy tells what came of orders. */
-  readonly onAnswers: (from: string, answers: readonly EndpointAnswer[]) => void
+  readonly onAnswers: (from: string, message: EndpointAnswers) => void
   /** Which other instances may bring orders to endpoints. */
   readonly setProxies: (proxies: readonly ProxyInstance[]) => void
 }
@@ -71,8 +73,8 @@
     shell.tell = part.tell
     return {
       ...part,
-      onAnswers: (from, answers) => {
-        shell.onAnswers(from, answers)
+      onAnswers: (from, message) => {
+        shell.onAnswers(from, message)
       },
       setProxies: (proxies) => {
         shell.setProxies(proxies)
@@ -88,12 +90,14 @@
 
 class DispatcherShell {
   tell: (event: DispatchEvent) => void = () => undefined
-  private readonly router = new OrderRouter()
+  private readonly router: OrderRouter
 
   constructor(
     private readonly options: DispatcherOptions,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.router = new OrderRouter({ boot: options.boot })
+  }
 
   get usesProxies(): boolean {
     return this.router.usesProxies
@@ -127,8 +131,9 @@
     this.route(this.router.tick(this.clock.now()))
   }
 
-  onAnswers(from: string, answers: readonly EndpointAnswer[]): void {
-    this.route(this.router.step(this.clock.now(), { kind: RouterEventKind.Answers, from, answers }))
+  onAnswers(from: string, { answers, forBoot }: EndpointAnswers): void {
+    const event = { kind: RouterEventKind.Answers, from, forBoot, answers } as const
+    this.route(this.router.step(this.clock.now(), event))
   }
 
   setProxies(proxies: readonly ProxyInstance[]): void {
--- a/packages/protocol/src/lib/text/textCodec.test.ts
+++ b/packages/protocol/src/lib/text/textCodec.test.ts
@@ -120,8 +120,8 @@
 
   it('holds answers as they were', () => {
     fc.assert(
-      fc.property(fc.array(answer, { maxLength: 6 }), (answers) => {
-        const value = create(EndpointAnswersSchema, { answers })
+      fc.property(fc.array(answer, { maxLength: 6 }), whole, (answers, forBoot) => {
+        const value = create(EndpointAnswersSchema, { answers, forBoot })
         isReadAsWritten({ case: 'endpointAnswers', value })
       }),
     )
--- a/packages/protocol/src/lib/text/textCodec.ts
+++ b/packages/protocol/src/lib/text/textCodec.ts
@@ -14,7 +14,7 @@
 
 type TextMessage =
   | [TextKind.Orders, payloads: string[], orders: OrderRow[]]
-  | [TextKind.Answers, answers: AnswerRow[]]
+  | [TextKind.Answers, answers: AnswerRow[], forBoot: number]
   | [TextKind.Submit, SubmitRow]
   | [TextKind.Outcome, OutcomeRow]
 
@@ -47,7 +47,7 @@
         const row = answerRow(answer)
         return row === undefined ? [] : [row]
       })
-      return [TextKind.Answers, rows]
+      return [TextKind.Answers, rows, body.value.forBoot]
     }
     case 'submitJob': {
       const row = submitRow(body.value)
@@ -76,8 +76,9 @@
       return { case: 'endpointOrders', value }
     }
     case TextKind.Answers: {
-      const answers = message[1].map(answerOf)
-      const value = { $typeName: 'cherryhitch.v1.EndpointAnswers' as const, answers }
+      const [, rows, forBoot] = message
+      const answers = rows.map(answerOf)
+      const value = { $typeName: 'cherryhitch.v1.EndpointAnswers' as const, answers, forBoot }
       return { case: 'endpointAnswers', value }
     }
     case TextKind.Submit:
