Let a cancellation hold that came before the job at a new leader

A caller that cancelled a job just after the leader had changed heard that there is no such job (410), and then its tasks were started: the entry that had the job handed it over a moment later. The cancellation is kept, and a request that an earlier leader had ends as cancelled. The test fails without it (the job is opened).

--- a/packages/dispatch/src/lib/DispatchMachine.takeover.test.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.takeover.test.ts
@@ -1,9 +1,25 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { JobVerdict } from '@cherryhitch/protocol'
+import { create } from '@bufbuild/protobuf'
+import {
+  AskJobSchema,
+  JobQuestionKind,
+  JobVerdict,
+  makeSteppedJob,
+  makeSubmitJob,
+  RoutingTableSchema,
+} from '@cherryhitch/protocol'
+import { DispatchActionKind } from './DispatchAction'
+import { DispatchEventKind } from './DispatchEvent'
+import { DispatchMachine } from './DispatchMachine'
 import { DispatchWorld } from './soak/DispatchWorld'
 
 const middle = () => 0.5
+const TABLE = create(RoutingTableSchema, {
+  version: 1,
+  routes: [{ name: 'r', host: 'h', pathPrefix: '/q/', service: 's' }],
+  services: ['s'],
+})
 
 describe('a new leader', () => {
   it('goes on with what runs, also when the job comes before the lists of the endpoints', () => {
@@ -33,6 +49,23 @@
     for (const [task, starts] of world.startedTasks) assert.equal(starts, 1, task)
   })
 
+  it('starts nothing of a job that was cancelled before an entry handed it over', () => {
+    const leader = new DispatchMachine({})
+    leader.step(0, { kind: DispatchEventKind.Lead, term: 2, table: TABLE })
+    const place = { host: 'h', path: '/q/j' }
+    const question = { requestId: '1', kind: JobQuestionKind.CANCEL, ...place }
+    leader.step(1, { kind: DispatchEventKind.Ask, from: 'e', req: create(AskJobSchema, question) })
+    const spec = makeSteppedJob('j', 'p', [])
+    const waits = { remainingMs: 1_000, waitedMs: 200, earlierAttempts: 1 }
+    const req = makeSubmitJob({ requestId: '2', spec, ...place, ...waits })
+    const actions = leader.step(2, { kind: DispatchEventKind.Submit, from: 'e', req })
+    assert.equal(leader.openJobs, 0)
+    const answers = actions.flatMap((action) => {
+      return action.kind === DispatchActionKind.Answer ? action.outcome.verdict : []
+    })
+    assert.deepEqual(answers, [JobVerdict.CANCELLED])
+  })
+
   it('waits for the leases of an endpoint that it cannot reach', () => {
     const world = new DispatchWorld({ leaders: 2, endpoints: 2, placesEach: 4, random: middle })
     world.elect(0, 0)
--- a/packages/dispatch/src/lib/jobs/JobBook.ts
+++ b/packages/dispatch/src/lib/jobs/JobBook.ts
@@ -55,6 +55,14 @@
     return this.#ended.get(id)
   }
 
+  /**
+   * Notes that a job was cancelled which is not known here: an entry may still hand it over, since
+   * an earlier leader had it.
+   */
+  noteCancelled(now: number, id: string): void {
+    this.#remember(now, id, JobVerdict.CANCELLED, 'cancelled by its caller')
+  }
+
   requested(instance: string, requestId: string): Job | undefined {
     return this.#requests.get(requestKey({ instance, requestId }))
   }
--- a/packages/dispatch/src/lib/jobs/RequestHandler.ts
+++ b/packages/dispatch/src/lib/jobs/RequestHandler.ts
@@ -44,7 +44,7 @@
     }
     const { jobs } = this.lifecycle
     const ended = jobs.ended(spec.jobId)
-    if (ended?.verdict === JobVerdict.COMPLETED || ended?.verdict === JobVerdict.FAILED) {
+    if (ended !== undefined && isFinal(ended.verdict, req)) {
       this.core.answer(waiter, ended.verdict, { reason: ended.reason })
       return
     }
@@ -137,6 +137,7 @@
   #cancel(now: number, id: string, waiter: JobWaiter): void {
     const job = this.lifecycle.jobs.get(id)
     if (job === undefined) {
+      this.lifecycle.jobs.noteCancelled(now, id)
       this.core.answer(waiter, JobVerdict.NO_JOB)
       return
     }
@@ -164,3 +165,10 @@
     this.#unconfirmed.push({ askedAt, waiter, askAgain })
   }
 }
+
+/** Whether a job that has ended so is not begun again by a request for it. */
+function isFinal(verdict: JobVerdict, { earlierAttempts }: SubmitJob): boolean {
+  if (verdict === JobVerdict.COMPLETED || verdict === JobVerdict.FAILED) return true
+  // The request is older than the cancellation: an earlier leader had it.
+  return verdict === JobVerdict.CANCELLED && earlierAttempts > 0
+}
