--- a/apps/bench/src/lib/soak/runMachineSoak.ts
+++ b/apps/bench/src/lib/soak/runMachineSoak.ts
@@ -5,6 +5,8 @@
 
 /** Seeds go by turns without proxies, with one, with two and with three. */
 const PROXY_COUNTS = 4
+/** In one seed of so many, processes of dispatchers start again. */
+const RESTARTS_EVERY = 3
 /** Seeds go by turns with one lost voter to bear, and with two. */
 const MOST_LOSSES = 2
 
@@ -33,6 +35,7 @@
   const { violations, submitted, completed } = runDispatchSoak(seed, steps, {
     hasGaps: true,
     proxies: seed % PROXY_COUNTS,
+    hasRestarts: seed % RESTARTS_EVERY === 0,
   })
   const summary = `${submitted} jobs, ${completed} completed`
   return { summary, violations, details: [], folder: undefined }
--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -23,9 +23,11 @@
 import type { WorldChances } from './OrderCarrier'
 import { PayingLeader } from './PayingLeader'
 import type { LeaderCosts } from './PayingLeader'
+import { Processes } from './Processes'
 import { ProxyWorld } from './ProxyWorld'
 import { FreeLeader } from './SimulatedLeader'
 import type { SimulatedLeader } from './SimulatedLeader'
+import { requestOf, SentRequests } from './SentRequests'
 import { SimulatedEndpoint, TASK_CPU_MILLIS } from './SimulatedEndpoint'
 
 /** @internal */
@@ -44,6 +46,11 @@
   readonly runMs?: number | ((task: string) => number)
   /** What the leaders' work costs them; their decisions take no time by default. */
   readonly costs?: LeaderCosts
+  /**
+   * Sends requests without a receipt again to the next process of a leader, as a link must not: to show
+   * that this is noticed.
+   */
+  readonly resendsToNextProcess?: boolean
   /** Makes the dispatchers, for measurements. */
   readonly makeMachine?: (options: DispatchOptions) => DispatchMachine
 }
@@ -101,6 +108,8 @@
   readonly #relay = new JobRelay()
   readonly #orders: OrderCarrier
   readonly #proxies: ProxyWorld
+  readonly #processes: Processes
+  readonly #sent = new SentRequests()
   readonly #cutEndpoints = new Map<string, Set<string>>()
   readonly #cutFromQuorum = new Set<number>()
   readonly #agenda = new Agenda({ startMs: 0 })
@@ -109,6 +118,7 @@
   #leader = 0
 
   constructor(private readonly options: DispatchWorldOptions) {
+    this.#processes = new Processes(options.leaders)
     this.#orders = new OrderCarrier({
       endpoints: this.endpoints,
       chances: { lostAnswer: 0, lateOrder: 0, failedRun: 0, ...options.chances },
@@ -134,20 +144,23 @@
       tell: (leader, event) => {
         this.#tell(leader, event)
       },
+      processes: this.#processes,
     })
-    this.#machines = Array.from({ length: options.leaders }, () => {
-      const { order, admission, without = [], makeMachine } = options
-      const chosen = {
-        without,
-        ...(order !== undefined && { order }),
-        ...(admission !== undefined && { admission }),
-      }
-      return makeMachine?.(chosen) ?? new DispatchMachine(chosen)
-    })
+    this.#machines = Array.from({ length: options.leaders }, () => this.#makeMachine())
     this.#leaders = this.#machines.map((machine, i) => this.#makeLeader(machine, i))
     for (let i = 0; i < options.endpoints; i++) this.addEndpoint(`e${i}`)
   }
 
+  #makeMachine(): DispatchMachine {
+    const { order, admission, without = [], makeMachine } = this.options
+    const chosen = {
+      without,
+      ...(order !== undefined && { order }),
+      ...(admission !== undefined && { admission }),
+    }
+    return makeMachine?.(chosen) ?? new DispatchMachine(chosen)
+  }
+
   #makeLeader(machine: DispatchMachine, i: number): SimulatedLeader {
     const around = {
       machine,
@@ -155,9 +168,9 @@
       after: (ms: number, run: () => void) => {
         this.after(ms, run)
       },
-      perform: (actions: readonly DispatchAction[]) => {
+      perform: this.#processes.bind(i, (actions: readonly DispatchAction[]) => {
         this.#perform(i, actions)
-      },
+      }),
     }
     const { costs } = this.options
     return costs === undefined ? new FreeLeader(around) : new PayingLeader(around, costs)
@@ -214,29 +227,89 @@
     }
   }
 
+  /** Whether an instance can be elected now. */
+  isUp(leader: number): boolean {
+    return this.#processes.isUp(this.now, leader)
+  }
+
+  /** Whether it is the one that was elected last. */
+  isElected(leader: number): boolean {
+    return leader === this.#leader
+  }
+
+  /**
+   * The process of an instance ends with all that it knows, and the next one starts.
+   *
+   * @param downMs - until the next one starts
+   * @param newsMs - until the entry learns that its leader is lost, if it was that
+   */
+  restart(leader: number, downMs: number, newsMs: number): void {
+    this.#processes.restart(leader, this.now + downMs)
+    const machine = this.#makeMachine()
+    this.#machines[leader] = machine
+    this.#leaders[leader] = this.#makeLeader(machine, leader)
+    this.#proxies.restart(leader)
+    this.after(
+      downMs,
+      this.#processes.bind(leader, () => {
+        this.#tellAll(leader)
+        if (this.options.resendsToNextProcess !== true) return
+        for (const event of this.#sent.unacknowledged(this.now, leader)) this.#tell(leader, event)
+      }),
+    )
+    const term = this.#term
+    if (leader !== this.#leader) return
+    this.after(newsMs, () => {
+      if (this.#term === term) this.#tellLeader('')
+    })
+  }
+
+  /** A process that has started gets all that the others know of endpoints. */
+  #tellAll(leader: number): void {
+    for (const [i, machine] of this.#machines.entries()) {
+      if (i === leader) continue
+      for (const notice of machine.notices(this.now)) {
+        this.#tell(leader, { kind: DispatchEventKind.Notice, notice })
+      }
+    }
+  }
+
+  #tellLeader(leader: string): void {
+    const told = { kind: RelayEventKind.Leader, leader, term: this.#term } as const
+    this.#performRelay(this.#relay.step(this.now, told))
+  }
+
   #lead(leader: number, term: number, followedUntil: number): void {
-    // Another election may have come in between.
-    if (this.#term !== term) return
+    // Another election may have come in between, or the elected one may have been lost.
+    if (this.#term !== term || !this.isUp(leader)) return
     this.#cutFromQuorum.delete(leader)
     this.#tell(leader, { kind: DispatchEventKind.Lead, term, table: TABLE })
-    this.after(2 * WAY_MS, () => {
+    const learn = (): void => {
       this.#readDirectories(leader, term)
       this.#tell(leader, { kind: DispatchEventKind.EarlierLeaders, term, followedUntil })
-    })
+    }
+    this.after(2 * WAY_MS, this.#processes.bind(leader, learn))
     this.after(0, () => {
-      const told = { kind: RelayEventKind.Leader, leader: `d${leader}`, term } as const
-      this.#performRelay(this.#relay.step(this.now, told))
+      if (this.#term === term) this.#tellLeader(`d${leader}`)
     })
   }
 
   /** A majority tells the new leader what it knows: one instance beside it, drawn at random. */
   #readDirectories(leader: number, term: number): void {
-    const others = this.#machines.flatMap((machine, i) => (i === leader ? [] : [machine]))
-    const told = others[Math.floor(this.options.random() * others.length)]?.notices(this.now) ?? []
+    const others = [...this.#machines.keys()].filter((i) => i !== leader)
+    const asked = others[Math.floor(this.options.random() * others.length)]
+    const told = asked === undefined ? [] : (this.#machines[asked]?.notices(this.now) ?? [])
     for (const notice of told) this.#tell(leader, { kind: DispatchEventKind.Notice, notice })
+    const majority = asked === undefined ? [leader] : [leader, asked]
+    if (!majority.every((i) => this.#hasWholeDirectory(i))) return
     this.#tell(leader, { kind: DispatchEventKind.DirectoryRead, term })
   }
 
+  /** A process that started lately may not have heard of every endpoint. */
+  #hasWholeDirectory(leader: number): boolean {
+    return this.now >= this.#processes.of(leader).startedAt + 2 * HEARTBEAT_MS
+  }
+
   /** Nothing gets to a proxy or away from it for some time. */
   silenceProxy(proxy: number, forMs: number): void {
     this.#proxies.silence(proxy, forMs)
@@ -291,7 +364,7 @@
       if (!this.#cutFromQuorum.has(i)) {
         this.#tell(i, { kind: DispatchEventKind.Confirmed, at: this.now - 2 * WAY_MS })
       }
-      leader.tick()
+      if (this.isUp(i)) leader.tick()
       this.#proxies.tick(i, this.#machines[i]?.endpoints ?? 0)
     }
     this.#performRelay(this.#relay.tick(this.now))
@@ -311,7 +384,7 @@
   }
 
   #tell(leader: number, event: DispatchEvent): void {
-    this.#leaders[leader]?.tell(event)
+    if (this.isUp(leader)) this.#leaders[leader]?.tell(event)
   }
 
   #perform(leader: number, actions: readonly DispatchAction[]): void {
@@ -345,15 +418,15 @@
     }
   }
 
-  #deliver(to: string, { body }: Envelope): void {
+  #deliver(to: string, message: Envelope): void {
     const leader = Number(to.slice(1))
-    this.after(WAY_MS, () => {
-      if (body.case === 'submitJob') {
-        this.#tell(leader, { kind: DispatchEventKind.Submit, from: ENTRY, req: body.value })
-      } else if (body.case === 'abandonJob') {
-        this.#tell(leader, { kind: DispatchEventKind.Abandon, from: ENTRY, req: body.value })
-      }
-    })
+    const event = requestOf(ENTRY, message)
+    if (event === undefined) return
+    this.#sent.note(this.now, leader, event)
+    const deliver = (): void => {
+      this.#tell(leader, event)
+    }
+    this.after(WAY_MS, this.#processes.bind(leader, deliver))
   }
 
   #onOutcome(outcome: JobOutcome): void {
--- a/packages/dispatch/src/lib/soak/ProxyWorld.ts
+++ b/packages/dispatch/src/lib/soak/ProxyWorld.ts
@@ -4,10 +4,12 @@
 import type { SendOrder } from '../DispatchAction'
 import type { DispatchEvent } from '../DispatchEvent'
 import { answerEvent } from '../orders/answerEvent'
+import type { OrderAnswer } from '../gateway/EndpointGateway'
 import { OrderRouter, RouterActionKind, RouterEventKind } from '../orders/OrderRouter'
 import type { RouterAction } from '../orders/OrderRouter'
 import { WAY_MS } from './OrderCarrier'
 import type { OrderCarrier } from './OrderCarrier'
+import type { Processes } from './Processes'
 
 /** @internal */
 export interface ProxyWorldOptions {
@@ -17,6 +19,7 @@
   readonly now: () => number
   readonly after: (ms: number, run: () => void) => void
   readonly tell: (leader: number, event: DispatchEvent) => void
+  readonly processes: Processes
 }
 
 /** The ways between leaders and endpoints: straight, or over proxies that may fall silent. @internal */
@@ -25,8 +28,12 @@
   private readonly silentUntil = new Map<string, number>()
 
   constructor(private readonly options: ProxyWorldOptions) {
-    const routing = { directEndpoints: 0 }
-    this.routers = Array.from({ length: options.leaders }, () => new OrderRouter(routing))
+    this.routers = Array.from({ length: options.leaders }, (_, i) => this.makeRouter(i))
+  }
+
+  /** A leader's process has ended, and another one starts. */
+  restart(leader: number): void {
+    this.routers[leader] = this.makeRouter(leader)
   }
 
   silence(proxy: number, forMs: number): void {
@@ -64,9 +71,10 @@
     switch (action.kind) {
       case RouterActionKind.Call: {
         const { send } = action
-        orders.carry(`d${leader}`, send.order, (answer) => {
+        const onAnswer = (answer: OrderAnswer): void => {
           tell(leader, answerEvent(send, answer))
-        })
+        }
+        orders.carry(`d${leader}`, send.order, this.options.processes.bind(leader, onAnswer))
         return
       }
       case RouterActionKind.Forward:
@@ -79,11 +87,17 @@
     }
   }
 
+  private makeRouter(leader: number): OrderRouter {
+    const { boot } = this.options.processes.of(leader)
+    return new OrderRouter({ boot, directEndpoints: 0 })
+  }
+
   private forward(leader: number, proxy: string, order: EndpointOrder): void {
+    const { boot: forBoot } = this.options.processes.of(leader)
     this.bring(proxy, () => {
       this.options.orders.carry(proxy, order, (answer) => {
         const answers = [create(EndpointAnswerSchema, { id: order.id, answer })]
-        const event = { kind: RouterEventKind.Answers, from: proxy, forBoot: 0, answers } as const
+        const event = { kind: RouterEventKind.Answers, from: proxy, forBoot, answers } as const
         this.bring(proxy, () => {
           this.step(leader, (router, now) => router.step(now, event))
         })
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.test.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.test.ts
@@ -38,6 +38,22 @@
     })
   }
 
+  for (let seed = 301; seed <= 320; seed++) {
+    it(`keeps them also when processes start again, with seed ${seed}`, () => {
+      assert.deepEqual(runDispatchSoak(seed, STEPS, { hasRestarts: true }).violations, [])
+    })
+    it(`keeps them also when processes start again and proxies are used, with seed ${seed}`, () => {
+      const options = { hasRestarts: true, proxies: 2 }
+      assert.deepEqual(runDispatchSoak(seed, STEPS, options).violations, [])
+    })
+  }
+
+  it('notices that a request is resent to the next process of its leader', () => {
+    const options = { hasRestarts: true, resendsToNextProcess: true }
+    const { violations } = runDispatchSoak(6, STEPS, options)
+    assert.match(violations.join(), /was refused, but/)
+  })
+
   for (const [seed, cause] of failedBefore) {
     it(`keeps the promises with seed ${seed}: ${cause}`, () => {
       assert.deepEqual(runDispatchSoak(seed, STEPS).violations, [])
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.ts
@@ -15,6 +15,10 @@
   readonly hasGaps?: boolean
   /** Instances that bring the leader's orders to endpoints; some fall silent for a while. */
   readonly proxies?: number
+  /** Whether processes of dispatchers end and start again, that of the leader among them. */
+  readonly hasRestarts?: boolean
+  /** See `DispatchWorldOptions`. */
+  readonly resendsToNextProcess?: boolean
 }
 
 /** Shares of orders and runs that go wrong: about those of the users' own days with trouble. */
@@ -31,8 +35,9 @@
 export function runDispatchSoak(
   seed: number,
   steps: number,
-  { hasGaps = false, proxies = 0 }: DispatchSoakOptions = {},
+  options: DispatchSoakOptions = {},
 ): DispatchSoakReport {
+  const { proxies = 0, resendsToNextProcess = false } = options
   const random = seededRandom(seed)
   const below = (n: number): number => Math.floor(random() * n)
   const world = new DispatchWorld({
@@ -41,6 +46,7 @@
     placesEach: 3,
     random,
     proxies,
+    resendsToNextProcess,
     chances: CHANCES,
   })
   world.elect(0, 0)
@@ -50,20 +56,54 @@
     if (random() < 0.6) {
       world.submit(`j${submitted++}`, 1 + below(4), { deadlineMs: 800 + below(3_000) })
     }
-    if (random() < 0.05) {
-      world.elect(below(LEADERS), below(hasGaps ? 4_000 : 1_000), hasGaps ? below(1_500) : 0)
-    }
-    if (random() < 0.1) {
-      world.cut(`d${below(LEADERS)}`, `e${below(world.endpoints.length)}`, below(2_000))
-    }
-    if (proxies > 0 && random() < 0.1) {
-      world.cut(`p${below(proxies)}`, `e${below(world.endpoints.length)}`, below(2_000))
-    }
-    if (proxies > 0 && random() < 0.05) world.silenceProxy(below(proxies), below(3_000))
-    if (random() < 0.01) world.addEndpoint(`e${world.endpoints.length}`, [below(LEADERS)])
+    disturb(world, { random, below }, options)
   }
   world.run(5_000)
   const verdicts = [...world.outcomes.values()].map(({ verdict }) => verdict)
   const completed = verdicts.filter((verdict) => verdict === JobVerdict.COMPLETED).length
   return { violations: world.violations, completed, submitted }
 }
+
+interface Draw {
+  readonly random: () => number
+  readonly below: (n: number) => number
+}
+
+/** What goes wrong in one step. */
+function disturb(
+  world: DispatchWorld,
+  { random, below }: Draw,
+  { hasGaps = false, proxies = 0, hasRestarts = false }: DispatchSoakOptions,
+): void {
+  if (random() < 0.05) {
+    const leader = below(LEADERS)
+    const [learnsMs, gapMs] = [below(hasGaps ? 4_000 : 1_000), hasGaps ? below(1_500) : 0]
+    if (world.isUp(leader)) world.elect(leader, learnsMs, gapMs)
+  }
+  if (random() < 0.1) {
+    world.cut(`d${below(LEADERS)}`, `e${below(world.endpoints.length)}`, below(2_000))
+  }
+  if (proxies > 0) disturbProxies(world, { random, below }, proxies)
+  if (hasRestarts && random() < 0.04) restart(world, below)
+  if (random() < 0.01) world.addEndpoint(`e${world.endpoints.length}`, [below(LEADERS)])
+}
+
+function disturbProxies(world: DispatchWorld, { random, below }: Draw, proxies: number): void {
+  if (random() < 0.1) {
+    world.cut(`p${below(proxies)}`, `e${below(world.endpoints.length)}`, below(2_000))
+  }
+  if (random() < 0.05) world.silenceProxy(below(proxies), below(3_000))
+}
+
+/** One instance starts again, or all of them at about the same time; a lost leader has a successor soon. */
+function restart(world: DispatchWorld, below: (n: number) => number): void {
+  const isAll = below(3) === 0
+  const lost = isAll ? Array.from({ length: LEADERS }, (_, i) => i) : [below(LEADERS)]
+  const isLeaderLost = lost.some((i) => world.isElected(i))
+  for (const i of lost) world.restart(i, below(800), below(500))
+  if (!isLeaderLost) return
+  world.after(300 + below(1_200), () => {
+    const next = below(LEADERS)
+    if (world.isUp(next)) world.elect(next, 0)
+  })
+}
