Reproduce tasks that take down one endpoint after the other (fails)

Nothing counts a lost run against its task. The check "refused, but ran" of the world leaves out a job whose earlier attempt ended as unknown: its caller knows that it may have run.

--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -6,7 +6,6 @@
   SteppedJobSchema,
 } from '@cherryhitch/protocol'
 import type { EndpointNotice, Envelope, JobOutcome } from '@cherryhitch/protocol'
-import type { Mechanism } from '@cherryhitch/model'
 import { Agenda } from '@cherryhitch/runtime'
 import { DispatchActionKind } from '../DispatchAction'
 import type { DispatchAction } from '../DispatchAction'
@@ -14,15 +13,12 @@
 import type { DispatchEvent } from '../DispatchEvent'
 import type { DispatchCounters } from '../DispatchCore'
 import { DispatchMachine } from '../DispatchMachine'
-import type { DispatchOptions } from '../DispatchOptions'
 import { JobRelay, RelayActionKind, RelayEventKind } from '../relay/JobRelay'
 import type { RelayAction } from '../relay/JobRelay'
-import type { JobAdmission } from '../scheduling/JobAdmission'
-import type { JobOrder } from '../scheduling/JobOrder'
+import type { AddedEndpoint, DispatchWorldOptions, SubmitOptions } from './DispatchWorldOptions'
+import { EndpointLives } from './EndpointLives'
 import { OrderCarrier, WAY_MS } from './OrderCarrier'
-import type { WorldChances } from './OrderCarrier'
 import { PayingLeader } from './PayingLeader'
-import type { LeaderCosts } from './PayingLeader'
 import { Processes } from './Processes'
 import { ProxyWorld } from './ProxyWorld'
 import { FreeLeader } from './SimulatedLeader'
@@ -30,42 +26,6 @@
 import { requestOf, SentRequests } from './SentRequests'
 import { SimulatedEndpoint, TASK_CPU_MILLIS } from './SimulatedEndpoint'
 
-/** @internal */
-export interface DispatchWorldOptions {
-  readonly leaders: number
-  readonly endpoints: number
-  readonly placesEach: number
-  /** Instances that bring orders to endpoints; without any the leaders call them. */
-  readonly proxies?: number
-  readonly random: () => number
-  readonly chances?: Partial<WorldChances>
-  readonly order?: JobOrder
-  readonly admission?: JobAdmission
-  readonly without?: readonly Mechanism[]
-  /** How long each run takes, in milliseconds, or what tells it of a task; drawn by default. */
-  readonly runMs?: number | ((task: string) => number)
-  /** What the leaders' work costs them; their decisions take no time by default. */
-  readonly costs?: LeaderCosts
-  /**
-   * Sends requests without a receipt again to the next process of a leader, as a link must not: to show
-   * that this is noticed.
-   */
-  readonly resendsToNextProcess?: boolean
-  /** Makes the dispatchers, for measurements. */
-  readonly makeMachine?: (options: DispatchOptions) => DispatchMachine
-}
-
-/** @internal */
-export interface SubmitOptions {
-  readonly deadlineMs?: number
-  /** What the caller believes that each task takes, in milliseconds. */
-  readonly estimateMs?: number
-  /** Number of its queue, below `QUEUES`: each learns the run times of its own jobs. */
-  readonly queue?: number
-  /** The tasks ask for no cores and no memory. */
-  readonly isWeightless?: boolean
-}
-
 const SERVICE = 'tracing'
 const HOST = 'calls'
 const ENTRY = 'entry'
@@ -110,6 +70,7 @@
   readonly #proxies: ProxyWorld
   readonly #processes: Processes
   readonly #sent = new SentRequests()
+  readonly lives: EndpointLives
   readonly #cutEndpoints = new Map<string, Set<string>>()
   readonly #cutFromQuorum = new Set<number>()
   readonly #agenda = new Agenda({ startMs: 0 })
@@ -119,6 +80,18 @@
 
   constructor(private readonly options: DispatchWorldOptions) {
     this.#processes = new Processes(options.leaders)
+    this.lives = new EndpointLives({
+      endpoints: this.endpoints,
+      after: (ms, run) => {
+        this.after(ms, run)
+      },
+      isFatal: options.isFatal ?? (() => false),
+      drawDownMs: () => 1_500 + options.random() * 2_500,
+      revive: ({ options: { id, address } }) => {
+        this.addEndpoint(`${id}+`, { address })
+      },
+      report: (violation) => this.violations.push(violation),
+    })
     this.#orders = new OrderCarrier({
       endpoints: this.endpoints,
       chances: { lostAnswer: 0, lateOrder: 0, failedRun: 0, ...options.chances },
@@ -187,14 +160,19 @@
     return machine.counters
   }
 
-  addEndpoint(id: string, knownTo = this.#machines.map((_, i) => i)): SimulatedEndpoint {
-    const { random, placesEach: places } = this.options
+  addEndpoint(
+    id: string,
+    { address = `${id}:1`, knownTo = this.#machines.map((_, i) => i) }: AddedEndpoint = {},
+  ): SimulatedEndpoint {
+    const { random, placesEach: places, guardsPlaces = true } = this.options
     const drift = random() * 0.02
     const clockStartMs = Math.floor(random() * 1e6)
     const more = { drift, clockStartMs, maxLeaseMs: MAX_LEASE_MS }
-    const endpoint = new SimulatedEndpoint({ id, service: SERVICE, places, ...more })
+    const own = { id, address, service: SERVICE, places, guardsPlaces }
+    const endpoint = new SimulatedEndpoint({ ...own, ...more })
     endpoint.onStart = (run) => {
       this.#checkStart(endpoint, run.task)
+      this.lives.onStart(endpoint, run.task)
     }
     this.endpoints.push(endpoint)
     for (const i of knownTo)
@@ -430,9 +408,11 @@
   }
 
   #onOutcome(outcome: JobOutcome): void {
+    const earlier = this.outcomes.get(outcome.requestId)
     this.outcomes.set(outcome.requestId, outcome)
     this.answeredAt.set(outcome.requestId, this.now)
-    if (outcome.verdict !== JobVerdict.REFUSED) return
+    // A caller that sends a job again knows that its first attempt may have run.
+    if (outcome.verdict !== JobVerdict.REFUSED || earlier?.verdict === JobVerdict.UNKNOWN) return
     const ran = [...this.startedTasks.keys()].find((task) =>
       task.startsWith(`${outcome.requestId}.`),
     )
--- /dev/null
+++ b/packages/dispatch/src/lib/soak/DispatchWorldOptions.ts
@@ -0,0 +1,54 @@
+import type { Mechanism } from '@cherryhitch/model'
+import type { DispatchMachine } from '../DispatchMachine'
+import type { DispatchOptions } from '../DispatchOptions'
+import type { JobAdmission } from '../scheduling/JobAdmission'
+import type { JobOrder } from '../scheduling/JobOrder'
+import type { WorldChances } from './OrderCarrier'
+import type { LeaderCosts } from './PayingLeader'
+
+/** @internal */
+export interface DispatchWorldOptions {
+  readonly leaders: number
+  readonly endpoints: number
+  readonly placesEach: number
+  /** Instances that bring orders to endpoints; without any the leaders call them. */
+  readonly proxies?: number
+  readonly random: () => number
+  readonly chances?: Partial<WorldChances>
+  readonly order?: JobOrder
+  readonly admission?: JobAdmission
+  readonly without?: readonly Mechanism[]
+  /** How long each run takes, in milliseconds, or what tells it of a task; drawn by default. */
+  readonly runMs?: number | ((task: string) => number)
+  /** What the leaders' work costs them; their decisions take no time by default. */
+  readonly costs?: LeaderCosts
+  /**
+   * Sends requests without a receipt again to the next process of a leader, as a link must not: to show
+   * that this is noticed.
+   */
+  readonly resendsToNextProcess?: boolean
+  /** Whether a task takes down each endpoint that starts it. */
+  readonly isFatal?: (task: string) => boolean
+  /** Whether endpoints refuse what doesn't fit; they do by default. */
+  readonly guardsPlaces?: boolean
+  /** Makes the dispatchers, for measurements. */
+  readonly makeMachine?: (options: DispatchOptions) => DispatchMachine
+}
+
+/** @internal */
+export interface SubmitOptions {
+  readonly deadlineMs?: number
+  /** What the caller believes that each task takes, in milliseconds. */
+  readonly estimateMs?: number
+  /** Number of its queue, below `QUEUES`: each learns the run times of its own jobs. */
+  readonly queue?: number
+  /** The tasks ask for no cores and no memory. */
+  readonly isWeightless?: boolean
+}
+
+/** @internal */
+export interface AddedEndpoint {
+  readonly address?: string
+  /** Numbers of the instances that hear of it at first; all by default. */
+  readonly knownTo?: readonly number[]
+}
--- a/packages/dispatch/src/lib/soak/OrderCarrier.ts
+++ b/packages/dispatch/src/lib/soak/OrderCarrier.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
-import { HoldFaultSchema } from '@cherryhitch/protocol'
-import type { EndpointOrder, HoldOrder, StartOrder, HoldFailure } from '@cherryhitch/protocol'
+import { HoldFailure, HoldFaultSchema, StartResult } from '@cherryhitch/protocol'
+import type { EndpointOrder, HoldOrder, StartOrder } from '@cherryhitch/protocol'
 import type { OrderAnswer } from '../gateway/EndpointGateway'
 import { noAnswer } from '../gateway/noAnswer'
 import type { SimulatedEndpoint } from './SimulatedEndpoint'
@@ -55,7 +55,11 @@
     this.world.after(order.timeoutMs, () => {
       settle(noAnswer(order, 'simulated'))
     })
-    if (target === undefined || this.world.isCut(caller, order.endpoint)) return
+    if (this.world.isCut(caller, order.endpoint)) return
+    if (target === undefined) {
+      this.answerForNextLife(order, settle)
+      return
+    }
     const isLate = random() < chances.lateOrder
     const isLost = isLate || random() < chances.lostAnswer
     this.world.after(isLate ? 2_000 + random() * 3_000 : WAY_MS, () => {
@@ -68,6 +72,15 @@
     })
   }
 
+  /** Another life of the endpoint at its address says that it isn't the one that is meant. */
+  private answerForNextLife(order: EndpointOrder, settle: OnAnswer): void {
+    const { endpoints, after } = this.world
+    if (!endpoints.some(({ options }) => options.address === order.address)) return
+    after(2 * WAY_MS, () => {
+      settle(replaced(order))
+    })
+  }
+
   private carryOut(target: SimulatedEndpoint, order: EndpointOrder, onAnswer: OnAnswer): void {
     const { fencingToken: token, order: what } = order
     const now = this.world.now()
@@ -114,3 +127,15 @@
 function faultOf(failure: HoldFailure): OrderAnswer {
   return { case: 'fault', value: create(HoldFaultSchema, { failure, detail: 'simulated' }) }
 }
+
+function replaced(order: EndpointOrder): OrderAnswer {
+  switch (order.order.case) {
+    case 'start':
+      return { case: 'started', value: StartResult.REPLACED }
+    case 'stop':
+      return { case: 'stopped', value: false }
+    case 'hold':
+    case undefined:
+      return faultOf(HoldFailure.REPLACED)
+  }
+}
--- a/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
@@ -35,9 +35,13 @@
 /** @internal */
 export interface SimulatedEndpointOptions {
   readonly id: string
+  /** Several lives of an endpoint have one address, one after the other. */
+  readonly address: string
   readonly service: string
   /** Runs that fit at the same time. */
   readonly places: number
+  /** Whether it refuses what doesn't fit. */
+  readonly guardsPlaces: boolean
   /** How much slower than the simulation's its clock runs, as a share. */
   readonly drift: number
   /** Where its clock starts, in milliseconds. */
@@ -60,18 +64,21 @@
   private fence = 0
   private leaseEndsAt = -Infinity
   private sequence = 0
+  /** Runs that fit now, and those that it last said to fit. */
+  places: number
 
-  constructor(readonly options: SimulatedEndpointOptions) {}
+  constructor(readonly options: SimulatedEndpointOptions) {
+    this.places = options.places
+  }
 
   clock(now: number): number {
     return this.options.clockStartMs + now * (1 - this.options.drift)
   }
 
   notice(state = NoticeState.SERVING): EndpointNotice {
-    const { id, service, places } = this.options
-    const capacity = { cpuMillis: places * TASK_CPU_MILLIS, memoryMb: 1_000 }
+    const { id, service, address } = this.options
+    const capacity = { cpuMillis: this.places * TASK_CPU_MILLIS, memoryMb: 1_000 }
     const sequence = ++this.sequence
-    const address = `${id}:1`
     return create(EndpointNoticeSchema, {
       endpoint: id,
       service,
@@ -100,7 +107,7 @@
     if (order.orderEndsAt < this.clock(now)) return StartResult.TOO_LATE
     this.renew(now, order.orderEndsAt)
     if (order.run <= (this.highestEnded.get(order.task) ?? 0)) return StartResult.OLD_RUN
-    if (this.running.size >= this.options.places) return StartResult.NO_ROOM
+    if (this.options.guardsPlaces && this.running.size >= this.places) return StartResult.NO_ROOM
     const run = { task: order.task, run: order.run, endsAt: now + runMs, fails }
     this.running.set(order.task, run)
     this.onStart(run)
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.ts
@@ -85,7 +85,13 @@
   }
   if (proxies > 0) disturbProxies(world, { random, below }, proxies)
   if (hasRestarts && random() < 0.04) restart(world, below)
-  if (random() < 0.01) world.addEndpoint(`e${world.endpoints.length}`, [below(LEADERS)])
+  if (random() < 0.01) addEndpoint(world, below)
+}
+
+/** A new endpoint, which one instance hears of at first. */
+function addEndpoint(world: DispatchWorld, below: Draw['below']): void {
+  const id = `e${world.endpoints.length}`
+  world.addEndpoint(id, { knownTo: [below(LEADERS)] })
 }
 
 function disturbProxies(world: DispatchWorld, { random, below }: Draw, proxies: number): void {
--- /dev/null
+++ b/packages/dispatch/src/lib/soak/runFatalTasks.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { runFatalTasks } from './runFatalTasks'
+import type { FatalTasksOptions, FatalTasksReport } from './runFatalTasks'
+
+const SEEDS = 12
+/** Endpoints that a job with a fatal task may take down on average. */
+const MOST_LOST_ENDPOINTS = 2.2
+/** What other callers get beside fatal tasks, over what they get without any. */
+const LEAST_SHARE = 0.97
+
+function runAll(options: Omit<FatalTasksOptions, 'seed'>): FatalTasksReport[] {
+  return Array.from({ length: SEEDS }, (_, n) => runFatalTasks({ ...options, seed: n + 1 }))
+}
+
+type Counted = Exclude<keyof FatalTasksReport, 'violations'>
+
+function sum(reports: readonly FatalTasksReport[], of: Counted): number {
+  return reports.reduce((total, report) => total + report[of], 0)
+}
+
+function completedShare(reports: readonly FatalTasksReport[]): number {
+  return sum(reports, 'innocentCompleted') / sum(reports, 'innocentSubmitted')
+}
+
+describe('tasks that take their endpoint down', () => {
+  for (const fatalShare of [0.005, 0.03]) {
+    it(`are not started on one endpoint after the other, at ${fatalShare} of the jobs`, () => {
+      const reports = runAll({ fatalShare })
+      assert.deepEqual(
+        reports.flatMap(({ violations }) => violations),
+        [],
+      )
+      const lostEach = sum(reports, 'crashes') / sum(reports, 'fatalJobs')
+      assert.ok(lostEach <= MOST_LOST_ENDPOINTS, `${lostEach} endpoints for each`)
+    })
+  }
+
+  it('cost other callers little, and none of their jobs is shown as failed', () => {
+    const without = completedShare(runAll({ fatalShare: 0 }))
+    const reports = runAll({ fatalShare: 0.005 })
+    const share = completedShare(reports)
+    assert.ok(share >= LEAST_SHARE * without, `${share} of ${without}`)
+    assert.equal(sum(reports, 'innocentFailed'), 0)
+  })
+
+  it('are told from groups of endpoints that are lost at once, also over new leaders', () => {
+    const reports = runAll({ fatalShare: 0.03, hasGroupLosses: true, hasElections: true })
+    assert.deepEqual(
+      reports.flatMap(({ violations }) => violations),
+      [],
+    )
+    assert.equal(sum(reports, 'innocentFailed'), 0)
+  })
+})
--- /dev/null
+++ b/packages/dispatch/src/lib/soak/runFatalTasks.ts
@@ -0,0 +1,111 @@
+import { hash64, seededRandom } from '@cherryhitch/model'
+import { JobVerdict } from '@cherryhitch/protocol'
+import { DispatchWorld } from './DispatchWorld'
+
+/** @internal */
+export interface FatalTasksOptions {
+  readonly seed: number
+  /** Share of the jobs with a task that takes down each endpoint that starts it. */
+  readonly fatalShare: number
+  /** Whether a quarter of the endpoints is lost at once now and then. */
+  readonly hasGroupLosses?: boolean
+  /** Whether the leadership moves to another instance now and then. */
+  readonly hasElections?: boolean
+  readonly steps?: number
+}
+
+/** @internal */
+export const defaultFatalTasksOptions = {
+  hasGroupLosses: false,
+  hasElections: false,
+  steps: 300,
+} as const
+
+/** What a run showed. @internal */
+export interface FatalTasksReport {
+  readonly violations: readonly string[]
+  /** Endpoints that were lost under fatal tasks. */
+  readonly crashes: number
+  /** Jobs with a fatal task that was started. */
+  readonly fatalJobs: number
+  /** Jobs without such a task that were shown as failed. */
+  readonly innocentFailed: number
+  readonly innocentCompleted: number
+  readonly innocentSubmitted: number
+}
+
+const LEADERS = 3
+const ENDPOINTS = 12
+const STEP_MS = 50
+/** A caller that has heard nothing of use sends its job again after this, in milliseconds. */
+const RESUBMIT_MS = 1_300
+const MOST_SUBMISSIONS = 4
+const FRACTION = 0xffffffff
+const DIGITS = 8
+
+/**
+ * One random run with tasks that take their endpoint down. Callers send again what ended as
+ * unknown; endpoints come back after some seconds, as another life at the same address.
+ *
+ * @internal
+ */
+export function runFatalTasks(options: FatalTasksOptions): FatalTasksReport {
+  const { seed, fatalShare, hasGroupLosses, hasElections, steps } = {
+    ...defaultFatalTasksOptions,
+    ...options,
+  }
+  const random = seededRandom(seed)
+  const below = (n: number): number => Math.floor(random() * n)
+  const isFatalJob = (job: string): boolean => {
+    const digits = hash64(`${seed}/${job}`).slice(0, DIGITS)
+    return Number.parseInt(digits, 16) / FRACTION < fatalShare
+  }
+  const world = new DispatchWorld({
+    leaders: LEADERS,
+    endpoints: ENDPOINTS,
+    placesEach: 3,
+    random,
+    isFatal: (task) => task.endsWith('.0.0.0') && isFatalJob(task.split('.')[0] ?? ''),
+  })
+  world.elect(0, 0)
+  world.run(200)
+  let submitted = 0
+  for (let step = 0; step < steps; step++) {
+    world.run(STEP_MS)
+    for (let i = below(3); i > 0; i--) submitAgain(world, `j${submitted++}`, 1 + below(4))
+    if (hasElections && random() < 0.02) world.elect(below(LEADERS), below(1_000))
+    if (hasGroupLosses && random() < 0.01) loseGroup(world)
+  }
+  world.run(8_000)
+  const jobs = Array.from({ length: submitted }, (_, n) => `j${n}`)
+  const innocent = jobs.filter((job) => !isFatalJob(job))
+  const count = (verdict: JobVerdict): number => {
+    return innocent.filter((job) => world.outcomes.get(job)?.verdict === verdict).length
+  }
+  const { crashes } = world.lives
+  return {
+    violations: world.violations,
+    crashes: [...crashes.values()].reduce((sum, one) => sum + one, 0),
+    fatalJobs: crashes.size,
+    innocentFailed: count(JobVerdict.FAILED),
+    innocentCompleted: count(JobVerdict.COMPLETED),
+    innocentSubmitted: innocent.length,
+  }
+}
+
+function submitAgain(world: DispatchWorld, job: string, tasks: number, submissions = 1): void {
+  const deadlineMs = 1_500
+  world.submit(job, tasks, { deadlineMs })
+  world.after(deadlineMs + RESUBMIT_MS, () => {
+    const isUnknown = world.outcomes.get(job)?.verdict === JobVerdict.UNKNOWN
+    if (isUnknown && submissions < MOST_SUBMISSIONS) {
+      submitAgain(world, job, tasks, submissions + 1)
+    }
+  })
+}
+
+/** A quarter of the endpoints at once, as with a rack. */
+function loseGroup(world: DispatchWorld): void {
+  const lost = world.endpoints.filter((_, i) => i % 4 === 0)
+  for (const endpoint of lost) world.lives.crash(endpoint)
+}
