Give up tasks that take down the endpoints that start them

One request could take one endpoint after the other with all that runs beside it: a lost run counted for nothing against its task. Each endpoint that is lost is noted with the tasks that ran there; another life at its address shows a crash, an answer that there was none, and many that fell silent together (of a service, zone or label) a common cause. A task with one such loss runs apart from all others, since then a second loss is its own; with two it waits, and its job ends as unknown, until both are known to have crashed; then its job is shown as failed, also when a caller sends it again. What is known goes to all who may lead. Behind CrashBlame in packages/policy, with a baseline that blames nobody.

Capacity that changes: tests on endpoints that guard nothing, which hold as it was.

--- a/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
+++ b/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
@@ -7,6 +7,7 @@
   EndpointNotices,
   EndpointNoticesRead,
   Envelope,
+  LostEndpoint,
   ReadEndpointNotices,
 } from '@cherryhitch/protocol'
 import { Effect } from 'effect'
@@ -78,8 +79,9 @@
   }
 
   /** Another instance passed notices on. */
-  onNotices(from: string, { notices, requestId }: EndpointNotices): void {
+  onNotices(from: string, { notices, lost, requestId }: EndpointNotices): void {
     const { machine, tell, send } = this.options
+    for (const one of lost) tell({ kind: DispatchEventKind.Loss, lost: one })
     for (const notice of notices) tell({ kind: DispatchEventKind.Notice, notice })
     if (requestId === '') return
     const value = { requestId, byLeader: machine.leads }
@@ -106,14 +108,17 @@
   }
 
   onRead(from: string, { term }: ReadEndpointNotices): void {
-    const notices = this.options.machine.notices(this.options.now())
-    const followedMsAgo = this.options.now() - this.options.followedBefore(term)
-    const value = { term, notices, complete: this.isComplete(), followedMsAgo }
+    const { machine, now } = this.options
+    const notices = machine.notices(now())
+    const lost = machine.losses(now())
+    const followedMsAgo = now() - this.options.followedBefore(term)
+    const value = { term, notices, lost, complete: this.isComplete(), followedMsAgo }
     this.options.send(from, envelope({ case: 'endpointNoticesRead', value }))
   }
 
   onReadAnswered(from: string, answer: EndpointNoticesRead): void {
-    const { term, notices, complete, followedMsAgo } = answer
+    const { term, notices, lost, complete, followedMsAgo } = answer
+    for (const one of lost) this.options.tell({ kind: DispatchEventKind.Loss, lost: one })
     for (const notice of notices) this.options.tell({ kind: DispatchEventKind.Notice, notice })
     if (this.reading?.term !== term) return
     if (complete) this.reading.complete.add(from)
@@ -126,11 +131,20 @@
     this.spread([notice], '')
   }
 
+  /** Tells all who may lead of an endpoint that was lost. */
+  passLoss(lost: LostEndpoint): void {
+    for (const peer of this.options.peers()) {
+      this.options.send(peer, envelope({ case: 'endpointNotices', value: { lost: [lost] } }))
+    }
+  }
+
   /** A new instance gets everything that is known here. */
   tellAll(instance: string): void {
-    const notices = this.options.machine.notices(this.options.now())
+    const { machine, now } = this.options
+    const notices = machine.notices(now())
     if (notices.length === 0) return
-    this.options.send(instance, envelope({ case: 'endpointNotices', value: { notices } }))
+    const value = { notices, lost: machine.losses(now()) }
+    this.options.send(instance, envelope({ case: 'endpointNotices', value }))
   }
 
   private isComplete(): boolean {
--- a/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
@@ -36,6 +36,11 @@
         notices.pass(notice)
       })
     },
+    spreadLoss: (lost) => {
+      parts.notices.use((notices) => {
+        notices.passLoss(lost)
+      })
+    },
     onDefect,
     log: (sentence, fields) => {
       log.info(sentence, fields)
--- a/packages/dispatch/src/lib/DispatchAction.ts
+++ b/packages/dispatch/src/lib/DispatchAction.ts
@@ -1,10 +1,11 @@
-import type { EndpointNotice, EndpointOrder, JobOutcome } from '@cherryhitch/protocol'
+import type { EndpointNotice, EndpointOrder, JobOutcome, LostEndpoint } from '@cherryhitch/protocol'
 
 /** @public */
 export enum DispatchActionKind {
   Order = 'order',
   Answer = 'answer',
   Spread = 'spread',
+  SpreadLoss = 'spread_loss',
   Log = 'log',
   Measure = 'measure',
 }
@@ -34,6 +35,8 @@
   | { readonly kind: DispatchActionKind.Answer; readonly to: string; readonly outcome: JobOutcome }
   /** All who may lead are to know of a new endpoint. */
   | { readonly kind: DispatchActionKind.Spread; readonly notice: EndpointNotice }
+  /** All who may lead are to know what became of an endpoint that was lost. */
+  | { readonly kind: DispatchActionKind.SpreadLoss; readonly lost: LostEndpoint }
   | {
       readonly kind: DispatchActionKind.Log
       readonly sentence: string
--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -1,8 +1,10 @@
 import {
   AlwaysHealthy,
+  CountedCrashBlame,
   DecayedScoreHealth,
   DeclaredEstimator,
   LearnedEstimator,
+  NeverBlamed,
   SlownessTracker,
 } from '@cherryhitch/policy'
 import type { EndpointHealth, EstimateSubject, RunTimeEstimator } from '@cherryhitch/policy'
@@ -19,6 +21,7 @@
 import { defaultDispatchTiming } from './DispatchOptions'
 import type { DispatchOptions, DispatchTiming } from './DispatchOptions'
 import { Mechanism } from '@cherryhitch/model'
+import { LossLedger } from './crashes/LossLedger'
 import { EndpointBook } from './endpoints/EndpointBook'
 import type { EndpointRecord } from './endpoints/EndpointRecord'
 import type { JobWaiter } from './jobs/Job'
@@ -42,6 +45,12 @@
   runs_done: number
   runs_failed: number
   runs_lost: number
+  /** Endpoints that were lost while tasks ran there, and those of them that came back as another life. */
+  endpoints_lost: number
+  endpoints_crashed: number
+  /** Jobs that were given up since a task of theirs takes endpoints down, and those that wait for it. */
+  jobs_blamed: number
+  jobs_held: number
   stops: number
   holds: number
   holds_missed: number
@@ -64,6 +73,7 @@
   readonly estimator: RunTimeEstimator
   readonly slowness = new SlownessTracker()
   readonly health: EndpointHealth
+  readonly losses: LossLedger
   readonly counters: DispatchCounters = {
     jobs_taken: 0,
     jobs_completed: 0,
@@ -78,6 +88,10 @@
     runs_done: 0,
     runs_failed: 0,
     runs_lost: 0,
+    endpoints_lost: 0,
+    endpoints_crashed: 0,
+    jobs_blamed: 0,
+    jobs_held: 0,
     stops: 0,
     holds: 0,
     holds_missed: 0,
@@ -112,6 +126,8 @@
       ? new LearnedEstimator()
       : new DeclaredEstimator()
     this.health = this.uses(Mechanism.Health) ? new DecayedScoreHealth() : new AlwaysHealthy()
+    const blame = this.uses(Mechanism.CrashBlame) ? new CountedCrashBlame() : new NeverBlamed()
+    this.losses = new LossLedger(blame, this.timing.keepVerdictMs)
     this.endpoints = new EndpointBook(this.timing, this.health, this.slowness)
   }
 
--- a/packages/dispatch/src/lib/DispatchEvent.ts
+++ b/packages/dispatch/src/lib/DispatchEvent.ts
@@ -3,6 +3,7 @@
   AskJob,
   EndpointNotice,
   EndpointOrder,
+  LostEndpoint,
   RoutingTable,
   SubmitJob,
 } from '@cherryhitch/protocol'
@@ -17,6 +18,7 @@
   Confirmed = 'confirmed',
   Routing = 'routing',
   Notice = 'notice',
+  Loss = 'loss',
   Submit = 'submit',
   Ask = 'ask',
   Abandon = 'abandon',
@@ -52,6 +54,8 @@
   | { readonly kind: DispatchEventKind.Confirmed; readonly at: number }
   | { readonly kind: DispatchEventKind.Routing; readonly table: RoutingTable }
   | { readonly kind: DispatchEventKind.Notice; readonly notice: EndpointNotice }
+  /** Another instance tells of an endpoint that was lost. */
+  | { readonly kind: DispatchEventKind.Loss; readonly lost: LostEndpoint }
   | { readonly kind: DispatchEventKind.Submit; readonly from: string; readonly req: SubmitJob }
   | { readonly kind: DispatchEventKind.Ask; readonly from: string; readonly req: AskJob }
   | { readonly kind: DispatchEventKind.Abandon; readonly from: string; readonly req: AbandonJob }
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -1,6 +1,6 @@
 import { exhaustive, Mechanism } from '@cherryhitch/model'
 import { NoticeState } from '@cherryhitch/protocol'
-import type { EndpointNotice } from '@cherryhitch/protocol'
+import type { EndpointNotice, LostEndpoint } from '@cherryhitch/protocol'
 import { Machine } from '@cherryhitch/runtime'
 import { DispatchActionKind } from './DispatchAction'
 import type { DispatchAction } from './DispatchAction'
@@ -113,6 +113,11 @@
     return this.#core.endpoints.notices(now)
   }
 
+  /** What is known of endpoints that were lost under tasks, for another instance. */
+  losses(now: number): LostEndpoint[] {
+    return this.#core.losses.all(now)
+  }
+
   override step(now: number, event: DispatchEvent): readonly DispatchAction[] {
     this.#handle(now, event)
     this.#scheduler.run(now)
@@ -127,6 +132,8 @@
   }
 
   override tick(now: number): readonly DispatchAction[] {
+    // What became of lost endpoints is looked at before they are forgotten.
+    if (this.leads) this.#lifecycle.crashes.tick(now)
     if (now >= this.#forgetDueAt) this.#forgetEndpoints(now)
     if (this.leads) {
       this.#leases.tick(now)
@@ -152,7 +159,7 @@
         this.#lead(now, event)
         return
       case DispatchEventKind.StepDown:
-        this.#stepDown()
+        this.#stepDown(now)
         return
       case DispatchEventKind.DirectoryRead:
         if (event.term === this.#core.token) this.#core.hasDirectory = true
@@ -170,6 +177,9 @@
       case DispatchEventKind.Notice:
         this.#onNotice(now, event.notice)
         return
+      case DispatchEventKind.Loss:
+        this.#lifecycle.crashes.onTold(now, event.lost)
+        return
       case DispatchEventKind.Submit:
         this.#requests.submit(now, event.from, event.req)
         this.#scheduler.wake()
@@ -190,7 +200,7 @@
 
   #lead(now: number, { term, table }: EventOf<DispatchEventKind.Lead>): void {
     const core = this.#core
-    if (core.token !== undefined) this.#stepDown()
+    if (core.token !== undefined) this.#stepDown(now)
     core.token = term
     core.earlierLeadersUntil = now
     core.hasDirectory = false
@@ -211,9 +221,10 @@
     this.#scheduler.wake()
   }
 
-  #stepDown(): void {
+  #stepDown(now: number): void {
     const core = this.#core
     if (core.token === undefined) return
+    this.#lifecycle.crashes.handOver(now)
     core.log('leads no more', { term: core.token, openJobs: this.openJobs })
     this.#lifecycle.clear()
     this.#requests.clear()
--- /dev/null
+++ b/packages/dispatch/src/lib/crashes/CrashWatch.ts
@@ -0,0 +1,103 @@
+import { TaskStanding } from '@cherryhitch/policy'
+import { LostEndpointSchema, NoticeState } from '@cherryhitch/protocol'
+import type { LostEndpoint } from '@cherryhitch/protocol'
+import { create } from '@bufbuild/protobuf'
+import { DispatchActionKind } from '../DispatchAction'
+import type { DispatchCore } from '../DispatchCore'
+import type { EndpointRecord } from '../endpoints/EndpointRecord'
+import { TaskState } from '../jobs/Job'
+import type { Job, Task } from '../jobs/Job'
+import { groupsOf } from './groupsOf'
+
+/** What to do about a job some of whose tasks may take endpoints down. @internal */
+export interface JobJudgement {
+  readonly standing: TaskStanding.Culprit | TaskStanding.Held
+  readonly task: Task
+}
+
+/**
+ * Finds out what became of endpoints that were lost while tasks ran there, and which of these tasks
+ * may be the cause. What is known goes to all who may lead, so that it outlasts this leader.
+ *
+ * @internal
+ */
+export class CrashWatch {
+  constructor(
+    private readonly core: DispatchCore,
+    /** Called for each task whose standing may have changed. */
+    private readonly onEvidence: (now: number, task: string) => void,
+  ) {}
+
+  /** Everything that ran at an endpoint is given up, since nothing is heard of it. */
+  onEndpointLost(now: number, endpoint: EndpointRecord): void {
+    const { id, notice, runs } = endpoint
+    // What leaves as it said ends its runs without any fault.
+    if (notice.state !== NoticeState.SERVING) return
+    const { counters, endpoints } = this.core
+    counters.endpoints_lost++
+    const groups = groupsOf(endpoint, endpoints.all())
+    const lost = { endpoint: id, tasks: [...runs.keys()], groups }
+    this.#note(now, create(LostEndpointSchema, lost))
+  }
+
+  /**
+   * Another instance leads: it can't know what ran at endpoints that are silent now. Those that answer
+   * it are cleared.
+   */
+  handOver(now: number): void {
+    for (const endpoint of this.core.endpoints.all()) {
+      if (endpoint.unanswered > 0 && endpoint.runs.size > 0) this.onEndpointLost(now, endpoint)
+    }
+  }
+
+  /** Another instance tells what it knows. */
+  onTold(now: number, lost: LostEndpoint): void {
+    const tasks = this.core.losses.tasksOf(lost.endpoint)
+    if (!this.core.losses.take(now, lost)) return
+    this.#report(now, lost.endpoint, tasks)
+  }
+
+  /** Looks at what was lost: another life shows a crash, an answer shows that there was none. */
+  tick(now: number): void {
+    for (const { endpoint, lostAt } of this.core.losses.open) {
+      const record = this.core.endpoints.get(endpoint)
+      if (record === undefined) continue
+      if (record.isReplaced) {
+        this.core.counters.endpoints_crashed++
+        this.#note(now, create(LostEndpointSchema, { endpoint, crashed: true }))
+      } else if (record.answeredAt > lostAt) {
+        this.#note(now, create(LostEndpointSchema, { endpoint, cleared: true }))
+      }
+    }
+  }
+
+  /** Marks the suspects among a job's tasks; gives the task for which the job has to end. */
+  judge(job: Job): JobJudgement | undefined {
+    let held: JobJudgement | undefined
+    for (const task of job.tasks) {
+      if (task.state === TaskState.Done) continue
+      const standing = this.core.losses.standing(task.name)
+      task.isSuspect = standing !== TaskStanding.Clear
+      if (standing === TaskStanding.Culprit) return { standing, task }
+      if (standing === TaskStanding.Held && task.run === undefined) held = { standing, task }
+    }
+    return held
+  }
+
+  #note(now: number, lost: LostEndpoint): void {
+    const { losses } = this.core
+    const before = losses.tasksOf(lost.endpoint)
+    if (!losses.take(now, lost)) return
+    this.core.emit({
+      kind: DispatchActionKind.SpreadLoss,
+      lost: losses.tell(now, lost.endpoint),
+    })
+    this.#report(now, lost.endpoint, before)
+  }
+
+  /** @param before - the tasks that were known to have run there */
+  #report(now: number, endpoint: string, before: readonly string[]): void {
+    const tasks = new Set([...before, ...this.core.losses.tasksOf(endpoint)])
+    for (const task of tasks) this.onEvidence(now, task)
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/crashes/LossLedger.ts
@@ -0,0 +1,121 @@
+import type { CrashBlame, LossUnderTask } from '@cherryhitch/policy'
+import { TaskStanding } from '@cherryhitch/policy'
+import { LostEndpointSchema } from '@cherryhitch/protocol'
+import type { EndpointGroup, LostEndpoint } from '@cherryhitch/protocol'
+import { create } from '@bufbuild/protobuf'
+
+/** So many endpoints of a group, and this share of it, are not lost at once by tasks of their own. */
+const LEAST_SHARED = 3
+const SHARED_SHARE = 0.2
+/** Losses remembered at most. */
+const MAX_LOSSES = 1_000
+
+interface Loss {
+  readonly endpoint: string
+  readonly tasks: readonly string[]
+  readonly groups: readonly EndpointGroup[]
+  readonly lostAt: number
+  isCrash: boolean
+}
+
+/** What is known of endpoints that were lost, and of the tasks that ran there. @internal */
+export class LossLedger {
+  readonly #losses = new Map<string, Loss>()
+  readonly #byTask = new Map<string, Loss[]>()
+
+  constructor(
+    private readonly blame: CrashBlame,
+    private readonly keepMs: number,
+  ) {}
+
+  /** Losses of which it is not known yet whether they were crashes. */
+  get open(): readonly Readonly<Loss>[] {
+    return [...this.#losses.values()].filter(({ isCrash }) => !isCrash)
+  }
+
+  tasksOf(endpoint: string): readonly string[] {
+    return this.#losses.get(endpoint)?.tasks ?? []
+  }
+
+  /** Takes in what is known of a loss, here or at another instance; false when it is nothing new. */
+  take(now: number, told: LostEndpoint): boolean {
+    this.#forget(now)
+    if (told.cleared) return this.#remove(told.endpoint)
+    const known = this.#losses.get(told.endpoint)
+    if (known !== undefined) {
+      if (known.isCrash || !told.crashed) return false
+      known.isCrash = true
+      return true
+    }
+    const { endpoint, tasks, groups, crashed: isCrash, lostMsAgo } = told
+    const loss = { endpoint, tasks, groups, isCrash, lostAt: now - lostMsAgo }
+    this.#losses.set(endpoint, loss)
+    for (const task of tasks) this.#lossesOf(task).push(loss)
+    return true
+  }
+
+  standing(task: string): TaskStanding {
+    const losses = this.#byTask.get(task)
+    if (losses === undefined) return TaskStanding.Clear
+    const seen = losses.map((loss): LossUnderTask => {
+      return { isCrash: loss.isCrash, isShared: isShared(loss) }
+    })
+    return this.blame.standing(seen)
+  }
+
+  /** Endpoints that were lost under a task. */
+  endpointsOf(task: string): readonly string[] {
+    return (this.#byTask.get(task) ?? []).map(({ endpoint }) => endpoint)
+  }
+
+  /** All that is known, for another instance. */
+  all(now: number): LostEndpoint[] {
+    return [...this.#losses.values()].map((loss) => toMessage(now, loss))
+  }
+
+  /** What is known of one loss, for other instances. */
+  tell(now: number, endpoint: string): LostEndpoint {
+    const loss = this.#losses.get(endpoint)
+    if (loss !== undefined) return toMessage(now, loss)
+    return create(LostEndpointSchema, { endpoint, cleared: true })
+  }
+
+  #lossesOf(task: string): Loss[] {
+    const known = this.#byTask.get(task)
+    if (known !== undefined) return known
+    const losses: Loss[] = []
+    this.#byTask.set(task, losses)
+    return losses
+  }
+
+  #forget(now: number): void {
+    for (const { endpoint, lostAt } of this.#losses.values()) {
+      if (now - lostAt < this.keepMs && this.#losses.size < MAX_LOSSES) return
+      this.#remove(endpoint)
+    }
+  }
+
+  #remove(endpoint: string): boolean {
+    const loss = this.#losses.get(endpoint)
+    if (loss === undefined) return false
+    this.#losses.delete(endpoint)
+    for (const task of loss.tasks) {
+      const rest = this.#lossesOf(task).filter((other) => other !== loss)
+      if (rest.length === 0) this.#byTask.delete(task)
+      else this.#byTask.set(task, rest)
+    }
+    return true
+  }
+}
+
+function isShared({ groups }: Loss): boolean {
+  return groups.some(({ size, silent }) => {
+    return silent >= LEAST_SHARED && silent >= SHARED_SHARE * size
+  })
+}
+
+function toMessage(now: number, { endpoint, tasks, groups, isCrash, lostAt }: Loss): LostEndpoint {
+  const lostMsAgo = Math.max(0, now - lostAt)
+  const value = { endpoint, tasks: [...tasks], groups: [...groups], crashed: isCrash, lostMsAgo }
+  return create(LostEndpointSchema, value)
+}
--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -151,6 +151,12 @@
     this.#onChange(this)
   }
 
+  /** Whether a task runs there under which an endpoint was lost before. */
+  get hasSuspect(): boolean {
+    for (const { task } of this.#runs.values()) if (task?.isSuspect === true) return true
+    return false
+  }
+
   /** Run times here over those at its peers, read anew every so often. */
   slowness(now: number, read: () => number): number {
     if (now - this.#slowness.readAt >= SLOWNESS_REUSE_MS) {
--- /dev/null
+++ b/packages/dispatch/src/lib/endpoints/capacity.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { seededRandom } from '@cherryhitch/model'
+import { DispatchWorld } from '../soak/DispatchWorld'
+import type { SimulatedEndpoint } from '../soak/SimulatedEndpoint'
+
+const PLACES = 4
+/** A heartbeat and its way, in milliseconds. */
+const NOTICED_MS = 1_600
+
+/** Endpoints that start whatever they are told, under more jobs than they have places. */
+function openWorld(seed: number) {
+  const world = new DispatchWorld({
+    leaders: 2,
+    endpoints: 2,
+    placesEach: PLACES,
+    random: seededRandom(seed),
+    guardsPlaces: false,
+    runMs: 150,
+    chances: { lostAnswer: 0.02 },
+  })
+  world.elect(0, 0)
+  world.run(200)
+  let jobs = 0
+  const load = (ms: number): void => {
+    for (let passed = 0; passed < ms; passed += 20) {
+      world.submit(`j${jobs++}`, 2, { deadlineMs: 1_500, estimateMs: 150 })
+      world.run(20)
+    }
+  }
+  return { world, load }
+}
+
+/** Most runs that an endpoint has at a start from now on. */
+function watchStarts(endpoint: SimulatedEndpoint): { most: number } {
+  const seen = { most: 0 }
+  const { onStart } = endpoint
+  endpoint.onStart = (run) => {
+    seen.most = Math.max(seen.most, endpoint.running.size)
+    onStart(run)
+  }
+  return seen
+}
+
+describe('an endpoint whose capacity changes while it runs', () => {
+  for (let seed = 1; seed <= 10; seed++) {
+    it(`is never brought over what it says, though it does not guard it, seed ${seed}`, () => {
+      const { world, load } = openWorld(seed)
+      const [endpoint] = world.endpoints
+      assert.ok(endpoint !== undefined)
+      load(1_000)
+      endpoint.places = 1
+      load(NOTICED_MS)
+      const small = watchStarts(endpoint)
+      load(2_000)
+      assert.equal(small.most, 1)
+      endpoint.places = PLACES
+      load(NOTICED_MS)
+      const grown = watchStarts(endpoint)
+      load(1_000)
+      assert.equal(grown.most, PLACES)
+      assert.deepEqual(world.violations, [])
+    })
+  }
+
+  it('keeps its room over a new leader', () => {
+    const { world, load } = openWorld(11)
+    const [endpoint] = world.endpoints
+    assert.ok(endpoint !== undefined)
+    endpoint.places = 1
+    load(NOTICED_MS)
+    const seen = watchStarts(endpoint)
+    world.elect(1, 500)
+    load(2_000)
+    assert.equal(seen.most, 1)
+  })
+})
--- a/packages/dispatch/src/lib/jobs/Job.ts
+++ b/packages/dispatch/src/lib/jobs/Job.ts
@@ -27,6 +27,8 @@
   lastRun: number
   /** Endpoints where a run of it failed or was lost. */
   readonly avoid: Set<string>
+  /** An endpoint was lost under it, and it may be the cause. */
+  isSuspect: boolean
   run: Run | undefined
 }
 
@@ -215,6 +217,7 @@
       failures: 0,
       lastRun,
       avoid: new Set<string>(),
+      isSuspect: false,
       run: undefined,
     }))
   }
--- a/packages/dispatch/src/lib/jobs/JobLifecycle.ts
+++ b/packages/dispatch/src/lib/jobs/JobLifecycle.ts
@@ -1,7 +1,8 @@
-import { HealthFailure } from '@cherryhitch/policy'
+import { HealthFailure, TaskStanding } from '@cherryhitch/policy'
 import { JobVerdict } from '@cherryhitch/protocol'
 import type { DispatchCore } from '../DispatchCore'
 import { Mechanism } from '@cherryhitch/model'
+import { CrashWatch } from '../crashes/CrashWatch'
 import type { LeaseLoop } from '../endpoints/LeaseLoop'
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
 import { RunEnd } from '../runs/Run'
@@ -24,6 +25,7 @@
   readonly jobs: JobBook
   readonly runs: RunTracker
   readonly health: RunHealth
+  readonly crashes: CrashWatch
   /** Tasks whose end as done was listed before this leader knew their job, and when. */
   readonly #foreignDone = new Map<string, number>()
 
@@ -36,6 +38,10 @@
     this.jobs = new JobBook(core)
     this.runs = new RunTracker(core, leases, this)
     this.health = new RunHealth(core)
+    this.crashes = new CrashWatch(core, (now, name) => {
+      const task = this.#findTask(name)
+      if (task !== undefined) this.judge(now, task.job)
+    })
   }
 
   tick(now: number): void {
@@ -55,6 +61,34 @@
     this.#foreignDone.clear()
   }
 
+  onEndpointLost(now: number, endpoint: EndpointRecord): void {
+    this.crashes.onEndpointLost(now, endpoint)
+  }
+
+  /** Ends a job when one of its tasks takes down the endpoints that start it, or may do so. */
+  judge(now: number, job: Job): void {
+    if (job.isClosed) return
+    const judgement = this.crashes.judge(job)
+    if (judgement === undefined) return
+    const { standing, task } = judgement
+    const { counters, losses } = this.core
+    const endpoints = losses.endpointsOf(task.name)
+    this.core.log('a task may take endpoints down', {
+      job: job.id,
+      task: task.name,
+      standing,
+      endpoints,
+    })
+    if (standing === TaskStanding.Culprit) {
+      counters.jobs_blamed++
+      this.end(now, job, JobVerdict.FAILED, `task ${task.name} takes its endpoint down`)
+    } else {
+      counters.jobs_held++
+      const reason = `it is not known yet whether task ${task.name} takes its endpoint down`
+      this.end(now, job, JobVerdict.UNKNOWN, reason)
+    }
+  }
+
   onRunOver(now: number, run: Run, end: RunEnd): void {
     this.onChange()
     const { task, endpoint } = run
@@ -128,6 +162,7 @@
       this.jobs.removeIfOver(job)
       return
     }
+    if (end === RunEnd.Lost) this.judge(now, job)
     const attempts = job.route.maxAttempts === 0 ? DEFAULT_ATTEMPTS : job.route.maxAttempts
     if (task.failures >= attempts) {
       this.end(now, job, JobVerdict.FAILED, `task ${task.name} failed ${task.failures} times`)
--- a/packages/dispatch/src/lib/jobs/RequestHandler.ts
+++ b/packages/dispatch/src/lib/jobs/RequestHandler.ts
@@ -52,6 +52,7 @@
     const job = jobs.take(now, spec, found.route, req)
     jobs.wait(job, waiter)
     if (isNew) this.lifecycle.resume(now, job)
+    this.lifecycle.judge(now, job)
   }
 
   ask(now: number, from: string, req: AskJob): void {
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -16,6 +16,8 @@
 
 /** Told of each run that is over, and of runs that nobody here knows. @internal */
 export interface RunListener {
+  /** The runs at an endpoint are given up together, since nothing is heard of it. */
+  onEndpointLost(now: number, endpoint: EndpointRecord): void
   onRunOver(now: number, run: Run, end: RunEnd): void
   /** A run of an earlier leader was found; its job may be known here already. */
   onForeignRun(now: number, run: Run): void
@@ -184,6 +186,7 @@
     if (endpoint.runs.size === 0) return
     const isLost = endpoint.isReplaced || endpoint.unanswered > 0
     if (isLost && this.leases.hasLapsed(endpoint)) {
+      this.listener.onEndpointLost(now, endpoint)
       for (const run of [...endpoint.runs.values()]) this.#finish(now, run, RunEnd.Lost)
       return
     }
--- a/packages/dispatch/src/lib/scheduling/OpenEndpoints.ts
+++ b/packages/dispatch/src/lib/scheduling/OpenEndpoints.ts
@@ -170,7 +170,7 @@
 
 /** Whether nothing but its needs and the endpoint's speed decides where a task goes. */
 function isPlain(task: Task): boolean {
-  if (task.avoid.size > 0 || task.failures > 0) return false
+  if (task.avoid.size > 0 || task.failures > 0 || task.isSuspect) return false
   const { requiredLabel, maxPerEndpoint, dataRack } = task.job.step(task)
   return requiredLabel === '' && maxPerEndpoint === 0 && dataRack === ''
 }
@@ -193,7 +193,9 @@
   const { dataRack } = task.job.step(task)
   const isRemote = dataRack !== '' && !endpoint.notice.labels.includes(dataRack)
   const avoided = task.avoid.has(endpoint.id) ? REMOTE_PENALTY : 1
-  return (isRemote ? REMOTE_PENALTY : 1) * avoided
+  // What may take its endpoint down takes as little else with it as possible.
+  const company = task.isSuspect ? 1 + endpoint.runs.size : 1
+  return (isRemote ? REMOTE_PENALTY : 1) * avoided * company
 }
 
 function doubled(column: Float64Array): Float64Array<ArrayBuffer> {
--- a/packages/dispatch/src/lib/scheduling/ServiceEndpoints.ts
+++ b/packages/dispatch/src/lib/scheduling/ServiceEndpoints.ts
@@ -67,6 +67,8 @@
   const isTrusted = health === HealthState.Healthy || runs.size === 0
   // The next leader has to know of it: whoever it asks, a majority was told before this.
   const isKnown = core.confirmedAt >= spreadAt
-  if (isTrusted && isKnown && endpoint.mayStart(now)) return EndpointUse.Open
+  // Beside a suspect others would be lost with it, and be suspects as well.
+  const isShared = !endpoint.hasSuspect
+  if (isTrusted && isKnown && isShared && endpoint.mayStart(now)) return EndpointUse.Open
   return health === HealthState.Healthy ? EndpointUse.Expected : EndpointUse.Out
 }
--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -5,7 +5,7 @@
   RoutingTableSchema,
   SteppedJobSchema,
 } from '@cherryhitch/protocol'
-import type { EndpointNotice, Envelope, JobOutcome } from '@cherryhitch/protocol'
+import type { EndpointNotice, Envelope, JobOutcome, LostEndpoint } from '@cherryhitch/protocol'
 import { Agenda } from '@cherryhitch/runtime'
 import { DispatchActionKind } from '../DispatchAction'
 import type { DispatchAction } from '../DispatchAction'
@@ -87,8 +87,8 @@
       },
       isFatal: options.isFatal ?? (() => false),
       drawDownMs: () => 1_500 + options.random() * 2_500,
-      revive: ({ options: { id, address } }) => {
-        this.addEndpoint(`${id}+`, { address })
+      revive: ({ options: { id, address, rack } }) => {
+        this.addEndpoint(`${id}+`, { address, rack })
       },
       report: (violation) => this.violations.push(violation),
     })
@@ -121,7 +121,8 @@
     })
     this.#machines = Array.from({ length: options.leaders }, () => this.#makeMachine())
     this.#leaders = this.#machines.map((machine, i) => this.#makeLeader(machine, i))
-    for (let i = 0; i < options.endpoints; i++) this.addEndpoint(`e${i}`)
+    const { endpoints, racks = 1 } = options
+    for (let i = 0; i < endpoints; i++) this.addEndpoint(`e${i}`, { rack: `r${i % racks}` })
   }
 
   #makeMachine(): DispatchMachine {
@@ -162,13 +163,17 @@
 
   addEndpoint(
     id: string,
-    { address = `${id}:1`, knownTo = this.#machines.map((_, i) => i) }: AddedEndpoint = {},
+    {
+      address = `${id}:1`,
+      rack = 'r',
+      knownTo = this.#machines.map((_, i) => i),
+    }: AddedEndpoint = {},
   ): SimulatedEndpoint {
     const { random, placesEach: places, guardsPlaces = true } = this.options
     const drift = random() * 0.02
     const clockStartMs = Math.floor(random() * 1e6)
     const more = { drift, clockStartMs, maxLeaseMs: MAX_LEASE_MS }
-    const own = { id, address, service: SERVICE, places, guardsPlaces }
+    const own = { id, address, rack, service: SERVICE, places, guardsPlaces }
     const endpoint = new SimulatedEndpoint({ ...own, ...more })
     endpoint.onStart = (run) => {
       this.#checkStart(endpoint, run.task)
@@ -369,6 +374,7 @@
     for (const action of actions) {
       if (action.kind === DispatchActionKind.Order) this.#proxies.order(leader, action)
       else if (action.kind === DispatchActionKind.Spread) this.#spread(leader, action.notice)
+      else if (action.kind === DispatchActionKind.SpreadLoss) this.#spreadLoss(leader, action.lost)
       else if (action.kind === DispatchActionKind.Answer) {
         const { outcome } = action
         this.after(WAY_MS, () => {
@@ -389,6 +395,14 @@
     })
   }
 
+  #spreadLoss(leader: number, lost: LostEndpoint): void {
+    this.after(WAY_MS, () => {
+      for (const [i] of this.#leaders.entries()) {
+        if (i !== leader) this.#tell(i, { kind: DispatchEventKind.Loss, lost })
+      }
+    })
+  }
+
   #performRelay(actions: readonly RelayAction[]): void {
     for (const action of actions) {
       if (action.kind === RelayActionKind.Answer) this.#onOutcome(action.outcome)
--- a/packages/dispatch/src/lib/soak/DispatchWorldOptions.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorldOptions.ts
@@ -10,6 +10,8 @@
 export interface DispatchWorldOptions {
   readonly leaders: number
   readonly endpoints: number
+  /** Racks over which the endpoints of the start are spread; one by default. */
+  readonly racks?: number
   readonly placesEach: number
   /** Instances that bring orders to endpoints; without any the leaders call them. */
   readonly proxies?: number
@@ -49,6 +51,7 @@
 /** @internal */
 export interface AddedEndpoint {
   readonly address?: string
+  readonly rack?: string
   /** Numbers of the instances that hear of it at first; all by default. */
   readonly knownTo?: readonly number[]
 }
--- a/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
@@ -35,6 +35,7 @@
 /** @internal */
 export interface SimulatedEndpointOptions {
   readonly id: string
+  readonly rack: string
   /** Several lives of an endpoint have one address, one after the other. */
   readonly address: string
   readonly service: string
@@ -76,13 +77,14 @@
   }
 
   notice(state = NoticeState.SERVING): EndpointNotice {
-    const { id, service, address } = this.options
+    const { id, service, address, rack } = this.options
     const capacity = { cpuMillis: this.places * TASK_CPU_MILLIS, memoryMb: 1_000 }
     const sequence = ++this.sequence
     return create(EndpointNoticeSchema, {
       endpoint: id,
       service,
       address,
+      labels: [rack],
       state,
       capacity,
       sequence,
--- a/packages/dispatch/src/lib/soak/runFatalTasks.ts
+++ b/packages/dispatch/src/lib/soak/runFatalTasks.ts
@@ -7,7 +7,7 @@
   readonly seed: number
   /** Share of the jobs with a task that takes down each endpoint that starts it. */
   readonly fatalShare: number
-  /** Whether a quarter of the endpoints is lost at once now and then. */
+  /** Whether all endpoints of a rack are lost at once now and then. */
   readonly hasGroupLosses?: boolean
   /** Whether the leadership moves to another instance now and then. */
   readonly hasElections?: boolean
@@ -35,7 +35,8 @@
 }
 
 const LEADERS = 3
-const ENDPOINTS = 12
+const ENDPOINTS = 24
+const RACKS = 4
 const STEP_MS = 50
 /** A caller that has heard nothing of use sends its job again after this, in milliseconds. */
 const RESUBMIT_MS = 1_300
@@ -63,6 +64,7 @@
   const world = new DispatchWorld({
     leaders: LEADERS,
     endpoints: ENDPOINTS,
+    racks: RACKS,
     placesEach: 3,
     random,
     isFatal: (task) => task.endsWith('.0.0.0') && isFatalJob(task.split('.')[0] ?? ''),
@@ -74,7 +76,7 @@
     world.run(STEP_MS)
     for (let i = below(3); i > 0; i--) submitAgain(world, `j${submitted++}`, 1 + below(4))
     if (hasElections && random() < 0.02) world.elect(below(LEADERS), below(1_000))
-    if (hasGroupLosses && random() < 0.01) loseGroup(world)
+    if (hasGroupLosses && random() < 0.01) loseRack(world, below(RACKS))
   }
   world.run(8_000)
   const jobs = Array.from({ length: submitted }, (_, n) => `j${n}`)
@@ -104,8 +106,8 @@
   })
 }
 
-/** A quarter of the endpoints at once, as with a rack. */
-function loseGroup(world: DispatchWorld): void {
-  const lost = world.endpoints.filter((_, i) => i % 4 === 0)
+/** All endpoints of a rack at once. */
+function loseRack(world: DispatchWorld, number: number): void {
+  const lost = world.endpoints.filter(({ options }) => options.rack === `r${number}`)
   for (const endpoint of lost) world.lives.crash(endpoint)
 }
--- a/packages/dispatch/src/lib/startDispatcher.ts
+++ b/packages/dispatch/src/lib/startDispatcher.ts
@@ -1,6 +1,6 @@
 import { exhaustive } from '@cherryhitch/model'
 import { wrapMessage } from '@cherryhitch/protocol'
-import type { EndpointAnswers, EndpointNotice, Envelope } from '@cherryhitch/protocol'
+import type { EndpointAnswers, EndpointNotice, Envelope, LostEndpoint } from '@cherryhitch/protocol'
 import { startPart, systemClock } from '@cherryhitch/runtime'
 import type { Clock, Part } from '@cherryhitch/runtime'
 import { Effect } from 'effect'
@@ -24,6 +24,8 @@
   readonly send: (to: string, message: Envelope) => void
   /** Brings the notice of an endpoint to all who may lead. */
   readonly spread: (notice: EndpointNotice) => void
+  /** Tells all who may lead of an endpoint that was lost. */
+  readonly spreadLoss: (lost: LostEndpoint) => void
   readonly log: (sentence: string, fields: Readonly<Record<string, unknown>>) => void
   readonly measure: (stage: Stage, route: string, ms: number) => void
   readonly onDefect: (defect: unknown) => void
@@ -115,6 +117,9 @@
       case DispatchActionKind.Spread:
         options.spread(action.notice)
         return
+      case DispatchActionKind.SpreadLoss:
+        options.spreadLoss(action.lost)
+        return
       case DispatchActionKind.Log:
         options.log(action.sentence, action.fields)
         return
--- a/packages/model/src/lib/dispatching/Mechanism.ts
+++ b/packages/model/src/lib/dispatching/Mechanism.ts
@@ -30,4 +30,6 @@
   IntakeLimit = 'intake_limit',
   /** Starting new jobs before what an earlier leader started is known. */
   EarlyNewJobs = 'early_new_jobs',
+  /** Giving up tasks that take down the endpoints that start them. */
+  CrashBlame = 'crash_blame',
 }
--- /dev/null
+++ b/packages/policy/src/lib/crashes/CountedCrashBlame.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { CountedCrashBlame } from './CountedCrashBlame'
+import { TaskStanding } from './CrashBlame'
+import { NeverBlamed } from './NeverBlamed'
+
+const crash = { isCrash: true, isShared: false }
+const silent = { isCrash: false, isShared: false }
+const withOthers = { isCrash: true, isShared: true }
+
+describe('a task under which endpoints were lost', () => {
+  const blame = new CountedCrashBlame()
+  const cases = [
+    { name: 'none', losses: [], standing: TaskStanding.Clear },
+    { name: 'one that crashed', losses: [crash], standing: TaskStanding.Suspect },
+    { name: 'one that is silent', losses: [silent], standing: TaskStanding.Suspect },
+    { name: 'two that crashed', losses: [crash, crash], standing: TaskStanding.Culprit },
+    { name: 'a crash and a silence', losses: [crash, silent], standing: TaskStanding.Held },
+    { name: 'two silences', losses: [silent, silent], standing: TaskStanding.Held },
+    {
+      name: 'two losses of groups',
+      losses: [withOthers, withOthers],
+      standing: TaskStanding.Clear,
+    },
+    {
+      name: 'three losses of groups',
+      losses: [withOthers, withOthers, withOthers],
+      standing: TaskStanding.Held,
+    },
+    { name: 'a group and a crash', losses: [withOthers, crash], standing: TaskStanding.Suspect },
+  ]
+  for (const { name, losses, standing } of cases) {
+    it(`is ${standing} after ${name}`, () => {
+      assert.equal(blame.standing(losses), standing)
+    })
+  }
+
+  it('is never blamed by the baseline', () => {
+    assert.equal(new NeverBlamed().standing(), TaskStanding.Clear)
+  })
+})
