Tell endpoints that are lost together by when they fell silent

Tasks on endpoints that were lost at once for a common cause were suspects, and a suspect keeps its endpoint to itself: on a site of 33, five endpoints lost at once counted as five single losses, and a dozen suspects would have kept a third of the rest to themselves. Losses now belong together when the endpoints fell silent within a question's wait of each other, four of a group and a tenth of it.

--- a/packages/dispatch/src/lib/crashes/LossLedger.ts
+++ b/packages/dispatch/src/lib/crashes/LossLedger.ts
@@ -5,8 +5,8 @@
 import { create } from '@bufbuild/protobuf'
 
 /** So many endpoints of a group, and this share of it, are not lost at once by tasks of their own. */
-const LEAST_SHARED = 3
-const SHARED_SHARE = 0.2
+const LEAST_SHARED = 4
+const SHARED_SHARE = 0.1
 /** Losses remembered at most. */
 const MAX_LOSSES = 1_000
 
--- a/packages/dispatch/src/lib/crashes/groupsOf.ts
+++ b/packages/dispatch/src/lib/crashes/groupsOf.ts
@@ -4,10 +4,10 @@
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
 
 /**
- * Endpoints whose last answers came within this of each other may have been lost at once, in
- * milliseconds: the longest wait of a question to an idle endpoint, and its way.
+ * Endpoints that fall silent within this of each other may have been lost at once, in milliseconds: the
+ * wait of a question, since the loss shows only when it is over.
  */
-const TOGETHER_MS = 600
+const TOGETHER_MS = 300
 
 /** What an endpoint shares with others: its service, its zone and its labels, of which one may name a rack. */
 function groupNames({ service, zone, labels }: EndpointNotice): readonly string[] {
@@ -25,7 +25,7 @@
   )
   for (const other of all) {
     const isSilent = other.unanswered > 0 || other.isReplaced
-    const isTogether = isSilent && Math.abs(other.answeredAt - lost.answeredAt) <= TOGETHER_MS
+    const isTogether = isSilent && Math.abs(other.silentAt - lost.silentAt) <= TOGETHER_MS
     for (const name of groupNames(other.notice)) {
       const group = groups.get(name)
       if (group === undefined) continue
--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -58,6 +58,8 @@
   /** How long it takes to answer what it answers at once. */
   readonly roundTrip: RoundTrip
   answeredAt = -Infinity
+  /** When the first of the calls in a row without an answer was given up. */
+  silentAt = -Infinity
   #pausedUntil = -Infinity
   #isReplaced = false
   #notice: EndpointNotice
--- a/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
+++ b/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
@@ -134,6 +134,7 @@
 
   /** A call got no answer: nothing more is started there until the next one does. */
   noteSilence(now: number, endpoint: EndpointRecord): void {
+    if (endpoint.unanswered === 0) endpoint.silentAt = now
     endpoint.unanswered++
     this.core.silenceAt = now
   }
