--- a/packages/dispatch/src/lib/soak/playLoad.ts
+++ b/packages/dispatch/src/lib/soak/playLoad.ts
@@ -47,6 +47,8 @@
   KINDS.reduce((sum, { tasks, runMs, share }) => sum + tasks * runMs * share, 0) / 100
 /** Jobs that come so soon after a change of the load tell of what was before it. */
 const SETTLE_MS = 1_000
+/** The task of a fatal job that takes endpoints down. */
+const FATAL_TASK = '.0.0.0'
 /** A refusal is early within this share of the objective. */
 const EARLY_SHARE = 0.25
 
@@ -60,6 +62,8 @@
   readonly without?: readonly Mechanism[]
   /** Share of the orders that get no answer and are carried out late. */
   readonly lateOrder?: number
+  /** Share of the jobs with a task that takes down each endpoint that starts it; they aren't counted. */
+  readonly fatalShare?: number
   readonly endpoints?: number
   /** How long jobs come at this load, in milliseconds. */
   readonly playMs?: number
@@ -72,7 +76,13 @@
 }
 
 /** The size of the users' small sites. @internal */
-export const defaultLoadOptions = { seed: 1, lateOrder: 0, endpoints: 33, playMs: 9_000 } as const
+export const defaultLoadOptions = {
+  seed: 1,
+  lateOrder: 0,
+  fatalShare: 0,
+  endpoints: 33,
+  playMs: 9_000,
+} as const
 
 /** Shares of the jobs, 0 to 1. @internal */
 export interface LoadOutcome {
@@ -114,7 +124,8 @@
   }
   const counted = difference(play.world.counters, before)
   play.world.run(2 * DEADLINE_MS)
-  return { ...summarize(play.world, sent), counted }
+  const counting = sent.filter(({ id }) => !play.isFatal(id))
+  return { ...summarize(play.world, counting), counted }
 }
 
 /**
@@ -142,6 +153,7 @@
       random: seededRandom(seed + ORDER_SEEDS),
       without,
       chances: { lateOrder },
+      isFatal: (task) => task.endsWith(FATAL_TASK) && this.isFatal(task.split('.')[0] ?? ''),
       runMs: (task) => {
         const own = seededRandom(parseInt(hash64(`${seed}/${task}`).slice(0, SEED_DIGITS), 16))
         return (this.workOf.get(task.split('.')[0] ?? '') ?? 0) * spread(own, TASK_SPREAD)
@@ -155,6 +167,13 @@
     this.world.run(START_MS)
   }
 
+  /** Whether a task of a job takes down each endpoint that starts it. */
+  isFatal(id: string): boolean {
+    const { seed, fatalShare } = { ...defaultLoadOptions, ...this.options }
+    const draw = seededRandom(parseInt(hash64(`${seed}/${id}`).slice(0, SEED_DIGITS), 16))
+    return draw() < fatalShare
+  }
+
   /** Submits jobs at random times, so many on average that they fill a share of the places. */
   submitUntil(end: number, load: number): SentJob[] {
     const { endpoints = defaultLoadOptions.endpoints } = this.options
--- a/packages/dispatch/src/lib/soak/runFatalTasks.test.ts
+++ b/packages/dispatch/src/lib/soak/runFatalTasks.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { playLoad } from './playLoad'
 import { runFatalTasks } from './runFatalTasks'
 import type { FatalTasksOptions, FatalTasksReport } from './runFatalTasks'
 
@@ -44,6 +45,16 @@
     assert.equal(sum(reports, 'innocentFailed'), 0)
   })
 
+  for (const load of [0.8, 1.1]) {
+    it(`leave others nearly all that they get without them, at ${load} of the places`, () => {
+      const play = (fatalShare: number): number => {
+        return playLoad({ load, fatalShare, playMs: 4_000 }).inTime
+      }
+      const [without, beside] = [play(0), play(0.005)]
+      assert.ok(beside >= LEAST_SHARE * without, `${beside} of ${without}`)
+    })
+  }
+
   it('are told from groups of endpoints that are lost at once, also over new leaders', () => {
     const reports = runAll({ fatalShare: 0.03, hasGroupLosses: true, hasElections: true })
     assert.deepEqual(
