--- a/packages/rpc/src/lib/peer/PeerLink.test.ts
+++ b/packages/rpc/src/lib/peer/PeerLink.test.ts
@@ -199,30 +199,30 @@
     for (const seed of seeds) checkRestarts(seed)
   })
 
-  it('takes each connection to a peer that names no process for one to a new process', () => {
-    const pair = new SimulatedPair()
-    pair.namesBoot = false
-    pair.passFor(1000)
-    pair.silenceAll()
-    pair.queue(1)
-    pair.pass(1)
-    pair.restartReceiver()
-    pair.queue(2)
-    pair.passFor(1000)
-    assert.deepEqual(pair.givenToProcess, [[], [2]])
-  })
-
-  it('gives a peer that has started again what its earlier process was never sent', () => {
-    const pair = new SimulatedPair()
-    pair.passFor(1000)
-    pair.silenceAll()
-    pair.queue(1)
-    pair.pass(1)
-    pair.restartReceiver()
-    pair.queue(2)
-    pair.passFor(1000)
-    assert.deepEqual(pair.givenToProcess, [[], [2]])
-  })
+  const receivers = [
+    {
+      namesBoot: true,
+      title: 'gives a peer that has started again only what an earlier process was not sent',
+    },
+    {
+      namesBoot: false,
+      title: 'takes each connection for one to a new process where receipts name none',
+    },
+  ]
+  for (const { namesBoot, title } of receivers) {
+    it(title, () => {
+      const pair = new SimulatedPair()
+      pair.namesBoot = namesBoot
+      pair.passFor(1000)
+      pair.silenceAll()
+      pair.queue(1)
+      pair.pass(1)
+      pair.restartReceiver()
+      pair.queue(2)
+      pair.passFor(1000)
+      assert.deepEqual(pair.givenToProcess, [[], [2]])
+    })
+  }
 
   it('reports a lost peer within the sum of its limits, and only after the probe failed', () => {
     const pair = new SimulatedPair()
