Keep the verdict of a job that is cancelled after its end

Since cancellations of unknown jobs are kept, one that came after the job had completed replaced its verdict, so that a job sent again would have run a second time.

--- a/packages/dispatch/src/lib/DispatchMachine.takeover.test.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.takeover.test.ts
@@ -10,17 +10,44 @@
   RoutingTableSchema,
 } from '@cherryhitch/protocol'
 import { DispatchActionKind } from './DispatchAction'
+import type { DispatchAction } from './DispatchAction'
 import { DispatchEventKind } from './DispatchEvent'
 import { DispatchMachine } from './DispatchMachine'
 import { DispatchWorld } from './soak/DispatchWorld'
 
 const middle = () => 0.5
+const PLACE = { host: 'h', path: '/q/j' }
 const TABLE = create(RoutingTableSchema, {
   version: 1,
   routes: [{ name: 'r', host: 'h', pathPrefix: '/q/', service: 's' }],
   services: ['s'],
 })
 
+/** Outcomes that these actions tell callers. */
+function verdictsOf(actions: readonly DispatchAction[]): JobVerdict[] {
+  return actions.flatMap((action) => {
+    return action.kind === DispatchActionKind.Answer ? action.outcome.verdict : []
+  })
+}
+
+describe('a leader', () => {
+  it('does not run a completed job again that was cancelled too late', () => {
+    const leader = new DispatchMachine({})
+    leader.step(0, { kind: DispatchEventKind.Lead, term: 1, table: TABLE })
+    const submit = (now: number, requestId: string): readonly DispatchAction[] => {
+      const spec = makeSteppedJob('j', 'p', [])
+      const waits = { remainingMs: 1_000, waitedMs: 0, earlierAttempts: 0 }
+      const req = makeSubmitJob({ requestId, spec, ...PLACE, ...waits })
+      return leader.step(now, { kind: DispatchEventKind.Submit, from: 'e', req })
+    }
+    assert.deepEqual(verdictsOf(submit(1, '1')), [JobVerdict.COMPLETED])
+    const question = { requestId: '2', kind: JobQuestionKind.CANCEL, ...PLACE }
+    leader.step(2, { kind: DispatchEventKind.Ask, from: 'e', req: create(AskJobSchema, question) })
+    assert.deepEqual(verdictsOf(submit(3, '3')), [JobVerdict.COMPLETED])
+    assert.equal(leader.counters.jobs_taken, 1)
+  })
+})
+
 describe('a new leader', () => {
   it('goes on with what runs, also when the job comes before the lists of the endpoints', () => {
     const world = new DispatchWorld({ leaders: 2, endpoints: 2, placesEach: 4, random: middle })
@@ -52,18 +79,14 @@
   it('starts nothing of a job that was cancelled before an entry handed it over', () => {
     const leader = new DispatchMachine({})
     leader.step(0, { kind: DispatchEventKind.Lead, term: 2, table: TABLE })
-    const place = { host: 'h', path: '/q/j' }
-    const question = { requestId: '1', kind: JobQuestionKind.CANCEL, ...place }
+    const question = { requestId: '1', kind: JobQuestionKind.CANCEL, ...PLACE }
     leader.step(1, { kind: DispatchEventKind.Ask, from: 'e', req: create(AskJobSchema, question) })
     const spec = makeSteppedJob('j', 'p', [])
     const waits = { remainingMs: 1_000, waitedMs: 200, earlierAttempts: 1 }
-    const req = makeSubmitJob({ requestId: '2', spec, ...place, ...waits })
+    const req = makeSubmitJob({ requestId: '2', spec, ...PLACE, ...waits })
     const actions = leader.step(2, { kind: DispatchEventKind.Submit, from: 'e', req })
     assert.equal(leader.openJobs, 0)
-    const answers = actions.flatMap((action) => {
-      return action.kind === DispatchActionKind.Answer ? action.outcome.verdict : []
-    })
-    assert.deepEqual(answers, [JobVerdict.CANCELLED])
+    assert.deepEqual(verdictsOf(actions), [JobVerdict.CANCELLED])
   })
 
   it('waits for the leases of an endpoint that it cannot reach', () => {
--- a/packages/dispatch/src/lib/jobs/JobBook.ts
+++ b/packages/dispatch/src/lib/jobs/JobBook.ts
@@ -60,6 +60,8 @@
    * an earlier leader had it.
    */
   noteCancelled(now: number, id: string): void {
+    // One that has ended here keeps its verdict, or it would be run once more when it is sent again.
+    if (this.#ended.has(id)) return
     this.#remember(now, id, JobVerdict.CANCELLED, 'cancelled by its caller')
   }
 
