--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.test.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { create } from '@bufbuild/protobuf'
-import { EndpointNoticeSchema, NoticeState } from '@cherryhitch/protocol'
+import { EndpointNoticeSchema, makeEndpointCapacity, NoticeState } from '@cherryhitch/protocol'
 import type { EndpointNotice } from '@cherryhitch/protocol'
+import { RunState } from '../runs/Run'
+import type { Run } from '../runs/Run'
 import { EndpointRecord } from './EndpointRecord'
 
 interface NoticeFields {
@@ -54,6 +56,21 @@
     assert.ok(record.take(2, notice(6, { state: NoticeState.LEAVING })))
   })
 
+  it('leaves no room for others in the place of a run that is being stopped', () => {
+    const record = known()
+    const needs = makeEndpointCapacity(1_000, 10, 0)
+    const run = {
+      name: 't',
+      needs,
+      state: RunState.Stopping,
+      stopReason: 'its caller is gone',
+    } as Run
+    record.addRun(run)
+    assert.equal(record.freeRoom().cpuMillis, 0)
+    record.removeRun(run)
+    assert.equal(record.freeRoom().cpuMillis, 1_000)
+  })
+
   for (const [what, more] of [
     ['service', { service: 'other' }],
     ['address', { address: '10.0.0.8:80' }],
