Don't search all simulated endpoints at each look of an open question

Since endpoints of the load model can crash, each look, one a millisecond and question, searched the list of all endpoints, and each request went through those of the last 0.7 s although nothing is resent. A crashed endpoint says so itself, and requests are kept only where they are resent.

--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -414,7 +414,7 @@
     const leader = Number(to.slice(1))
     const event = requestOf(ENTRY, message)
     if (event === undefined) return
-    this.#sent.note(this.now, leader, event)
+    if (this.options.resendsToNextProcess === true) this.#sent.note(this.now, leader, event)
     const deliver = (): void => {
       this.#tell(leader, event)
     }
--- a/packages/dispatch/src/lib/soak/EndpointLives.ts
+++ b/packages/dispatch/src/lib/soak/EndpointLives.ts
@@ -44,6 +44,7 @@
     const at = endpoints.indexOf(endpoint)
     if (at < 0) return
     endpoints.splice(at, 1)
+    endpoint.isGone = true
     after(drawDownMs(), () => {
       revive(endpoint)
     })
--- a/packages/dispatch/src/lib/soak/OrderCarrier.ts
+++ b/packages/dispatch/src/lib/soak/OrderCarrier.ts
@@ -63,9 +63,9 @@
     const isLate = random() < chances.lateOrder
     const isLost = isLate || random() < chances.lostAnswer
     this.world.after(isLate ? 2_000 + random() * 3_000 : WAY_MS, () => {
-      if (!this.isThere(target)) return
+      if (target.isGone) return
       this.carryOut(target, order, (answer) => {
-        if (isLost || this.world.isCut(caller, order.endpoint) || !this.isThere(target)) return
+        if (isLost || this.world.isCut(caller, order.endpoint) || target.isGone) return
         this.world.after(WAY_MS, () => {
           settle(answer)
         })
@@ -73,10 +73,6 @@
     })
   }
 
-  private isThere(endpoint: SimulatedEndpoint): boolean {
-    return this.world.endpoints.includes(endpoint)
-  }
-
   /** Another life of the endpoint at its address says that it isn't the one that is meant. */
   private answerForNextLife(order: EndpointOrder, settle: OnAnswer): void {
     const { endpoints, after } = this.world
@@ -118,7 +114,7 @@
   ): void {
     const begin = this.world.now()
     const poll = (): void => {
-      if (!this.isThere(target)) return
+      if (target.isGone) return
       const now = this.world.now()
       const report = target.hold(now, token, order)
       if (typeof report === 'number') onAnswer(faultOf(report))
--- a/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
@@ -67,6 +67,8 @@
   private sequence = 0
   /** Runs that fit now, and those that it last said to fit. */
   places: number
+  /** It has crashed: nothing is carried out here any more, and nothing is answered. */
+  isGone = false
 
   constructor(readonly options: SimulatedEndpointOptions) {
     this.places = options.places
