Take in and hand out what is known of endpoints in one place each

Notices and losses were read in two places and put together in two; what goes to all hosts of voters was sent by two loops, and what was found out here and what was told took the same three steps. No change of behaviour.

--- a/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
+++ b/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
@@ -79,10 +79,10 @@
   }
 
   /** Another instance passed notices on. */
-  onNotices(from: string, { notices, lost, requestId }: EndpointNotices): void {
-    const { machine, tell, send } = this.options
-    for (const one of lost) tell({ kind: DispatchEventKind.Loss, lost: one })
-    for (const notice of notices) tell({ kind: DispatchEventKind.Notice, notice })
+  onNotices(from: string, message: EndpointNotices): void {
+    const { machine, send } = this.options
+    const { requestId } = message
+    this.takeIn(message)
     if (requestId === '') return
     const value = { requestId, byLeader: machine.leads }
     send(from, envelope({ case: 'endpointNoticesTaken', value }))
@@ -108,18 +108,14 @@
   }
 
   onRead(from: string, { term }: ReadEndpointNotices): void {
-    const { machine, now } = this.options
-    const notices = machine.notices(now())
-    const lost = machine.losses(now())
-    const followedMsAgo = now() - this.options.followedBefore(term)
-    const value = { term, notices, lost, complete: this.isComplete(), followedMsAgo }
+    const followedMsAgo = this.options.now() - this.options.followedBefore(term)
+    const value = { term, ...this.known(), complete: this.isComplete(), followedMsAgo }
     this.options.send(from, envelope({ case: 'endpointNoticesRead', value }))
   }
 
   onReadAnswered(from: string, answer: EndpointNoticesRead): void {
-    const { term, notices, lost, complete, followedMsAgo } = answer
-    for (const one of lost) this.options.tell({ kind: DispatchEventKind.Loss, lost: one })
-    for (const notice of notices) this.options.tell({ kind: DispatchEventKind.Notice, notice })
+    const { term, complete, followedMsAgo } = answer
+    this.takeIn(answer)
     if (this.reading?.term !== term) return
     if (complete) this.reading.complete.add(from)
     this.reading.followed.set(from, this.options.now() - followedMsAgo)
@@ -133,20 +129,28 @@
 
   /** Tells all who may lead of an endpoint that was lost. */
   passLoss(lost: LostEndpoint): void {
-    for (const peer of this.options.peers()) {
-      this.options.send(peer, envelope({ case: 'endpointNotices', value: { lost: [lost] } }))
-    }
+    this.sendToPeers(create(EndpointNoticesSchema, { lost: [lost] }))
   }
 
   /** A new instance gets everything that is known here. */
   tellAll(instance: string): void {
-    const { machine, now } = this.options
-    const notices = machine.notices(now())
-    if (notices.length === 0) return
-    const value = { notices, lost: machine.losses(now()) }
+    const value = this.known()
+    if (value.notices.length === 0) return
     this.options.send(instance, envelope({ case: 'endpointNotices', value }))
   }
 
+  /** What is known here of endpoints and their losses, for another instance. */
+  private known(): Pick<EndpointNotices, 'notices' | 'lost'> {
+    const { machine, now } = this.options
+    return { notices: machine.notices(now()), lost: machine.losses(now()) }
+  }
+
+  private takeIn({ notices, lost }: Pick<EndpointNotices, 'notices' | 'lost'>): void {
+    const { tell } = this.options
+    for (const one of lost) tell({ kind: DispatchEventKind.Loss, lost: one })
+    for (const notice of notices) tell({ kind: DispatchEventKind.Notice, notice })
+  }
+
   private isComplete(): boolean {
     return this.options.now() >= this.options.completeAt
   }
@@ -174,7 +178,10 @@
   }
 
   private spread(notices: EndpointNotice[], requestId: string): void {
-    const value = create(EndpointNoticesSchema, { notices, requestId })
+    this.sendToPeers(create(EndpointNoticesSchema, { notices, requestId }))
+  }
+
+  private sendToPeers(value: EndpointNotices): void {
     for (const peer of this.options.peers()) {
       this.options.send(peer, envelope({ case: 'endpointNotices', value }))
     }
--- a/packages/dispatch/src/lib/crashes/CrashWatch.ts
+++ b/packages/dispatch/src/lib/crashes/CrashWatch.ts
@@ -52,9 +52,7 @@
 
   /** Another instance tells what it knows. */
   onTold(now: number, lost: LostEndpoint): void {
-    const tasks = this.core.losses.tasksOf(lost.endpoint)
-    if (!this.core.losses.take(now, lost)) return
-    this.#report(now, lost.endpoint, tasks)
+    this.#take(now, lost, () => undefined)
   }
 
   /** Looks at what was lost: another life shows a crash, an answer shows that there was none. */
@@ -84,20 +82,21 @@
     return held
   }
 
+  /** Takes in what was found out here, and tells all who may lead. */
   #note(now: number, lost: LostEndpoint): void {
-    const { losses } = this.core
-    const before = losses.tasksOf(lost.endpoint)
-    if (!losses.take(now, lost)) return
-    this.core.emit({
-      kind: DispatchActionKind.SpreadLoss,
-      lost: losses.tell(now, lost.endpoint),
+    this.#take(now, lost, () => {
+      const known = this.core.losses.tell(now, lost.endpoint)
+      this.core.emit({ kind: DispatchActionKind.SpreadLoss, lost: known })
     })
-    this.#report(now, lost.endpoint, before)
   }
 
-  /** @param before - the tasks that were known to have run there */
-  #report(now: number, endpoint: string, before: readonly string[]): void {
-    const tasks = new Set([...before, ...this.core.losses.tasksOf(endpoint)])
+  /** @param onNews - called before tasks are judged by it */
+  #take(now: number, lost: LostEndpoint, onNews: () => void): void {
+    const { losses } = this.core
+    const before = losses.tasksOf(lost.endpoint)
+    if (!losses.take(now, lost)) return
+    onNews()
+    const tasks = new Set([...before, ...losses.tasksOf(lost.endpoint)])
     for (const task of tasks) this.onEvidence(now, task)
   }
 }
