Share the random faults of link tests and the messages of the simulated instances

The restarts of a peer were tested with a copy of the loop of faults beside it, and losses and notices went to other instances by loops of their own.

--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -5,7 +5,7 @@
   RoutingTableSchema,
   SteppedJobSchema,
 } from '@cherryhitch/protocol'
-import type { EndpointNotice, Envelope, JobOutcome, LostEndpoint } from '@cherryhitch/protocol'
+import type { EndpointNotice, Envelope, JobOutcome } from '@cherryhitch/protocol'
 import { Agenda } from '@cherryhitch/runtime'
 import { DispatchActionKind } from '../DispatchAction'
 import type { DispatchAction } from '../DispatchAction'
@@ -235,7 +235,7 @@
     this.after(
       downMs,
       this.#processes.bind(leader, () => {
-        this.#tellAll(leader)
+        for (const i of this.#machines.keys()) if (i !== leader) this.#tellNotices(i, leader)
         if (this.options.resendsToNextProcess !== true) return
         for (const event of this.#sent.unacknowledged(this.now, leader)) this.#tell(leader, event)
       }),
@@ -247,16 +247,6 @@
     })
   }
 
-  /** A process that has started gets all that the others know of endpoints. */
-  #tellAll(leader: number): void {
-    for (const [i, machine] of this.#machines.entries()) {
-      if (i === leader) continue
-      for (const notice of machine.notices(this.now)) {
-        this.#tell(leader, { kind: DispatchEventKind.Notice, notice })
-      }
-    }
-  }
-
   #tellLeader(leader: string): void {
     const told = { kind: RelayEventKind.Leader, leader, term: this.#term } as const
     this.#performRelay(this.#relay.step(this.now, told))
@@ -281,8 +271,7 @@
   #readDirectories(leader: number, term: number): void {
     const others = [...this.#machines.keys()].filter((i) => i !== leader)
     const asked = others[Math.floor(this.options.random() * others.length)]
-    const told = asked === undefined ? [] : (this.#machines[asked]?.notices(this.now) ?? [])
-    for (const notice of told) this.#tell(leader, { kind: DispatchEventKind.Notice, notice })
+    if (asked !== undefined) this.#tellNotices(asked, leader)
     const majority = asked === undefined ? [leader] : [leader, asked]
     if (!majority.every((i) => this.#hasWholeDirectory(i))) return
     this.#tell(leader, { kind: DispatchEventKind.DirectoryRead, term })
@@ -374,8 +363,9 @@
     for (const action of actions) {
       if (action.kind === DispatchActionKind.Order) this.#proxies.order(leader, action)
       else if (action.kind === DispatchActionKind.Spread) this.#spread(leader, action.notice)
-      else if (action.kind === DispatchActionKind.SpreadLoss) this.#spreadLoss(leader, action.lost)
-      else if (action.kind === DispatchActionKind.Answer) {
+      else if (action.kind === DispatchActionKind.SpreadLoss) {
+        this.#tellOthers(leader, { kind: DispatchEventKind.Loss, lost: action.lost })
+      } else if (action.kind === DispatchActionKind.Answer) {
         const { outcome } = action
         this.after(WAY_MS, () => {
           const event = { kind: RelayEventKind.Outcome, from: `d${leader}`, outcome } as const
@@ -388,21 +378,22 @@
 
   #spread(leader: number, notice: EndpointNotice): void {
     if (this.#cutFromQuorum.has(leader)) return
-    this.after(WAY_MS, () => {
-      for (const [i] of this.#leaders.entries()) {
-        if (i !== leader) this.#tell(i, { kind: DispatchEventKind.Notice, notice })
-      }
-    })
+    this.#tellOthers(leader, { kind: DispatchEventKind.Notice, notice })
   }
 
-  #spreadLoss(leader: number, lost: LostEndpoint): void {
+  #tellOthers(leader: number, event: DispatchEvent): void {
     this.after(WAY_MS, () => {
-      for (const [i] of this.#leaders.entries()) {
-        if (i !== leader) this.#tell(i, { kind: DispatchEventKind.Loss, lost })
-      }
+      for (const i of this.#leaders.keys()) if (i !== leader) this.#tell(i, event)
     })
   }
 
+  /** An instance tells another one which endpoints it knows. */
+  #tellNotices(from: number, to: number): void {
+    for (const notice of this.#machines[from]?.notices(this.now) ?? []) {
+      this.#tell(to, { kind: DispatchEventKind.Notice, notice })
+    }
+  }
+
   #performRelay(actions: readonly RelayAction[]): void {
     for (const action of actions) {
       if (action.kind === RelayActionKind.Answer) this.#onOutcome(action.outcome)
--- a/packages/rpc/src/lib/peer/PeerLink.test.ts
+++ b/packages/rpc/src/lib/peer/PeerLink.test.ts
@@ -133,8 +133,11 @@
   }
 }
 
+/** Gives whole numbers from 0 up to a limit. */
+type Draw = (limit: number) => number
+
 /** A small generator with a fixed seed. */
-function randomOf(seed: number): (limit: number) => number {
+function randomOf(seed: number): Draw {
   let state = seed
   return (limit) => {
     state = (Math.imul(state, 1664525) + 1013904223) >>> 0
@@ -142,12 +145,23 @@
   }
 }
 
-/** Random faults and restarts of the receiver, none of whose processes may be given the same message. */
-function checkRestarts(seed: number): void {
+const ROUNDS = 3_000
+
+/**
+ * Queues numbers from 1 on under random resets and silence.
+ *
+ * @param further - one more fault, as rare as each of the others
+ * @returns how many numbers were queued
+ */
+function playFaults(
+  pair: SimulatedPair,
+  seed: number,
+  further: (random: Draw) => void,
+  onRound: () => void = () => undefined,
+): number {
   const random = randomOf(seed)
-  const pair = new SimulatedPair()
   let sent = 0
-  for (let round = 0; round < 3000; round++) {
+  for (let round = 0; round < ROUNDS; round++) {
     for (let i = random(4); i > 0; i--) pair.queue(++sent)
     const connections = [...pair.open.values()]
     const hit = connections[random(connections.length)]
@@ -155,38 +169,26 @@
     if (fault === 0 && hit !== undefined) hit.silent = true
     if (fault === 1 && hit !== undefined) hit.deaf = true
     if (fault === 2) pair.reset([...pair.open.keys()][0] ?? 0)
-    if (fault === 3) pair.restartReceiver()
+    if (fault === 3) further(random)
     pair.pass(random(3))
+    onRound()
   }
-  pair.passFor(10_000)
-  const given = pair.givenToProcess.flat()
-  assert.ok(pair.givenToProcess.length > 10)
-  assert.ok(given.length > sent / 2, `seed ${seed}: ${given.length} of ${sent} arrived`)
-  assert.equal(new Set(given).size, given.length, `seed ${seed}`)
-  assert.equal(pair.link.outbox.size, 0)
+  return sent
 }
 
 describe('PeerLink', () => {
   for (const seed of seeds) {
     it(`delivers each message once and in order under resets and silence, seed ${seed}`, () => {
-      const random = randomOf(seed)
       const pair = new SimulatedPair()
-      let sent = 0
-      for (let round = 0; round < 3000; round++) {
-        for (let i = random(4); i > 0; i--) pair.queue(++sent)
-        const connections = [...pair.open.values()]
-        const hit = connections[random(connections.length)]
-        const fault = random(60)
-        if (fault === 0 && hit !== undefined) hit.silent = true
-        if (fault === 1 && hit !== undefined) hit.deaf = true
-        if (fault === 2) pair.reset([...pair.open.keys()][0] ?? 0)
-        if (fault === 3) pair.silenceNew = random(4) === 0
-        pair.pass(random(3))
+      const silenceNew = (random: Draw): void => {
+        pair.silenceNew = random(4) === 0
+      }
+      const sent = playFaults(pair, seed, silenceNew, () => {
         assert.deepEqual(
           pair.delivered.slice(-1),
           pair.delivered.length > 0 ? [pair.delivered.length] : [],
         )
-      }
+      })
       pair.silenceNew = false
       pair.passFor(10_000)
       assert.deepEqual(pair.delivered, range(1, sent))
@@ -196,7 +198,18 @@
   }
 
   it('hands no message to two processes of its peer', () => {
-    for (const seed of seeds) checkRestarts(seed)
+    for (const seed of seeds) {
+      const pair = new SimulatedPair()
+      const sent = playFaults(pair, seed, () => {
+        pair.restartReceiver()
+      })
+      pair.passFor(10_000)
+      const given = pair.givenToProcess.flat()
+      assert.ok(pair.givenToProcess.length > 10)
+      assert.ok(given.length > sent / 2, `seed ${seed}: ${given.length} of ${sent} arrived`)
+      assert.equal(new Set(given).size, given.length, `seed ${seed}`)
+      assert.equal(pair.link.outbox.size, 0)
+    }
   })
 
   const receivers = [
