Log a word that an endpoint leaves when it is not taken in

Callers saw tasks started at an endpoint whose goodbye had been acknowledged (DRAIN). The logs can't tell the hypotheses apart, since a notice that is dropped as older than what is known leaves no line.

--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -236,7 +236,10 @@
     const known = this.#core.endpoints.get(notice.endpoint)
     const before = known?.notice.state
     const endpoint = this.#core.endpoints.take(now, notice)
-    if (endpoint === undefined) return
+    if (endpoint === undefined) {
+      if (known !== undefined) this.#logDroppedLeave(known, notice)
+      return
+    }
     if (known === undefined && this.leads) this.#spread(now, endpoint)
     if (before !== notice.state) {
       this.#core.log('an endpoint changed its state', {
@@ -252,6 +255,19 @@
     this.#leases.ask(now, endpoint)
   }
 
+  /** An endpoint that leaves and still gets tasks is a broken promise: such a word is not dropped in silence. */
+  #logDroppedLeave(known: EndpointRecord, notice: EndpointNotice): void {
+    const { state, sequence, address } = notice
+    if (state !== NoticeState.LEAVING || known.notice.state !== NoticeState.SERVING) return
+    this.#core.log('a word that an endpoint leaves was not taken', {
+      endpoint: known.id,
+      address,
+      sequence,
+      knownAddress: known.notice.address,
+      knownSequence: known.notice.sequence,
+    })
+  }
+
   /** All who may lead get to know it before anything is started there. */
   #spread(now: number, endpoint: EndpointRecord): void {
     endpoint.spreadAt = now
