Tell the lives of an endpoint apart that keeps its id

What callers saw: tasks were started at an endpoint whose word that it leaves had been acknowledged (DRAIN), and tasks that had been done were run again, up to four times, with requests failing for seconds after endpoints were back.

Cause: an id was taken for a process. A notice with a low sequence, an end with a low position and lists with a low clock were dropped as older than those of the process before.

Change: the adapter names a life by its id and its start, so that each life has a record of its own; lists of another life count as no answer of the one that was asked. Since calls carry the id alone, orders for one life may reach the next. So each life that becomes known has a number of its own in the fencing token, above those before it: its first lists show what earlier orders did there, and later ones are refused. What ran at the life before is in doubt until then; nothing starts there, and no ends are acknowledged to it. A goodbye, which names the id alone, ends the lives that have said that they leave. Words that name no life mean what they meant, unless lives are known.

Simulated endpoints and the stand-in worker start again under their ids, with late words, late orders and clocks that were set back.

--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -24,6 +24,7 @@
 import { LossLedger } from './crashes/LossLedger'
 import { EndpointBook } from './endpoints/EndpointBook'
 import type { EndpointRecord } from './endpoints/EndpointRecord'
+import { makeFencingToken } from './endpoints/fencingToken'
 import type { JobWaiter } from './jobs/Job'
 
 /** Numbers of orders begin anew after these, long after the earlier ones were answered. */
@@ -102,8 +103,8 @@
     endpoints_visited: 0,
     places_forecast: 0,
   }
-  /** Term in which this instance leads, which is its fencing token; undefined if it doesn't. */
-  token: number | undefined
+  /** Term in which this instance leads; undefined if it does not. */
+  term: number | undefined
   /** No earlier leader was confirmed by a majority after this time. */
   earlierLeadersUntil = 0
   /** True once a majority of the voters told this leader all endpoints that it knows. */
@@ -152,18 +153,19 @@
   }
 
   /**
-   * Sends an order to an endpoint, under the fencing token of this leader.
+   * Sends an order to an endpoint, under the fencing token of this leader for this life of it.
    *
    * @returns its number, which the answer names
    */
-  order(now: number, { id: endpoint, notice }: EndpointRecord, body: OrderBody): number {
+  order(now: number, target: EndpointRecord, body: OrderBody): number {
+    const { id: endpoint, notice, lifeNumber } = target
     const { address, zone } = notice
     this.#orders = (this.#orders + 1) % ORDER_NUMBERS
     const order = makeEndpointOrder({
       id: this.#orders,
       endpoint,
       address,
-      fencingToken: this.token ?? 0,
+      fencingToken: makeFencingToken(this.term ?? 0, lifeNumber),
       timeoutMs: body.timeoutMs,
       order: body.order,
     })
@@ -176,7 +178,7 @@
   }
 
   answer({ instance, requestId }: JobWaiter, verdict: JobVerdict, more: OutcomeFields = {}): void {
-    const term = this.token ?? 0
+    const term = this.term ?? 0
     const outcome = makeJobOutcome({ requestId, verdict, term, ...more })
     this.emit({ kind: DispatchActionKind.Answer, to: instance, outcome })
   }
--- a/packages/dispatch/src/lib/DispatchEvent.ts
+++ b/packages/dispatch/src/lib/DispatchEvent.ts
@@ -35,7 +35,7 @@
 
 /** What the dispatcher is told. @public */
 export type DispatchEvent =
-  /** This instance leads from now on; the term is its fencing token. */
+  /** This instance leads from now on, in the given term. */
   | {
       readonly kind: DispatchEventKind.Lead
       readonly term: number
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -105,7 +105,7 @@
   }
 
   get leads(): boolean {
-    return this.#core.token !== undefined
+    return this.#core.term !== undefined
   }
 
   /** What is known of endpoints, for another instance. */
@@ -162,7 +162,7 @@
         this.#stepDown(now)
         return
       case DispatchEventKind.DirectoryRead:
-        if (event.term === this.#core.token) this.#core.hasDirectory = true
+        if (event.term === this.#core.term) this.#core.hasDirectory = true
         return
       case DispatchEventKind.EarlierLeaders:
         this.#noteEarlierLeaders(event)
@@ -200,12 +200,13 @@
 
   #lead(now: number, { term, table }: EventOf<DispatchEventKind.Lead>): void {
     const core = this.#core
-    if (core.token !== undefined) this.#stepDown(now)
-    core.token = term
+    if (core.term !== undefined) this.#stepDown(now)
+    core.term = term
     core.earlierLeadersUntil = now
     core.hasDirectory = false
     core.confirmedAt = -Infinity
     core.table = table ?? core.table
+    core.endpoints.beginTerm()
     for (const endpoint of core.endpoints.all()) {
       endpoint.reset()
       this.#spread(now, endpoint)
@@ -216,23 +217,29 @@
 
   #noteEarlierLeaders(event: EventOf<DispatchEventKind.EarlierLeaders>): void {
     const core = this.#core
-    if (event.term !== core.token) return
+    if (event.term !== core.term) return
     core.earlierLeadersUntil = Math.min(core.earlierLeadersUntil, event.followedUntil)
     this.#scheduler.wake()
   }
 
   #stepDown(now: number): void {
     const core = this.#core
-    if (core.token === undefined) return
+    if (core.term === undefined) return
     this.#lifecycle.crashes.handOver(now)
-    core.log('leads no more', { term: core.token, openJobs: this.openJobs })
+    core.log('leads no more', { term: core.term, openJobs: this.openJobs })
     this.#lifecycle.clear()
     this.#requests.clear()
-    core.token = undefined
+    core.term = undefined
     for (const endpoint of core.endpoints.all()) endpoint.reset()
   }
 
   #onNotice(now: number, notice: EndpointNotice): void {
+    for (const endpoint of this.#core.endpoints.namedBy(notice)) {
+      this.#onNoticeOfLife(now, { ...notice, endpoint })
+    }
+  }
+
+  #onNoticeOfLife(now: number, notice: EndpointNotice): void {
     const known = this.#core.endpoints.get(notice.endpoint)
     const before = known?.notice.state
     const endpoint = this.#core.endpoints.take(now, notice)
@@ -240,7 +247,7 @@
       if (known !== undefined) this.#logDroppedLeave(known, notice)
       return
     }
-    if (known === undefined && this.leads) this.#spread(now, endpoint)
+    if (known === undefined && this.leads) this.#onNewLife(now, endpoint)
     if (before !== notice.state) {
       this.#core.log('an endpoint changed its state', {
         endpoint: notice.endpoint,
@@ -255,6 +262,11 @@
     this.#leases.ask(now, endpoint)
   }
 
+  #onNewLife(now: number, endpoint: EndpointRecord): void {
+    this.#spread(now, endpoint)
+    for (const earlier of this.#core.endpoints.otherLives(endpoint)) this.#leases.look(now, earlier)
+  }
+
   /** An endpoint that leaves and still gets tasks is a broken promise: such a word is not dropped in silence. */
   #logDroppedLeave(known: EndpointRecord, notice: EndpointNotice): void {
     const { state, sequence, address } = notice
--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -57,6 +57,12 @@
   reportedClockMs = -Infinity
   /** How long it takes to answer what it answers at once. */
   readonly roundTrip: RoundTrip
+  /** Number of this life in its leader's orders; the machine refuses orders under a lower one. */
+  lifeNumber = 0
+  /** When another life of its machine became known, until it answers a later question. */
+  #doubtedAt: number | undefined
+  /** Until when orders for it may take effect at the next life of its machine. */
+  #strayUntil = -Infinity
   answeredAt = -Infinity
   /** When the first of the calls in a row without an answer was given up. */
   silentAt = -Infinity
@@ -132,11 +138,39 @@
     return this.#isReplaced
   }
 
-  set isReplaced(isReplaced: boolean) {
-    this.#isReplaced = isReplaced
+  /**
+   * Another life is in its place, for good.
+   *
+   * @param strayUntil - when orders for it have no effect any more, wherever they arrive
+   */
+  replace(strayUntil = -Infinity): void {
+    this.#strayUntil = this.#isReplaced ? Math.min(this.#strayUntil, strayUntil) : strayUntil
+    this.#isReplaced = true
     this.noteChange()
   }
 
+  /** Another life of its machine has become known: what is sent to this one may reach that one. */
+  doubt(now: number): void {
+    this.#doubtedAt = now
+    this.noteChange()
+  }
+
+  get isDoubted(): boolean {
+    return this.#doubtedAt !== undefined
+  }
+
+  /** It has answered a question that was sent at the given time. */
+  noteAlive(sentAt: number): void {
+    if (this.#doubtedAt === undefined || sentAt < this.#doubtedAt) return
+    this.#doubtedAt = undefined
+    this.noteChange()
+  }
+
+  /** True once nothing that was ordered here runs or can begin. */
+  isOver(now: number): boolean {
+    return this.#isReplaced && now >= this.#strayUntil
+  }
+
   addRun(run: Run): void {
     this.#runs.set(run.name, run)
     this.noteChange()
@@ -171,6 +205,11 @@
     return this.#notice.endpoint
   }
 
+  /** What its life has in common with the earlier and later ones. */
+  get machine(): string {
+    return machineOf(this.#notice)
+  }
+
   get notice(): EndpointNotice {
     return this.#notice
   }
@@ -226,8 +265,9 @@
 
   /** True while new tasks may be started there. */
   mayStart(now: number): boolean {
-    const serves = this.#notice.state === NoticeState.SERVING && !this.isReplaced
-    return serves && this.isAdopted && this.unanswered === 0 && now >= this.pausedUntil
+    if (this.#notice.state !== NoticeState.SERVING || this.isReplaced) return false
+    const isThere = this.isAdopted && this.unanswered === 0 && !this.isDoubted
+    return isThere && now >= this.pausedUntil
   }
 
   freeRoom(): Readonly<FreeRoom> {
@@ -261,6 +301,11 @@
   }
 }
 
+/** The machine that a notice is of; one that names none is of a machine of its own. @internal */
+export function machineOf({ machine, endpoint }: EndpointNotice): string {
+  return machine === '' ? endpoint : machine
+}
+
 /** Whether a sequence is of a later notice than another. */
 function isLater(sequence: number, known: number): boolean {
   const step = sequence - known
--- a/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
+++ b/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
@@ -48,14 +48,16 @@
     waitMs: number,
     timeoutMs: number,
   ): OpenQuestion | undefined {
-    if (this.core.token === undefined || endpoint.isReplaced) return undefined
+    if (this.core.term === undefined || endpoint.isReplaced) return undefined
     // Renewing the lease of one that may be out of reach would put off for good the moment from
     // which on what ran there may begin anew elsewhere.
     const leaseEndsAt = endpoint.unanswered === 0 ? this.leaseEnd(now, endpoint) : undefined
     if (leaseEndsAt !== undefined) {
       endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, leaseEndsAt)
     }
-    const { acknowledgedEnd } = endpoint
+    // The next life of its machine would forget ends that nobody has read yet.
+    const isSure = endpoint.unanswered === 0 && !endpoint.isDoubted
+    const acknowledgedEnd = isSure ? endpoint.acknowledgedEnd : 0
     const value = makeHoldOrder(leaseEndsAt, acknowledgedEnd, waitMs)
     const id = this.core.order(now, endpoint, { timeoutMs, order: { case: 'hold', value } })
     return { id, sentAt: now }
@@ -117,7 +119,7 @@
     if (endpoint.hold === undefined) {
       endpoint.nextHoldAt = now + this.core.timing.retryHoldMs * slow
     }
-    if (failure === HoldFailure.REPLACED) endpoint.isReplaced = true
+    this.#noteOtherLife(now, endpoint, failure)
     if (endpoint.unanswered > 1 && failure === HoldFailure.NO_ANSWER) return
     const { id, notice } = endpoint
     const answeredMsAgo = Math.round(now - endpoint.answeredAt)
@@ -132,6 +134,14 @@
     })
   }
 
+  #noteOtherLife(now: number, endpoint: EndpointRecord, failure: HoldFailure): void {
+    const { endpoints, timing } = this.core
+    if (failure === HoldFailure.REPLACED) endpoint.replace()
+    // Its next life has its id: what was ordered lately may have begun there, and its lists will tell.
+    if (failure === HoldFailure.RESTARTED) endpoint.replace(now + timing.forgetEndpointMs)
+    if (failure === HoldFailure.FENCED) endpoints.raiseLifeNumber(endpoint)
+  }
+
   /** A call got no answer: nothing more is started there until the next one does. */
   noteSilence(now: number, endpoint: EndpointRecord): void {
     if (endpoint.unanswered === 0) endpoint.silentAt = now
@@ -144,8 +154,9 @@
    * out when a majority last followed this leader. After that a next leader may have renewed it, and a
    * leader that is cut off would start again what still runs.
    */
-  hasLapsed(endpoint: EndpointRecord): boolean {
+  hasLapsed(now: number, endpoint: EndpointRecord): boolean {
     const { confirmedAt } = this.core
-    return endpoint.isReplaced || endpoint.clock.isPast(confirmedAt, endpoint.leaseEndsAt)
+    if (endpoint.isReplaced) return endpoint.isOver(now)
+    return endpoint.clock.isPast(confirmedAt, endpoint.leaseEndsAt)
   }
 }
--- a/packages/dispatch/src/lib/endpoints/capacity.test.ts
+++ b/packages/dispatch/src/lib/endpoints/capacity.test.ts
@@ -35,9 +35,9 @@
 function watchStarts(endpoint: SimulatedEndpoint): { most: number } {
   const seen = { most: 0 }
   const { onStart } = endpoint
-  endpoint.onStart = (run) => {
+  endpoint.onStart = (run, isLate) => {
     seen.most = Math.max(seen.most, endpoint.running.size)
-    onStart(run)
+    onStart(run, isLate)
   }
   return seen
 }
--- a/packages/dispatch/src/lib/jobs/JobBook.ts
+++ b/packages/dispatch/src/lib/jobs/JobBook.ts
@@ -228,7 +228,7 @@
       ...job.mishaps,
       ...(job.isResumed && { isResumed: true }),
       endpoints: [...job.endpointsUsed],
-      term: this.core.token,
+      term: this.core.term,
       open: this.#jobs.size,
     })
   }
--- a/packages/dispatch/src/lib/jobs/RequestHandler.ts
+++ b/packages/dispatch/src/lib/jobs/RequestHandler.ts
@@ -123,7 +123,7 @@
   }
 
   #leads(waiter: JobWaiter): boolean {
-    if (this.core.token !== undefined) return true
+    if (this.core.term !== undefined) return true
     this.core.answer(waiter, JobVerdict.NOT_LEADER)
     return false
   }
--- a/packages/dispatch/src/lib/orders/AnswerHandler.ts
+++ b/packages/dispatch/src/lib/orders/AnswerHandler.ts
@@ -4,6 +4,7 @@
 import type { DispatchCore } from '../DispatchCore'
 import type { OrderAnswered } from '../DispatchEvent'
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
+import { termOfToken } from '../endpoints/fencingToken'
 import type { LeaseLoop } from '../endpoints/LeaseLoop'
 import type { JobLifecycle } from '../jobs/JobLifecycle'
 import type { Run } from '../runs/Run'
@@ -28,7 +29,7 @@
   handle(now: number, { order, sentAt, answer }: OrderAnswered): void {
     const endpoint = this.core.endpoints.get(order.endpoint)
     // Answers to orders of an earlier leadership of this instance count no more.
-    if (endpoint === undefined || order.fencingToken !== this.core.token) return
+    if (endpoint === undefined || termOfToken(order.fencingToken) !== this.core.term) return
     switch (answer.case) {
       case 'report':
         this.#onReport(now, endpoint, { order, sentAt, report: answer.value })
@@ -50,6 +51,7 @@
   #onReport(now: number, endpoint: EndpointRecord, { order, sentAt, report }: Reported): void {
     const { isAdopted: wasAdopted, acknowledgedEnd, look } = endpoint
     this.leases.noteAnswer(now, endpoint, order.id, report.clockMs)
+    endpoint.noteAlive(sentAt)
     this.lifecycle.runs.onReport(now, endpoint, sentAt, report)
     const hasNewEnd = endpoint.acknowledgedEnd > acknowledgedEnd
     if (hasNewEnd && look?.id === order.id) this.leases.noteNewsBy(look, endpoint)
--- a/packages/dispatch/src/lib/runs/RunOrders.ts
+++ b/packages/dispatch/src/lib/runs/RunOrders.ts
@@ -22,8 +22,8 @@
 
   /** Orders a run to stop, and notes when to do so again if its end is not listed by then. */
   stop(now: number, run: Run): void {
-    const { token, counters } = this.core
-    if (token === undefined) return
+    const { term, counters } = this.core
+    if (term === undefined) return
     run.stopDueAt = now + STOP_REPEAT_MS
     counters.stops++
     const { endpoint, name, number } = run
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -58,9 +58,9 @@
 
   /** Orders a task to start; false when no order can be given now. */
   start(now: number, task: Task, endpoint: EndpointRecord, expectedMs: number): boolean {
-    const { token, timing, counters } = this.core
+    const { term, timing, counters } = this.core
     const orderEndsAt = this.leases.orderEnd(now, endpoint, timing.startOrderMs)
-    if (token === undefined || orderEndsAt === undefined) return false
+    if (term === undefined || orderEndsAt === undefined) return false
     const number = ++task.lastRun
     const { name, job } = task
     const run: Run = {
@@ -133,6 +133,8 @@
 
   /** Takes in what an endpoint lists; the hold for it was sent at the given time. */
   onReport(now: number, endpoint: EndpointRecord, sentAt: number, report: HoldReport): void {
+    // A life that another one has followed speaks for nothing that it was not asked about before.
+    if (endpoint.isReplaced && !endpoint.isAdopted) return
     // Answers may overtake each other: an older list shows what has ended as running.
     if (report.clockMs < endpoint.reportedClockMs) return
     const isNewer = report.clockMs > endpoint.reportedClockMs
@@ -142,6 +144,7 @@
     // An earlier leader may have renewed the lease until just now; from now on it can't.
     const grantedUntil = isFirst ? report.clockMs + this.core.timing.maxGrantMs : -Infinity
     endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, grantedUntil)
+    if (isFirst) this.#endEarlierLives(now, endpoint)
     for (const ended of report.ended) this.#onListedEnd(now, endpoint, ended, isFirst)
     const listed = new Set<string>()
     for (const running of report.running) {
@@ -157,6 +160,26 @@
     }
   }
 
+  /**
+   * A life that answers is the present one of its machine. Orders for those before it may have reached it;
+   * the first of its own has a higher token than all of them, so that its lists show what they did.
+   */
+  #endEarlierLives(now: number, endpoint: EndpointRecord): void {
+    for (const earlier of this.core.endpoints.otherLives(endpoint)) {
+      if (!earlier.isReplaced) this.leases.noteSilence(now, earlier)
+      earlier.replace()
+      const { id, runs } = earlier
+      const fields = { endpoint: endpoint.id, earlier: id, runs: runs.size }
+      this.core.log('an endpoint has started again', fields)
+      if (runs.size > 0) this.#loseAll(now, earlier)
+    }
+  }
+
+  #loseAll(now: number, endpoint: EndpointRecord): void {
+    this.listener.onEndpointLost(now, endpoint)
+    for (const run of [...endpoint.runs.values()]) this.#finish(now, run, RunEnd.Lost)
+  }
+
   /** A run of an earlier leader goes on for the job that was submitted again. */
   adopt(now: number, task: Task): boolean {
     const run = this.#orphans.get(task.name)
@@ -185,9 +208,8 @@
   #tickEndpoint(now: number, endpoint: EndpointRecord): void {
     if (endpoint.runs.size === 0) return
     const isLost = endpoint.isReplaced || endpoint.unanswered > 0
-    if (isLost && this.leases.hasLapsed(endpoint)) {
-      this.listener.onEndpointLost(now, endpoint)
-      for (const run of [...endpoint.runs.values()]) this.#finish(now, run, RunEnd.Lost)
+    if (isLost && this.leases.hasLapsed(now, endpoint)) {
+      this.#loseAll(now, endpoint)
       return
     }
     for (const run of endpoint.runs.values()) {
@@ -273,7 +295,7 @@
 
   #noteRejection(now: number, run: Run, result: StartResult): void {
     const { endpoint, task, name, number } = run
-    if (result === StartResult.REPLACED) endpoint.isReplaced = true
+    if (result === StartResult.REPLACED) endpoint.replace()
     if (result === StartResult.NO_ROOM) endpoint.pausedUntil = now + this.core.timing.roomPauseMs
     if (result === StartResult.UNHEALTHY || result === StartResult.NOT_SENT) {
       endpoint.pausedUntil = now + this.core.timing.retryHoldMs
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -61,7 +61,7 @@
   }
 
   run(now: number): void {
-    if (!this.#isDue || this.core.token === undefined) return
+    if (!this.#isDue || this.core.term === undefined) return
     this.#isDue = false
     if (this.parts.jobs.waiting.size === 0) return
     this.refresh(now)
@@ -105,13 +105,13 @@
    * every known endpoint has told what runs there, or all earlier leases have run out.
    */
   isSettled(now: number): boolean {
-    const { token, earlierLeadersUntil, hasDirectory, timing, endpoints } = this.core
-    if (token === undefined) return false
+    const { term, earlierLeadersUntil, hasDirectory, timing, endpoints } = this.core
+    if (term === undefined) return false
     const leaseMs = timing.leaderLeaseMs * (1 + timing.clockDrift)
     if (now >= earlierLeadersUntil + leaseMs) return true
     if (!hasDirectory) return false
-    for (const { isAdopted, isReplaced } of endpoints.all()) {
-      if (!isAdopted && !isReplaced) return false
+    for (const endpoint of endpoints.all()) {
+      if (!endpoint.isAdopted && !endpoint.isOver(now)) return false
     }
     return true
   }
--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -2,6 +2,7 @@
 import {
   JobStepSchema,
   JobVerdict,
+  NoticeState,
   RoutingTableSchema,
   SteppedJobSchema,
 } from '@cherryhitch/protocol'
@@ -24,6 +25,7 @@
 import { FreeLeader } from './SimulatedLeader'
 import type { SimulatedLeader } from './SimulatedLeader'
 import { requestOf, SentRequests } from './SentRequests'
+import { StartChecks } from './StartChecks'
 import { SimulatedEndpoint, TASK_CPU_MILLIS } from './SimulatedEndpoint'
 
 const SERVICE = 'tracing'
@@ -32,7 +34,6 @@
 const TICK_MS = 10
 const MAX_LEASE_MS = 1_000
 const HEARTBEAT_MS = 1_500
-
 /** Queues that callers may use. @internal */
 export const QUEUES = 3
 
@@ -61,8 +62,13 @@
   readonly outcomes = new Map<string, JobOutcome>()
   /** When each request was answered. */
   readonly answeredAt = new Map<string, number>()
-  readonly violations: string[] = []
-  readonly startedTasks = new Map<string, number>()
+  readonly #checks = new StartChecks({
+    endpoints: this.endpoints,
+    outcomes: this.outcomes,
+    now: () => this.now,
+  })
+  readonly violations = this.#checks.violations
+  readonly startedTasks = this.#checks.startedTasks
   readonly #machines: DispatchMachine[]
   readonly #leaders: SimulatedLeader[]
   readonly #relay = new JobRelay()
@@ -75,6 +81,7 @@
   readonly #cutFromQuorum = new Set<number>()
   readonly #agenda = new Agenda({ startMs: 0 })
   #heartbeatDueAt = 0
+  #endpointsAdded = 0
   #term = 0
   #leader = 0
 
@@ -85,10 +92,19 @@
       after: (ms, run) => {
         this.after(ms, run)
       },
+      random: options.random,
+      now: () => this.now,
       isFatal: options.isFatal ?? (() => false),
-      drawDownMs: () => 1_500 + options.random() * 2_500,
-      revive: ({ options: { id, address, rack } }) => {
-        this.addEndpoint(`${id}+`, { address, rack })
+      keepsIds: options.keepsIds === true,
+      add: (id, place) => this.addEndpoint(id, place),
+      announce: (endpoint) => {
+        this.#announce(endpoint)
+      },
+      tellAll: (notice) => {
+        for (const i of this.#machines.keys()) this.#tellNotice(i, notice)
+      },
+      tellOne: (notice) => {
+        this.#tellNotice(this.#drawInstance(), notice)
       },
       report: (violation) => this.violations.push(violation),
     })
@@ -105,6 +121,7 @@
         this.after(ms, run)
       },
       isCut: (caller, endpoint) => this.#isCut(caller, endpoint),
+      takesLivesForOne: options.takesLivesForOne === true,
     })
     this.#proxies = new ProxyWorld({
       leaders: options.leaders,
@@ -154,6 +171,11 @@
     return this.#agenda.now
   }
 
+  /** Lives of endpoints that have begun so far. */
+  get endpointsAdded(): number {
+    return this.#endpointsAdded
+  }
+
   /** Numbers of the dispatcher that leads. */
   get counters(): Readonly<DispatchCounters> {
     const machine = this.#machines[this.#leader]
@@ -166,25 +188,32 @@
     {
       address = `${id}:1`,
       rack = 'r',
-      knownTo = this.#machines.map((_, i) => i),
+      born = this.lives.bornNow,
+      isHeardByOne = false,
+      knownTo = isHeardByOne ? [this.#drawInstance()] : [...this.#machines.keys()],
     }: AddedEndpoint = {},
   ): SimulatedEndpoint {
     const { random, placesEach: places, guardsPlaces = true } = this.options
+    const isNamedById = this.options.takesLivesForOne === true
     const drift = random() * 0.02
     const clockStartMs = Math.floor(random() * 1e6)
     const more = { drift, clockStartMs, maxLeaseMs: MAX_LEASE_MS }
-    const own = { id, address, rack, service: SERVICE, places, guardsPlaces }
+    const own = { id, born, isNamedById, address, rack, service: SERVICE, places, guardsPlaces }
     const endpoint = new SimulatedEndpoint({ ...own, ...more })
-    endpoint.onStart = (run) => {
-      this.#checkStart(endpoint, run.task)
+    endpoint.onStart = (run, isLate) => {
+      this.#checks.onStart(endpoint, run.task, isLate)
       this.lives.onStart(endpoint, run.task)
     }
+    this.#endpointsAdded++
     this.endpoints.push(endpoint)
-    for (const i of knownTo)
-      this.#tell(i, { kind: DispatchEventKind.Notice, notice: endpoint.notice() })
+    for (const i of knownTo) this.#tellNotice(i, endpoint.notice())
     return endpoint
   }
 
+  #drawInstance(): number {
+    return Math.floor(this.options.random() * this.#machines.length)
+  }
+
   /**
    * Another instance leads; the old one learns of it after a while, or never while it is cut off.
    *
@@ -346,13 +375,26 @@
   #sendHeartbeats(): void {
     if (this.now < this.#heartbeatDueAt) return
     this.#heartbeatDueAt = this.now + HEARTBEAT_MS
-    for (const endpoint of this.endpoints) {
-      const notice = endpoint.notice()
-      for (const [i, machine] of this.#machines.entries()) {
-        if (!machine.knows(notice.endpoint)) continue
-        this.#tell(i, { kind: DispatchEventKind.Notice, notice })
-      }
+    for (const endpoint of this.endpoints) this.#announce(endpoint)
+  }
+
+  #announce(endpoint: SimulatedEndpoint): void {
+    const notice = endpoint.notice()
+    for (const [i, machine] of this.#machines.entries()) {
+      // That it leaves is told to all before it is acknowledged.
+      if (!machine.knows(notice.endpoint) && notice.state === NoticeState.SERVING) continue
+      this.#tellNotice(i, notice)
     }
+    const isLeaving = notice.state === NoticeState.LEAVING
+    if (isLeaving && this.#hasLeaderInTouch) this.#checks.noteLeaving(endpoint)
+  }
+
+  get #hasLeaderInTouch(): boolean {
+    return this.isUp(this.#leader) && !this.#cutFromQuorum.has(this.#leader)
+  }
+
+  #tellNotice(leader: number, notice: EndpointNotice): void {
+    this.#tell(leader, { kind: DispatchEventKind.Notice, notice })
   }
 
   #tell(leader: number, event: DispatchEvent): void {
@@ -390,7 +432,7 @@
   /** An instance tells another one which endpoints it knows. */
   #tellNotices(from: number, to: number): void {
     for (const notice of this.#machines[from]?.notices(this.now) ?? []) {
-      this.#tell(to, { kind: DispatchEventKind.Notice, notice })
+      this.#tellNotice(to, notice)
     }
   }
 
@@ -418,28 +460,10 @@
     this.answeredAt.set(outcome.requestId, this.now)
     // A caller that sends a job again knows that its first attempt may have run.
     if (outcome.verdict !== JobVerdict.REFUSED || earlier?.verdict === JobVerdict.UNKNOWN) return
-    const ran = [...this.startedTasks.keys()].find((task) =>
-      task.startsWith(`${outcome.requestId}.`),
-    )
-    if (ran !== undefined) this.violations.push(`${outcome.requestId} was refused, but ${ran} ran`)
+    this.#checks.onRefused(outcome.requestId)
   }
 
   #isCut(caller: string, endpoint: string): boolean {
     return this.#cutEndpoints.get(caller)?.has(endpoint) ?? false
   }
-
-  #checkStart(endpoint: SimulatedEndpoint, task: string): void {
-    this.startedTasks.set(task, (this.startedTasks.get(task) ?? 0) + 1)
-    const job = task.split('.')[0] ?? ''
-    if (this.outcomes.get(job)?.verdict === JobVerdict.REFUSED) {
-      this.violations.push(`${task} started at ${this.now} after its job was refused`)
-    }
-    for (const other of this.endpoints) {
-      other.advance(this.now)
-      if (other !== endpoint && other.running.has(task)) {
-        const where = `${other.options.id} and ${endpoint.options.id}`
-        this.violations.push(`${task} runs on ${where} at ${this.now}`)
-      }
-    }
-  }
 }
--- a/packages/dispatch/src/lib/soak/DispatchWorldOptions.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorldOptions.ts
@@ -29,6 +29,13 @@
    * that this is noticed.
    */
   readonly resendsToNextProcess?: boolean
+  /** Whether an endpoint that starts again has the id that it had. */
+  readonly keepsIds?: boolean
+  /**
+   * Has lists that don't tell which life they are of, and notices that name it by its id alone, as an
+   * adapter must not: to show that this is noticed.
+   */
+  readonly takesLivesForOne?: boolean
   /** Whether a task takes down each endpoint that starts it. */
   readonly isFatal?: (task: string) => boolean
   /** Whether endpoints refuse what doesn't fit; they do by default. */
@@ -51,7 +58,11 @@
 /** @internal */
 export interface AddedEndpoint {
   readonly address?: string
+  /** Its time of day at its start; the time of the run by default. */
+  readonly born?: number
   readonly rack?: string
   /** Numbers of the instances that hear of it at first; all by default. */
   readonly knownTo?: readonly number[]
+  /** One instance, which is drawn, hears of it at first. */
+  readonly isHeardByOne?: boolean
 }
--- a/packages/dispatch/src/lib/soak/OrderCarrier.ts
+++ b/packages/dispatch/src/lib/soak/OrderCarrier.ts
@@ -3,13 +3,17 @@
 import type { EndpointOrder, HoldOrder, StartOrder } from '@cherryhitch/protocol'
 import type { OrderAnswer } from '../gateway/EndpointGateway'
 import { noAnswer } from '../gateway/noAnswer'
+import { idOfLife } from './SimulatedEndpoint'
 import type { SimulatedEndpoint } from './SimulatedEndpoint'
 
 /** Draws of a run; all take numbers from 0 to 1. @internal */
 export interface WorldChances {
   /** An order is carried out, and its answer is lost. */
   readonly lostAnswer: number
-  /** An order is carried out seconds later and not answered. */
+  /**
+   * An order is carried out seconds later and not answered: by the life that took it, or, as often, by the
+   * one that is there by then under the same id.
+   */
   readonly lateOrder: number
   /** A run fails. */
   readonly failedRun: number
@@ -26,6 +30,13 @@
   readonly after: (ms: number, run: () => void) => void
   /** Whether an instance can't reach an endpoint now. */
   readonly isCut: (caller: string, endpoint: string) => boolean
+  /** See `DispatchWorldOptions`. */
+  readonly takesLivesForOne?: boolean
+}
+
+interface CarriedOrder {
+  readonly order: EndpointOrder
+  readonly isLate: boolean
 }
 
 /** Told of the answer to an order. @internal */
@@ -44,8 +55,8 @@
    * @param caller - instance that calls the endpoint
    */
   carry(caller: string, order: EndpointOrder, onAnswer: OnAnswer): void {
-    const { random, endpoints, chances } = this.world
-    const target = endpoints.find(({ options }) => options.id === order.endpoint)
+    const { random, chances } = this.world
+    const id = idOfLife(order.endpoint)
     let isSettled = false
     const settle: OnAnswer = (answer) => {
       if (isSettled) return
@@ -55,17 +66,20 @@
     this.world.after(order.timeoutMs, () => {
       settle(noAnswer(order, 'simulated'))
     })
-    if (this.world.isCut(caller, order.endpoint)) return
-    if (target === undefined) {
-      this.answerForNextLife(order, settle)
+    if (this.world.isCut(caller, id)) return
+    const present = this.presentLife(id)
+    if (present === undefined) {
+      this.answerForOther(order, settle)
       return
     }
     const isLate = random() < chances.lateOrder
     const isLost = isLate || random() < chances.lostAnswer
+    const isTaken = isLate && order.id % 2 === 0
     this.world.after(isLate ? 2_000 + random() * 3_000 : WAY_MS, () => {
-      if (target.isGone) return
-      this.carryOut(target, order, (answer) => {
-        if (isLost || this.world.isCut(caller, order.endpoint) || target.isGone) return
+      const target = isTaken ? present : this.presentLife(id)
+      if (target === undefined || target.isGone) return
+      this.carryOut(target, { order, isLate }, (answer) => {
+        if (isLost || this.world.isCut(caller, id) || target.isGone) return
         this.world.after(WAY_MS, () => {
           settle(answer)
         })
@@ -73,8 +87,12 @@
     })
   }
 
-  /** Another life of the endpoint at its address says that it isn't the one that is meant. */
-  private answerForNextLife(order: EndpointOrder, settle: OnAnswer): void {
+  private presentLife(id: string): SimulatedEndpoint | undefined {
+    return this.world.endpoints.find(({ options }) => options.id === id)
+  }
+
+  /** An endpoint of another id at the address says that it isn't the one that is meant. */
+  private answerForOther(order: EndpointOrder, settle: OnAnswer): void {
     const { endpoints, after } = this.world
     if (!endpoints.some(({ options }) => options.address === order.address)) return
     after(2 * WAY_MS, () => {
@@ -82,15 +100,21 @@
     })
   }
 
-  private carryOut(target: SimulatedEndpoint, order: EndpointOrder, onAnswer: OnAnswer): void {
+  private carryOut(
+    target: SimulatedEndpoint,
+    { order, isLate }: CarriedOrder,
+    onAnswer: OnAnswer,
+  ): void {
     const { fencingToken: token, order: what } = order
     const now = this.world.now()
     switch (what.case) {
       case 'hold':
-        this.hold(target, token, what.value, onAnswer)
+        this.hold(target, token, what.value, (answer) => {
+          onAnswer(this.isMeant(target, order) ? answer : faultOf(HoldFailure.RESTARTED))
+        })
         return
       case 'start':
-        onAnswer(this.start(target, token, what.value))
+        onAnswer(this.start(target, token, { order: what.value, isLate }))
         return
       case 'stop':
         onAnswer({ case: 'stopped', value: target.stop(now, token, what.value) })
@@ -99,9 +123,18 @@
     }
   }
 
-  private start(target: SimulatedEndpoint, token: number, order: StartOrder): OrderAnswer {
+  /** Whether the life that answers is the one that was asked: its lists name it. */
+  private isMeant(target: SimulatedEndpoint, { endpoint }: EndpointOrder): boolean {
+    return this.world.takesLivesForOne === true || target.name === endpoint
+  }
+
+  private start(
+    target: SimulatedEndpoint,
+    token: number,
+    { order, isLate }: { readonly order: StartOrder; readonly isLate: boolean },
+  ): OrderAnswer {
     const { random, drawRunMs, chances, now } = this.world
-    const fate = { runMs: drawRunMs(order.task), fails: random() < chances.failedRun }
+    const fate = { runMs: drawRunMs(order.task), fails: random() < chances.failedRun, isLate }
     return { case: 'started', value: target.start(now(), token, order, fate) }
   }
 
--- a/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
@@ -30,11 +30,18 @@
 export interface RunFate {
   readonly runMs: number
   readonly fails: boolean
+  /** The order is carried out long after it was given. */
+  readonly isLate?: boolean
 }
 
 /** @internal */
 export interface SimulatedEndpointOptions {
+  /** What its callers name it by: an endpoint that starts again may keep it. */
   readonly id: string
+  /** Time of day of its start, as the endpoint takes it to be. */
+  readonly born: number
+  /** Whether its notices don't tell its lives apart. */
+  readonly isNamedById?: boolean
   readonly rack: string
   /** Several lives of an endpoint have one address, one after the other. */
   readonly address: string
@@ -54,11 +61,26 @@
 /** What one run of a task wants, in thousandths of a core. */
 export const TASK_CPU_MILLIS = 1_000
 
-/** An endpoint as the platform's contract describes it: fencing, leases, late orders, lists. @internal */
+/** Between the id of an endpoint and its start, in the name of a life. */
+const NAME_SEPARATOR = '~'
+
+/** The id in the name of a life. @internal */
+export function idOfLife(name: string): string {
+  return name.split(NAME_SEPARATOR)[0] ?? name
+}
+
+/**
+ * One life of an endpoint as the platform's contract describes it: fencing, leases, late orders, lists. The
+ * next life under the same id knows nothing of it.
+ *
+ * @internal
+ */
 export class SimulatedEndpoint {
   readonly running = new Map<string, SimulatedRun>()
   /** Told of each start, to check promises. */
-  onStart: (run: SimulatedRun) => void = () => undefined
+  onStart: (run: SimulatedRun, isLate: boolean) => void = () => undefined
+  /** What its notices say. */
+  state = NoticeState.SERVING
   private readonly highestEnded = new Map<string, number>()
   private ended: ListedRunEnd[] = []
   private position = 0
@@ -78,12 +100,19 @@
     return this.options.clockStartMs + now * (1 - this.options.drift)
   }
 
-  notice(state = NoticeState.SERVING): EndpointNotice {
-    const { id, service, address, rack } = this.options
+  /** Its id and its start, as the adapter to the platform puts them together. */
+  get name(): string {
+    const { id, born, isNamedById = false } = this.options
+    return isNamedById ? id : `${id}${NAME_SEPARATOR}${born}`
+  }
+
+  notice(state = this.state): EndpointNotice {
+    const { id: machine, service, address, rack } = this.options
     const capacity = { cpuMillis: this.places * TASK_CPU_MILLIS, memoryMb: 1_000 }
     const sequence = ++this.sequence
     return create(EndpointNoticeSchema, {
-      endpoint: id,
+      endpoint: this.name,
+      machine,
       service,
       address,
       labels: [rack],
@@ -103,7 +132,8 @@
     for (const run of [...this.running.values()]) this.end(run, ListedEnd.LEASE_EXPIRED)
   }
 
-  start(now: number, token: number, order: StartOrder, { runMs, fails }: RunFate): StartResult {
+  start(now: number, token: number, order: StartOrder, fate: RunFate): StartResult {
+    const { runMs, fails, isLate = false } = fate
     this.advance(now)
     if (token < this.fence) return StartResult.FENCED
     this.fence = token
@@ -114,7 +144,7 @@
     if (this.options.guardsPlaces && this.running.size >= this.places) return StartResult.NO_ROOM
     const run = { task: order.task, run: order.run, endsAt: now + runMs, fails }
     this.running.set(order.task, run)
-    this.onStart(run)
+    this.onStart(run, isLate)
     return StartResult.RUNS
   }
 
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.test.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.test.ts
@@ -48,6 +48,19 @@
     })
   }
 
+  for (let seed = 401; seed <= 410; seed++) {
+    it(`keeps them also when endpoints start again under their ids, with seed ${seed}`, () => {
+      const options = { hasEndpointRestarts: true, hasGaps: seed % 2 === 0 }
+      assert.deepEqual(runDispatchSoak(seed, STEPS, options).violations, [])
+    })
+  }
+
+  it('notices that the lives of an endpoint are taken for one', () => {
+    const options = { hasEndpointRestarts: true, takesLivesForOne: true }
+    const { violations } = runDispatchSoak(11, STEPS, options)
+    assert.match(violations.join(), /had said that it leaves/)
+  })
+
   it('notices that a request is resent to the next process of its leader', () => {
     const options = { hasRestarts: true, resendsToNextProcess: true }
     const { violations } = runDispatchSoak(6, STEPS, options)
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.ts
@@ -17,8 +17,12 @@
   readonly proxies?: number
   /** Whether processes of dispatchers end and start again, that of the leader among them. */
   readonly hasRestarts?: boolean
+  /** Whether endpoints crash or leave and start again under their ids, at once or after a while. */
+  readonly hasEndpointRestarts?: boolean
   /** See `DispatchWorldOptions`. */
   readonly resendsToNextProcess?: boolean
+  /** See `DispatchWorldOptions`. */
+  readonly takesLivesForOne?: boolean
 }
 
 /** Shares of orders and runs that go wrong: about those of the users' own days with trouble. */
@@ -37,7 +41,8 @@
   steps: number,
   options: DispatchSoakOptions = {},
 ): DispatchSoakReport {
-  const { proxies = 0, resendsToNextProcess = false } = options
+  const { proxies = 0, resendsToNextProcess = false, takesLivesForOne = false } = options
+  const keepsIds = options.hasEndpointRestarts === true
   const random = seededRandom(seed)
   const below = (n: number): number => Math.floor(random() * n)
   const world = new DispatchWorld({
@@ -47,6 +52,9 @@
     random,
     proxies,
     resendsToNextProcess,
+    takesLivesForOne,
+    keepsIds,
+    guardsPlaces: !keepsIds,
     chances: CHANCES,
   })
   world.elect(0, 0)
@@ -73,8 +81,9 @@
 function disturb(
   world: DispatchWorld,
   { random, below }: Draw,
-  { hasGaps = false, proxies = 0, hasRestarts = false }: DispatchSoakOptions,
+  options: DispatchSoakOptions,
 ): void {
+  const { hasGaps = false, proxies = 0, hasRestarts = false, hasEndpointRestarts = false } = options
   if (random() < 0.05) {
     const leader = below(LEADERS)
     const [learnsMs, gapMs] = [below(hasGaps ? 4_000 : 1_000), hasGaps ? below(1_500) : 0]
@@ -85,12 +94,22 @@
   }
   if (proxies > 0) disturbProxies(world, { random, below }, proxies)
   if (hasRestarts && random() < 0.04) restart(world, below)
+  if (hasEndpointRestarts) restartEndpoint(world, { random, below })
   if (random() < 0.01) addEndpoint(world, below)
 }
 
+/** One endpoint crashes or leaves now and then; one in two is back before its silence is noticed. */
+function restartEndpoint(world: DispatchWorld, { random, below }: Draw): void {
+  const endpoint = world.endpoints[below(world.endpoints.length)]
+  const downMs = random() < 0.5 ? below(20) : below(3_000)
+  if (endpoint === undefined) return
+  if (random() < 0.06) world.lives.crashWithLateNotice(endpoint, downMs)
+  else if (random() < 0.02) world.lives.leave(endpoint, downMs)
+}
+
 /** A new endpoint, which one instance hears of at first. */
 function addEndpoint(world: DispatchWorld, below: Draw['below']): void {
-  const id = `e${world.endpoints.length}`
+  const id = `e${world.endpointsAdded}`
   world.addEndpoint(id, { knownTo: [below(LEADERS)] })
 }
 
