Don't carry out orders that come long after they were sent

What callers could see: a task runs twice, or an endpoint that doesn't guard its capacity gets more than it can hold, when orders that a proxy was handed seconds before reach an endpoint that has started again under its id. Within one life the endpoint's clock bounds them; the next life's clock has begun anew, and it has seen no token yet.

Change: messages with orders carry the sender's steady clock. Whoever carries them compares the way with the quickest of late, and drops those that took 300 ms longer: a start is void by then, and the leader has given the others up. The window moves on, so that clocks that drift apart do no harm. Simulated proxies are real ones now (OrderProxy).

--- a/apps/cherryhitch/src/lib/dispatching/DispatchParts.ts
+++ b/apps/cherryhitch/src/lib/dispatching/DispatchParts.ts
@@ -75,9 +75,9 @@
 
   #receiveOrders(from: string, boot: number, body: OrderBody): void {
     if (body.case === 'endpointOrders') {
-      const { orders } = body.value
+      const message = body.value
       this.proxy.use((proxy) => {
-        proxy.onOrders(from, boot, orders)
+        proxy.onOrders(from, boot, message)
       })
       return
     }
--- a/packages/dispatch/src/lib/orders/OrderProxy.test.ts
+++ b/packages/dispatch/src/lib/orders/OrderProxy.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { create } from '@bufbuild/protobuf'
-import { EndpointOrderSchema } from '@cherryhitch/protocol'
+import { EndpointOrderSchema, EndpointOrdersSchema } from '@cherryhitch/protocol'
 import type { EndpointOrder } from '@cherryhitch/protocol'
 import { EndpointGateway } from '../gateway/EndpointGateway'
 import type { OrderAnswer } from '../gateway/EndpointGateway'
@@ -48,14 +48,17 @@
   const runDeferred = (): void => {
     for (const run of deferred.splice(0)) run()
   }
-  return { gateway, sent, boots, proxy, runDeferred, waits, clock }
+  const give = (from: string, boot: number, orders: EndpointOrder[], sentMs = clock.now): void => {
+    proxy.onOrders(from, boot, create(EndpointOrdersSchema, { orders, sentMs }))
+  }
+  return { gateway, sent, boots, give, runDeferred, waits, clock }
 }
 
 describe('an instance that carries orders', () => {
   it('carries out each, and sends the answers that came together in one message', () => {
-    const { gateway, sent, proxy, runDeferred } = open()
-    proxy.onOrders('leader', BOOT, [stop(1, 'e1'), stop(2, 'e2')])
-    proxy.onOrders('leader', BOOT, [stop(3, 'e1')])
+    const { gateway, sent, give, runDeferred } = open()
+    give('leader', BOOT, [stop(1, 'e1'), stop(2, 'e2')])
+    give('leader', BOOT, [stop(3, 'e1')])
     assert.deepEqual(gateway.called, ['e1', 'e2', 'e1'])
     assert.deepEqual(sent, [])
     runDeferred()
@@ -63,9 +66,9 @@
   })
 
   it('answers whoever ordered, also when an old leader and a new one do so at the same time', () => {
-    const { sent, proxy, runDeferred } = open()
-    proxy.onOrders('old', BOOT, [stop(1, 'e1')])
-    proxy.onOrders('new', BOOT, [stop(1, 'e1')])
+    const { sent, give, runDeferred } = open()
+    give('old', BOOT, [stop(1, 'e1')])
+    give('new', BOOT, [stop(1, 'e1')])
     runDeferred()
     assert.deepEqual(sent, [
       { to: 'old', ids: [1] },
@@ -74,19 +77,19 @@
   })
 
   it('tells the orders of a leader that started again from those of its earlier process', () => {
-    const { sent, boots, proxy, runDeferred } = open()
-    proxy.onOrders('leader', BOOT, [stop(1, 'e1')])
-    proxy.onOrders('leader', BOOT + 1, [stop(1, 'e2')])
+    const { sent, boots, give, runDeferred } = open()
+    give('leader', BOOT, [stop(1, 'e1')])
+    give('leader', BOOT + 1, [stop(1, 'e2')])
     runDeferred()
     assert.deepEqual(boots, [BOOT, BOOT + 1])
     assert.equal(sent.length, 2)
   })
 
   it('begins a new message after one has gone', () => {
-    const { sent, proxy, runDeferred } = open()
-    proxy.onOrders('leader', BOOT, [stop(1, 'e1')])
+    const { sent, give, runDeferred } = open()
+    give('leader', BOOT, [stop(1, 'e1')])
     runDeferred()
-    proxy.onOrders('leader', BOOT, [stop(2, 'e1')])
+    give('leader', BOOT, [stop(2, 'e1')])
     runDeferred()
     assert.deepEqual(sent, [
       { to: 'leader', ids: [1] },
@@ -95,20 +98,40 @@
   })
 
   it('sends the first answer after a pause at once, and gathers what follows closely', () => {
-    const { sent, proxy, runDeferred, waits, clock } = open()
-    proxy.onOrders('leader', BOOT, [stop(1, 'e1')])
+    const { sent, give, runDeferred, waits, clock } = open()
+    give('leader', BOOT, [stop(1, 'e1')])
     runDeferred()
     clock.now = 2
-    proxy.onOrders('leader', BOOT, [stop(2, 'e1')])
+    give('leader', BOOT, [stop(2, 'e1')])
     clock.now = 3
-    proxy.onOrders('leader', BOOT, [stop(3, 'e1')])
+    give('leader', BOOT, [stop(3, 'e1')])
     runDeferred()
     clock.now = 100
-    proxy.onOrders('leader', BOOT, [stop(4, 'e1')])
+    give('leader', BOOT, [stop(4, 'e1')])
     assert.deepEqual(waits, [0, 4, 0])
     assert.deepEqual(
       sent.map(({ ids }) => ids),
       [[1], [2, 3]],
     )
   })
+
+  it('does not carry out orders that come long after they were sent', () => {
+    const { gateway, sent, give, runDeferred, clock } = open()
+    clock.now = 5_000
+    give('leader', BOOT, [stop(1, 'e1')])
+    clock.now = 7_000
+    give('leader', BOOT, [stop(2, 'e1')], 5_010)
+    give('leader', BOOT, [stop(3, 'e1')], 6_990)
+    assert.deepEqual(gateway.called, ['e1', 'e1'])
+    runDeferred()
+    assert.deepEqual(sent, [{ to: 'leader', ids: [1, 2, 3] }])
+  })
+
+  it('carries out the orders of each process by its own clock', () => {
+    const { gateway, give, clock } = open()
+    clock.now = 5_000
+    give('leader', BOOT, [stop(1, 'e1')], 4_900)
+    give('leader', BOOT + 1, [stop(1, 'e1')], 3)
+    assert.equal(gateway.called.length, 2)
+  })
 })
--- a/packages/dispatch/src/lib/orders/OrderProxy.ts
+++ b/packages/dispatch/src/lib/orders/OrderProxy.ts
@@ -1,7 +1,9 @@
-import { makeEndpointAnswer, wrapMessage } from '@cherryhitch/protocol'
-import type { EndpointAnswer, EndpointOrder, Envelope } from '@cherryhitch/protocol'
+import { makeEndpointAnswer, StartResult, wrapMessage } from '@cherryhitch/protocol'
+import type { EndpointAnswer, EndpointOrder, EndpointOrders, Envelope } from '@cherryhitch/protocol'
 import { GatherPace } from '@cherryhitch/runtime'
-import type { EndpointGateway } from '../gateway/EndpointGateway'
+import type { EndpointGateway, OrderAnswer } from '../gateway/EndpointGateway'
+import { noAnswer } from '../gateway/noAnswer'
+import { ExtraDelay } from './ExtraDelay'
 
 /** @public */
 export interface OrderProxyOptions {
@@ -18,17 +20,25 @@
  */
 const GATHER_MS = 6
 
+/**
+ * Orders that come so much later than others are not carried out, in milliseconds: starts are void by then, and
+ * the leader has given the others up. The endpoint that they are for may have started again meanwhile,
+ * and its clock, which would tell, has begun anew.
+ */
+const MOST_DELAY_MS = 300
+
 /** Answers on their way to one leader. */
 interface Collected {
   /** Boot of the process that gave the orders. */
   readonly boot: number
+  readonly delay: ExtraDelay
   readonly pace: GatherPace
   answers: EndpointAnswer[]
 }
 
 /**
- * Calls endpoints for the leader. It decides nothing: every order that comes is carried out, and
- * answers that come together go back in one message.
+ * Calls endpoints for the leader. It decides nothing: every order that comes in time is carried out,
+ * and answers that come together go back in one message.
  *
  * @public
  */
@@ -43,12 +53,15 @@
    *
    * @param boot - that of the leader's process that gave them; their numbers are unique within it
    */
-  onOrders(from: string, boot: number, orders: readonly EndpointOrder[]): void {
+  onOrders(from: string, boot: number, { orders, sentMs }: EndpointOrders): void {
     const collected = this.#collectedFor(from, boot)
+    const isLate = collected.delay.note(this.options.now(), sentMs) > MOST_DELAY_MS
     for (const order of orders) {
-      this.options.gateway.call(order, (answer) => {
-        this.#collect(from, collected, makeEndpointAnswer(order.id, answer))
-      })
+      const answer = (told: OrderAnswer): void => {
+        this.#collect(from, collected, makeEndpointAnswer(order.id, told))
+      }
+      if (isLate) answer(notCarriedOut(order))
+      else this.options.gateway.call(order, answer)
     }
   }
 
@@ -66,7 +79,8 @@
   #collectedFor(to: string, boot: number): Collected {
     const known = this.#collected.get(to)
     if (known?.boot === boot) return known
-    const collected = { boot, pace: new GatherPace(GATHER_MS), answers: [] }
+    const pace = new GatherPace(GATHER_MS)
+    const collected = { boot, delay: new ExtraDelay(), pace, answers: [] }
     this.#collected.set(to, collected)
     return collected
   }
@@ -78,3 +92,8 @@
     this.options.send(to, wrapMessage({ case: 'endpointAnswers', value }))
   }
 }
+
+function notCarriedOut(order: EndpointOrder): OrderAnswer {
+  if (order.order.case === 'start') return { case: 'started', value: StartResult.NOT_SENT }
+  return noAnswer(order, 'it came too late')
+}
--- a/packages/dispatch/src/lib/rehearsal/Rehearsal.ts
+++ b/packages/dispatch/src/lib/rehearsal/Rehearsal.ts
@@ -154,7 +154,8 @@
   }
 
   #carry(orders: readonly EndpointOrder[]): void {
-    const value = { $typeName: 'cherryhitch.v1.EndpointOrders' as const, orders: [...orders] }
+    const $typeName = 'cherryhitch.v1.EndpointOrders' as const
+    const value = { $typeName, orders: [...orders], sentMs: this.#now }
     const sent = sendAndRead({ case: 'endpointOrders', value })
     if (sent?.case !== 'endpointOrders') return
     this.#answer(
--- a/packages/dispatch/src/lib/soak/ProxyWorld.ts
+++ b/packages/dispatch/src/lib/soak/ProxyWorld.ts
@@ -1,10 +1,12 @@
 import { create } from '@bufbuild/protobuf'
-import { EndpointAnswerSchema } from '@cherryhitch/protocol'
-import type { EndpointOrder } from '@cherryhitch/protocol'
+import { EndpointOrdersSchema } from '@cherryhitch/protocol'
+import type { EndpointOrder, Envelope } from '@cherryhitch/protocol'
 import type { SendOrder } from '../DispatchAction'
 import type { DispatchEvent } from '../DispatchEvent'
 import { answerEvent } from '../orders/answerEvent'
+import { EndpointGateway } from '../gateway/EndpointGateway'
 import type { OrderAnswer } from '../gateway/EndpointGateway'
+import { OrderProxy } from '../orders/OrderProxy'
 import { OrderRouter, RouterActionKind, RouterEventKind } from '../orders/OrderRouter'
 import type { RouterAction } from '../orders/OrderRouter'
 import { WAY_MS } from './OrderCarrier'
@@ -25,10 +27,12 @@
 /** The ways between leaders and endpoints: straight, or over proxies that may fall silent. @internal */
 export class ProxyWorld {
   private readonly routers: OrderRouter[]
+  private readonly proxies: OrderProxy[]
   private readonly silentUntil = new Map<string, number>()
 
   constructor(private readonly options: ProxyWorldOptions) {
     this.routers = Array.from({ length: options.leaders }, (_, i) => this.makeRouter(i))
+    this.proxies = Array.from({ length: options.proxies }, (_, i) => this.makeProxy(`p${i}`))
   }
 
   /** A leader's process has ended, and another one starts. */
@@ -78,7 +82,7 @@
         return
       }
       case RouterActionKind.Forward:
-        for (const order of action.orders) this.forward(leader, action.to, order)
+        this.forward(leader, action.to, action.orders)
         return
       case RouterActionKind.Tell:
         tell(leader, action.event)
@@ -92,22 +96,53 @@
     return new OrderRouter({ boot, directEndpoints: 0 })
   }
 
-  private forward(leader: number, proxy: string, order: EndpointOrder): void {
-    const { boot: forBoot } = this.options.processes.of(leader)
-    this.bring(proxy, () => {
-      this.options.orders.carry(proxy, order, (answer) => {
-        const answers = [create(EndpointAnswerSchema, { id: order.id, answer })]
-        const event = { kind: RouterEventKind.Answers, from: proxy, forBoot, answers } as const
-        this.bring(proxy, () => {
-          this.step(leader, (router, now) => router.step(now, event))
+  private makeProxy(name: string): OrderProxy {
+    const { orders, now, after } = this.options
+    return new OrderProxy({
+      gateway: new CarryingGateway(name, orders),
+      now,
+      after,
+      send: (to, message) => {
+        this.bring(name, () => {
+          this.receive(name, Number(to.slice(1)), message)
         })
-      })
+      },
     })
   }
 
+  private forward(leader: number, proxy: string, orders: readonly EndpointOrder[]): void {
+    const { boot } = this.options.processes.of(leader)
+    const sentMs = this.options.now()
+    const message = create(EndpointOrdersSchema, { orders: [...orders], sentMs })
+    this.bring(proxy, () => {
+      this.proxies[Number(proxy.slice(1))]?.onOrders(`d${leader}`, boot, message)
+    })
+  }
+
+  /** A leader takes in what a proxy sends. */
+  private receive(from: string, leader: number, { body }: Envelope): void {
+    if (body.case !== 'endpointAnswers') return
+    const event = { kind: RouterEventKind.Answers, from, ...body.value } as const
+    this.step(leader, (router, now) => router.step(now, event))
+  }
+
   /** A message to a proxy or from it; one that meets the silence is delivered after it. */
   private bring(proxy: string, deliver: () => void): void {
     const silentMs = Math.max(0, (this.silentUntil.get(proxy) ?? 0) - this.options.now())
     this.options.after(silentMs + WAY_MS, deliver)
   }
 }
+
+/** Calls simulated endpoints. */
+class CarryingGateway extends EndpointGateway {
+  constructor(
+    private readonly caller: string,
+    private readonly orders: OrderCarrier,
+  ) {
+    super()
+  }
+
+  override call(order: EndpointOrder, done: (answer: OrderAnswer) => void): void {
+    this.orders.carry(this.caller, order, done)
+  }
+}
--- a/packages/dispatch/src/lib/startDispatcher.ts
+++ b/packages/dispatch/src/lib/startDispatcher.ts
@@ -154,8 +154,8 @@
           this.call(action.send)
           break
         case RouterActionKind.Forward: {
-          const orders = [...action.orders]
-          const value = { $typeName: 'cherryhitch.v1.EndpointOrders' as const, orders }
+          const $typeName = 'cherryhitch.v1.EndpointOrders' as const
+          const value = { $typeName, orders: [...action.orders], sentMs: this.clock.now() }
           this.options.send(action.to, wrapMessage({ case: 'endpointOrders', value }))
           break
         }
--- a/packages/protocol/src/lib/text/textCodec.test.ts
+++ b/packages/protocol/src/lib/text/textCodec.test.ts
@@ -111,8 +111,8 @@
 describe('the text of the messages that are sent most', () => {
   it('holds orders as they were', () => {
     fc.assert(
-      fc.property(fc.array(order, { maxLength: 6 }), (orders) => {
-        const value = create(EndpointOrdersSchema, { orders })
+      fc.property(fc.array(order, { maxLength: 6 }), time, (orders, sentMs) => {
+        const value = create(EndpointOrdersSchema, { orders, sentMs })
         isReadAsWritten({ case: 'endpointOrders', value })
       }),
     )
--- a/packages/protocol/src/lib/text/textCodec.ts
+++ b/packages/protocol/src/lib/text/textCodec.ts
@@ -13,7 +13,7 @@
 }
 
 type TextMessage =
-  | [TextKind.Orders, payloads: string[], orders: OrderRow[]]
+  | [TextKind.Orders, payloads: string[], orders: OrderRow[], sentMs: number]
   | [TextKind.Answers, answers: AnswerRow[], forBoot: number]
   | [TextKind.Submit, SubmitRow]
   | [TextKind.Outcome, OutcomeRow]
@@ -39,7 +39,7 @@
         const row = orderRow(order, payloads)
         return row === undefined ? [] : [row]
       })
-      return [TextKind.Orders, payloads.all, rows]
+      return [TextKind.Orders, payloads.all, rows, body.value.sentMs]
     }
     case 'endpointAnswers': {
       const rows = body.value.answers.flatMap((answer) => {
@@ -69,9 +69,9 @@
   const message = JSON.parse(text) as TextMessage
   switch (message[0]) {
     case TextKind.Orders: {
-      const [, payloads, rows] = message
+      const [, payloads, rows, sentMs] = message
       const orders = rows.map((row) => orderOf(row, payloads))
-      const value = { $typeName: 'cherryhitch.v1.EndpointOrders' as const, orders }
+      const value = { $typeName: 'cherryhitch.v1.EndpointOrders' as const, orders, sentMs }
       return { case: 'endpointOrders', value }
     }
     case TextKind.Answers: {
