Acknowledge that an endpoint leaves only when the leader takes it in

What callers saw: tasks started at endpoints whose goodbye had been acknowledged (DRAIN). The other half of the same fault: an instance acknowledged each word that could be read, also one that its records then dropped as older, or as of another place. With lives told apart a word of the endpoint itself is taken; one that is dropped for any other reason is now answered 503, so that it isn't believed to be heeded, and comes again.

--- a/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
+++ b/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
@@ -65,10 +65,13 @@
   /** Takes a notice from an endpoint; true once it may be acknowledged. */
   take(notice: EndpointNotice): Effect.Effect<boolean> {
     const { options } = this
-    const isNews = options.machine.isNews(notice)
+    const { machine } = options
+    const isNews = machine.isNews(notice)
+    const isLeaving = notice.state !== NoticeState.SERVING
+    const isHeeded = machine.heeds(notice)
     options.tell({ kind: DispatchEventKind.Notice, notice })
-    const needsLeader = notice.state !== NoticeState.SERVING && !options.machine.leads
-    if (!needsLeader) {
+    if (isLeaving && machine.leads && !isHeeded) return Effect.succeed(false)
+    if (!isLeaving || machine.leads) {
       if (isNews) this.spread([notice], '')
       else this.gather(notice)
       return Effect.succeed(true)
@@ -81,10 +84,11 @@
   /** Another instance passed notices on. */
   onNotices(from: string, message: EndpointNotices): void {
     const { machine, send } = this.options
-    const { requestId } = message
+    const { requestId, notices } = message
+    const isHeeded = notices.every((notice) => machine.heeds(notice))
     this.takeIn(message)
     if (requestId === '') return
-    const value = { requestId, byLeader: machine.leads }
+    const value = { requestId, byLeader: machine.leads && isHeeded }
     send(from, envelope({ case: 'endpointNoticesTaken', value }))
   }
 
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -104,6 +104,11 @@
     return this.#core.endpoints.get(notice.endpoint)?.isNews(notice) ?? true
   }
 
+  /** Whether this instance starts nothing more at an endpoint once it has taken its word that it leaves. */
+  heeds(notice: EndpointNotice): boolean {
+    return this.#core.endpoints.heeds(notice)
+  }
+
   get leads(): boolean {
     return this.#core.term !== undefined
   }
--- a/packages/dispatch/src/lib/endpoints/EndpointBook.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointBook.ts
@@ -52,6 +52,13 @@
     return this.#add(now, notice)
   }
 
+  /** Whether nothing is started at an endpoint once its word that it leaves was taken. */
+  heeds(notice: EndpointNotice): boolean {
+    const known = this.#records.get(notice.endpoint)
+    if (known !== undefined) return known.heeds(notice)
+    return notice.state === NoticeState.GONE || !this.#isNameless(notice)
+  }
+
   /**
    * The lives that a notice is about. A goodbye may name the machine alone: it is of those of its lives
    * that have said that they leave. A later life may have begun before it arrives.
--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -227,18 +227,15 @@
     return this.#noticedAt
   }
 
-  /** False for a notice that is older than the last one, or can't be of this life. */
+  /** Takes a notice in, unless it is older than the last one or can't be of this life. */
   take(now: number, notice: EndpointNotice): boolean {
+    if (!this.#accepts(notice)) return false
     const { state, sequence } = notice
-    if (this.#notice.state === NoticeState.GONE) return false
     if (state === NoticeState.GONE) {
       // A goodbye tells nothing but itself.
       this.#notice = { ...this.#notice, state, sequence }
     } else {
-      if (!isLater(sequence, this.#notice.sequence)) return false
-      const isSamePlace = this.#isSamePlace(notice)
-      if (this.#isPlaceSure && !isSamePlace) return false
-      this.#isPlaceSure = isSamePlace
+      this.#isPlaceSure = this.#isSamePlace(notice)
       this.#notice = notice
     }
     this.#noticedAt = now - notice.ageMs
@@ -246,6 +243,18 @@
     return true
   }
 
+  /** Whether all that a notice says of leaving is known once it was taken: nothing is started after it. */
+  heeds(notice: EndpointNotice): boolean {
+    return this.#accepts(notice) || this.#notice.state !== NoticeState.SERVING
+  }
+
+  #accepts(notice: EndpointNotice): boolean {
+    if (this.#notice.state === NoticeState.GONE) return false
+    if (notice.state === NoticeState.GONE) return true
+    if (!isLater(notice.sequence, this.#notice.sequence)) return false
+    return !this.#isPlaceSure || this.#isSamePlace(notice)
+  }
+
   /** Whether a notice says more than that the endpoint is still there. */
   isNews(notice: EndpointNotice): boolean {
     const known = this.#notice
