Fix the machine of a life when it becomes known, and say what other versions' tokens mean

A notice without a machine, as an earlier version passes it on, could have moved a record to another group of lives than the one it was added to.

--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -104,7 +104,7 @@
     return this.#core.endpoints.get(notice.endpoint)?.isNews(notice) ?? true
   }
 
-  /** Whether this instance starts nothing more at an endpoint once it has taken its word that it leaves. */
+  /** Whether this instance starts nothing at an endpoint any more once it has taken its word that it leaves. */
   heeds(notice: EndpointNotice): boolean {
     return this.#core.endpoints.heeds(notice)
   }
@@ -272,7 +272,7 @@
     for (const earlier of this.#core.endpoints.otherLives(endpoint)) this.#leases.look(now, earlier)
   }
 
-  /** An endpoint that leaves and still gets tasks is a broken promise: such a word is not dropped in silence. */
+  /** An endpoint that leaves must not get tasks, so that such a word is not dropped in silence. */
   #logDroppedLeave(known: EndpointRecord, notice: EndpointNotice): void {
     const { state, sequence, address } = notice
     if (state !== NoticeState.LEAVING || known.notice.state !== NoticeState.SERVING) return
--- a/packages/dispatch/src/lib/endpoints/EndpointBook.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointBook.ts
@@ -4,10 +4,10 @@
 import type { DispatchTiming } from '../DispatchOptions'
 import { EndpointRecord, machineOf } from './EndpointRecord'
 
-/** The lives of one machine, of which one at most is there. */
+/** The known lives of one machine, of which one at most is there. */
 interface Machine {
   readonly lives: Set<EndpointRecord>
-  /** Highest number of a life that it was ordered under. */
+  /** The highest of its lives: what it was ordered under, it may refuse all that is lower. */
   lifeNumber: number
 }
 
@@ -52,7 +52,7 @@
     return this.#add(now, notice)
   }
 
-  /** Whether nothing is started at an endpoint once its word that it leaves was taken. */
+  /** Whether nothing is started at an endpoint any more once its word that it leaves was taken. */
   heeds(notice: EndpointNotice): boolean {
     const known = this.#records.get(notice.endpoint)
     if (known !== undefined) return known.heeds(notice)
--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -39,6 +39,8 @@
 /** One life of an endpoint: what it said, what it was ordered, what runs there. @internal */
 export class EndpointRecord {
   readonly clock: EndpointClock
+  /** What its life has in common with the earlier and later ones. */
+  readonly machine: string
   readonly #runs = new Map<string, Run>()
   readonly #onChange: (record: EndpointRecord) => void
   #spreadAt: number
@@ -81,6 +83,7 @@
     this.#onChange = onChange ?? (() => undefined)
     this.roundTrip = new RoundTrip(roundTrip)
     this.#notice = notice
+    this.machine = machineOf(notice)
     this.#noticedAt = now - notice.ageMs
     this.#spreadAt = now
     this.clock = new EndpointClock(drift)
@@ -205,11 +208,6 @@
     return this.#notice.endpoint
   }
 
-  /** What its life has in common with the earlier and later ones. */
-  get machine(): string {
-    return machineOf(this.#notice)
-  }
-
   get notice(): EndpointNotice {
     return this.#notice
   }
@@ -243,7 +241,7 @@
     return true
   }
 
-  /** Whether all that a notice says of leaving is known once it was taken: nothing is started after it. */
+  /** Whether nothing is started here any more once a word that it leaves was taken. */
   heeds(notice: EndpointNotice): boolean {
     return this.#accepts(notice) || this.#notice.state !== NoticeState.SERVING
   }
