--- a/apps/bench/src/lib/soak/runMachineSoak.ts
+++ b/apps/bench/src/lib/soak/runMachineSoak.ts
@@ -7,6 +7,8 @@
 const PROXY_COUNTS = 4
 /** In one seed of so many, processes of dispatchers start again. */
 const RESTARTS_EVERY = 3
+/** In one seed of so many, endpoints start again under their ids. */
+const ENDPOINT_RESTARTS_EVERY = 5
 /** Seeds go by turns with one lost voter to bear, and with two. */
 const MOST_LOSSES = 2
 
@@ -36,6 +38,7 @@
     hasGaps: true,
     proxies: seed % PROXY_COUNTS,
     hasRestarts: seed % RESTARTS_EVERY === 0,
+    hasEndpointRestarts: seed % ENDPOINT_RESTARTS_EVERY === 0,
   })
   const summary = `${submitted} jobs, ${completed} completed`
   return { summary, violations, details: [], folder: undefined }
