--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -188,7 +188,7 @@
     {
       address = `${id}:1`,
       rack = 'r',
-      born = this.lives.bornNow,
+      startedAt = this.lives.timeOfDay,
       isHeardByOne = false,
       knownTo = isHeardByOne ? [this.#drawInstance()] : [...this.#machines.keys()],
     }: AddedEndpoint = {},
@@ -198,8 +198,8 @@
     const drift = random() * 0.02
     const clockStartMs = Math.floor(random() * 1e6)
     const more = { drift, clockStartMs, maxLeaseMs: MAX_LEASE_MS }
-    const own = { id, born, isNamedById, address, rack, service: SERVICE, places, guardsPlaces }
-    const endpoint = new SimulatedEndpoint({ ...own, ...more })
+    const own = { id, startedAt, isNamedById, address, rack, places, guardsPlaces }
+    const endpoint = new SimulatedEndpoint({ ...own, service: SERVICE, ...more })
     endpoint.onStart = (run, isLate) => {
       this.#checks.onStart(endpoint, run.task, isLate)
       this.lives.onStart(endpoint, run.task)
--- a/packages/dispatch/src/lib/soak/DispatchWorldOptions.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorldOptions.ts
@@ -59,7 +59,7 @@
 export interface AddedEndpoint {
   readonly address?: string
   /** Its time of day at its start; the time of the run by default. */
-  readonly born?: number
+  readonly startedAt?: number
   readonly rack?: string
   /** Numbers of the instances that hear of it at first; all by default. */
   readonly knownTo?: readonly number[]
--- a/packages/dispatch/src/lib/soak/EndpointLives.ts
+++ b/packages/dispatch/src/lib/soak/EndpointLives.ts
@@ -46,7 +46,7 @@
   constructor(private readonly world: LivesWorld) {}
 
   /** Time of day at the start of a life that begins now. */
-  get bornNow(): number {
+  get timeOfDay(): number {
     return EPOCH_MS + Math.floor(this.world.now())
   }
 
@@ -108,15 +108,16 @@
     })
   }
 
-  #revive({ options: { id, address, rack, born } }: SimulatedEndpoint): void {
+  #revive({ options: { id, address, rack, startedAt } }: SimulatedEndpoint): void {
     const { keepsIds, add } = this.world
-    if (keepsIds) add(id, { address, rack, born: this.#drawBorn(born), isHeardByOne: true })
+    if (keepsIds)
+      add(id, { address, rack, startedAt: this.#drawStart(startedAt), isHeardByOne: true })
     else add(`${id}+`, { address, rack })
   }
 
-  #drawBorn(before: number): number {
+  #drawStart(before: number): number {
     const isSetBack = this.world.random() < SET_BACK_SHARE
-    return isSetBack ? before - 1 : Math.max(this.bornNow, before + 1)
+    return isSetBack ? before - 1 : Math.max(this.timeOfDay, before + 1)
   }
 
   #drawDownMs(): number {
--- a/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
@@ -40,7 +40,7 @@
   /** What its callers name it by: an endpoint that starts again may keep it. */
   readonly id: string
   /** Time of day of its start, as the endpoint takes it to be. */
-  readonly born: number
+  readonly startedAt: number
   /** Whether its notices don't tell its lives apart. */
   readonly isNamedById?: boolean
   readonly rack: string
@@ -103,8 +103,8 @@
 
   /** Its id and its start, as the adapter to the platform puts them together. */
   get name(): string {
-    const { id, born, isNamedById = false } = this.options
-    return isNamedById ? id : `${id}${NAME_SEPARATOR}${born}`
+    const { id, startedAt, isNamedById = false } = this.options
+    return isNamedById ? id : `${id}${NAME_SEPARATOR}${startedAt}`
   }
 
   notice(state = this.state): EndpointNotice {
