--- a/packages/dispatch/src/lib/soak/runFatalTasks.test.ts
+++ b/packages/dispatch/src/lib/soak/runFatalTasks.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { playLoad } from './playLoad'
-import { runFatalTasks } from './runFatalTasks'
+import { LostInstances, runFatalTasks } from './runFatalTasks'
 import type { FatalTasksOptions, FatalTasksReport } from './runFatalTasks'
 
 const SEEDS = 12
@@ -15,6 +15,22 @@
   [1.1, 0.92],
 ]
 
+/** What ends without a word besides the leader. */
+const UNANNOUNCED_LOSSES: readonly (readonly [
+  name: string,
+  options: Partial<FatalTasksOptions> & Pick<FatalTasksOptions, 'lostInstances'>,
+])[] = [
+  ['alone', { lostInstances: LostInstances.Leader }],
+  [
+    'and racks of endpoints that keep their ids',
+    { lostInstances: LostInstances.Leader, hasGroupLosses: true, keepsIds: true },
+  ],
+  [
+    'and at times all other instances',
+    { lostInstances: LostInstances.LeaderOrAll, hasGroupLosses: true },
+  ],
+]
+
 /** Runs of the same options are all alike, and several tests look at them. */
 const known = new Map<string, readonly FatalTasksReport[]>()
 
@@ -76,4 +92,16 @@
     )
     assert.equal(sum(reports, 'innocentFailed'), 0)
   })
+
+  // A leader that ends takes with it what it had started at endpoints that were lost just before.
+  for (const [name, options] of UNANNOUNCED_LOSSES) {
+    it(`are not started a fourth time when the leader is killed, ${name}`, () => {
+      const reports = runAll({ fatalShare: 0.03, ...options })
+      assert.deepEqual(
+        reports.flatMap(({ violations }) => violations),
+        [],
+      )
+      assert.equal(sum(reports, 'innocentFailed'), 0)
+    })
+  }
 })
--- a/packages/dispatch/src/lib/soak/runFatalTasks.ts
+++ b/packages/dispatch/src/lib/soak/runFatalTasks.ts
@@ -2,6 +2,15 @@
 import { JobVerdict } from '@cherryhitch/protocol'
 import { DispatchWorld } from './DispatchWorld'
 
+/** Instances that end at once without a word. @internal */
+export enum LostInstances {
+  None = 'none',
+  /** The leader. */
+  Leader = 'leader',
+  /** The leader alone, or all of them in a third of the cases. */
+  LeaderOrAll = 'leader_or_all',
+}
+
 /** @internal */
 export interface FatalTasksOptions {
   readonly seed: number
@@ -11,6 +20,10 @@
   readonly hasGroupLosses?: boolean
   /** Whether the leadership moves to another instance now and then. */
   readonly hasElections?: boolean
+  /** Which instances end at once now and then, with all that they know. */
+  readonly lostInstances?: LostInstances
+  /** Whether an endpoint that starts again has the id that it had. */
+  readonly keepsIds?: boolean
   readonly steps?: number
 }
 
@@ -18,6 +31,8 @@
 export const defaultFatalTasksOptions = {
   hasGroupLosses: false,
   hasElections: false,
+  lostInstances: LostInstances.None,
+  keepsIds: false,
   steps: 300,
 } as const
 
@@ -41,6 +56,9 @@
 /** A caller that has heard nothing of use sends its job again after this, in milliseconds. */
 const RESUBMIT_MS = 1_300
 const MOST_SUBMISSIONS = 4
+/** How long nobody leads after a leader has ended, in milliseconds. */
+const LEAST_ELECTION_MS = 300
+const MOST_ELECTION_MS = 1_000
 const FRACTION = 0xffffffff
 const DIGITS = 8
 
@@ -51,10 +69,8 @@
  * @internal
  */
 export function runFatalTasks(options: FatalTasksOptions): FatalTasksReport {
-  const { seed, fatalShare, hasGroupLosses, hasElections, steps } = {
-    ...defaultFatalTasksOptions,
-    ...options,
-  }
+  const chosen = { ...defaultFatalTasksOptions, ...options }
+  const { seed, fatalShare, hasGroupLosses, hasElections, lostInstances, keepsIds, steps } = chosen
   const random = seededRandom(seed)
   const below = (n: number): number => Math.floor(random() * n)
   const isFatalJob = (job: string): boolean => {
@@ -67,6 +83,7 @@
     racks: RACKS,
     placesEach: 3,
     random,
+    keepsIds,
     isFatal: (task) => task.endsWith('.0.0.0') && isFatalJob(task.split('.')[0] ?? ''),
   })
   world.elect(0, 0)
@@ -77,6 +94,9 @@
     for (let i = below(3); i > 0; i--) submitAgain(world, `j${submitted++}`, 1 + below(4))
     if (hasElections && random() < 0.02) world.elect(below(LEADERS), below(1_000))
     if (hasGroupLosses && random() < 0.01) loseRack(world, below(RACKS))
+    if (lostInstances === LostInstances.None || random() >= 0.02) continue
+    const isAll = lostInstances === LostInstances.LeaderOrAll && below(3) === 0
+    loseLeader(world, below, isAll)
   }
   world.run(8_000)
   const jobs = Array.from({ length: submitted }, (_, n) => `j${n}`)
@@ -106,6 +126,17 @@
   })
 }
 
+/** The process of the leader ends, with those of the others or alone; another one is elected soon. */
+function loseLeader(world: DispatchWorld, below: (n: number) => number, isAll: boolean): void {
+  const instances = Array.from({ length: LEADERS }, (_, i) => i)
+  const leader = instances.findIndex((i) => world.isElected(i))
+  for (const i of isAll ? instances : [leader]) world.restart(i, below(800), below(300))
+  world.after(LEAST_ELECTION_MS + below(MOST_ELECTION_MS - LEAST_ELECTION_MS), () => {
+    const next = (leader + 1 + below(LEADERS - 1)) % LEADERS
+    if (world.isUp(next)) world.elect(next, 0)
+  })
+}
+
 /** All endpoints of a rack at once. */
 function loseRack(world: DispatchWorld, number: number): void {
   const lost = world.endpoints.filter(({ options }) => options.rack === `r${number}`)
