Suspect what a killed leader may have started at endpoints that are gone

Callers saw: a task that takes its endpoint down was started a fourth and a fifth time, each time with the neighbours of one more endpoint, when the leader was killed soon after the crash.

Cause: what ran at a lost endpoint is noted when its lease has run out, a second after the crash. A leader that is killed before takes that with it, and the next one starts the task as a clear one.

Change: the next leader takes the absence of a run for the evidence of a start. What was open, and is in no list, may have run where an endpoint is gone. Such tasks are suspects (they run apart), and each such loss counts towards the three after which a task is not started any more, but is no proof. Entries tell the next leaders of jobs that ended as unknown, and how often; idle endpoints that are gone are told of, so that they aren't taken for places where something ran. Weighed: telling all hosts of each start, a message for each of some hundreds a second; this costs a start nothing. What is known of losses is on the disks, for the case that all instances end at once.

The simulated directories tell of losses as the product's do, and simulated disks keep them.

--- a/apps/cherryhitch/src/lib/dispatching/DispatchParts.ts
+++ b/apps/cherryhitch/src/lib/dispatching/DispatchParts.ts
@@ -3,6 +3,7 @@
 import type { DispatchEvent, Dispatcher, OrderProxy } from '@cherryhitch/dispatch'
 import type { Envelope } from '@cherryhitch/protocol'
 import { LateBound } from '../instance/LateBound'
+import type { DirectoryKeeper } from './DirectoryKeeper'
 import type { NoticeExchange } from './NoticeExchange'
 import type { DiscoveryPart } from './startDiscovery'
 
@@ -13,6 +14,7 @@
   readonly control = new LateBound<ControlNode>()
   readonly discovery = new LateBound<DiscoveryPart>()
   readonly notices = new LateBound<NoticeExchange>()
+  readonly keeper = new LateBound<DirectoryKeeper>()
 
   /** Hands a message to the part that it concerns. */
   receive(from: string, boot: number, { body }: Envelope): void {
@@ -26,6 +28,9 @@
       case 'abandonJob':
         this.#dispatch({ kind: DispatchEventKind.Abandon, from, req: body.value })
         return
+      case 'unansweredJobs':
+        this.#dispatch({ kind: DispatchEventKind.Unanswered, req: body.value })
+        return
       case 'endpointOrders':
       case 'endpointAnswers':
         this.#receiveOrders(from, boot, body)
--- a/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
+++ b/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
@@ -1,16 +1,17 @@
 import { create } from '@bufbuild/protobuf'
 import { DispatchEventKind } from '@cherryhitch/dispatch'
-import type { DispatchEvent, DispatchMachine } from '@cherryhitch/dispatch'
+import type { DispatchEvent, DispatchMachine, LossNews } from '@cherryhitch/dispatch'
 import { EndpointNoticesSchema, envelope, NoticeState } from '@cherryhitch/protocol'
 import type {
   EndpointNotice,
   EndpointNotices,
   EndpointNoticesRead,
   Envelope,
-  LostEndpoint,
   ReadEndpointNotices,
 } from '@cherryhitch/protocol'
 import { Effect } from 'effect'
+import { directoryOf } from './directoryOf'
+import type { Directory } from './directoryOf'
 
 /**
  * Heartbeats that say nothing new are passed on together, at most this long after the first of them,
@@ -132,8 +133,8 @@
   }
 
   /** Tells all who may lead of endpoints that were lost. */
-  passLosses(lost: LostEndpoint[]): void {
-    this.sendToPeers(create(EndpointNoticesSchema, { lost }))
+  passLosses({ lost, possible }: LossNews): void {
+    this.sendToPeers(create(EndpointNoticesSchema, { lost: [...lost], possible: [...possible] }))
   }
 
   /** A new instance gets everything that is known here. */
@@ -144,14 +145,14 @@
   }
 
   /** What is known here of endpoints and their losses, for another instance. */
-  private known(): Pick<EndpointNotices, 'notices' | 'lost'> {
-    const { machine, now } = this.options
-    return { notices: machine.notices(now()), lost: machine.losses(now()) }
+  private known(): Directory {
+    return directoryOf(this.options.machine, this.options.now())
   }
 
-  private takeIn({ notices, lost }: Pick<EndpointNotices, 'notices' | 'lost'>): void {
+  private takeIn({ notices, lost, possible }: Directory): void {
     const { tell } = this.options
-    for (const one of lost) tell({ kind: DispatchEventKind.Loss, lost: one })
+    const hasNews = lost.length + possible.length > 0
+    if (hasNews) tell({ kind: DispatchEventKind.Loss, news: { lost, possible } })
     for (const notice of notices) tell({ kind: DispatchEventKind.Notice, notice })
   }
 
--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -12,6 +12,7 @@
 import type { Scope } from 'effect'
 import { DispatchParts } from './DispatchParts'
 import { DirectoryKeeper } from './DirectoryKeeper'
+import { directoryOf } from './directoryOf'
 import { heardProxies } from './heardProxies'
 import { JoinKeeper } from './JoinKeeper'
 import { NoticeExchange } from './NoticeExchange'
@@ -38,8 +39,8 @@
 const NEW_LEADER_MS = 1_000
 /** Notices of all endpoints are there after two heartbeats and this, in milliseconds. */
 const HEARTBEAT_MARGIN_MS = 500
-/** Endpoints that came or went are on the disk after this, in milliseconds; a sync takes 10. */
-const STORE_DIRECTORY_MS = 1_000
+/** How often the directory's file is looked after, in milliseconds; a sync takes 10. */
+const STORE_DIRECTORY_MS = 200
 /** How long an instance that hands its leadership over goes on, so that orders end cleanly. */
 const HAND_OVER_MS = 300
 
@@ -81,7 +82,7 @@
     parts.proxy.bind(new OrderProxy({ gateway, send, now: context.now, after }))
     const dispatcher = yield* startDispatchPart(context, parts, gateway, send)
     const disk = new RealDisk(settings.dataFolder ?? 'data')
-    yield* startDirectoryKeeper(context, dispatcher, disk)
+    yield* startDirectoryKeeper(context, parts, dispatcher, disk)
     const control = yield* startVoter(context, parts, dispatcher, disk, send)
     const discovery = yield* startDiscovery(context, { hostsVoter: true, links }, (peer) => {
       control.notePeer(peer, 0)
@@ -144,14 +145,23 @@
 /** Starts from the endpoints that were known before the restart, and stores them from now on. */
 function startDirectoryKeeper(
   { now, log }: ProcessContext,
+  parts: DispatchParts,
   { machine, tell }: DispatchPart,
   disk: Disk,
 ): Effect.Effect<void, never, Scope.Scope> {
-  const keeper = new DirectoryKeeper({ disk, log, notices: () => machine.notices(now()) })
+  const keeper = new DirectoryKeeper({
+    disk,
+    log,
+    known: () => directoryOf(machine, now()),
+    lossChanges: () => machine.lossChanges,
+  })
+  parts.keeper.bind(keeper)
   return Effect.gen(function* () {
-    for (const notice of yield* keeper.read()) tell({ kind: DispatchEventKind.Notice, notice })
+    const { notices, ...news } = yield* keeper.read()
+    tell({ kind: DispatchEventKind.Loss, news })
+    for (const notice of notices) tell({ kind: DispatchEventKind.Notice, notice })
     yield* startTimer(STORE_DIRECTORY_MS, () => {
-      keeper.tick()
+      keeper.tick(now())
     })
   })
 }
--- a/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
@@ -16,7 +16,7 @@
 
 /** @internal */
 export function startDispatchPart(
-  { settings, boot, telemetry, log, onDefect }: ProcessContext,
+  { settings, boot, telemetry, log, now, onDefect }: ProcessContext,
   parts: DispatchParts,
   gateway: EndpointGateway,
   send: (to: string, message: Envelope) => void,
@@ -36,9 +36,12 @@
         notices.pass(notice)
       })
     },
-    spreadLosses: (lost) => {
+    spreadLosses: (news) => {
       parts.notices.use((notices) => {
-        notices.passLosses(lost)
+        notices.passLosses(news)
+      })
+      parts.keeper.use((keeper) => {
+        keeper.noteNews(now())
       })
     },
     onDefect,
--- a/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
+++ b/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
@@ -65,6 +65,7 @@
       case 'endpointNoticesRead':
       case 'endpointOrders':
       case 'endpointAnswers':
+      case 'unansweredJobs':
       case 'text':
       case undefined:
         this.unknownEnvelopes++
--- a/packages/dispatch/src/lib/DispatchAction.ts
+++ b/packages/dispatch/src/lib/DispatchAction.ts
@@ -1,4 +1,5 @@
-import type { EndpointNotice, EndpointOrder, JobOutcome, LostEndpoint } from '@cherryhitch/protocol'
+import type { EndpointNotice, EndpointOrder, JobOutcome } from '@cherryhitch/protocol'
+import type { LossNews } from './crashes/LossNews'
 
 /** @public */
 export enum DispatchActionKind {
@@ -36,7 +37,7 @@
   /** All who may lead are to know of a new endpoint. */
   | { readonly kind: DispatchActionKind.Spread; readonly notice: EndpointNotice }
   /** All who may lead are to know what became of endpoints that were lost. */
-  | { readonly kind: DispatchActionKind.SpreadLoss; readonly lost: LostEndpoint[] }
+  | { readonly kind: DispatchActionKind.SpreadLoss; readonly news: LossNews }
   | {
       readonly kind: DispatchActionKind.Log
       readonly sentence: string
--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -52,6 +52,8 @@
   /** Jobs that were given up since a task of theirs takes endpoints down, and those that wait for it. */
   jobs_blamed: number
   jobs_held: number
+  /** Tasks of earlier leaders that may have run at endpoints that were gone. */
+  tasks_doubted: number
   stops: number
   holds: number
   holds_missed: number
@@ -93,6 +95,7 @@
     endpoints_crashed: 0,
     jobs_blamed: 0,
     jobs_held: 0,
+    tasks_doubted: 0,
     stops: 0,
     holds: 0,
     holds_missed: 0,
--- a/packages/dispatch/src/lib/DispatchEvent.ts
+++ b/packages/dispatch/src/lib/DispatchEvent.ts
@@ -3,10 +3,11 @@
   AskJob,
   EndpointNotice,
   EndpointOrder,
-  LostEndpoint,
   RoutingTable,
   SubmitJob,
+  UnansweredJobs,
 } from '@cherryhitch/protocol'
+import type { LossNews } from './crashes/LossNews'
 import type { OrderAnswer } from './gateway/EndpointGateway'
 
 /** @public */
@@ -22,6 +23,7 @@
   Submit = 'submit',
   Ask = 'ask',
   Abandon = 'abandon',
+  Unanswered = 'unanswered',
   Answered = 'answered',
 }
 
@@ -54,9 +56,10 @@
   | { readonly kind: DispatchEventKind.Confirmed; readonly at: number }
   | { readonly kind: DispatchEventKind.Routing; readonly table: RoutingTable }
   | { readonly kind: DispatchEventKind.Notice; readonly notice: EndpointNotice }
-  /** Another instance tells of an endpoint that was lost. */
-  | { readonly kind: DispatchEventKind.Loss; readonly lost: LostEndpoint }
+  /** Another instance tells of endpoints that were lost. */
+  | { readonly kind: DispatchEventKind.Loss; readonly news: LossNews }
   | { readonly kind: DispatchEventKind.Submit; readonly from: string; readonly req: SubmitJob }
   | { readonly kind: DispatchEventKind.Ask; readonly from: string; readonly req: AskJob }
   | { readonly kind: DispatchEventKind.Abandon; readonly from: string; readonly req: AbandonJob }
+  | { readonly kind: DispatchEventKind.Unanswered; readonly req: UnansweredJobs }
   | OrderAnswered
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -1,7 +1,8 @@
 import { exhaustive, Mechanism } from '@cherryhitch/model'
 import { NoticeState } from '@cherryhitch/protocol'
-import type { EndpointNotice, LostEndpoint } from '@cherryhitch/protocol'
+import type { EndpointNotice } from '@cherryhitch/protocol'
 import { Machine } from '@cherryhitch/runtime'
+import type { LossNews } from './crashes/LossNews'
 import { DispatchActionKind } from './DispatchAction'
 import type { DispatchAction } from './DispatchAction'
 import { DispatchCore } from './DispatchCore'
@@ -65,6 +66,7 @@
       runs,
       order,
       admission,
+      unlisted: this.#lifecycle.unlisted,
       refuse: (now, refused) => {
         this.#lifecycle.refuseAtDoor(now, refused)
       },
@@ -119,21 +121,24 @@
   }
 
   /** What is known of endpoints that were lost under tasks, for another instance. */
-  losses(now: number): LostEndpoint[] {
+  losses(now: number): LossNews {
     return this.#core.losses.all(now)
   }
 
+  /** How often something new of lost endpoints became known. */
+  get lossChanges(): number {
+    return this.#core.losses.changes
+  }
+
   override step(now: number, event: DispatchEvent): readonly DispatchAction[] {
     this.#handle(now, event)
-    this.#scheduler.run(now)
-    return this.#core.takeActions()
+    return this.#placeAndTake(now)
   }
 
   /** Events that arrived together share one round of placing. */
   override stepAll(now: number, events: readonly DispatchEvent[]): readonly DispatchAction[] {
     for (const event of events) this.#handle(now, event)
-    this.#scheduler.run(now)
-    return this.#core.takeActions()
+    return this.#placeAndTake(now)
   }
 
   override tick(now: number): readonly DispatchAction[] {
@@ -144,9 +149,8 @@
       this.#leases.tick(now)
       this.#lifecycle.tick(now)
       this.#scheduler.wake()
-      this.#scheduler.run(now)
     }
-    return this.#core.takeActions()
+    return this.#placeAndTake(now)
   }
 
   override noteStep(_now: number, behindMs: number): void {
@@ -158,6 +162,12 @@
     return this.leads ? -Infinity : this.#forgetDueAt
   }
 
+  #placeAndTake(now: number): readonly DispatchAction[] {
+    this.#lifecycle.lookForUnlisted(now)
+    this.#scheduler.run(now)
+    return this.#core.takeActions()
+  }
+
   #handle(now: number, event: DispatchEvent): void {
     switch (event.kind) {
       case DispatchEventKind.Lead:
@@ -183,7 +193,7 @@
         this.#onNotice(now, event.notice)
         return
       case DispatchEventKind.Loss:
-        this.#lifecycle.crashes.onTold(now, event.lost)
+        this.#lifecycle.crashes.onTold(now, event.news)
         return
       case DispatchEventKind.Submit:
         this.#requests.submit(now, event.from, event.req)
@@ -195,6 +205,9 @@
       case DispatchEventKind.Abandon:
         this.#requests.abandon(now, event.from, event.req)
         return
+      case DispatchEventKind.Unanswered:
+        this.#lifecycle.unlisted.onUnanswered(now, event.req.jobs)
+        return
       case DispatchEventKind.Answered:
         this.#answers.handle(now, event)
         return
@@ -295,7 +308,9 @@
     this.#forgetDueAt = now + FORGET_EVERY_MS
     const { endpoints } = this.#core
     for (const endpoint of [...endpoints.all()]) {
-      if (endpoints.isForgettable(now, endpoint)) endpoints.remove(endpoint)
+      if (!endpoints.isForgettable(now, endpoint)) continue
+      if (this.leads) this.#lifecycle.unlisted.onForgotten(now, endpoint)
+      endpoints.remove(endpoint)
     }
     this.#scheduler.refresh(now)
   }
--- a/packages/dispatch/src/lib/crashes/CrashWatch.ts
+++ b/packages/dispatch/src/lib/crashes/CrashWatch.ts
@@ -1,13 +1,15 @@
 import { TaskStanding } from '@cherryhitch/policy'
-import { LostEndpointSchema, NoticeState } from '@cherryhitch/protocol'
-import type { EndpointGroup, LostEndpoint } from '@cherryhitch/protocol'
+import { LostEndpointSchema, NoticeState, PossibleLossSchema } from '@cherryhitch/protocol'
+import type { EndpointGroup, LostEndpoint, PossibleLoss } from '@cherryhitch/protocol'
 import { create } from '@bufbuild/protobuf'
 import { DispatchActionKind } from '../DispatchAction'
 import type { DispatchCore } from '../DispatchCore'
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
 import { TaskState } from '../jobs/Job'
 import type { Job, Task } from '../jobs/Job'
+import { jobIdOf } from '../jobs/jobIdOf'
 import { groupsOf } from './groupsOf'
+import type { LossNews } from './LossNews'
 
 /** What to do about a job some of whose tasks may take endpoints down. @internal */
 export interface JobJudgement {
@@ -24,8 +26,8 @@
 export class CrashWatch {
   constructor(
     private readonly core: DispatchCore,
-    /** Called for each task whose standing may have changed. */
-    private readonly onEvidence: (now: number, task: string) => void,
+    /** Called for each job a task of which may have another standing. */
+    private readonly onEvidence: (now: number, job: string) => void,
   ) {}
 
   /** Notes what ran at an endpoint that is given up since nothing is heard of it. */
@@ -34,7 +36,13 @@
     if (endpoint.notice.state !== NoticeState.SERVING) return
     const { counters, endpoints } = this.core
     counters.endpoints_lost++
-    this.#note(now, lossOf(endpoint, groupsOf(endpoint, endpoints.all())))
+    this.#note(now, this.#lossOf(endpoint, groupsOf(endpoint, endpoints.all())))
+  }
+
+  /** Tells the next leaders of an endpoint that is gone while nothing runs there. */
+  onIdleEndpointLost(now: number, endpoint: EndpointRecord): void {
+    if (endpoint.notice.state !== NoticeState.SERVING || this.core.losses.has(endpoint.id)) return
+    this.#note(now, this.#lossOf(endpoint, groupsOf(endpoint, this.core.endpoints.all())))
   }
 
   /**
@@ -44,21 +52,37 @@
   handOver(now: number): void {
     const all = [...this.core.endpoints.all()]
     const lost = all.flatMap((endpoint) => {
-      const { notice, runs, unanswered } = endpoint
-      if (runs.size === 0 || notice.state !== NoticeState.SERVING) return []
-      const loss = lossOf(endpoint, unanswered > 0 ? groupsOf(endpoint, all) : [])
+      const { notice, runs, unanswered, isAdopted, isReplaced } = endpoint
+      const isSilent = unanswered > 0 || isReplaced
+      const isWorthTelling = runs.size > 0 || (isSilent && isAdopted)
+      if (!isWorthTelling || notice.state !== NoticeState.SERVING) return []
+      const loss = this.#lossOf(endpoint, isSilent ? groupsOf(endpoint, all) : [])
       return this.core.losses.take(now, loss) ? this.core.losses.tell(now, endpoint.id) : []
     })
-    if (lost.length > 0) this.core.emit({ kind: DispatchActionKind.SpreadLoss, lost })
+    if (lost.length > 0) this.#spread({ lost, possible: [] })
   }
 
   /** Another instance tells what it knows. */
-  onTold(now: number, lost: LostEndpoint): void {
-    this.#take(now, lost, () => undefined)
+  onTold(now: number, { lost, possible }: LossNews): void {
+    for (const one of lost) this.#take(now, one, () => undefined)
+    for (const one of possible) this.#takePossible(now, one)
+  }
+
+  /** Notes what may have run at endpoints that are gone, and tells all who may lead. */
+  notePossible(now: number, possible: PossibleLoss): void {
+    this.#spread({ lost: [], possible: [possible] })
+    this.#takePossible(now, possible)
+  }
+
+  /** Nothing was lost before a term, or only the way to endpoints. */
+  clearPossible(now: number, term: number): void {
+    if (!this.core.losses.possible.has(term)) return
+    this.notePossible(now, create(PossibleLossSchema, { term, cleared: true }))
   }
 
   /** Looks at what was lost: another life shows a crash, an answer shows that there was none. */
   tick(now: number): void {
+    this.#lookAtPossible(now)
     for (const { endpoint, lostAt } of this.core.losses.open) {
       const record = this.core.endpoints.get(endpoint)
       if (record === undefined) continue
@@ -71,6 +95,15 @@
     }
   }
 
+  /** The way to them was lost, and not the endpoints: nothing that may have run there is a suspect. */
+  #lookAtPossible(now: number): void {
+    const { endpoints, losses } = this.core
+    for (const { term, endpoints: gone, lostAt } of losses.possible.open) {
+      const haveAnswered = [...gone].every((id) => (endpoints.get(id)?.answeredAt ?? 0) > lostAt)
+      if (haveAnswered && gone.size > 0) this.clearPossible(now, term)
+    }
+  }
+
   /** Marks the suspects among a job's tasks; gives the task for which the job has to end. */
   judge(job: Job): JobJudgement | undefined {
     let held: JobJudgement | undefined
@@ -88,21 +121,29 @@
   #note(now: number, lost: LostEndpoint): void {
     this.#take(now, lost, () => {
       const known = this.core.losses.tell(now, lost.endpoint)
-      this.core.emit({ kind: DispatchActionKind.SpreadLoss, lost: [known] })
+      this.#spread({ lost: [known], possible: [] })
     })
   }
 
+  #lossOf({ id: endpoint, runs }: EndpointRecord, groups: EndpointGroup[]): LostEndpoint {
+    return create(LostEndpointSchema, { endpoint, tasks: [...runs.keys()], groups })
+  }
+
+  #spread(news: LossNews): void {
+    this.core.emit({ kind: DispatchActionKind.SpreadLoss, news })
+  }
+
+  #takePossible(now: number, possible: PossibleLoss): void {
+    for (const job of this.core.losses.possible.take(now, possible)) this.onEvidence(now, job)
+  }
+
   /** @param onNews - called before tasks are judged by it */
   #take(now: number, lost: LostEndpoint, onNews: () => void): void {
     const { losses } = this.core
     const before = losses.tasksOf(lost.endpoint)
     if (!losses.take(now, lost)) return
     onNews()
-    const tasks = new Set([...before, ...losses.tasksOf(lost.endpoint)])
-    for (const task of tasks) this.onEvidence(now, task)
+    const tasks = [...before, ...losses.tasksOf(lost.endpoint)]
+    for (const job of new Set(tasks.map(jobIdOf))) this.onEvidence(now, job)
   }
 }
-
-function lossOf({ id, runs }: EndpointRecord, groups: EndpointGroup[]): LostEndpoint {
-  return create(LostEndpointSchema, { endpoint: id, tasks: [...runs.keys()], groups })
-}
--- a/packages/dispatch/src/lib/crashes/LossLedger.ts
+++ b/packages/dispatch/src/lib/crashes/LossLedger.ts
@@ -3,10 +3,10 @@
 import { LostEndpointSchema } from '@cherryhitch/protocol'
 import type { EndpointGroup, LostEndpoint } from '@cherryhitch/protocol'
 import { create } from '@bufbuild/protobuf'
+import { isShared } from './groupsOf'
+import type { LossNews } from './LossNews'
+import { PossibleLosses } from './PossibleLosses'
 
-/** Endpoints of a group, and their share of it, that aren't lost at once by tasks of their own. */
-const LEAST_SHARED = 4
-const SHARED_SHARE = 0.1
 /** Losses remembered at most. */
 const MAX_LOSSES = 1_000
 
@@ -22,17 +22,32 @@
 export class LossLedger {
   readonly #losses = new Map<string, Loss>()
   readonly #byTask = new Map<string, Loss[]>()
+  #changes = 0
+  /** Losses of which it is not known what ran there. */
+  readonly possible: PossibleLosses
 
   constructor(
     private readonly blame: CrashBlame,
     private readonly keepMs: number,
-  ) {}
+  ) {
+    this.possible = new PossibleLosses(keepMs)
+  }
 
   /** Losses of which it is not known yet whether they were crashes. */
   get open(): readonly Readonly<Loss>[] {
     return [...this.#losses.values()].filter(({ isCrash }) => !isCrash)
   }
 
+  /** How often something new was taken in. */
+  get changes(): number {
+    return this.#changes + this.possible.changes
+  }
+
+  /** Whether the loss of an endpoint is known. */
+  has(endpoint: string): boolean {
+    return this.#losses.has(endpoint)
+  }
+
   /** Tasks that ran at a lost endpoint. */
   tasksOf(endpoint: string): readonly string[] {
     return this.#losses.get(endpoint)?.tasks ?? []
@@ -41,6 +56,12 @@
   /** Takes in what is known of a loss, here or at another instance; false when it is nothing new. */
   take(now: number, told: LostEndpoint): boolean {
     this.#forget(now)
+    const isNew = this.#takeIn(now, told)
+    if (isNew) this.#changes++
+    return isNew
+  }
+
+  #takeIn(now: number, told: LostEndpoint): boolean {
     if (told.cleared) return this.#remove(told.endpoint)
     const known = this.#losses.get(told.endpoint)
     if (known !== undefined) {
@@ -59,12 +80,13 @@
 
   /** What the losses under a task say of it. */
   standing(task: string): TaskStanding {
-    const losses = this.#byTask.get(task)
-    if (losses === undefined) return TaskStanding.Clear
-    const seen = losses.map((loss): LossUnderTask => {
-      return { isCrash: loss.isCrash, isShared: isShared(loss) }
+    const known = this.#byTask.get(task) ?? []
+    const possible = this.possible.under(task)
+    if (known.length + possible.length === 0) return TaskStanding.Clear
+    const seen = known.map(({ isCrash, groups }): LossUnderTask => {
+      return { isCrash, isShared: isShared(groups), isPossible: false }
     })
-    return this.blame.standing(seen)
+    return this.blame.standing([...seen, ...possible])
   }
 
   /** Endpoints that were lost under a task. */
@@ -73,8 +95,9 @@
   }
 
   /** All that is known, for another instance. */
-  all(now: number): LostEndpoint[] {
-    return [...this.#losses.values()].map((loss) => toMessage(now, loss))
+  all(now: number): LossNews {
+    const lost = [...this.#losses.values()].map((loss) => toMessage(now, loss))
+    return { lost, possible: this.possible.all(now) }
   }
 
   /** What is known of one loss, for other instances. */
@@ -88,7 +111,7 @@
   #replace(now: number, known: Loss, told: LostEndpoint): boolean {
     this.#remove(known.endpoint)
     const tasks = [...new Set([...known.tasks, ...told.tasks])]
-    return this.take(now, { ...told, tasks })
+    return this.#takeIn(now, { ...told, tasks })
   }
 
   #lossesOf(task: string): Loss[] {
@@ -125,14 +148,9 @@
   return known.groups.length === 0 && told.groups.length > 0
 }
 
-function isShared({ groups }: Loss): boolean {
-  return groups.some(({ size, silent }) => {
-    return silent >= LEAST_SHARED && silent >= SHARED_SHARE * size
-  })
-}
-
-function toMessage(now: number, { endpoint, tasks, groups, isCrash, lostAt }: Loss): LostEndpoint {
+function toMessage(now: number, { isCrash: crashed, lostAt, ...loss }: Loss): LostEndpoint {
+  const { endpoint, tasks, groups } = loss
   const lostMsAgo = Math.max(0, now - lostAt)
-  const value = { endpoint, tasks: [...tasks], groups: [...groups], crashed: isCrash, lostMsAgo }
-  return create(LostEndpointSchema, value)
+  const known = { endpoint, tasks: [...tasks], groups: [...groups] }
+  return create(LostEndpointSchema, { ...known, crashed, lostMsAgo })
 }
--- a/packages/dispatch/src/lib/jobs/JobLifecycle.ts
+++ b/packages/dispatch/src/lib/jobs/JobLifecycle.ts
@@ -3,6 +3,7 @@
 import type { DispatchCore } from '../DispatchCore'
 import { Mechanism } from '@cherryhitch/model'
 import { CrashWatch } from '../crashes/CrashWatch'
+import { UnlistedTasks } from '../crashes/UnlistedTasks'
 import type { LeaseLoop } from '../endpoints/LeaseLoop'
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
 import { RunEnd } from '../runs/Run'
@@ -14,6 +15,7 @@
 import { findHopeless, overrunAfter } from '../scheduling/giveUp'
 import { retryAfter } from '../scheduling/retryAfter'
 import { JobBook } from './JobBook'
+import { jobIdOf } from './jobIdOf'
 import { TaskState } from './Job'
 import type { Job, Task } from './Job'
 
@@ -26,6 +28,7 @@
   readonly runs: RunTracker
   readonly health: RunHealth
   readonly crashes: CrashWatch
+  readonly unlisted: UnlistedTasks
   /** Tasks whose end as done was listed before this leader knew their job, and when. */
   readonly #foreignDone = new Map<string, number>()
 
@@ -38,10 +41,11 @@
     this.jobs = new JobBook(core)
     this.runs = new RunTracker(core, leases, this)
     this.health = new RunHealth(core)
-    this.crashes = new CrashWatch(core, (now, name) => {
-      const task = this.#findTask(name)
-      if (task !== undefined) this.judge(now, task.job)
+    this.crashes = new CrashWatch(core, (now, id) => {
+      const job = this.jobs.get(id)
+      if (job !== undefined) this.judge(now, job)
     })
+    this.unlisted = new UnlistedTasks(core, this.crashes)
   }
 
   tick(now: number): void {
@@ -58,6 +62,7 @@
   clear(): void {
     this.jobs.dropAll(JobVerdict.LEADER_LOST, 'the leader stepped down')
     this.runs.clear()
+    this.unlisted.clear()
     this.#foreignDone.clear()
   }
 
@@ -65,6 +70,10 @@
     this.crashes.onEndpointLost(now, endpoint)
   }
 
+  onIdleEndpointLost(now: number, endpoint: EndpointRecord): void {
+    this.crashes.onIdleEndpointLost(now, endpoint)
+  }
+
   /** Ends a job when one of its tasks takes down the endpoints that start it, or may do so. */
   judge(now: number, job: Job): void {
     if (job.isClosed) return
@@ -115,6 +124,12 @@
     for (const task of job.tasks) this.#recall(now, job, task)
     job.unblock()
     if (job.isDone) this.jobs.close(now, job, JobVerdict.COMPLETED, { reason: 'done before' })
+    else this.unlisted.onJob(now, job)
+  }
+
+  /** What an earlier leader had, and no endpoint lists, may have run where an endpoint is gone. */
+  lookForUnlisted(now: number): void {
+    this.unlisted.look(now, this.jobs.open)
   }
 
   /** Gives the verdict and stops what still runs. */
@@ -133,8 +148,7 @@
   }
 
   #findTask(name: string): Task | undefined {
-    const job = this.jobs.get(name.slice(0, name.indexOf('.')))
-    return job?.tasks.find((task) => task.name === name)
+    return this.jobs.get(jobIdOf(name))?.tasks.find((task) => task.name === name)
   }
 
   /** What an earlier leader started, or saw done, needs not begin anew. */
--- a/packages/dispatch/src/lib/relay/JobRelay.test.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.test.ts
@@ -33,6 +33,14 @@
   })
 }
 
+function unansweredJobs(actions: readonly RelayAction[]): string[] {
+  return actions.flatMap((action) => {
+    if (action.kind !== RelayActionKind.Send) return []
+    const { body } = action.envelope
+    return body.case === 'unansweredJobs' ? body.value.jobs.map(({ jobId }) => jobId) : []
+  })
+}
+
 describe('a request at an entry', () => {
   it('goes to the leader and comes back with its verdict', () => {
     const relay = new JobRelay()
@@ -56,6 +64,29 @@
     assert.equal(relay.openRequests, 0)
   })
 
+  it('is told to the next leader when it ended as unknown: its caller may send it again', () => {
+    const relay = new JobRelay()
+    relay.step(0, leader('a', 1))
+    relay.step(1, submit)
+    relay.step(10, outcome('a', JobVerdict.UNKNOWN))
+    assert.deepEqual(unansweredJobs(relay.step(20, leader('b', 2))), ['j'])
+    // One that is lost too soon has found out nothing.
+    relay.step(1_000, leader('', 2))
+    assert.deepEqual(unansweredJobs(relay.step(1_500, leader('c', 3))), ['j'])
+    const { takeOverMs } = defaultRelayTiming
+    assert.deepEqual(unansweredJobs(relay.step(1_500 + takeOverMs, leader('d', 4))), [])
+  })
+
+  it('is not told to the next leader when it was refused, or is done', () => {
+    for (const verdict of [JobVerdict.REFUSED, JobVerdict.COMPLETED]) {
+      const relay = new JobRelay()
+      relay.step(0, leader('a', 1))
+      relay.step(1, submit)
+      relay.step(10, outcome('a', verdict))
+      assert.deepEqual(unansweredJobs(relay.step(20, leader('b', 2))), [])
+    }
+  })
+
   it('stays with a leader that was found meanwhile', () => {
     const relay = new JobRelay()
     relay.step(0, leader('a', 1))
--- a/packages/dispatch/src/lib/relay/JobRelay.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.ts
@@ -24,6 +24,13 @@
   readonly answerWayMs: number
   /** When a refused caller may come back: an election is over by then. */
   readonly retryAfterMs: number
+  /**
+   * How long a new leader is told of jobs that ended here while it was not known what became of
+   * them: until it has been found, and has asked all endpoints.
+   */
+  readonly unansweredMs: number
+  /** A leader that lasts so long has found out what became of the jobs that it was told of. */
+  readonly takeOverMs: number
 }
 
 /** @public */
@@ -33,6 +40,8 @@
   lostLeaderMs: 700,
   answerWayMs: 40,
   retryAfterMs: 1_000,
+  unansweredMs: 5_000,
+  takeOverMs: 2_000,
 }
 
 /** @public */
@@ -98,6 +107,14 @@
   waitsSince: number
 }
 
+interface UnansweredJob {
+  readonly endedAt: number
+  /** When the present leader was told of it. */
+  toldAt: number | undefined
+  /** How often it ended so. */
+  readonly times: number
+}
+
 /**
  * Brings callers' requests to the leader and its answers back. When the leader changes, open
  * requests go to the next one, which finds out what the earlier one started.
@@ -109,6 +126,8 @@
 export class JobRelay extends Machine<RelayEvent, RelayAction> {
   readonly #timing: RelayTiming
   readonly #open = new Map<string, Relayed>()
+  /** Jobs that a leader had and of which nobody here knows what ran, the first to end first. */
+  readonly #unanswered = new Map<string, UnansweredJob>()
   #leader = ''
   #term = 0
   #leaderLostAt = -Infinity
@@ -136,7 +155,7 @@
         this.#take(now, event)
         break
       case RelayEventKind.Abandon:
-        this.#abandon(event.requestId)
+        this.#abandon(now, event.requestId)
         break
       case RelayEventKind.Outcome:
         this.#onOutcome(now, event.from, event.outcome)
@@ -145,7 +164,7 @@
         this.#onLeader(now, event.leader, event.term)
         break
       case RelayEventKind.NoLeaderInReach:
-        this.#endOpen()
+        this.#endOpen(now)
         break
     }
     return this.#takeActions()
@@ -216,6 +235,8 @@
 
   #onLeader(now: number, leader: string, term: number): void {
     if (leader === '' && this.#leader !== '') this.#leaderLostAt = now
+    this.#forgetUnanswered(now)
+    for (const job of this.#unanswered.values()) job.toldAt = leader === '' ? undefined : now
     this.#leader = leader
     this.#term = term
     if (leader === '') {
@@ -223,12 +244,38 @@
       if (this.#open.size > 0) this.#dueAt = -Infinity
       return
     }
+    this.#tellUnanswered()
     for (const relayed of this.#open.values()) {
       if (relayed.sentTo === leader && relayed.sentTerm === term) continue
       this.#send(now, relayed)
     }
   }
 
+  /** Their callers may send them again, by another way: an earlier leader may have started them. */
+  #tellUnanswered(): void {
+    if (this.#unanswered.size === 0) return
+    const jobs = [...this.#unanswered].map(([jobId, { times }]) => ({ jobId, times }))
+    const message = envelope({ case: 'unansweredJobs', value: { jobs } })
+    this.#out.push({ kind: RelayActionKind.Send, to: this.#leader, envelope: message })
+  }
+
+  #noteUnanswered(now: number, { event, attempts }: Relayed): void {
+    if (event.kind !== RelayEventKind.Submit || attempts === 0) return
+    this.#forgetUnanswered(now)
+    const { jobId } = event.spec
+    const times = (this.#unanswered.get(jobId)?.times ?? 0) + 1
+    this.#unanswered.delete(jobId)
+    this.#unanswered.set(jobId, { endedAt: now, toldAt: undefined, times })
+  }
+
+  #forgetUnanswered(now: number): void {
+    const { unansweredMs, takeOverMs } = this.#timing
+    for (const [job, { endedAt, toldAt = Infinity }] of this.#unanswered) {
+      const isOver = now - endedAt >= unansweredMs || now - toldAt >= takeOverMs
+      if (isOver) this.#unanswered.delete(job)
+    }
+  }
+
   #onOutcome(now: number, from: string, outcome: JobOutcome): void {
     const relayed = this.#open.get(outcome.requestId)
     if (relayed === undefined) return
@@ -244,7 +291,11 @@
         return
       case JobVerdict.REFUSED:
       case JobVerdict.NO_ROUTE:
-        this.#finish(relayed, this.#mayHaveRun(relayed) ? unknown(outcome) : outcome)
+        if (!this.#mayHaveRun(relayed)) this.#finish(relayed, outcome)
+        else this.#finishUnknown(now, relayed, unknown(outcome))
+        return
+      case JobVerdict.UNKNOWN:
+        this.#finishUnknown(now, relayed, outcome)
         return
       default:
         this.#finish(relayed, outcome)
@@ -257,20 +308,22 @@
   }
 
   /** Nobody is left to answer what is open: callers hear so at once. */
-  #endOpen(): void {
+  #endOpen(now: number): void {
     if (this.#leader !== '') return
-    for (const relayed of this.#open.values()) this.#endLeaderless(relayed)
+    for (const relayed of this.#open.values()) this.#endLeaderless(now, relayed)
   }
 
   /** Refuses what no leader has had; what one had may have run. */
-  #endLeaderless(relayed: Relayed): void {
+  #endLeaderless(now: number, relayed: Relayed): void {
     const { requestId } = relayed.event
     const { retryAfterMs } = this.#timing
     const isNotRun = relayed.attempts === 0
     const verdict = isNotRun ? JobVerdict.REFUSED : JobVerdict.UNKNOWN
     const reason = isNotRun ? 'no instance leads at the moment' : 'its leader was lost'
     const more = isNotRun ? { retryAfterMs } : {}
-    this.#finish(relayed, makeJobOutcome({ requestId, verdict, reason, ...more }))
+    const outcome = makeJobOutcome({ requestId, verdict, reason, ...more })
+    if (isNotRun) this.#finish(relayed, outcome)
+    else this.#finishUnknown(now, relayed, outcome)
   }
 
   #tickOne(now: number, relayed: Relayed): void {
@@ -279,11 +332,11 @@
     if (sentTo === '' && this.#leader !== '' && now > waitsSince) this.#send(now, relayed)
     const isOver = now >= deadlineAt - this.#timing.answerWayMs
     if (this.#isLeaderless(now, relayed) || (isOver && attempts === 0)) {
-      this.#endLeaderless(relayed)
+      this.#endLeaderless(now, relayed)
     } else if (isOver) {
       const reason = 'no answer came before the deadline'
       const verdict = JobVerdict.UNKNOWN
-      this.#finish(relayed, makeJobOutcome({ requestId, verdict, reason }))
+      this.#finishUnknown(now, relayed, makeJobOutcome({ requestId, verdict, reason }))
     }
   }
 
@@ -295,15 +348,22 @@
     return now - waitsSince >= shortWaitMs && now - this.#leaderLostAt >= leaderlessMs
   }
 
-  #abandon(requestId: string): void {
+  #abandon(now: number, requestId: string): void {
     const relayed = this.#open.get(requestId)
     if (relayed === undefined) return
     this.#open.delete(requestId)
+    this.#noteUnanswered(now, relayed)
     if (relayed.sentTo === '') return
     const message = envelope({ case: 'abandonJob', value: { requestId } })
     this.#out.push({ kind: RelayActionKind.Send, to: relayed.sentTo, envelope: message })
   }
 
+  /** A leader that is lost now may not have found out what became of the job. */
+  #finishUnknown(now: number, relayed: Relayed, outcome: JobOutcome): void {
+    this.#noteUnanswered(now, relayed)
+    this.#finish(relayed, outcome)
+  }
+
   #finish(relayed: Relayed, outcome: JobOutcome): void {
     this.#open.delete(relayed.event.requestId)
     const { attempts } = relayed
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -18,6 +18,8 @@
 export interface RunListener {
   /** The runs at an endpoint are given up together, since nothing is heard of it. */
   onEndpointLost(now: number, endpoint: EndpointRecord): void
+  /** An endpoint where nothing runs is gone. */
+  onIdleEndpointLost(now: number, endpoint: EndpointRecord): void
   onRunOver(now: number, run: Run, end: RunEnd): void
   /** A run of an earlier leader was found; its job may be known here already. */
   onForeignRun(now: number, run: Run): void
@@ -206,7 +208,10 @@
   }
 
   #tickEndpoint(now: number, endpoint: EndpointRecord): void {
-    if (endpoint.runs.size === 0) return
+    if (endpoint.runs.size === 0) {
+      if (isSurelySilent(endpoint)) this.listener.onIdleEndpointLost(now, endpoint)
+      return
+    }
     const isLost = endpoint.isReplaced || endpoint.unanswered > 0
     if (isLost && this.leases.hasLapsed(now, endpoint)) {
       this.#loseAll(now, endpoint)
@@ -319,3 +324,8 @@
     this.listener.onRunOver(now, run, end)
   }
 }
+
+/** Whether more than one answer of an endpoint is missing. */
+function isSurelySilent({ isAdopted, isReplaced, unanswered }: EndpointRecord): boolean {
+  return isAdopted && (isReplaced || unanswered > 1)
+}
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -1,6 +1,7 @@
 import { Mechanism } from '@cherryhitch/model'
 import type { EndpointCapacity } from '@cherryhitch/protocol'
 import { DispatchActionKind, Stage } from '../DispatchAction'
+import type { UnlistedTasks } from '../crashes/UnlistedTasks'
 import type { DispatchCore } from '../DispatchCore'
 import type { Job, Task } from '../jobs/Job'
 import type { JobBook } from '../jobs/JobBook'
@@ -8,6 +9,7 @@
 import { EndpointIndex } from './EndpointIndex'
 import type { JobAdmission, RefusedJob } from './JobAdmission'
 import type { JobOrder } from './JobOrder'
+import { isSettled } from './isSettled'
 import type { JobQueue } from './JobQueue'
 import type { ServiceEndpoints } from './ServiceEndpoints'
 import { ServicePlaces } from './ServicePlaces'
@@ -19,6 +21,7 @@
   readonly runs: RunTracker
   readonly order: JobOrder
   readonly admission: JobAdmission
+  readonly unlisted: UnlistedTasks
   /** Ends a job that is refused, as not run. */
   readonly refuse: (now: number, refused: RefusedJob) => void
 }
@@ -65,12 +68,12 @@
     this.#isDue = false
     if (this.parts.jobs.waiting.size === 0) return
     this.refresh(now)
-    const isSettled = this.isSettled(now)
+    const mayResume = this.parts.unlisted.isDone && isSettled(now, this.core)
     const isReviewDue = now >= this.#reviewDueAt
     if (isReviewDue) this.#reviewDueAt = now + REVIEW_MS
     this.core.counters.rounds++
     for (const [service, queue] of this.#waiting.entries()) {
-      const ranked = isSettled ? queue.ranked : this.#startable(queue)
+      const ranked = mayResume ? queue.ranked : this.#startable(queue)
       if (ranked.length === 0) continue
       const endpoints = this.#endpoints.of(service)
       if (isReviewDue || queue.newcomers.size > 0) this.#admit(now, queue, ranked, endpoints)
@@ -100,22 +103,6 @@
     }
   }
 
-  /**
-   * True once nothing can still run that an earlier leader started and this one doesn't know of:
-   * every known endpoint has told what runs there, or all earlier leases have run out.
-   */
-  isSettled(now: number): boolean {
-    const { term, earlierLeadersUntil, hasDirectory, timing, endpoints } = this.core
-    if (term === undefined) return false
-    const leaseMs = timing.leaderLeaseMs * (1 + timing.clockDrift)
-    if (now >= earlierLeadersUntil + leaseMs) return true
-    if (!hasDirectory) return false
-    for (const endpoint of endpoints.all()) {
-      if (!endpoint.isAdopted && !endpoint.isOver(now)) return false
-    }
-    return true
-  }
-
   /** Takes new jobs in, or refuses them, as long as more wait than there is room for. */
   #admit(now: number, queue: JobQueue, ranked: readonly Job[], endpoints: ServiceEndpoints): void {
     const places = new ServicePlaces(now, endpoints, queue.meanNeeds)
--- a/packages/dispatch/src/lib/soak/DispatchWorld.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorld.ts
@@ -1,11 +1,5 @@
 import { create } from '@bufbuild/protobuf'
-import {
-  JobStepSchema,
-  JobVerdict,
-  NoticeState,
-  RoutingTableSchema,
-  SteppedJobSchema,
-} from '@cherryhitch/protocol'
+import { JobStepSchema, JobVerdict, NoticeState, SteppedJobSchema } from '@cherryhitch/protocol'
 import type { EndpointNotice, Envelope, JobOutcome } from '@cherryhitch/protocol'
 import { Agenda } from '@cherryhitch/runtime'
 import { DispatchActionKind } from '../DispatchAction'
@@ -25,31 +19,15 @@
 import { FreeLeader } from './SimulatedLeader'
 import type { SimulatedLeader } from './SimulatedLeader'
 import { requestOf, SentRequests } from './SentRequests'
+import { HOST, SERVICE, TABLE } from './simulatedRouting'
 import { StartChecks } from './StartChecks'
+import { StoredDirectories } from './StoredDirectories'
 import { SimulatedEndpoint, TASK_CPU_MILLIS } from './SimulatedEndpoint'
 
-const SERVICE = 'tracing'
-const HOST = 'calls'
 const ENTRY = 'entry'
 const TICK_MS = 10
 const MAX_LEASE_MS = 1_000
 const HEARTBEAT_MS = 1_500
-/** Queues that callers may use. @internal */
-export const QUEUES = 3
-
-const TABLE = create(RoutingTableSchema, {
-  version: 1,
-  routes: Array.from({ length: QUEUES }, (_, queue) => ({
-    name: `r${queue}`,
-    host: HOST,
-    pathPrefix: `/q${queue}/`,
-    service: SERVICE,
-    targetMs: 60,
-    stretch: 1.6,
-  })),
-  services: [SERVICE],
-})
-
 /**
  * Dispatchers, an entry and endpoints in one simulated time, with orders that get lost or come
  * late. It checks that no task ever runs twice at the same time, and that what was refused as
@@ -76,6 +54,7 @@
   readonly #proxies: ProxyWorld
   readonly #processes: Processes
   readonly #sent = new SentRequests()
+  readonly #stored = new StoredDirectories()
   readonly lives: EndpointLives
   readonly #cutEndpoints = new Map<string, Set<string>>()
   readonly #cutFromQuorum = new Set<number>()
@@ -264,6 +243,7 @@
     this.after(
       downMs,
       this.#processes.bind(leader, () => {
+        for (const event of this.#stored.read(leader)) this.#tell(leader, event)
         for (const i of this.#machines.keys()) if (i !== leader) this.#tellNotices(i, leader)
         if (this.options.resendsToNextProcess !== true) return
         for (const event of this.#sent.unacknowledged(this.now, leader)) this.#tell(leader, event)
@@ -366,6 +346,10 @@
         this.#tell(i, { kind: DispatchEventKind.Confirmed, at: this.now - 2 * WAY_MS })
       }
       if (this.isUp(i)) leader.tick()
+      const machine = this.#machines[i]
+      if (this.options.storesDirectories === true && machine !== undefined && this.isUp(i)) {
+        this.#stored.tick(this.now, i, machine)
+      }
       this.#proxies.tick(i, this.#machines[i]?.endpoints ?? 0)
     }
     this.#performRelay(this.#relay.tick(this.now))
@@ -406,9 +390,9 @@
       if (action.kind === DispatchActionKind.Order) this.#proxies.order(leader, action)
       else if (action.kind === DispatchActionKind.Spread) this.#spread(leader, action.notice)
       else if (action.kind === DispatchActionKind.SpreadLoss) {
-        for (const lost of action.lost) {
-          this.#tellOthers(leader, { kind: DispatchEventKind.Loss, lost })
-        }
+        const machine = this.#machines[leader]
+        if (machine !== undefined) this.#stored.noteNews(this.now, leader, machine)
+        this.#tellOthers(leader, { kind: DispatchEventKind.Loss, news: action.news })
       } else if (action.kind === DispatchActionKind.Answer) {
         const { outcome } = action
         this.after(WAY_MS, () => {
@@ -431,8 +415,10 @@
     })
   }
 
-  /** An instance tells another one which endpoints it knows. */
+  /** An instance tells another one which endpoints it knows, and which were lost. */
   #tellNotices(from: number, to: number): void {
+    const news = this.#machines[from]?.losses(this.now)
+    if (news !== undefined) this.#tell(to, { kind: DispatchEventKind.Loss, news })
     for (const notice of this.#machines[from]?.notices(this.now) ?? []) {
       this.#tellNotice(to, notice)
     }
--- a/packages/dispatch/src/lib/soak/DispatchWorldOptions.ts
+++ b/packages/dispatch/src/lib/soak/DispatchWorldOptions.ts
@@ -29,6 +29,8 @@
    * that this is noticed.
    */
   readonly resendsToNextProcess?: boolean
+  /** Whether instances find on their disks what they knew of endpoints when they start again. */
+  readonly storesDirectories?: boolean
   /** Whether an endpoint that starts again has the id that it had. */
   readonly keepsIds?: boolean
   /**
--- a/packages/dispatch/src/lib/soak/SentRequests.ts
+++ b/packages/dispatch/src/lib/soak/SentRequests.ts
@@ -34,6 +34,8 @@
       return { kind: DispatchEventKind.Submit, from, req: body.value }
     case 'abandonJob':
       return { kind: DispatchEventKind.Abandon, from, req: body.value }
+    case 'unansweredJobs':
+      return { kind: DispatchEventKind.Unanswered, req: body.value }
     default:
       return undefined
   }
--- a/packages/dispatch/src/lib/soak/runFatalTasks.ts
+++ b/packages/dispatch/src/lib/soak/runFatalTasks.ts
@@ -84,6 +84,7 @@
     placesEach: 3,
     random,
     keepsIds,
+    storesDirectories: lostInstances !== LostInstances.None,
     isFatal: (task) => task.endsWith('.0.0.0') && isFatalJob(task.split('.')[0] ?? ''),
   })
   world.elect(0, 0)
--- /dev/null
+++ b/packages/dispatch/src/lib/soak/simulatedRouting.ts
@@ -0,0 +1,23 @@
+import { create } from '@bufbuild/protobuf'
+import { RoutingTableSchema } from '@cherryhitch/protocol'
+
+/** The service of all simulated endpoints. @internal */
+export const SERVICE = 'tracing'
+/** Where callers send their jobs. @internal */
+export const HOST = 'calls'
+/** Queues that callers may use. @internal */
+export const QUEUES = 3
+
+/** The routing of random runs. @internal */
+export const TABLE = create(RoutingTableSchema, {
+  version: 1,
+  routes: Array.from({ length: QUEUES }, (_, queue) => ({
+    name: `r${queue}`,
+    host: HOST,
+    pathPrefix: `/q${queue}/`,
+    service: SERVICE,
+    targetMs: 60,
+    stretch: 1.6,
+  })),
+  services: [SERVICE],
+})
--- a/packages/dispatch/src/lib/startDispatcher.ts
+++ b/packages/dispatch/src/lib/startDispatcher.ts
@@ -1,10 +1,11 @@
 import { exhaustive } from '@cherryhitch/model'
 import { wrapMessage } from '@cherryhitch/protocol'
-import type { EndpointAnswers, EndpointNotice, Envelope, LostEndpoint } from '@cherryhitch/protocol'
+import type { EndpointAnswers, EndpointNotice, Envelope } from '@cherryhitch/protocol'
 import { startPart, systemClock } from '@cherryhitch/runtime'
 import type { Clock, Part } from '@cherryhitch/runtime'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
+import type { LossNews } from './crashes/LossNews'
 import { DispatchActionKind } from './DispatchAction'
 import type { DispatchAction, SendOrder, Stage } from './DispatchAction'
 import type { DispatchEvent } from './DispatchEvent'
@@ -25,7 +26,7 @@
   /** Brings the notice of an endpoint to all who may lead. */
   readonly spread: (notice: EndpointNotice) => void
   /** Tells all who may lead of endpoints that were lost. */
-  readonly spreadLosses: (lost: LostEndpoint[]) => void
+  readonly spreadLosses: (news: LossNews) => void
   readonly log: (sentence: string, fields: Readonly<Record<string, unknown>>) => void
   readonly measure: (stage: Stage, route: string, ms: number) => void
   readonly onDefect: (defect: unknown) => void
@@ -118,7 +119,7 @@
         options.spread(action.notice)
         return
       case DispatchActionKind.SpreadLoss:
-        options.spreadLosses(action.lost)
+        options.spreadLosses(action.news)
         return
       case DispatchActionKind.Log:
         options.log(action.sentence, action.fields)
--- a/packages/policy/src/lib/crashes/CountedCrashBlame.ts
+++ b/packages/policy/src/lib/crashes/CountedCrashBlame.ts
@@ -20,7 +20,8 @@
 
 /**
  * Counts the endpoints that were lost under a task alone: one may be chance, a second one is not,
- * since a suspect shares its endpoint with no other.
+ * since a suspect shares its endpoint with no other. What may have been lost under it makes it a
+ * suspect, and is no proof.
  *
  * It answers requests that would take down one endpoint after the other.
  *
@@ -35,11 +36,12 @@
   }
 
   override standing(losses: readonly LossUnderTask[]): TaskStanding {
-    const own = losses.filter(({ isShared }) => !isShared)
+    const alone = losses.filter(({ isShared }) => !isShared)
+    const own = alone.filter(({ isPossible }) => !isPossible)
     const crashes = own.filter(({ isCrash }) => isCrash)
     if (crashes.length >= this.#options.culpritCrashes) return TaskStanding.Culprit
     if (own.length >= this.#options.heldLosses) return TaskStanding.Held
     if (losses.length >= this.#options.mostLosses) return TaskStanding.Held
-    return own.length > 0 ? TaskStanding.Suspect : TaskStanding.Clear
+    return alone.length > 0 ? TaskStanding.Suspect : TaskStanding.Clear
   }
 }
--- a/packages/policy/src/lib/crashes/CrashBlame.ts
+++ b/packages/policy/src/lib/crashes/CrashBlame.ts
@@ -16,6 +16,8 @@
   readonly isCrash: boolean
   /** Many others were lost at the same time, so that no task of one endpoint was the cause. */
   readonly isShared: boolean
+  /** It is not known whether the task had begun there. */
+  readonly isPossible: boolean
 }
 
 /**
