Take back the correction of what an earlier leader told

Tried: a leader that has read an endpoint's lists tells all what an earlier one's late word lacks. The word of the later term is enough, so the mechanism goes.

--- a/packages/dispatch/src/lib/crashes/CrashWatch.ts
+++ b/packages/dispatch/src/lib/crashes/CrashWatch.ts
@@ -64,10 +64,7 @@
 
   /** Another instance tells what it knows. */
   onTold(now: number, { lost, possible }: LossNews): void {
-    for (const one of lost) {
-      if (this.#hasReadLists(one)) this.#correct(now, one.endpoint)
-      else this.#take(now, one, () => undefined)
-    }
+    for (const one of lost) this.#take(now, one, () => undefined)
     for (const one of possible) this.#takePossible(now, one)
   }
 
@@ -146,20 +143,6 @@
     })
   }
 
-  /** Whether this leader has read itself what an earlier one tells of an endpoint. */
-  #hasReadLists({ endpoint, term, crashed, cleared }: LostEndpoint): boolean {
-    if (this.core.term === undefined || term >= this.core.term || crashed || cleared) return false
-    return this.core.endpoints.get(endpoint)?.isAdopted === true
-  }
-
-  /** All who may lead have been told what has changed since. */
-  #correct(now: number, endpoint: string): void {
-    const { losses } = this.core
-    const cleared = create(LostEndpointSchema, { endpoint, cleared: true })
-    const known = losses.has(endpoint) ? [losses.tell(now, endpoint)] : []
-    this.#spread({ lost: [cleared, ...known], possible: [] })
-  }
-
   #spread(news: LossNews): void {
     this.core.emit({ kind: DispatchActionKind.SpreadLoss, news })
   }
