--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -253,7 +253,8 @@
 
   #onNotice(now: number, notice: EndpointNotice): void {
     for (const endpoint of this.#core.endpoints.namedBy(notice)) {
-      this.#onNoticeOfLife(now, { ...notice, endpoint })
+      const isNamed = endpoint === notice.endpoint
+      this.#onNoticeOfLife(now, isNamed ? notice : { ...notice, endpoint })
     }
   }
 
--- a/packages/dispatch/src/lib/crashes/groupsOf.ts
+++ b/packages/dispatch/src/lib/crashes/groupsOf.ts
@@ -11,10 +11,18 @@
 /** The same of a group of which none is left. */
 const LEAST_WHOLE = 2
 
+/** Asked for all endpoints at each loss, and many are lost at once. */
+const knownNames = new WeakMap<EndpointNotice, readonly string[]>()
+
 /** What an endpoint shares with others: its service, its zone and its labels, of which one may name a rack. */
-function groupNames({ service, zone, labels }: EndpointNotice): readonly string[] {
-  const names = [`service ${service}`, `zone ${service} ${zone}`]
-  return [...names, ...labels.map((label) => `label ${service} ${label}`)]
+function groupNames(notice: EndpointNotice): readonly string[] {
+  const known = knownNames.get(notice)
+  if (known !== undefined) return known
+  const { service, zone, labels } = notice
+  const ofLabels = labels.map((label) => `label ${service} ${label}`)
+  const names = [`service ${service}`, `zone ${service} ${zone}`, ...ofLabels]
+  knownNames.set(notice, names)
+  return names
 }
 
 /**
--- a/packages/dispatch/src/lib/endpoints/EndpointBook.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointBook.ts
@@ -40,7 +40,7 @@
 
   /** The other lives of an endpoint's machine that are not forgotten. */
   otherLives(record: EndpointRecord): EndpointRecord[] {
-    const { lives } = this.#machineOf(record)
+    const lives = this.#machines.get(record.machine)?.lives ?? []
     return [...lives].filter((life) => life !== record)
   }
 
@@ -81,7 +81,7 @@
 
   /** An endpoint refused an order under the number of its life, since its machine has seen a higher one. */
   raiseLifeNumber(record: EndpointRecord): void {
-    record.lifeNumber = this.#machineOf(record).lifeNumber
+    record.lifeNumber = this.#machines.get(record.machine)?.lifeNumber ?? record.lifeNumber
   }
 
   /** Whether a notice names no life, and its machine is known to name them. */
@@ -117,9 +117,9 @@
 
   remove(record: EndpointRecord): void {
     this.#records.delete(record.id)
-    const { lives } = this.#machineOf(record)
-    lives.delete(record)
-    if (lives.size === 0) this.#machines.delete(record.machine)
+    const lives = this.#machines.get(record.machine)?.lives
+    lives?.delete(record)
+    if (lives?.size === 0) this.#machines.delete(record.machine)
     this.health.remove(record.id)
     this.slowness.remove(record.id)
     this.#changed.add(record)
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -135,7 +135,7 @@
 
   /** Takes in what an endpoint lists; the hold for it was sent at the given time. */
   onReport(now: number, endpoint: EndpointRecord, sentAt: number, report: HoldReport): void {
-    // A life that another one has followed speaks for nothing that it was not asked about before.
+    // Its lists were never read, and another life is there now: what this answer shows is over.
     if (endpoint.isReplaced && !endpoint.isAdopted) return
     // Answers may overtake each other: an older list shows what has ended as running.
     if (report.clockMs < endpoint.reportedClockMs) return
