Keep the drains of availability zones in the replicated log

Cause: an operator could not take a zone out of service; each order got 404 and was never acknowledged. Change: SetZoneDrain changes the settings, with a version, an audit record and the operator's name. A copy of an order that arrives after the opposite order is refused as a conflict: the order carries the settings version known where it arrived. A command of a later build stops a voter.

--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -140,6 +140,12 @@
     return settings && { settings, current: client.isCurrent(clock.now()) }
   }
 
+  /** See `ControlNode.committedSettings`. */
+  committedSettings(): SettingsState | undefined {
+    const { voter, client } = this.#parts
+    return voter?.settings ?? client.settings
+  }
+
   transferLeadership(): void {
     this.#parts.tell({ to: NodePart.Voter, event: { kind: ControlEventKind.TransferLeadership } })
   }
@@ -211,7 +217,7 @@
     const term = voter?.isEstablished === true ? voter.term : undefined
     if (term === this.#reportedTerm) return
     this.#reportedTerm = term
-    options.onLeadership?.(term, voter?.routing)
+    options.onLeadership?.(term, { routing: voter?.routing, settings: voter?.settings })
   }
 
   #tick(now: number): void {
@@ -253,6 +259,7 @@
         this.#counters.entries_applied++
         return
       case ControlActionKind.SettingsChanged:
+        options.onCommittedSettings?.(action.settings)
         this.#tellClient({ kind: ClientEventKind.LocalSettings, settings: action.settings })
         return
       case ControlActionKind.RoutingChanged:
--- a/packages/control/src/lib/node/ControlNode.ts
+++ b/packages/control/src/lib/node/ControlNode.ts
@@ -127,6 +127,11 @@
     return this.#host.settings()
   }
 
+  /** The newest settings known here to be committed; undefined until the first are known. */
+  committedSettings(): SettingsState | undefined {
+    return this.#host.committedSettings()
+  }
+
   /**
    * Status of the voters as the leader sees it: current if this instance leads, otherwise the last
    * one received; undefined before that.
--- a/packages/control/src/lib/node/ControlNodeOptions.ts
+++ b/packages/control/src/lib/node/ControlNodeOptions.ts
@@ -5,6 +5,12 @@
 import type { VoterLimits, VoterTiming } from '../voter/VoterOptions'
 import type { ClientTiming } from './ClientOptions'
 
+/** What the own voter knows to be committed; fields are undefined without a voter. @public */
+export interface CommittedState {
+  readonly routing: RoutingState | undefined
+  readonly settings: SettingsState | undefined
+}
+
 /** @public */
 export interface ControlNodeOptions {
   readonly instance: string
@@ -31,11 +37,16 @@
   readonly onSettings: (settings: SettingsState, current: boolean) => void
   /** Called with each routing of a higher version that the own voter knows to be committed. */
   readonly onRouting?: (routing: RoutingState) => void
+  /**
+   * Called with each settings version that the own voter knows to be committed, before the settings
+   * are stored for the next start.
+   */
+  readonly onCommittedSettings?: (settings: SettingsState) => void
   /**
    * Called with the term once this instance leads and its state contains everything committed in
    * earlier terms, and with undefined once it stops leading.
    */
-  readonly onLeadership?: (term: number | undefined, routing: RoutingState | undefined) => void
+  readonly onLeadership?: (term: number | undefined, committed: CommittedState) => void
   readonly voterTiming?: Partial<VoterTiming>
   readonly voterLimits?: Partial<VoterLimits>
   /** See `VoterMachineOptions`. */
--- a/packages/control/src/lib/soak/SoakChecks.ts
+++ b/packages/control/src/lib/soak/SoakChecks.ts
@@ -1,6 +1,7 @@
-import { AuditKind, ClaimState, ClaimVerdict, CommandResult } from '@cherryhitch/protocol'
+import { ClaimState, ClaimVerdict, CommandResult } from '@cherryhitch/protocol'
 import type { AuditRecord, Command, CommandAnswer, SettingsState } from '@cherryhitch/protocol'
 import { verifyAudit } from '../state/auditChain'
+import { changesSettings } from '../state/ControlState'
 import type { ControlAction, ControlActionKind } from '../voter/ControlAction'
 import { EVERY_INSTANCE } from '../voter/SettingsRollout'
 
@@ -111,9 +112,7 @@
     assertInvariant(commitIndex >= atLeast, `entries after ${commitIndex} were lost`)
     const verified = verifyAudit(records, settings)
     assertInvariant(verified.ok, `the audit log does not verify: ${JSON.stringify(verified.val)}`)
-    const versions = records.filter(({ kind }) => {
-      return kind === AuditKind.PRESET_SET || kind === AuditKind.PRESET_DEFINED
-    })
+    const versions = records.filter(changesSettings)
     assertInvariant(
       versions.length === settings.version - 1,
       'the number of audit records does not match the settings version',
--- a/packages/control/src/lib/state/ControlState.ts
+++ b/packages/control/src/lib/state/ControlState.ts
@@ -23,7 +23,9 @@
   RoutingState,
   SetPreset,
   SettingsState,
+  SetZoneDrain,
   Voter,
+  ZoneDrain,
 } from '@cherryhitch/protocol'
 import { RecentAnswers } from './RecentAnswers'
 import { chainRecord } from './auditChain'
@@ -31,6 +33,7 @@
 import { ClaimTable } from './ClaimTable'
 import { validatePreset } from './presets'
 import { changeMembers } from './voterSet'
+import { changeZoneDrains, ZoneDrainRefusal } from './zoneDrains'
 
 /** Schema version of the stored snapshot. @internal */
 export const SNAPSHOT_SCHEMA_VERSION = 1
@@ -160,10 +163,13 @@
         return this.#appliedAnswer(commandId)
       case 'putRouting':
         return this.#recordAnswer(this.#putRouting(commandId, change.value))
+      case 'setZoneDrain':
+        return this.#recordAnswer(this.#setZoneDrain(commandId, change.value))
       case 'noop':
         return this.#appliedAnswer(commandId)
       case undefined:
-        return this.#makeAnswer(commandId, CommandResult.REJECTED, 'the command is empty')
+        // Skipping the entry would silently lose what other voters acknowledged.
+        throw new Error(`the log has a command that this build does not know: ${commandId}`)
       default:
         return exhaustive(change)
     }
@@ -214,6 +220,28 @@
     return this.#appliedAnswer(commandId)
   }
 
+  #setZoneDrain(commandId: string, order: SetZoneDrain): CommandAnswer {
+    const { zone, drained, operator, reason, atMs } = order
+    if (operator === '' || reason === '') return this.#rejectAnonymous(commandId)
+    const { zoneDrains, version } = this.#settings
+    const changed = changeZoneDrains(zoneDrains, order, version + 1)
+    if (changed.err) {
+      const isOutdated = changed.val.refusal === ZoneDrainRefusal.Outdated
+      const result = isOutdated ? CommandResult.CONFLICT : CommandResult.REJECTED
+      return this.#makeAnswer(commandId, result, changed.val.detail)
+    }
+    if (changed.val === undefined) {
+      const detail = `zone ${zone} ${drained ? 'is drained already' : 'is not drained'}`
+      return this.#makeAnswer(commandId, CommandResult.APPLIED, detail)
+    }
+    const kind = drained ? AuditKind.ZONE_DRAINED : AuditKind.ZONE_RESTORED
+    this.#changeSettings(
+      { kind, operator, reason, to: zone, atMs, commandId },
+      { zoneDrains: changed.val },
+    )
+    return this.#appliedAnswer(commandId)
+  }
+
   /** Operators race and resend, so an outdated version is not an error: it changes nothing. */
   #putRouting(commandId: string, { version, document, atMs }: PutRouting): CommandAnswer {
     const held = this.#routing.version
@@ -253,13 +281,7 @@
    * version that is not the newest; undefined if the change may be made.
    */
   #checkChange(commandId: string, change: SetPreset | DefinePreset): CommandAnswer | undefined {
-    if (change.operator === '' || change.reason === '') {
-      return this.#makeAnswer(
-        commandId,
-        CommandResult.REJECTED,
-        'operator and reason must be given',
-      )
-    }
+    if (change.operator === '' || change.reason === '') return this.#rejectAnonymous(commandId)
     if (change.fromVersion === this.#settings.version) return undefined
     return this.#makeAnswer(
       commandId,
@@ -268,6 +290,11 @@
     )
   }
 
+  #rejectAnonymous(commandId: string): CommandAnswer {
+    const detail = 'operator and reason must be given'
+    return this.#makeAnswer(commandId, CommandResult.REJECTED, detail)
+  }
+
   #describeConflict(fromVersion: number): string {
     const winner = this.#lastSettingsChange
     const by = winner === undefined ? '' : `, made by ${winner.operator} (${winner.commandId})`
@@ -277,12 +304,12 @@
 
   #changeSettings(
     content: AuditContent,
-    change: { preset?: string; definitions?: PresetDefinition[] },
+    change: { preset?: string; definitions?: PresetDefinition[]; zoneDrains?: ZoneDrain[] },
   ): void {
     const version = this.#settings.version + 1
     const { hash: auditHash } = this.#appendRecord({ ...content, version })
-    const { preset, definitions } = this.#settings
-    const fields = { preset, definitions, ...change, version, auditHash }
+    const { preset, definitions, zoneDrains } = this.#settings
+    const fields = { preset, definitions, zoneDrains, ...change, version, auditHash }
     this.#settings = create(SettingsStateSchema, fields)
   }
 
@@ -294,9 +321,7 @@
   }
 
   #indexRecord(record: AuditRecord): void {
-    if (record.kind === AuditKind.PRESET_SET || record.kind === AuditKind.PRESET_DEFINED) {
-      this.#lastSettingsChange = record
-    }
+    if (changesSettings(record)) this.#lastSettingsChange = record
     if (record.kind !== AuditKind.IN_FORCE) return
     const { instance, boot, version, atMs } = record
     this.#inForce.set(instance, {
@@ -323,6 +348,25 @@
   }
 }
 
+/** Whether an audit record stands for a new version of the settings. @internal */
+export function changesSettings({ kind }: AuditRecord): boolean {
+  switch (kind) {
+    case AuditKind.PRESET_SET:
+    case AuditKind.PRESET_DEFINED:
+    case AuditKind.ZONE_DRAINED:
+    case AuditKind.ZONE_RESTORED:
+      return true
+    case AuditKind.UNSPECIFIED:
+    case AuditKind.VOTERS_CHANGED:
+    case AuditKind.IN_FORCE:
+    case AuditKind.INITIALIZED:
+    case AuditKind.ROUTING_SET:
+      return false
+    default:
+      return exhaustive(kind)
+  }
+}
+
 /** A definition in the form in which it is stored in audit records. */
 function formatDefinition(definition: PresetDefinition): string {
   return JSON.stringify(toJson(PresetDefinitionSchema, definition))
--- a/packages/control/src/lib/store/VoterStore.ts
+++ b/packages/control/src/lib/store/VoterStore.ts
@@ -4,6 +4,7 @@
 import {
   DurableFile,
   packNewest,
+  packVersioned,
   RecordLog,
   StorageError,
   StorageErrorKind,
@@ -12,17 +13,25 @@
 import type { Disk, Migration } from '@cherryhitch/storage'
 import { Effect } from 'effect'
 import { ControlError, ControlErrorKind } from '../errors/ControlError'
+import { versionOfCommand, versionOfSnapshot } from '../state/commandVersion'
 import { encodeSnapshot } from './encodeSnapshot'
 import type { PersistBatch } from '../voter/ControlAction'
 import type { StoredVoter } from '../voter/VoterOptions'
 
 const files = { hardState: 'control-vote', snapshot: 'control-snapshot', log: 'control-log' }
 
-/** Migrations of each stored record, in order; there are none yet, so all are at version 1. */
+/** Version 2 has fields that version 1 lacks; nothing in a record of version 1 changes. */
+const addsZoneDrains: Migration = {
+  from: 1,
+  description: 'drains of availability zones',
+  migrate: (content) => content,
+}
+
+/** Migrations of each stored record, in order. */
 const migrations: Record<keyof typeof files, readonly Migration[]> = {
   hardState: [],
-  snapshot: [],
-  log: [],
+  snapshot: [addsZoneDrains],
+  log: [addsZoneDrains],
 }
 
 /**
@@ -86,12 +95,13 @@
   }
 
   private writeHardState(hardState: HardState): Effect.Effect<void, StorageError> {
-    return this.#hardState.write(pack('hardState', toBinary(HardStateSchema, hardState)))
+    const content = toBinary(HardStateSchema, hardState)
+    return this.#hardState.write(packNewest(content, migrations.hardState))
   }
 
   #writeSnapshot(snapshot: ControlSnapshot): Effect.Effect<void, StorageError> {
     return Effect.flatMap(encodeSnapshot(snapshot), (bytes) =>
-      this.#snapshot.write(pack('snapshot', bytes)),
+      this.#snapshot.write(packVersioned({ version: versionOfSnapshot(snapshot), content: bytes })),
     )
   }
 
@@ -113,7 +123,7 @@
   #append(entries: readonly LogEntry[]): Effect.Effect<void, StorageError> {
     const [first] = entries
     if (this.#log.length === 0 && first !== undefined) this.#firstIndex = first.index
-    return this.#log.append(entries.map((entry) => pack('log', toBinary(LogEntrySchema, entry))))
+    return this.#log.append(entries.map(packEntry))
   }
 }
 
@@ -190,8 +200,9 @@
   return new StorageError({ kind: StorageErrorKind.Damaged, file: files.log, detail })
 }
 
-function pack(kind: keyof typeof files, content: Uint8Array): Uint8Array {
-  return packNewest(content, migrations[kind])
+function packEntry(entry: LogEntry): Uint8Array {
+  const version = versionOfCommand(entry.command)
+  return packVersioned({ version, content: toBinary(LogEntrySchema, entry) })
 }
 
 function unpack(
--- a/packages/control/src/lib/testing/commands.ts
+++ b/packages/control/src/lib/testing/commands.ts
@@ -13,6 +13,17 @@
   return create(CommandSchema, { commandId, change: { case: 'setPreset', value } })
 }
 
+/** An operator's order to drain a zone, or to restore it. */
+export function setZoneDrain(
+  commandId: string,
+  zone: string,
+  drained: boolean,
+  fromVersion: number,
+): Command {
+  const value = { zone, drained, fromVersion, operator: 'sato', reason: 'test', atMs: 1 }
+  return create(CommandSchema, { commandId, change: { case: 'setZoneDrain', value } })
+}
+
 /** A job's claim of a submission key. */
 export function keyClaim(submissionKey: string, jobId: string, contentHash = 'hash'): KeyClaim {
   return create(KeyClaimSchema, { caller: 'desk', submissionKey, jobId, contentHash, atMs: 1 })
--- a/packages/control/src/lib/testing/nodeCluster.ts
+++ b/packages/control/src/lib/testing/nodeCluster.ts
@@ -1,6 +1,6 @@
 import { fromBinary, toBinary } from '@bufbuild/protobuf'
 import { EnvelopeSchema } from '@cherryhitch/protocol'
-import type { Envelope } from '@cherryhitch/protocol'
+import type { Envelope, EnvelopeBody } from '@cherryhitch/protocol'
 import { MemoryDisk } from '@cherryhitch/storage'
 import { Effect, Exit, Scope } from 'effect'
 import type { ControlNode } from '../node/ControlNode'
@@ -45,6 +45,8 @@
   sentMessages = 0
   /** Links that drop all messages, as `from>to`. */
   readonly cutLinks = new Set<string>()
+  /** Changes the content of a message on its way, such as to that of another build. */
+  changeMessage: ((body: EnvelopeBody) => void) | undefined
   readonly #nodes = new Map<string, RunningNode>()
   readonly #voters: readonly string[]
   readonly #options: Partial<ControlNodeOptions>
@@ -134,7 +136,9 @@
     this.sentMessages++
     if (this.cutLinks.has(`${from}>${to}`)) return
     const { case: name } = carried.body
-    if (name !== undefined) this.#nodes.get(to)?.node.receive(from, boot, carried.body)
+    if (name === undefined) return
+    this.changeMessage?.(carried.body)
+    this.#nodes.get(to)?.node.receive(from, boot, carried.body)
   }
 }
 
--- a/packages/control/src/lib/voter/Follower.ts
+++ b/packages/control/src/lib/voter/Follower.ts
@@ -1,4 +1,5 @@
 import type { AppendEntries, InstallSnapshot, LogEntry } from '@cherryhitch/protocol'
+import { COMMAND_VERSION } from '../state/commandVersion'
 import type { VoterCore } from './VoterCore'
 
 /** Handles the entries and snapshots that the leader of the term sends. @internal */
@@ -72,7 +73,8 @@
 
   #reply(to: string, round: number, accepted: boolean, matchIndex: number): void {
     const { term, diskId } = this.#core
-    const value = { term, diskId, accepted, matchIndex, round }
+    const commandVersion = COMMAND_VERSION
+    const value = { term, diskId, accepted, matchIndex, round, commandVersion }
     this.#core.sendWhenDurable(to, { case: 'appendReply', value })
   }
 }
--- a/packages/control/src/lib/voter/Leader.ts
+++ b/packages/control/src/lib/voter/Leader.ts
@@ -8,6 +8,7 @@
   SettingsApplied,
   VotersStatus,
 } from '@cherryhitch/protocol'
+import { versionOfCommand } from '../state/commandVersion'
 import { Proposals, stampClaimTimes } from './Proposals'
 import { QuorumReads } from './QuorumReads'
 import { Replication } from './Replication'
@@ -60,6 +61,11 @@
     const { command, requestId } = req
     if (command === undefined) return
     const { change, commandId } = command
+    const refusal = this.#checkVersion(command)
+    if (refusal !== undefined) {
+      this.#proposals.refuse({ instance: from, requestId }, commandId, refusal)
+      return
+    }
     const isAnswered = this.#core.state?.answerTo(commandId) !== undefined
     if (change.case === 'changeVoters' && !isAnswered) {
       const checked = this.#repair.validate(now, change.value)
@@ -71,6 +77,17 @@
     this.#proposals.accept(from, { ...req, command: stampClaimTimes(now, command) })
   }
 
+  /**
+   * Why a command must not enter the log: a voter whose build does not know it would skip it, and
+   * lose what the others acknowledge. Undefined if it may.
+   */
+  #checkVersion(command: Command): string | undefined {
+    if (command.change.case === undefined) return 'the command is empty or of a later build'
+    const [older] = this.#replication.membersBelow(versionOfCommand(command))
+    if (older === undefined) return undefined
+    return `the voter on ${older.instance} runs a build that does not know this command`
+  }
+
   read(now: number, from: string, boot: number, req: ReadControl): void {
     this.#rollout.renewLease(now, from, boot)
     this.#reads.add({ from, req }, this.#replication.round)
--- a/packages/control/src/lib/voter/Replication.ts
+++ b/packages/control/src/lib/voter/Replication.ts
@@ -1,4 +1,5 @@
 import type { AppendReply, Voter } from '@cherryhitch/protocol'
+import { BASE_VERSION } from '../state/commandVersion'
 import type { VoterCore } from './VoterCore'
 
 /** Replication progress of one member, as the leader knows it. */
@@ -26,6 +27,8 @@
   confirmedAt: number
   /** The member lacks entries that it had acknowledged, so its disk must not be trusted. */
   lostEntries: boolean
+  /** Newest version of commands that its build applies; undefined until its first reply. */
+  commandVersion: number | undefined
 }
 
 interface SentRound {
@@ -93,6 +96,7 @@
     const progress = this.#members.get(reply.diskId)
     if (progress === undefined) return
     progress.heardAt = now
+    progress.commandVersion = Math.max(BASE_VERSION, reply.commandVersion)
     progress.ackedRound = Math.max(progress.ackedRound, reply.round)
     recordAnsweredRound(progress, reply.round)
     // A reply to a heartbeat says nothing about the entries or snapshot still in flight.
@@ -160,6 +164,14 @@
     return progress === undefined || progress.lostEntries ? -1 : progress.matchIndex
   }
 
+  /** The members whose builds are known not to apply commands of the given version. */
+  membersBelow(commandVersion: number): Voter[] {
+    return this.#otherMembers().flatMap(([member, progress]) => {
+      const known = progress.commandVersion ?? Infinity
+      return known < commandVersion ? [member] : []
+    })
+  }
+
   hasLostEntries(diskId: string): boolean {
     return this.#members.get(diskId)?.lostEntries ?? false
   }
@@ -270,6 +282,7 @@
     unansweredRounds: [],
     confirmedAt: -Infinity,
     lostEntries: false,
+    commandVersion: undefined,
   }
 }
 
--- a/packages/control/src/lib/voter/VoterMachine.ts
+++ b/packages/control/src/lib/voter/VoterMachine.ts
@@ -13,6 +13,7 @@
   InstallSnapshot,
   VoteRequest,
 } from '@cherryhitch/protocol'
+import { COMMAND_VERSION } from '../state/commandVersion'
 import { answerRead } from './answerRead'
 import { VoterRole } from './ControlAction'
 import type { ControlAction } from './ControlAction'
@@ -253,7 +254,8 @@
     if (this.#core.persist.failed || this.#follower.isForOtherDisk(req.diskId)) return false
     if (req.term < this.#core.term) {
       const { term, diskId } = this.#core
-      const value = { term, diskId, accepted: false, matchIndex: -1, round: req.round }
+      const refused = { accepted: false, matchIndex: -1, commandVersion: COMMAND_VERSION }
+      const value = { term, diskId, round: req.round, ...refused }
       this.#core.sendWhenDurable(from, { case: 'appendReply', value })
       return false
     }
--- a/packages/storage/src/lib/migrations/runMigrations.ts
+++ b/packages/storage/src/lib/migrations/runMigrations.ts
@@ -12,7 +12,7 @@
   readonly migrate: (content: Uint8Array) => Uint8Array
 }
 
-/** Content of a stored record and its format version. @internal */
+/** Content of a stored record and its format version. @public */
 export interface VersionedContent {
   readonly version: number
   readonly content: Uint8Array
@@ -25,7 +25,7 @@
   return migrations.reduce((version, { from }) => Math.max(version, from + 1), oldest)
 }
 
-/** Prefixes the content with its version. @internal */
+/** Encodes a record for storage: its content, prefixed with its version. @public */
 export function packVersioned({ version, content }: VersionedContent): Uint8Array {
   const bytes = Buffer.alloc(VERSION_SIZE + content.length)
   bytes.writeUInt16BE(version)
