Start no tasks in a drained zone

A leader begins its term with the drained zones that are committed, and applies each later change at once: endpoints there are neither placed on nor counted in forecasts, an unanswered start is not repeated, and what runs goes on. Jobs that wait for a service whose endpoints are all in drained zones are refused at once.

--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -131,6 +131,8 @@
   /** When an order to any endpoint was last considered lost. */
   lastLostOrderAt = -Infinity
   table: RoutingTable | undefined
+  /** Availability zones in which no tasks are started. */
+  drainedZones: ReadonlySet<string> = new Set()
   readonly #disabled: ReadonlySet<Mechanism>
   #actions: DispatchAction[] = []
   #lastOrderId = 0
@@ -168,6 +170,11 @@
     return endpoint.slowness(now, () => this.slowness.slowness(now, endpoint.id))
   }
 
+  /** Whether an operator has drained the availability zone of an endpoint. */
+  isDrained({ notice }: EndpointRecord): boolean {
+    return this.drainedZones.has(notice.zone)
+  }
+
   emit(action: DispatchAction): void {
     this.#actions.push(action)
   }
--- a/packages/dispatch/src/lib/DispatchEvent.ts
+++ b/packages/dispatch/src/lib/DispatchEvent.ts
@@ -18,6 +18,7 @@
   EarlierLeadersConfirmed = 'earlier_leaders',
   LeadershipConfirmed = 'confirmed',
   Routing = 'routing',
+  DrainedZones = 'drained_zones',
   Notice = 'notice',
   EndpointLosses = 'loss',
   SubmitJob = 'submit',
@@ -42,6 +43,8 @@
       readonly kind: DispatchEventKind.BecomeLeader
       readonly term: number
       readonly table: RoutingTable | undefined
+      /** See `DrainedZones`; as committed at the beginning of the term. */
+      readonly drainedZones: ReadonlySet<string>
     }
   | { readonly kind: DispatchEventKind.StepDown }
   /** No majority has confirmed an earlier leader after the given time. */
@@ -55,6 +58,11 @@
   /** The time at which a majority last confirmed this leader. */
   | { readonly kind: DispatchEventKind.LeadershipConfirmed; readonly at: number }
   | { readonly kind: DispatchEventKind.Routing; readonly table: RoutingTable }
+  /** The availability zones whose endpoints get no more tasks, by order of an operator. */
+  | {
+      readonly kind: DispatchEventKind.DrainedZones
+      readonly zones: ReadonlySet<string>
+    }
   | { readonly kind: DispatchEventKind.Notice; readonly notice: EndpointNotice }
   /** Another instance reported lost endpoints. */
   | { readonly kind: DispatchEventKind.EndpointLosses; readonly losses: LossUpdate }
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -191,6 +191,9 @@
       case DispatchEventKind.Routing:
         this.#core.table = event.table
         return
+      case DispatchEventKind.DrainedZones:
+        this.#setDrainedZones(now, event.zones)
+        return
       case DispatchEventKind.Notice:
         this.#onNotice(now, event.notice)
         return
@@ -218,7 +221,8 @@
     }
   }
 
-  #becomeLeader(now: number, { term, table }: EventOf<DispatchEventKind.BecomeLeader>): void {
+  #becomeLeader(now: number, event: EventOf<DispatchEventKind.BecomeLeader>): void {
+    const { term, table, drainedZones } = event
     const core = this.#core
     if (core.term !== undefined) this.#stepDown(now)
     core.term = term
@@ -226,6 +230,7 @@
     core.hasDirectory = false
     core.confirmedAt = -Infinity
     core.table = table ?? core.table
+    this.#setDrainedZones(now, drainedZones)
     core.endpoints.beginTerm()
     for (const endpoint of core.endpoints.all()) {
       endpoint.reset()
@@ -235,6 +240,19 @@
     this.#leases.tick(now)
   }
 
+  /** Runs in a drained zone go on; only new starts are excluded. */
+  #setDrainedZones(now: number, zones: ReadonlySet<string>): void {
+    const core = this.#core
+    const before = core.drainedZones
+    if (zones.size === before.size && [...zones].every((zone) => before.has(zone))) return
+    core.drainedZones = zones
+    for (const endpoint of core.endpoints.all()) endpoint.noteChange()
+    core.log('drained availability zones changed', { zones: [...zones], leads: this.leads })
+    if (!this.leads) return
+    this.#lifecycle.refuseInDrainedServices(now)
+    this.#scheduler.wake()
+  }
+
   #noteEarlierLeaders(event: EventOf<DispatchEventKind.EarlierLeadersConfirmed>): void {
     const core = this.#core
     if (event.term !== core.term) return
--- a/packages/dispatch/src/lib/jobs/JobLifecycle.ts
+++ b/packages/dispatch/src/lib/jobs/JobLifecycle.ts
@@ -1,5 +1,5 @@
 import { CrashSuspicion } from '@cherryhitch/policy'
-import { JobVerdict } from '@cherryhitch/protocol'
+import { JobVerdict, NoticeState } from '@cherryhitch/protocol'
 import type { DispatchCore } from '../DispatchCore'
 import { Mechanism } from '@cherryhitch/model'
 import { CrashDetector } from '../crashes/CrashDetector'
@@ -164,6 +164,19 @@
     this.end(now, job, JobVerdict.REFUSED, reason, retryAfter(job.id, lateByMs))
   }
 
+  /**
+   * Refuses the jobs of services whose endpoints are all in drained zones: they would wait until
+   * their deadline.
+   */
+  refuseInDrainedServices(now: number): void {
+    const served = servicesOutsideDrainedZones(this.core)
+    for (const job of [...this.jobs.waiting]) {
+      if (job.hasStarted || served.has(job.route.service)) continue
+      const reason = 'all endpoints of the service are in drained zones'
+      this.end(now, job, JobVerdict.REFUSED, reason, retryAfter(job.id, Infinity))
+    }
+  }
+
   #findTask(name: string): Task | undefined {
     return this.jobs.get(jobIdOf(name))?.tasks.find((task) => task.name === name)
   }
@@ -208,3 +221,12 @@
     if (this.core.isEnabled(Mechanism.Overrun)) this.overruns.tick(now, this.jobs.open)
   }
 }
+
+function servicesOutsideDrainedZones(core: DispatchCore): ReadonlySet<string> {
+  const services = new Set<string>()
+  for (const endpoint of core.endpoints.all()) {
+    const isServing = endpoint.notice.state === NoticeState.SERVING && !endpoint.isReplaced
+    if (isServing && !core.isDrained(endpoint)) services.add(endpoint.service)
+  }
+  return services
+}
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -240,7 +240,9 @@
     if (run.state !== RunState.Starting) return
     const isValid = run.endpoint.clock.at(now) < run.orderEndsAt
     const mayRepeat =
-      this.core.isEnabled(Mechanism.StartRetries) && run.startOrders < MAX_START_ORDERS
+      this.core.isEnabled(Mechanism.StartRetries) &&
+      run.startOrders < MAX_START_ORDERS &&
+      !this.core.isDrained(run.endpoint)
     if (run.task === undefined || !mayRepeat || !isValid) {
       this.stop(now, run, 'its start got no answer')
       return
--- a/packages/dispatch/src/lib/soak/DispatchSimulation.ts
+++ b/packages/dispatch/src/lib/soak/DispatchSimulation.ts
@@ -1,5 +1,4 @@
-import { create } from '@bufbuild/protobuf'
-import { JobStepSchema, JobVerdict, NoticeState, SteppedJobSchema } from '@cherryhitch/protocol'
+import { JobVerdict, NoticeState } from '@cherryhitch/protocol'
 import type { EndpointNotice, Envelope, JobOutcome } from '@cherryhitch/protocol'
 import { EventScheduler } from '@cherryhitch/runtime'
 import { DispatchActionKind } from '../DispatchAction'
@@ -15,9 +14,11 @@
   DispatchSimulationOptions,
   SubmitOptions,
 } from './DispatchSimulationOptions'
+import { EndpointCuts } from './EndpointCuts'
 import { EndpointLifecycle } from './EndpointLifecycle'
 import { OrderTransport, WAY_MS } from './OrderTransport'
 import { PayingLeader } from './PayingLeader'
+import { makeSimulatedJob } from './makeSimulatedJob'
 import { Processes } from './Processes'
 import { SimulatedOrderRouting } from './SimulatedOrderRouting'
 import { InstantLeader } from './SimulatedLeader'
@@ -26,7 +27,8 @@
 import { HOST, SERVICE, TABLE } from './simulatedRouting'
 import { StartChecks } from './StartChecks'
 import { StoredDirectories } from './StoredDirectories'
-import { SimulatedEndpoint, TASK_CPU_MILLIS } from './SimulatedEndpoint'
+import { SIMULATED_ZONES, ZoneDrains } from './ZoneDrains'
+import { SimulatedEndpoint } from './SimulatedEndpoint'
 
 const ENTRY = 'entry'
 const TICK_MS = 10
@@ -48,6 +50,7 @@
     endpoints: this.endpoints,
     outcomes: this.outcomes,
     now: () => this.now,
+    keepsIds: () => this.options.keepsIds === true,
   })
   readonly violations = this.#checks.violations
   readonly startedTasks = this.#checks.startedTasks
@@ -59,8 +62,12 @@
   readonly #processes: Processes
   readonly #sent = new SentRequests()
   readonly #stored = new StoredDirectories()
+  readonly drains: ZoneDrains
   readonly lifecycle: EndpointLifecycle
-  readonly #cutEndpoints = new Map<string, Set<string>>()
+  readonly #after = (ms: number, run: () => void): void => {
+    this.after(ms, run)
+  }
+  readonly #cuts = new EndpointCuts(this.#after)
   readonly #cutFromQuorum = new Set<number>()
   readonly #agenda = new EventScheduler({ startMs: 0 })
   #heartbeatDueAt = 0
@@ -70,11 +77,10 @@
 
   constructor(private readonly options: DispatchSimulationOptions) {
     this.#processes = new Processes(options.leaders)
+    this.drains = this.#makeDrains()
     this.lifecycle = new EndpointLifecycle({
       endpoints: this.endpoints,
-      after: (ms, run) => {
-        this.after(ms, run)
-      },
+      after: this.#after,
       random: options.random,
       now: () => this.now,
       isFatal: options.isFatal ?? (() => false),
@@ -100,10 +106,8 @@
       },
       random: options.random,
       now: () => this.now,
-      after: (ms, run) => {
-        this.after(ms, run)
-      },
-      isCut: (caller, endpoint) => this.#isCut(caller, endpoint),
+      after: this.#after,
+      isCut: (caller, endpoint) => this.#cuts.has(caller, endpoint),
       takesLivesForOne: options.takesLivesForOne === true,
     })
     this.#proxies = new SimulatedOrderRouting({
@@ -111,9 +115,7 @@
       proxies: options.proxies ?? 0,
       orders: this.#orders,
       now: () => this.now,
-      after: (ms, run) => {
-        this.after(ms, run)
-      },
+      after: this.#after,
       tell: (leader, event) => {
         this.#tell(leader, event)
       },
@@ -125,6 +127,19 @@
     for (let i = 0; i < endpoints; i++) this.addEndpoint(`e${i}`, { rack: `r${i % racks}` })
   }
 
+  #makeDrains(): ZoneDrains {
+    return new ZoneDrains({
+      fault: this.options.drainFault,
+      hasLeader: () => this.#hasLeaderInTouch,
+      tellLeader: (event) => {
+        this.#tell(this.#leader, event)
+      },
+      onAcknowledged: (zone, drained) => {
+        this.#checks.noteZoneDrain(zone, drained)
+      },
+    })
+  }
+
   #makeMachine(): DispatchMachine {
     const { order, admission, without = [], makeMachine } = this.options
     const chosen = {
@@ -139,9 +154,7 @@
     const around = {
       machine,
       now: () => this.now,
-      after: (ms: number, run: () => void) => {
-        this.after(ms, run)
-      },
+      after: this.#after,
       perform: this.#processes.bind(i, (actions: readonly DispatchAction[]) => {
         this.#perform(i, actions)
       }),
@@ -171,6 +184,7 @@
     {
       address = `${id}:1`,
       rack = 'r',
+      zone = SIMULATED_ZONES[this.#endpointsAdded % SIMULATED_ZONES.length] ?? '',
       startedAt = this.lifecycle.timeOfDay,
       isHeardByOne = false,
       knownTo = isHeardByOne ? [this.#drawInstance()] : [...this.#machines.keys()],
@@ -181,7 +195,7 @@
     const drift = random() * 0.02
     const clockStartMs = Math.floor(random() * 1e6)
     const more = { drift, clockStartMs, maxLeaseMs: MAX_LEASE_MS }
-    const own = { id, startedAt, isNamedById, address, rack, places, guardsPlaces }
+    const own = { id, startedAt, isNamedById, address, rack, zone, places, guardsPlaces }
     const endpoint = new SimulatedEndpoint({ ...own, service: SERVICE, ...more })
     endpoint.onStart = (run, isLate) => {
       this.#checks.onStart(endpoint, run.task, isLate)
@@ -270,7 +284,8 @@
     // There may have been another election, or the elected instance may have been lost.
     if (this.#term !== term || !this.isUp(leader)) return
     this.#cutFromQuorum.delete(leader)
-    this.#tell(leader, { kind: DispatchEventKind.BecomeLeader, term, table: TABLE })
+    const drainedZones = this.drains.atTermStart
+    this.#tell(leader, { kind: DispatchEventKind.BecomeLeader, term, table: TABLE, drainedZones })
     const learn = (): void => {
       this.#readDirectories(leader, term)
       this.#tell(leader, {
@@ -310,21 +325,12 @@
 
   /** Partitions an instance (`d0`, or the proxy `p0`) from an endpoint for some time. */
   cut(instance: string, endpoint: string, forMs: number): void {
-    const cut = this.#cutEndpoints.get(instance) ?? new Set()
-    this.#cutEndpoints.set(instance, cut.add(endpoint))
-    this.after(forMs, () => {
-      cut.delete(endpoint)
-    })
+    this.#cuts.add(instance, endpoint, forMs)
   }
 
-  submit(
-    id: string,
-    tasks: number,
-    { deadlineMs = 5_000, estimateMs = 60, queue = 0, isWeightless = false }: SubmitOptions = {},
-  ): void {
-    const needs = isWeightless ? {} : { cpuMillis: TASK_CPU_MILLIS, memoryMb: 1 }
-    const step = create(JobStepSchema, { count: tasks, needs, estimateMs })
-    const spec = create(SteppedJobSchema, { jobId: id, payload: 'p', steps: [step] })
+  submit(id: string, tasks: number, options: SubmitOptions = {}): void {
+    const { deadlineMs = 5_000, queue = 0 } = options
+    const spec = makeSimulatedJob(id, tasks, options)
     const place = {
       host: HOST,
       path: `/q${queue}/${id}`,
@@ -463,8 +469,4 @@
     if (outcome.verdict !== JobVerdict.REFUSED || earlier?.verdict === JobVerdict.UNKNOWN) return
     this.#checks.onRefused(outcome.requestId)
   }
-
-  #isCut(caller: string, endpoint: string): boolean {
-    return this.#cutEndpoints.get(caller)?.has(endpoint) ?? false
-  }
 }
--- a/packages/dispatch/src/lib/soak/DispatchSimulationOptions.ts
+++ b/packages/dispatch/src/lib/soak/DispatchSimulationOptions.ts
@@ -5,6 +5,7 @@
 import type { QueuePolicy } from '../scheduling/QueuePolicy'
 import type { WorldChances } from './OrderTransport'
 import type { LeaderCosts } from './PayingLeader'
+import type { DrainFault } from './ZoneDrains'
 
 /** @internal */
 export interface DispatchSimulationOptions {
@@ -42,6 +43,8 @@
   readonly isFatal?: (task: string) => boolean
   /** Whether endpoints refuse tasks beyond their slots; they do by default. */
   readonly guardsPlaces?: boolean
+  /** How the drains of zones are handled wrongly; correctly by default. */
+  readonly drainFault?: DrainFault
   /** Creates the dispatchers, for measurements. */
   readonly makeMachine?: (options: DispatchOptions) => DispatchMachine
 }
@@ -63,6 +66,8 @@
   /** Start time by the endpoint's wall clock; the simulated time by default. */
   readonly startedAt?: number
   readonly rack?: string
+  /** One of `SIMULATED_ZONES` by default, in turn. */
+  readonly zone?: string
   /** Indexes of the instances that it is first announced to; all by default. */
   readonly knownTo?: readonly number[]
   /** Whether it is first announced to one random instance only. */
--- a/packages/dispatch/src/lib/soak/EndpointLifecycle.ts
+++ b/packages/dispatch/src/lib/soak/EndpointLifecycle.ts
@@ -109,11 +109,11 @@
     })
   }
 
-  #revive({ options: { id, address, rack, startedAt } }: SimulatedEndpoint): void {
+  #revive({ options: { id, address, rack, zone, startedAt } }: SimulatedEndpoint): void {
     const { keepsIds, add } = this.world
     if (keepsIds)
-      add(id, { address, rack, startedAt: this.#drawStart(startedAt), isHeardByOne: true })
-    else add(`${id}+`, { address, rack })
+      add(id, { address, rack, zone, startedAt: this.#drawStart(startedAt), isHeardByOne: true })
+    else add(`${id}+`, { address, rack, zone })
   }
 
   #drawStart(before: number): number {
--- a/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
@@ -44,6 +44,7 @@
   /** Whether its notices do not distinguish its incarnations. */
   readonly isNamedById?: boolean
   readonly rack: string
+  readonly zone: string
   /** Shared by successive incarnations of the endpoint. */
   readonly address: string
   readonly service: string
@@ -108,7 +109,7 @@
   }
 
   notice(state = this.state): EndpointNotice {
-    const { id: machine, service, address, rack } = this.options
+    const { id: machine, service, address, rack, zone } = this.options
     const capacity = { cpuMillis: this.places * TASK_CPU_MILLIS, memoryMb: 1_000 }
     const sequence = ++this.sequence
     return create(EndpointNoticeSchema, {
@@ -116,6 +117,7 @@
       machine,
       service,
       address,
+      zone,
       labels: [rack],
       state,
       capacity,
--- a/packages/dispatch/src/lib/soak/StartChecks.ts
+++ b/packages/dispatch/src/lib/soak/StartChecks.ts
@@ -7,10 +7,14 @@
   readonly endpoints: readonly SimulatedEndpoint[]
   readonly outcomes: ReadonlyMap<string, JobOutcome>
   readonly now: () => number
+  /** Whether an endpoint keeps its id when it restarts. */
+  readonly keepsIds: () => boolean
 }
 
 /** Minimum time for which a leaving endpoint serves and may get tasks, in milliseconds. */
 export const DRAIN_MS = 1_000
+/** Time after the acknowledgement of a zone's drain in which tasks may still start there. */
+export const ZONE_DRAIN_MS = 1_000
 
 /** Checks the invariants of task starts and refusals. @internal */
 export class StartChecks {
@@ -20,6 +24,9 @@
   /** Time at which the leader first got the leave notice of each endpoint. */
   readonly #leavingSince = new Map<SimulatedEndpoint, number>()
 
+  /** Time at which the drain of each zone was acknowledged, until it is restored. */
+  readonly #drainedSince = new Map<string, number>()
+
   constructor(private readonly world: CheckedWorld) {}
 
   /** Records that the leader got the leave notice of an endpoint. */
@@ -28,12 +35,21 @@
     this.#leavingSince.set(endpoint, this.world.now())
   }
 
+  /** Records that the operator got the acknowledgement of an order. */
+  noteZoneDrain(zone: string, drained: boolean): void {
+    if (!drained) this.#drainedSince.delete(zone)
+    else if (!this.#drainedSince.has(zone)) this.#drainedSince.set(zone, this.world.now())
+  }
+
   /** @param isLate - whether the order is executed long after it was sent */
   onStart(endpoint: SimulatedEndpoint, task: string, isLate: boolean): void {
     this.startedTasks.set(task, (this.startedTasks.get(task) ?? 0) + 1)
     this.#checkRefusal(task)
     this.#checkOtherRuns(endpoint, task)
     this.#checkRoom(endpoint)
+    // The clock by which an order expires starts again with the endpoint, and its next incarnation
+    // may carry out an order that was held up for seconds.
+    if (!isLate || !this.world.keepsIds()) this.#checkZoneDrain(endpoint, task)
     if (!isLate) this.#checkLeaving(endpoint, task)
   }
 
@@ -63,6 +79,12 @@
     this.violations.push(`${running.size} tasks run on ${name}, which has ${options.places} places`)
   }
 
+  #checkZoneDrain({ name, options }: SimulatedEndpoint, task: string): void {
+    const since = this.#drainedSince.get(options.zone) ?? Infinity
+    if (this.world.now() <= since + ZONE_DRAIN_MS) return
+    this.violations.push(`${task} started on ${name}, whose zone ${options.zone} is drained`)
+  }
+
   #checkLeaving(endpoint: SimulatedEndpoint, task: string): void {
     const since = this.#leavingSince.get(endpoint) ?? Infinity
     if (this.world.now() <= since + DRAIN_MS) return
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.test.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { runDispatchSoak } from './runDispatchSoak'
+import { DrainFault } from './ZoneDrains'
 
 const STEPS = 150
 
@@ -55,6 +56,22 @@
     })
   }
 
+  for (let seed = 501; seed <= 520; seed++) {
+    it(`violates no invariant when zones are drained and restored, with seed ${seed}`, () => {
+      const options = { hasZoneDrains: true, hasGaps: seed % 2 === 0, hasRestarts: seed % 3 === 0 }
+      const proxies = seed % 4 === 0 ? 2 : 0
+      assert.deepEqual(runDispatchSoak(seed, STEPS, { ...options, proxies }).violations, [])
+    })
+  }
+
+  for (const drainFault of Object.values(DrainFault)) {
+    it(`detects that the drain of a zone is ${drainFault}`, () => {
+      const options = { hasZoneDrains: true, hasGaps: true, drainFault }
+      const { violations } = runDispatchSoak(508, STEPS, options)
+      assert.match(violations.join(), /whose zone z\d is drained/)
+    })
+  }
+
   it('detects that incarnations of an endpoint are not distinguished', () => {
     const options = { hasEndpointRestarts: true, takesLivesForOne: true }
     const { violations } = runDispatchSoak(0, STEPS, options)
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.ts
@@ -1,6 +1,8 @@
 import { seededRandom } from '@cherryhitch/model'
 import { JobVerdict } from '@cherryhitch/protocol'
 import { DispatchSimulation } from './DispatchSimulation'
+import { SIMULATED_ZONES } from './ZoneDrains'
+import type { DrainFault } from './ZoneDrains'
 
 /** Result of a randomised run. @public */
 export interface DispatchSoakReport {
@@ -19,6 +21,10 @@
   readonly hasRestarts?: boolean
   /** Whether endpoints crash or leave and restart under the same id, at once or after a while. */
   readonly hasEndpointRestarts?: boolean
+  /** Whether operators drain and restore availability zones, and copies of their orders arrive. */
+  readonly hasZoneDrains?: boolean
+  /** See `DispatchSimulationOptions`. */
+  readonly drainFault?: DrainFault
   /** See `DispatchSimulationOptions`. */
   readonly resendsToNextProcess?: boolean
   /** See `DispatchSimulationOptions`. */
@@ -55,6 +61,7 @@
     takesLivesForOne,
     keepsIds,
     guardsPlaces: !keepsIds,
+    ...(options.drainFault !== undefined && { drainFault: options.drainFault }),
     chances: CHANCES,
   })
   world.elect(0, 0)
@@ -65,6 +72,7 @@
       world.submit(`j${submitted++}`, 1 + below(4), { deadlineMs: 800 + below(3_000) })
     }
     disturb(world, { random, below }, options)
+    if (options.hasZoneDrains === true) drainZone(world, { random, below })
   }
   world.run(5_000)
   const verdicts = [...world.outcomes.values()].map(({ verdict }) => verdict)
@@ -107,6 +115,13 @@
   else if (random() < 0.02) world.lifecycle.leave(endpoint, downMs)
 }
 
+/** Drains a zone or restores it; at times a copy of an earlier order arrives. */
+function drainZone(world: DispatchSimulation, { random, below }: Draw): void {
+  const zone = SIMULATED_ZONES[below(SIMULATED_ZONES.length)] ?? ''
+  if (random() < 0.05) world.drains.set(zone, random() < 0.5)
+  if (random() < 0.02) world.drains.repeatEarlierOrder(zone)
+}
+
 /** Adds an endpoint that is announced to only one instance at first. */
 function addEndpoint(world: DispatchSimulation, below: Draw['below']): void {
   const id = `e${world.endpointsAdded}`
--- a/packages/dispatch/src/lib/warmup/LeaderWarmup.ts
+++ b/packages/dispatch/src/lib/warmup/LeaderWarmup.ts
@@ -60,7 +60,12 @@
 
   constructor() {
     this.#events.push(
-      { kind: DispatchEventKind.BecomeLeader, term: TERM, table: makeTable() },
+      {
+        kind: DispatchEventKind.BecomeLeader,
+        term: TERM,
+        table: makeTable(),
+        drainedZones: new Set(),
+      },
       { kind: DispatchEventKind.EarlierLeadersConfirmed, term: TERM, confirmedUntil: -Infinity },
       { kind: DispatchEventKind.DirectoryComplete, term: TERM },
     )
