Drain a zone from the command line and the operators' interface

cherryhitch zones list, drain ZONE, restore ZONE; GET /v1/zones and PUT /v1/zones/{zone}. The owners of a drained zone start nothing, offer no slots and return queued tasks as not run, so that coordinators place them elsewhere.

--- a/apps/cherryhitch/src/lib/cli/createCli.ts
+++ b/apps/cherryhitch/src/lib/cli/createCli.ts
@@ -12,6 +12,7 @@
 import { registerSettingsCommand } from './commands/settingsCommand'
 import { registerStandInCommand } from './commands/standInCommand'
 import { registerViewCommands } from './commands/viewCommands'
+import { registerZonesCommand } from './commands/zones/zonesCommand'
 import { exitCodeTexts } from './ExitCode'
 import { VERSION } from './version'
 
@@ -25,6 +26,7 @@
   registerJobCommand(context)
   registerViewCommands(context)
   registerPresetCommand(context)
+  registerZonesCommand(context)
   registerAuditCommand(context)
   registerControlCommand(context)
   registerSettingsCommand(context)
--- a/apps/cherryhitch/src/lib/cli/http/operatorViews.ts
+++ b/apps/cherryhitch/src/lib/cli/http/operatorViews.ts
@@ -64,6 +64,21 @@
   readonly presets: readonly PresetRow[]
 }
 
+/** @internal */
+export interface ZonesRow {
+  /** Settings version, from which an order starts. */
+  readonly version: number
+  readonly current: boolean
+  readonly zones: readonly {
+    readonly zone: string
+    readonly drained: boolean
+    readonly version: number
+    readonly operator: string
+    readonly reason: string
+    readonly at: string
+  }[]
+}
+
 /** @internal */
 export interface AuditRow {
   readonly position: number
--- a/apps/cherryhitch/src/lib/instance/SettingsDistributor.ts
+++ b/apps/cherryhitch/src/lib/instance/SettingsDistributor.ts
@@ -1,3 +1,4 @@
+import { drainedZonesOf } from '@cherryhitch/control'
 import { CoordinatorEventKind } from '@cherryhitch/coordinator'
 import { OwnerEventKind } from '@cherryhitch/owner'
 import type { PresetDefinition, SettingsState } from '@cherryhitch/protocol'
@@ -21,6 +22,7 @@
 
   constructor(
     private readonly parts: InstanceParts,
+    private readonly zone: string,
     private readonly log: (line: string) => void,
   ) {}
 
@@ -45,6 +47,8 @@
     if (!isNew) return
     this.parts.owner.use((owner) => {
       owner.tell({ kind: OwnerEventKind.Preset, preset })
+      const drained = drainedZonesOf(settings.zoneDrains).has(this.zone)
+      owner.tell({ kind: OwnerEventKind.ZoneDrain, drained })
     })
   }
 }
--- a/apps/cherryhitch/src/lib/instance/StartContext.ts
+++ b/apps/cherryhitch/src/lib/instance/StartContext.ts
@@ -35,7 +35,7 @@
     timing: { ...defaultInstanceTiming, ...options.timing },
     boot: options.boot ?? Math.floor(systemClock.now()),
     parts,
-    settings: new SettingsDistributor(parts, logOf(options, 'settings')),
+    settings: new SettingsDistributor(parts, options.zone, logOf(options, 'settings')),
     ownerDrained: makeDrainSignal(),
     coordinatorDrained: makeDrainSignal(),
   }
--- a/packages/http-api/src/lib/operators/changeBodies.ts
+++ b/packages/http-api/src/lib/operators/changeBodies.ts
@@ -77,6 +77,14 @@
   }),
 })
 
+/** Schema of the body of `PUT /v1/zones/{zone}`. @internal */
+export const setZoneDrainSchema = Schema.Struct({
+  drained: Schema.Boolean,
+  fromVersion: countSchema,
+  reason: sentenceSchema,
+  commandId: tokenSchema,
+})
+
 /** Schema of the body of `POST /v1/voters`. @internal */
 export const changeVotersSchema = Schema.Struct({
   kind: Schema.Literals(['add_learner', 'promote', 'remove']),
--- a/packages/http-api/src/lib/operators/changeRoutes.ts
+++ b/packages/http-api/src/lib/operators/changeRoutes.ts
@@ -11,10 +11,20 @@
 import { Method } from '../routing/Router'
 import type { HttpLimits } from '../server/HttpServerOptions'
 import type { OperatorService } from '../services/OperatorService'
-import { changeVotersSchema, definePresetSchema, setPresetSchema } from './changeBodies'
+import {
+  changeVotersSchema,
+  definePresetSchema,
+  setPresetSchema,
+  setZoneDrainSchema,
+} from './changeBodies'
 import { commandReply } from './commandReply'
 import type { Proposer } from './createCommand'
-import { createChangeVoters, createDefinePreset, createSetPreset } from './createCommand'
+import {
+  createChangeVoters,
+  createDefinePreset,
+  createSetPreset,
+  createSetZoneDrain,
+} from './createCommand'
 import { Err } from '@cherryhitch/model'
 
 type CommandReader = (req: ApiRequest) => Result<Command, RequestError>
@@ -25,6 +35,7 @@
   const setPreset = bodyDecoder(setPresetSchema, depth)
   const definePreset = bodyDecoder(definePresetSchema, depth)
   const changeVoters = bodyDecoder(changeVotersSchema, depth)
+  const setZoneDrain = bodyDecoder(setZoneDrainSchema, depth)
   const propose = proposalHandler(operators)
   return [
     change(
@@ -37,10 +48,19 @@
       'v1/presets/{name}',
       propose((req) => {
         const name = req.params.name ?? ''
-        if (!isValidName(name)) return Err(badPresetName())
+        if (!isValidName(name)) return Err(invalidName('preset'))
         return definePreset(req.body).map((body) => createDefinePreset(name, body, proposerOf(req)))
       }),
     ),
+    change(
+      Method.Put,
+      'v1/zones/{zone}',
+      propose((req) => {
+        const zone = req.params.zone ?? ''
+        if (!isValidName(zone)) return Err(invalidName('zone'))
+        return setZoneDrain(req.body).map((body) => createSetZoneDrain(zone, body, proposerOf(req)))
+      }),
+    ),
     change(
       Method.Post,
       'v1/voters',
@@ -68,7 +88,7 @@
   return { operator: req.sender, now: req.now }
 }
 
-function badPresetName(): RequestError {
-  const message = 'The preset in the path has no valid name (1 to 64 letters, digits, - or _).'
+function invalidName(what: string): RequestError {
+  const message = `The ${what} in the path has no valid name (1 to 64 letters, digits, - or _).`
   return new RequestError(RequestErrorKind.Malformed, message)
 }
--- a/packages/http-api/src/lib/operators/createCommand.ts
+++ b/packages/http-api/src/lib/operators/createCommand.ts
@@ -6,8 +6,14 @@
   DefinePresetSchema,
   PresetDefinitionSchema,
   SetPresetSchema,
+  SetZoneDrainSchema,
 } from '@cherryhitch/protocol'
-import type { changeVotersSchema, definePresetSchema, setPresetSchema } from './changeBodies'
+import type {
+  changeVotersSchema,
+  definePresetSchema,
+  setPresetSchema,
+  setZoneDrainSchema,
+} from './changeBodies'
 import {
   admissionRules,
   healthRules,
@@ -26,6 +32,7 @@
 type SetPresetBody = (typeof setPresetSchema)['Type']
 type DefinePresetBody = (typeof definePresetSchema)['Type']
 type ChangeVotersBody = (typeof changeVotersSchema)['Type']
+type SetZoneDrainBody = (typeof setZoneDrainSchema)['Type']
 
 /** Creates the command that activates a preset. @internal */
 export function createSetPreset(body: SetPresetBody, { operator, now }: Proposer): Command {
@@ -59,6 +66,18 @@
   return create(CommandSchema, { commandId, change: { case: 'definePreset', value } })
 }
 
+/** Creates the command that drains an availability zone, or restores it. @internal */
+export function createSetZoneDrain(
+  zone: string,
+  body: SetZoneDrainBody,
+  { operator, now }: Proposer,
+): Command {
+  const { commandId, drained, fromVersion, reason } = body
+  const fields = { zone, drained, fromVersion, operator, reason, atMs: now }
+  const value = create(SetZoneDrainSchema, fields)
+  return create(CommandSchema, { commandId, change: { case: 'setZoneDrain', value } })
+}
+
 /** Creates the command that changes the set of voters. @internal */
 export function createChangeVoters(body: ChangeVotersBody, { operator, now }: Proposer): Command {
   const { commandId, instance, diskId, reason } = body
--- a/packages/http-api/src/lib/operators/readRoutes.ts
+++ b/packages/http-api/src/lib/operators/readRoutes.ts
@@ -9,7 +9,15 @@
 import type { Handler, Route } from '../routing/Router'
 import { Method } from '../routing/Router'
 import type { OperatorService } from '../services/OperatorService'
-import { viewAudit, viewEndpoint, viewInstance, viewJob, viewSettings, viewVoters } from './views'
+import {
+  viewAudit,
+  viewEndpoint,
+  viewInstance,
+  viewJob,
+  viewSettings,
+  viewVoters,
+  viewZones,
+} from './views'
 import { Err, Ok } from '@cherryhitch/model'
 
 const OK = 200
@@ -38,6 +46,9 @@
     get('v1/settings', () =>
       Effect.map(operators.settings(), (status) => jsonReply(OK, viewSettings(status))),
     ),
+    get('v1/zones', () =>
+      Effect.map(operators.settings(), (status) => jsonReply(OK, viewZones(status))),
+    ),
     get('v1/audit', readAudit(operators)),
     get('v1/voters', () =>
       Effect.map(operators.voters(), (voters) =>
--- a/packages/http-api/src/lib/operators/startOperatorServer.test.ts
+++ b/packages/http-api/src/lib/operators/startOperatorServer.test.ts
@@ -48,6 +48,21 @@
     )
   })
 
+  it('drains a zone under the name in the path', async (t) => {
+    const { server, service } = await openOperatorServer(t)
+    const request = { method: 'PUT', headers, body: { drained: true, ...change } }
+    assert.equal((await send(server.port, '/v1/zones/north', request)).status, 200)
+    const proposed = service.proposed[0]?.change
+    assert.ok(proposed?.case === 'setZoneDrain')
+    const { zone, drained, fromVersion, operator, reason } = proposed.value
+    assert.deepEqual([zone, drained], ['north', true])
+    assert.deepEqual([fromVersion, operator, reason], [7, 'sato', 'month end'])
+    assert.equal((await send(server.port, '/v1/zones/no%20zone', request)).status, 400)
+    assert.equal(service.proposed.length, 1)
+    const { text } = await send(server.port, '/v1/zones')
+    assert.deepEqual(JSON.parse(text), { version: 7, current: true, zones: [] })
+  })
+
   it('takes the operator from the token, not from the header', async (t) => {
     const tokens = [{ token: 's', name: 'tanaka', role: AccessRole.Operator }]
     const { server, service } = await openOperatorServer(t, { tokens })
--- a/packages/http-api/src/lib/operators/views.ts
+++ b/packages/http-api/src/lib/operators/views.ts
@@ -99,6 +99,14 @@
   }
 }
 
+/** @internal */
+export function viewZones({ settings, current }: SettingsStatus) {
+  const zones = settings.zoneDrains.map((drain) => {
+    return { ...withoutTypeName(drain), at: new Date(drain.atMs).toISOString() }
+  })
+  return { version: settings.version, current, zones }
+}
+
 /** @internal */
 export function viewAudit({ records, current }: AuditPage) {
   return { current, records: records.map(viewAuditRecord) }
--- a/packages/owner/src/lib/OwnerContext.ts
+++ b/packages/owner/src/lib/OwnerContext.ts
@@ -45,7 +45,10 @@
   health: EndpointHealth
   picker: EndpointPicker
   retryBudget: RetryBudget
+  /** Whether this instance is being stopped. */
   draining = false
+  /** Whether an operator has drained the zone: its endpoints get no more tasks. */
+  isZoneDrained = false
 
   constructor(options: OwnerMachineOptions) {
     this.instance = options.instance
--- a/packages/owner/src/lib/OwnerEvent.ts
+++ b/packages/owner/src/lib/OwnerEvent.ts
@@ -21,6 +21,7 @@
   ProbeEnded = 'probe_ended',
   Members = 'members',
   Preset = 'preset',
+  ZoneDrain = 'zone_drain',
   Drain = 'drain',
 }
 
@@ -81,4 +82,6 @@
   /** The instances known now, from which ownership is derived. */
   | { readonly kind: OwnerEventKind.Members; readonly members: readonly InstanceView[] }
   | { readonly kind: OwnerEventKind.Preset; readonly preset: PresetDefinition }
+  /** Whether an operator has drained the availability zone of this owner. */
+  | { readonly kind: OwnerEventKind.ZoneDrain; readonly drained: boolean }
   | { readonly kind: OwnerEventKind.Drain }
--- a/packages/owner/src/lib/OwnerMachine.test.ts
+++ b/packages/owner/src/lib/OwnerMachine.test.ts
@@ -1,12 +1,13 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { Outcome } from '@cherryhitch/protocol'
+import { Outcome, Reason } from '@cherryhitch/protocol'
 import fc from 'fast-check'
 import { RunResultKind } from './endpointResults'
 import { JOB, OwnerFixture } from './fixtures/OwnerFixture'
 import { OwnerGroupSimulation } from './fixtures/OwnerGroupSimulation'
 import { OwnerSimulation } from './fixtures/OwnerSimulation'
 import { OwnerActionKind } from './OwnerAction'
+import { OwnerEventKind } from './OwnerEvent'
 
 /** Steps of a random run; ordinary steps are more frequent than faults. */
 const steps = [
@@ -63,6 +64,35 @@
   })
 })
 
+describe('an owner whose zone is drained', () => {
+  it('starts nothing, and returns queued tasks as not run; what runs goes on', () => {
+    const owner = new OwnerFixture()
+    owner.heartbeat({ slots: 1 })
+    owner.place([0, 1])
+    const running = owner.runOf()
+    owner.step({ kind: OwnerEventKind.ZoneDrain, drained: true })
+    assert.deepEqual(owner.machine.summaries(owner.now), [])
+    owner.place([2])
+    for (const task of [1, 2]) {
+      const [report] = owner.reportsOn(task)
+      assert.deepEqual([report?.outcome, report?.reason], [Outcome.NOT_RUN, Reason.DRAINING])
+    }
+    owner.end(running, RunResultKind.Succeeded)
+    assert.equal(owner.reportsOn(0)[0]?.outcome, Outcome.SUCCEEDED)
+    assert.equal(owner.openRuns.length, 0)
+  })
+
+  it('starts tasks again once the zone is restored', () => {
+    const owner = new OwnerFixture()
+    owner.heartbeat({ slots: 1 })
+    owner.step({ kind: OwnerEventKind.ZoneDrain, drained: true })
+    owner.step({ kind: OwnerEventKind.ZoneDrain, drained: false })
+    assert.equal(owner.machine.summaries(owner.now)[0]?.freeSlots, 1)
+    owner.place([0])
+    assert.equal(owner.openRuns.length, 1)
+  })
+})
+
 describe('spans', () => {
   it('cover the time in the queue and the run, and the endpoint gets the span of the run', () => {
     const owner = new OwnerFixture()
--- a/packages/owner/src/lib/OwnerMachine.ts
+++ b/packages/owner/src/lib/OwnerMachine.ts
@@ -144,6 +144,9 @@
       case OwnerEventKind.Preset:
         this.setPreset(now, event.preset)
         return
+      case OwnerEventKind.ZoneDrain:
+        this.setZoneDrain(event.drained)
+        return
       case OwnerEventKind.Drain:
         this.drain(now)
         return
@@ -212,6 +215,11 @@
     if (moved) this.handOver.rebalance(now)
   }
 
+  private setZoneDrain(drained: boolean): void {
+    this.ctx.isZoneDrained = drained
+    for (const pool of this.ctx.pools.values()) this.ctx.dirtyPools.add(pool)
+  }
+
   private drain(now: number): void {
     if (this.ctx.draining) return
     this.ctx.draining = true
--- a/packages/owner/src/lib/dispatch/Dispatcher.ts
+++ b/packages/owner/src/lib/dispatch/Dispatcher.ts
@@ -59,7 +59,7 @@
   }
 
   private dispatchFrom(now: number, pool: ServicePool): void {
-    if (this.ctx.draining) return
+    if (this.ctx.draining || this.ctx.isZoneDrained) return
     while (pool.openEndpoints.length > 0 && pool.queue.size > 0) {
       let tries = 0
       this.heldBack = 0
--- a/packages/owner/src/lib/handover/QueueMover.ts
+++ b/packages/owner/src/lib/handover/QueueMover.ts
@@ -23,6 +23,11 @@
 
   run(now: number): void {
     for (const pool of this.ctx.dirtyPools) {
+      if (this.ctx.isZoneDrained) {
+        // All owners of the zone are drained, so coordinators have to place the tasks elsewhere.
+        this.refuseAll(now, pool, Reason.DRAINING, 'The availability zone is drained.')
+        continue
+      }
       const isServedHere = pool.endpoints.size > 0 && !this.ctx.draining
       if (!isServedHere && pool.queue.size > 0) this.emptyQueue(now, pool)
     }
--- a/packages/owner/src/lib/views/ServiceSummaries.ts
+++ b/packages/owner/src/lib/views/ServiceSummaries.ts
@@ -31,7 +31,7 @@
   constructor(private readonly ctx: OwnerContext) {}
 
   make(now: number): readonly ServiceSummary[] {
-    if (this.ctx.draining) return []
+    if (!this.offersSlots) return []
     return [...this.ctx.pools.values()].map((pool) => this.summarize(now, pool))
   }
 
@@ -39,7 +39,7 @@
   hasChangedSignificantly(now: number): boolean {
     if (now - this.announcedAt < this.ctx.timing.summaryIntervalMs) return false
     const offers = new Map<string, SlotOffer>()
-    if (!this.ctx.draining) {
+    if (this.offersSlots) {
       for (const pool of this.ctx.pools.values()) offers.set(pool.service, this.tally(now, pool))
     }
     if (!differSignificantly(this.announced, offers)) return false
@@ -48,6 +48,10 @@
     return true
   }
 
+  private get offersSlots(): boolean {
+    return !this.ctx.draining && !this.ctx.isZoneDrained
+  }
+
   private summarize(now: number, pool: ServicePool): ServiceSummary {
     const { endpoints, slots, freeSlots, ejected, largest } = this.tally(now, pool)
     const summary = create(ServiceSummarySchema, {
