--- a/apps/cherryhitch/src/lib/dispatching/ControlRequestHandler.ts
+++ b/apps/cherryhitch/src/lib/dispatching/ControlRequestHandler.ts
@@ -14,6 +14,9 @@
 /** Maximum number of endpoints whose last log line is remembered. */
 const MAX_INVALID_SENDERS = 1_000
 
+/** The platform names neither the operator nor the reason of an order. */
+const PLATFORM_ORDER = { operator: 'platform', reason: 'ordered on the control interface' } as const
+
 /** @internal */
 export interface ControlRequestHandlerOptions {
   readonly instance: string
@@ -38,8 +41,8 @@
   }
 
   override putRouting({ version }: RoutingTable, document: string): Effect.Effect<boolean> {
-    const { instance, boot, control, now, log } = this.options
-    const commandId = `routing.${instance}.${boot}.${++this.commandCount}`
+    const { control, now, log } = this.options
+    const commandId = this.nextCommandId('routing')
     const value = { version, document: compressDocument(document), atMs: now() }
     const command = create(CommandSchema, { commandId, change: { case: 'putRouting', value } })
     const sentAt = now()
@@ -51,6 +54,24 @@
     })
   }
 
+  override setZoneDrain(zone: string, drained: boolean): Effect.Effect<boolean> {
+    const { control, now, log } = this.options
+    // Taken when the order arrives: a copy that is committed only after the opposite order then
+    // counts as outdated.
+    const fromVersion = control.committedSettings()?.version ?? 0
+    const commandId = this.nextCommandId('zone')
+    const value = { ...PLATFORM_ORDER, zone, drained, fromVersion, atMs: now() }
+    const command = create(CommandSchema, { commandId, change: { case: 'setZoneDrain', value } })
+    const sentAt = now()
+    return Effect.map(control.propose(command), ({ result, detail }) => {
+      const ms = Math.round(now() - sentAt)
+      const outcome = CommandResult[result]
+      const fields = { zone, drained, fromVersion, outcome, detail, ms, commandId }
+      log.info('zone drain order finished', fields)
+      return result === CommandResult.APPLIED
+    })
+  }
+
   override readRouting(): Effect.Effect<string | undefined> {
     return Effect.map(this.options.control.readRouting(), (state) => {
       if (state === undefined || state.version === 0) return undefined
@@ -71,6 +92,11 @@
     this.options.log.warn('rejected an invalid routing configuration', { reason })
   }
 
+  private nextCommandId(kind: string): string {
+    const { instance, boot } = this.options
+    return `${kind}.${instance}.${boot}.${++this.commandCount}`
+  }
+
   override reportInvalidNotice(endpoint: string, reason: string): void {
     const now = this.options.now()
     const loggedAt = this.invalidLoggedAt.get(endpoint) ?? -Infinity
--- a/apps/cherryhitch/src/lib/dispatching/NoticeExchange.test.ts
+++ b/apps/cherryhitch/src/lib/dispatching/NoticeExchange.test.ts
@@ -39,7 +39,7 @@
     completeAt: 0,
     followedBefore: () => 0,
   })
-  tell({ kind: DispatchEventKind.BecomeLeader, term: 1, table: undefined })
+  tell({ kind: DispatchEventKind.BecomeLeader, term: 1, table: undefined, drainedZones: new Set() })
   const accept = (one: EndpointNotice): boolean => Effect.runSync(exchange.acceptNotice(one))
   assert.ok(accept(notice(1, NoticeState.SERVING)))
   assert.ok(accept(notice(2, NoticeState.SERVING)))
--- a/apps/cherryhitch/src/lib/dispatching/startVoter.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startVoter.ts
@@ -1,7 +1,7 @@
-import { startControlNode } from '@cherryhitch/control'
+import { drainedZonesOf, startControlNode } from '@cherryhitch/control'
 import type { ControlError, ControlNode } from '@cherryhitch/control'
 import { DispatchEventKind } from '@cherryhitch/dispatch'
-import type { Envelope, RoutingState } from '@cherryhitch/protocol'
+import type { Envelope, RoutingState, SettingsState } from '@cherryhitch/protocol'
 import type { Disk } from '@cherryhitch/storage'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
@@ -74,7 +74,10 @@
     onRouting: (routing) => {
       applyRouting(routing, dispatcher, log)
     },
-    onLeadership: (term, routing) => {
+    onCommittedSettings: (state) => {
+      applyDrainedZones(state, dispatcher, log)
+    },
+    onLeadership: (term, committed) => {
       if (term === undefined) {
         dispatcher.tell({ kind: DispatchEventKind.StepDown })
         return
@@ -82,7 +85,8 @@
       dispatcher.tell({
         kind: DispatchEventKind.BecomeLeader,
         term,
-        table: routingTableOf(routing),
+        table: routingTableOf(committed.routing),
+        drainedZones: drainedZonesOf(committed.settings?.zoneDrains ?? []),
       })
       parts.readDirectories(term)
     },
@@ -94,6 +98,16 @@
   })
 }
 
+function applyDrainedZones(
+  { version, zoneDrains }: SettingsState,
+  dispatcher: DispatchPart,
+  log: ProcessContext['log'],
+): void {
+  const zones = drainedZonesOf(zoneDrains)
+  log.info('settings committed', { version, drainedZones: [...zones] })
+  dispatcher.tell({ kind: DispatchEventKind.DrainedZones, zones })
+}
+
 function applyRouting(
   routing: RoutingState,
   dispatcher: DispatchPart,
