--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -18,6 +18,7 @@
 import { ControlEventKind } from '../voter/ControlEvent'
 import type { ControlEvent } from '../voter/ControlEvent'
 import type { VoterMachine } from '../voter/VoterMachine'
+import { drainedZonesOf } from '../state/zoneDrains'
 import { ClaimBatcher } from './ClaimBatcher'
 import { ClaimEndBatcher } from './ClaimEndBatcher'
 import { ClientActionKind, ClientEventKind } from './ClientEvent'
@@ -188,6 +189,7 @@
       claim_commands: this.#claims.commandCount,
       ends_waiting: this.#ends.pendingCount,
       ends_dropped: this.#ends.droppedCount,
+      zones_drained: drainedZonesOf(this.committedSettings()?.zoneDrains ?? []).size,
     }
   }
 
--- a/packages/control/src/lib/node/ControlNode.ts
+++ b/packages/control/src/lib/node/ControlNode.ts
@@ -175,7 +175,7 @@
     return this.#host.diskId
   }
 
-  /** Values for metrics: monotonic counters, except for the gauge `ends_waiting`. */
+  /** Values for metrics: counters, except for the gauges `ends_waiting` and `zones_drained`. */
   counters(): Record<string, number> {
     return this.#host.counters()
   }
