Propose a drain only to a leader whose build applies it

Cause, found reading the change: in a rolling upgrade a leader of an earlier build would append an order that it can't decode, reject it itself, and send it to followers that apply it; voters would then differ. Change: leaders report the newest command version that they apply, with each append and each confirmed read, and an instance proposes a drain to no other; it answers at once that nothing was accepted.

--- a/packages/control/src/lib/node/ClientMachine.ts
+++ b/packages/control/src/lib/node/ClientMachine.ts
@@ -9,6 +9,7 @@
   VotersStatus,
 } from '@cherryhitch/protocol'
 import { StateMachine } from '@cherryhitch/runtime'
+import { BASE_VERSION } from '../state/commandVersion'
 import { ClientActionKind, ClientEventKind } from './ClientEvent'
 import type { ClientAction, ClientEvent, ReadRange } from './ClientEvent'
 import type { ClientOptions } from './ClientOptions'
@@ -39,6 +40,8 @@
   readonly #settings: SettingsClient
   readonly #reads = new Map<string, PendingRead>()
   #requestCount = 0
+  /** Newest version of commands that the build of the last confirmed leader applies. */
+  #leaderCommandVersion = BASE_VERSION
 
   constructor(options: ClientOptions) {
     super()
@@ -52,6 +55,10 @@
     return this.#finder.leader
   }
 
+  get leaderCommandVersion(): number {
+    return this.#leaderCommandVersion
+  }
+
   get settings(): SettingsState | undefined {
     return this.#settings.settings
   }
@@ -94,8 +101,7 @@
       case 'proposeReply':
         return this.#proposals.onReply(now, from, body.value)
       case 'readControlReply':
-        if (body.value.ok) this.#finder.confirmLeader(from)
-        else this.#finder.onLeaderHint(from, body.value.leader)
+        this.#onReadAnswered(from, body.value)
         return [
           ...this.#settings.onReadReply(now, body.value),
           ...this.#onReadReply(now, body.value),
@@ -111,6 +117,15 @@
     }
   }
 
+  #onReadAnswered(from: string, { ok, leader, commandVersion }: ReadControlReply): void {
+    if (!ok) {
+      this.#finder.onLeaderHint(from, leader)
+      return
+    }
+    this.#finder.confirmLeader(from)
+    this.#leaderCommandVersion = Math.max(BASE_VERSION, commandVersion)
+  }
+
   /** An instance without a voter accepts no proposal; it names the leader if it knows it. */
   #replyNotLeader(to: string, requestId: string): ClientAction {
     const value = { requestId, leader: this.#finder.leader }
--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -10,6 +10,8 @@
   SettingsState,
   VotersStatus,
 } from '@cherryhitch/protocol'
+import { create } from '@bufbuild/protobuf'
+import { CommandAnswerSchema, CommandResult } from '@cherryhitch/protocol'
 import { exhaustive } from '@cherryhitch/model'
 import type { Clock } from '@cherryhitch/runtime'
 import type { ControlError } from '../errors/ControlError'
@@ -18,6 +20,7 @@
 import { ControlEventKind } from '../voter/ControlEvent'
 import type { ControlEvent } from '../voter/ControlEvent'
 import type { VoterMachine } from '../voter/VoterMachine'
+import { versionOfCommand } from '../state/commandVersion'
 import { drainedZonesOf } from '../state/zoneDrains'
 import { ClaimBatcher } from './ClaimBatcher'
 import { ClaimEndBatcher } from './ClaimEndBatcher'
@@ -104,6 +107,11 @@
 
   propose(command: Command, done: Callback<CommandAnswer>): void {
     const { commandId } = command
+    if (this.#leaderCommandVersion < versionOfCommand(command)) {
+      const detail = "no leader is known, or the leader's build does not know this command"
+      done(create(CommandAnswerSchema, { commandId, result: CommandResult.UNAVAILABLE, detail }))
+      return
+    }
     this.#proposalCallbacks.set(commandId, [
       ...(this.#proposalCallbacks.get(commandId) ?? []),
       done,
@@ -112,6 +120,13 @@
     this.#tellClient({ kind: ClientEventKind.Propose, command, timeoutMs })
   }
 
+  /** A leader whose build does not know a command would append it without applying it. */
+  get #leaderCommandVersion(): number {
+    const { voter, client } = this.#parts
+    const followsLeader = voter !== undefined && voter.leader !== ''
+    return followsLeader ? voter.leaderCommandVersion : client.leaderCommandVersion
+  }
+
   claim(claim: KeyClaim, done: Callback<ClaimAnswer | ControlError | undefined>): void {
     const deadline = this.#parts.clock.now() + this.#parts.timing.claimTimeoutMs
     this.#claims.add({
--- a/packages/control/src/lib/node/ControlNode.zoneDrain.test.ts
+++ b/packages/control/src/lib/node/ControlNode.zoneDrain.test.ts
@@ -18,7 +18,8 @@
 async function startVoters(options: Partial<ControlNodeOptions> = {}): Promise<void> {
   cluster = new NodeCluster(voters, { ...quickTiming, ...options })
   for (const name of voters) await cluster.start(name)
-  await waitUntil(() => voters.some((name) => cluster.node(name).isLeader()), 'a leader is elected')
+  const followsLeader = (name: string): boolean => cluster.node(name).followedLeader() !== ''
+  await waitUntil(() => voters.every(followsLeader), 'all voters follow a leader')
 }
 
 async function drain(instance: string, commandId: string): Promise<CommandResult> {
@@ -78,6 +79,17 @@
     assert.equal(await drain('a', 'upgraded'), CommandResult.APPLIED)
   })
 
+  it('is not proposed to a leader whose build would not apply it', async () => {
+    await startVoters({ clientTiming: { ...quickTiming.clientTiming, proposalTimeoutMs: 300 } })
+    cluster.changeMessage = (body) => {
+      if (body.case === 'appendEntries') body.value.commandVersion = 0
+    }
+    await new Promise((resolve) => setTimeout(resolve, 3 * quickTiming.voterTiming.heartbeatMs))
+    const follower = voters.find((name) => !cluster.node(name).isLeader()) ?? ''
+    assert.equal(await drain(follower, 'early'), CommandResult.UNAVAILABLE)
+    assert.ok(!voters.some(knowsDrain))
+  })
+
   it('is no reason to accept a command without content', async () => {
     await startVoters({ clientTiming: { ...quickTiming.clientTiming, proposalTimeoutMs: 300 } })
     const empty = create(CommandSchema, { commandId: 'empty' })
--- a/packages/control/src/lib/voter/Follower.ts
+++ b/packages/control/src/lib/voter/Follower.ts
@@ -1,5 +1,5 @@
 import type { AppendEntries, InstallSnapshot, LogEntry } from '@cherryhitch/protocol'
-import { COMMAND_VERSION } from '../state/commandVersion'
+import { BASE_VERSION, COMMAND_VERSION } from '../state/commandVersion'
 import type { VoterCore } from './VoterCore'
 
 /** Handles the entries and snapshots that the leader of the term sends. @internal */
@@ -27,6 +27,7 @@
 
   onAppend(from: string, req: AppendEntries): void {
     const { log } = this.#core
+    this.#core.leaderCommandVersion = Math.max(BASE_VERSION, req.commandVersion)
     const lastIndex = req.previousIndex + req.entries.length
     if (this.#core.state === undefined) {
       this.#reply(from, req.round, false, -1)
--- a/packages/control/src/lib/voter/Replication.ts
+++ b/packages/control/src/lib/voter/Replication.ts
@@ -1,5 +1,5 @@
 import type { AppendReply, Voter } from '@cherryhitch/protocol'
-import { BASE_VERSION } from '../state/commandVersion'
+import { BASE_VERSION, COMMAND_VERSION } from '../state/commandVersion'
 import type { VoterCore } from './VoterCore'
 
 /** Replication progress of one member, as the leader knows it. */
@@ -231,7 +231,7 @@
     const round = this.#beginRound(progress, now)
     const { diskId } = member
     const header = { term, leaderDiskId, diskId, previousIndex, previousTerm: previousTerm ?? 0 }
-    const value = { ...header, entries, commitIndex, round }
+    const value = { ...header, entries, commitIndex, round, commandVersion: COMMAND_VERSION }
     this.#core.send(member.instance, { case: 'appendEntries', value })
     return entries.length
   }
--- a/packages/control/src/lib/voter/VoterCore.ts
+++ b/packages/control/src/lib/voter/VoterCore.ts
@@ -7,6 +7,7 @@
   LogEntry,
   Voter,
 } from '@cherryhitch/protocol'
+import { BASE_VERSION, COMMAND_VERSION } from '../state/commandVersion'
 import { ControlState } from '../state/ControlState'
 import { changeMembers, majorityOf } from '../state/voterSet'
 import { SeededRandom } from '../util/SeededRandom'
@@ -51,6 +52,8 @@
   /** Undefined on a new disk until a leader installs a snapshot on it. */
   state: ControlState | undefined
   commitIndex: number
+  /** Newest version of commands that the present leader's build applies. */
+  leaderCommandVersion = BASE_VERSION
   #appliedIndex: number
   #snapshotIndex: number
   /**
@@ -145,6 +148,7 @@
     if (this.#role === role && this.#leader === leader) return
     this.#role = role
     this.#leader = leader
+    this.leaderCommandVersion = role === VoterRole.Leader ? COMMAND_VERSION : BASE_VERSION
     this.emit({ kind: ControlActionKind.RoleChanged, role, term: this.#term, leader })
   }
 
--- a/packages/control/src/lib/voter/VoterMachine.ts
+++ b/packages/control/src/lib/voter/VoterMachine.ts
@@ -69,6 +69,14 @@
     return this.#core.leader
   }
 
+  /**
+   * Newest version of commands that the leader's build applies; the oldest one while no leader is
+   * known.
+   */
+  get leaderCommandVersion(): number {
+    return this.#core.leaderCommandVersion
+  }
+
   get commitIndex(): number {
     return this.#core.commitIndex
   }
--- a/packages/control/src/lib/voter/answerRead.ts
+++ b/packages/control/src/lib/voter/answerRead.ts
@@ -1,4 +1,5 @@
 import type { ReadControl, VotersStatus } from '@cherryhitch/protocol'
+import { COMMAND_VERSION } from '../state/commandVersion'
 import type { VoterCore } from './VoterCore'
 
 /** Maximum number of audit records in a reply. */
@@ -22,6 +23,7 @@
   const audit = ok && auditFrom >= 0 ? state.audit(auditFrom, limit) : []
   const settings = state && { settings: state.settings }
   const routing = ok && withRouting && { routing: state.routing }
-  const value = { requestId, ok, audit, leader, ...settings, ...(voters && { voters }), ...routing }
+  const known = { audit, leader, ...settings, ...(voters && { voters }), ...routing }
+  const value = { requestId, ok, commandVersion: COMMAND_VERSION, ...known }
   core.send(to, { case: 'readControlReply', value })
 }
--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -171,7 +171,7 @@
   }
 
   /** Whether an operator has drained the availability zone of an endpoint. */
-  isDrained({ notice }: EndpointRecord): boolean {
+  isInDrainedZone({ notice }: EndpointRecord): boolean {
     return this.drainedZones.has(notice.zone)
   }
 
--- a/packages/dispatch/src/lib/jobs/JobLifecycle.ts
+++ b/packages/dispatch/src/lib/jobs/JobLifecycle.ts
@@ -226,7 +226,7 @@
   const services = new Set<string>()
   for (const endpoint of core.endpoints.all()) {
     const isServing = endpoint.notice.state === NoticeState.SERVING && !endpoint.isReplaced
-    if (isServing && !core.isDrained(endpoint)) services.add(endpoint.service)
+    if (isServing && !core.isInDrainedZone(endpoint)) services.add(endpoint.service)
   }
   return services
 }
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -242,7 +242,7 @@
     const mayRepeat =
       this.core.isEnabled(Mechanism.StartRetries) &&
       run.startOrders < MAX_START_ORDERS &&
-      !this.core.isDrained(run.endpoint)
+      !this.core.isInDrainedZone(run.endpoint)
     if (run.task === undefined || !mayRepeat || !isValid) {
       this.stop(now, run, 'its start got no answer')
       return
--- a/packages/dispatch/src/lib/scheduling/ServiceEndpoints.ts
+++ b/packages/dispatch/src/lib/scheduling/ServiceEndpoints.ts
@@ -61,7 +61,7 @@
 ): EndpointUse {
   const { notice, isReplaced, unanswered, runs, broadcastAt } = endpoint
   if (notice.state !== NoticeState.SERVING || isReplaced) return EndpointUse.Excluded
-  if (core.isDrained(endpoint)) return EndpointUse.Excluded
+  if (core.isInDrainedZone(endpoint)) return EndpointUse.Excluded
   // After one call without an answer the endpoint still counts: a single answer may have been lost.
   if (unanswered > 1 || health === HealthState.Ejected) return EndpointUse.Excluded
   // An endpoint on probation gets one task at a time.
