--- a/apps/cherryhitch/src/lib/dispatching/startVoter.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startVoter.ts
@@ -24,6 +24,8 @@
  */
 const ELECTION_MIN_MS = 300
 const ELECTION_MAX_MS = 600
+/** The first candidate of five then starts some 60 ms before the second: a round of votes. */
+const STARTUP_ELECTION_MAX_MS = 400
 /** Half of the heartbeat interval. */
 const TICK_MS = 30
 /**
@@ -67,6 +69,7 @@
       heartbeatMs: HEARTBEAT_MS,
       electionMinMs: ELECTION_MIN_MS,
       electionMaxMs: ELECTION_MAX_MS,
+      startupElectionMaxMs: STARTUP_ELECTION_MAX_MS,
       resendMs: ELECTION_MIN_MS,
     },
     tickMs: TICK_MS,
--- a/packages/control/src/lib/testing/nodeCluster.ts
+++ b/packages/control/src/lib/testing/nodeCluster.ts
@@ -13,6 +13,7 @@
     heartbeatMs: 20,
     electionMinMs: 100,
     electionMaxMs: 200,
+    startupElectionMaxMs: 140,
     resendMs: 50,
     replaceSilentMs: 400,
     settingsLeaseMs: 300,
--- a/packages/control/src/lib/voter/Election.ts
+++ b/packages/control/src/lib/voter/Election.ts
@@ -141,8 +141,10 @@
   }
 
   #restartTimer(now: number): void {
-    const { electionMinMs, electionMaxMs, startupElectionShare } = this.#core.config.timing
-    const share = this.#hasHeardLeader ? 1 : startupElectionShare
-    this.#electionDueAt = now + share * this.#random.between(electionMinMs, electionMaxMs)
+    const { timing } = this.#core.config
+    const [minMs, maxMs] = this.#hasHeardLeader
+      ? [timing.electionMinMs, timing.electionMaxMs]
+      : [timing.heartbeatMs, timing.startupElectionMaxMs]
+    this.#electionDueAt = now + this.#random.between(minMs, maxMs)
   }
 }
--- a/packages/control/src/lib/voter/VoterOptions.ts
+++ b/packages/control/src/lib/voter/VoterOptions.ts
@@ -14,11 +14,12 @@
   readonly electionMinMs: number
   readonly electionMaxMs: number
   /**
-   * Share of the election timeout that a voter waits while it has heard from no leader since its
-   * start; 1 for no difference. After a loss of power no leader is left to wait for, and where there
-   * is one, the other voters reject the pre-vote.
+   * Upper bound of the election timeout while a voter has heard from no leader since its start; the
+   * lower bound is `heartbeatMs`. After a loss of power no leader is left to wait for, and where
+   * there is one, the other voters reject the pre-vote. The range is wide, because candidates that
+   * start within a round of votes of each other split the votes.
    */
-  readonly startupElectionShare: number
+  readonly startupElectionMaxMs: number
   /** Time after which unanswered entries are sent again. */
   readonly resendMs: number
   /**
@@ -42,7 +43,7 @@
   heartbeatMs: 150,
   electionMinMs: 600,
   electionMaxMs: 1_200,
-  startupElectionShare: 1 / 3,
+  startupElectionMaxMs: 800,
   resendMs: 500,
   snapshotResendMs: 5_000,
   replaceSilentMs: 10_000,
