--- a/packages/control/src/lib/voter/Election.ts
+++ b/packages/control/src/lib/voter/Election.ts
@@ -51,8 +51,8 @@
    * stopping.
    */
   startImmediately(now: number): void {
-    this.#restartTimer(now)
-    if (this.#core.isVoter && !this.#core.persist.failed) this.#startElection()
+    if (this.#core.isVoter && !this.#core.persist.failed) this.#startElection(now)
+    else this.#restartTimer(now)
   }
 
   /** True for a request that must not change any state here, so that `isFresh` stays true. */
@@ -66,7 +66,7 @@
   }
 
   /** Counts the vote; true if it completes the majority that wins the election. */
-  onReply(reply: VoteReply): boolean {
+  onReply(now: number, reply: VoteReply): boolean {
     const { role, term } = this.#core
     const expectedRole = reply.preVote ? VoterRole.PreCandidate : VoterRole.Candidate
     const expectedTerm = reply.preVote ? term + 1 : term
@@ -75,7 +75,7 @@
     this.#votes.add(reply.diskId)
     if (this.#votes.size < this.#core.majority) return false
     if (!reply.preVote) return true
-    this.#startElection()
+    this.#startElection(now)
     return false
   }
 
@@ -90,10 +90,11 @@
     core.send(core.config.instance, { case: 'voteReply', value: reply })
   }
 
-  #startElection(): void {
+  #startElection(now: number): void {
     const core = this.#core
     core.setTerm(core.term + 1, core.diskId)
     core.setRole(VoterRole.Candidate, '')
+    this.#restartTimer(now)
     core.logLine(`starting election for term ${core.term}`)
     this.#votes.clear()
     this.#sendRequests(core.term, false)
@@ -141,10 +142,13 @@
   }
 
   #restartTimer(now: number): void {
-    const { timing } = this.#core.config
-    const [minMs, maxMs] = this.#hasHeardLeader
-      ? [timing.electionMinMs, timing.electionMaxMs]
-      : [timing.heartbeatMs, timing.startupElectionMaxMs]
+    const { config, role } = this.#core
+    const { timing } = config
+    // Votes are synced and take longer than pre-votes, so a candidate always waits for them.
+    const waitsBriefly = !this.#hasHeardLeader && role !== VoterRole.Candidate
+    const [minMs, maxMs] = waitsBriefly
+      ? [timing.heartbeatMs, timing.startupElectionMaxMs]
+      : [timing.electionMinMs, timing.electionMaxMs]
     this.#electionDueAt = now + this.#random.between(minMs, maxMs)
   }
 }
--- a/packages/control/src/lib/voter/VoterMachine.ts
+++ b/packages/control/src/lib/voter/VoterMachine.ts
@@ -182,7 +182,7 @@
         return
       case 'voteReply':
         this.#observeTerm(now, body.value.term, body.value.granted)
-        if (this.#election.onReply(body.value)) this.#becomeLeader(now)
+        if (this.#election.onReply(now, body.value)) this.#becomeLeader(now)
         return
       case 'appendEntries':
         if (this.#followLeader(now, from, body.value)) this.#follower.onAppend(from, body.value)
