Agree on the interfaces of the parts for hard load

The load model gets speeds by endpoint, priorities by queue, a burst of one kind, a loss of the leader and a warm-up of any length, all off by default; the jobs and random draws of existing runs are the same. Measures of endpoint speed get an abstract class whose knowledge can be handed on. One function says how long a task takes at an endpoint.

--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -5,6 +5,7 @@
 import type { DispatchCore } from '../DispatchCore'
 import type { Job, Task } from '../jobs/Job'
 import type { JobRegistry } from '../jobs/JobRegistry'
+import { expectedRunMs } from '../runs/expectedRunMs'
 import type { RunTracker } from '../runs/RunTracker'
 import { EndpointIndex } from './EndpointIndex'
 import type { JobAdmission, RefusedJob } from './JobAdmission'
@@ -166,7 +167,7 @@
     const picked = available.pick(task, needs, this.core.isEnabled(Mechanism.BestFit))
     if (picked === undefined) return false
     const { endpoint, slowness } = picked
-    const expectedMs = job.runMs(task) * slowness
+    const expectedMs = expectedRunMs(task, slowness)
     if (!this.dependencies.runs.start(now, task, endpoint, expectedMs)) return false
     this.#endpoints.refreshChanged(now)
     if (job.firstStartAt === undefined) this.#noteFirstStart(now, job)
--- a/packages/dispatch/src/lib/soak/DispatchSimulation.ts
+++ b/packages/dispatch/src/lib/soak/DispatchSimulation.ts
@@ -24,7 +24,7 @@
 import { InstantLeader } from './SimulatedLeader'
 import type { SimulatedLeader } from './SimulatedLeader'
 import { requestOf, SentRequests } from './SentRequests'
-import { HOST, SERVICE, TABLE } from './simulatedRouting'
+import { HOST, makeSimulatedRouting, SERVICE } from './simulatedRouting'
 import { StartChecks } from './StartChecks'
 import { StoredDirectories } from './StoredDirectories'
 import { SIMULATED_ZONES, ZoneDrains } from './ZoneDrains'
@@ -285,7 +285,8 @@
     if (this.#term !== term || !this.isUp(leader)) return
     this.#cutFromQuorum.delete(leader)
     const drainedZones = this.drains.atTermStart
-    this.#tell(leader, { kind: DispatchEventKind.BecomeLeader, term, table: TABLE, drainedZones })
+    const table = makeSimulatedRouting(this.options.priorities)
+    this.#tell(leader, { kind: DispatchEventKind.BecomeLeader, term, table, drainedZones })
     const learn = (): void => {
       this.#readDirectories(leader, term)
       this.#tell(leader, {
--- a/packages/dispatch/src/lib/soak/DispatchSimulationOptions.ts
+++ b/packages/dispatch/src/lib/soak/DispatchSimulationOptions.ts
@@ -20,6 +20,8 @@
   readonly chances?: Partial<WorldChances>
   readonly order?: QueuePolicy
   readonly admission?: JobAdmission
+  /** Priority of each queue; 0, the most urgent, by default. */
+  readonly priorities?: readonly number[]
   readonly without?: readonly Mechanism[]
   /** Duration of a run in milliseconds, or a function that returns it; random by default. */
   readonly runMs?: number | ((task: string, endpoint: string) => number)
--- a/packages/dispatch/src/lib/soak/playLoad.ts
+++ b/packages/dispatch/src/lib/soak/playLoad.ts
@@ -38,8 +38,6 @@
 const USEFUL_OBJECTIVES = 3
 const DEADLINE_MS = 1_500
 const PLACES_EACH = 2
-/** Warm-up in which estimates are learned, in milliseconds; its jobs are not counted. */
-const WARM_UP_MS = 2_000
 const LEARN_LOAD = 0.6
 /** Offset of the seeds for lost and delayed orders from those of the jobs. */
 const ORDER_SEEDS = 1_000
@@ -50,6 +48,9 @@
 /** Mean work of a job: tasks times their run time. */
 const MEAN_WORK_MS =
   KINDS.reduce((sum, { tasks, runMs, share }) => sum + tasks * runMs * share, 0) / 100
+/** When a killed instance is back, and when the entry notices the loss, in milliseconds. */
+const KILLED_DOWN_MS = 3_000
+const LOSS_NOTICED_MS = 100
 /** Jobs this soon after a load change, in milliseconds, still reflect the load before it. */
 const SETTLE_MS = 1_000
 /** Suffix of the id of the task that crashes endpoints, in a fatal job. */
@@ -73,6 +74,16 @@
   readonly misjudgedShare?: number
   /** Share of the endpoints that are slow. */
   readonly slowShare?: number
+  /** Speeds of the endpoints in turn, where 1 is that of the estimates; all 1 by default. */
+  readonly speeds?: readonly number[]
+  /** Priority of each kind's queue; 0, the most urgent, for all by default. */
+  readonly priorities?: readonly number[]
+  /** A kind whose jobs arrive more often for some time, counted from the first counted job. */
+  readonly burst?: LoadBurst
+  /** Time in which run times and speeds are learned, in milliseconds; its jobs are not counted. */
+  readonly warmUpMs?: number
+  /** When the leader is killed and another instance takes over; never by default. */
+  readonly takeover?: LoadTakeover
   readonly endpoints?: number
   /** Time for which jobs arrive at this load, in milliseconds. */
   readonly playMs?: number
@@ -84,6 +95,23 @@
   readonly makeMachine?: (options: DispatchOptions) => DispatchMachine
 }
 
+/** A burst of one kind of jobs. @internal */
+export interface LoadBurst {
+  /** Index of the kind: 0 short and wide, 1 long, 2 small. */
+  readonly kind: number
+  /** Factor on the rate at which its jobs arrive; at least 1. */
+  readonly factor: number
+  readonly fromMs: number
+  readonly forMs: number
+}
+
+/** The loss of the leader, counted from the first counted job. @internal */
+export interface LoadTakeover {
+  readonly atMs: number
+  /** Time without a leader, in milliseconds. */
+  readonly gapMs: number
+}
+
 /** Defaults, with the number of endpoints at the users' small sites. @internal */
 export const defaultLoadOptions = {
   seed: 1,
@@ -93,6 +121,7 @@
   slowShare: 0,
   endpoints: 33,
   playMs: 9_000,
+  warmUpMs: 2_000,
 } as const
 
 /** Shares of the jobs, 0 to 1. @internal */
@@ -100,6 +129,10 @@
   readonly inTime: number
   readonly inTimeByKind: readonly number[]
   readonly late: number
+  /** Share of the jobs of each kind that were answered with success at any time. */
+  readonly servedByKind: readonly number[]
+  /** The counted jobs and what became of them, in the order of their arrival. */
+  readonly jobs: readonly LoadJobOutcome[]
   readonly refusedEarly: number
   readonly refusedLate: number
   /** Neither answered within three times the objective nor refused. */
@@ -109,6 +142,19 @@
   readonly violations: readonly string[]
 }
 
+/** What became of one job. @internal */
+export interface LoadJobOutcome {
+  readonly kind: number
+  /** When it was submitted, in milliseconds from the first counted job's earliest time. */
+  readonly atMs: number
+  readonly inTime: boolean
+  readonly late: boolean
+  /** Answered with success at any time. */
+  readonly served: boolean
+  readonly refusedEarly: boolean
+  readonly refusedLate: boolean
+}
+
 interface SentJob {
   readonly id: string
   readonly kind: number
@@ -123,11 +169,14 @@
  * @internal
  */
 export function playLoad(options: LoadOptions): LoadOutcome {
-  const { load, playMs, then } = { ...defaultLoadOptions, ...options }
+  const { load, playMs, then, warmUpMs, takeover } = { ...defaultLoadOptions, ...options }
   const play = new LoadPlay(options)
-  play.submitUntil(WARM_UP_MS, LEARN_LOAD)
+  play.submitUntil(warmUpMs, LEARN_LOAD)
+  const countsFrom = play.world.now
+  if (takeover !== undefined) play.scheduleTakeover(takeover)
+  play.beginCounting()
   const before = { ...play.world.counters }
-  const endAt = WARM_UP_MS + playMs
+  const endAt = warmUpMs + playMs
   let sent = play.submitUntil(endAt, load)
   if (then !== undefined) {
     play.submitUntil(endAt + SETTLE_MS, then.load)
@@ -136,7 +185,7 @@
   const counted = difference(play.world.counters, before)
   play.world.run(2 * DEADLINE_MS)
   const counting = sent.filter(({ id }) => !play.isFatal(id))
-  return { ...summarize(play.world, counting), counted }
+  return { ...summarize(play.world, counting, countsFrom), counted }
 }
 
 /**
@@ -149,14 +198,15 @@
   private readonly random: () => number
   /** Mean run time of each job's tasks, in milliseconds, by job id. */
   private readonly workOf = new Map<string, number>()
+  private countsFrom = Infinity
 
   constructor(private readonly options: LoadOptions) {
     const chosen = { without: [], ...defaultLoadOptions, ...options }
     const { seed, order, admission, without, lateOrder, endpoints, slowShare } = chosen
-    const { costs, makeMachine } = chosen
+    const { costs, makeMachine, priorities, speeds = [], takeover } = chosen
     this.random = seededRandom(seed)
     this.world = new DispatchSimulation({
-      leaders: 1,
+      leaders: takeover === undefined ? 1 : 2,
       endpoints,
       placesEach: PLACES_EACH,
       random: seededRandom(seed + ORDER_SEEDS),
@@ -167,8 +217,10 @@
         const own = seededRandom(parseInt(hash64(`${seed}/${task}`).slice(0, SEED_DIGITS), 16))
         const workMs = this.workOf.get(task.split('.')[0] ?? '') ?? 0
         const slowness = Number(endpoint.slice(1)) < slowShare * endpoints ? SLOW_FACTOR : 1
-        return workMs * slowness * spread(own, TASK_SPREAD)
+        const speed = speeds[Number(endpoint.slice(1)) % speeds.length] ?? 1
+        return ((workMs * slowness) / speed) * spread(own, TASK_SPREAD)
       },
+      ...(priorities !== undefined && { priorities }),
       ...(order !== undefined && { order }),
       ...(admission !== undefined && { admission }),
       ...(costs !== undefined && { costs }),
@@ -193,20 +245,46 @@
     return LEAST_FACTOR * (MOST_FACTOR / LEAST_FACTOR) ** draw()
   }
 
+  /** Jobs that are submitted from now on are counted. */
+  beginCounting(): void {
+    this.countsFrom = this.world.now
+  }
+
+  /** Kills the leader, and elects the other instance after a gap. */
+  scheduleTakeover({ atMs, gapMs }: LoadTakeover): void {
+    this.world.after(atMs, () => {
+      this.world.restart(0, KILLED_DOWN_MS, LOSS_NOTICED_MS)
+      this.world.elect(1, 0, gapMs)
+    })
+  }
+
   /** Submits jobs at random times, at a mean rate that uses a share of the slot capacity. */
   submitUntil(end: number, load: number): SentJob[] {
     const { endpoints = defaultLoadOptions.endpoints } = this.options
     const gapMs = MEAN_WORK_MS / (endpoints * PLACES_EACH * load)
     const sent: SentJob[] = []
     while (this.world.now < end) {
-      sent.push(this.submit())
-      this.world.run(-gapMs * Math.log(1 - this.random()))
+      const shares = this.arrivalShares()
+      sent.push(this.submit(shares))
+      const rate = shares.reduce((sum, share) => sum + share, 0) / 100
+      this.world.run((-gapMs / rate) * Math.log(1 - this.random()))
     }
     return sent
   }
 
-  private submit(): SentJob {
-    const kind = drawKind(this.random())
+  /** Rate of each kind's jobs at this moment, in percent of the rate of all jobs without a burst. */
+  private arrivalShares(): readonly number[] {
+    const { burst } = this.options
+    const sinceMs = this.world.now - this.countsFrom
+    const isBurst =
+      burst !== undefined && sinceMs >= burst.fromMs && sinceMs < burst.fromMs + burst.forMs
+    return KINDS.map(({ share }, kind) => {
+      return isBurst && kind === burst.kind ? share * burst.factor : share
+    })
+  }
+
+  private submit(shares: readonly number[]): SentJob {
+    const kind = drawKind(this.random(), shares)
     const { tasks: meanTasks, runMs } = KINDS[kind] ?? { tasks: 1, runMs: 1 }
     const id = `j${this.workOf.size}`
     const workMs = runMs * spread(this.random, WORK_SPREAD)
@@ -230,14 +308,15 @@
   return Object.fromEntries(changes) as DispatchCounters
 }
 
-function drawKind(draw: number): number {
-  let left = draw * 100
-  return KINDS.findIndex(({ share }) => (left -= share) < 0)
+function drawKind(draw: number, shares: readonly number[]): number {
+  let left = draw * shares.reduce((sum, share) => sum + share, 0)
+  return shares.findIndex((share) => (left -= share) < 0)
 }
 
 function summarize(
   world: DispatchSimulation,
   sent: readonly SentJob[],
+  countsFrom: number,
 ): Omit<LoadOutcome, 'counted'> {
   const ends = sent.map(({ id, kind, at, objectiveMs }) => {
     const ms = (world.answeredAt.get(id) ?? Infinity) - at
@@ -247,6 +326,8 @@
     const isEarly = ms <= EARLY_SHARE * objectiveMs
     return {
       kind,
+      atMs: at - countsFrom,
+      served: isDone,
       inTime: isDone && ms <= objectiveMs,
       late: isDone && ms > objectiveMs && ms <= USEFUL_OBJECTIVES * objectiveMs,
       refusedEarly: isRefused && isEarly,
@@ -268,6 +349,13 @@
         ends.filter((end) => end.kind === kind),
       )
     }),
+    servedByKind: KINDS.map((_, kind) => {
+      return share(
+        (end) => end.served,
+        ends.filter((end) => end.kind === kind),
+      )
+    }),
+    jobs: ends,
     late,
     refusedEarly,
     refusedLate,
--- a/packages/model/src/lib/dispatching/Mechanism.ts
+++ b/packages/model/src/lib/dispatching/Mechanism.ts
@@ -32,4 +32,12 @@
   StartBeforeRecovery = 'early_new_jobs',
   /** Gives up tasks that crash the endpoints that start them. */
   CrashAttribution = 'crash_blame',
+  /** Under contention, gives each queue and zone its share of the slots, by the queues' priorities. */
+  PriorityShares = 'priority_shares',
+  /** Serves a job late, in slots that no job can use in time, in place of refusing it. */
+  LateService = 'late_service',
+  /** Places and forecasts by the measured speeds of endpoints that differ much in speed. */
+  UnevenEndpoints = 'uneven_endpoints',
+  /** Passes on what the leader has learnt to the instances that may lead next. */
+  LeaderKnowledge = 'leader_knowledge',
 }
--- a/packages/policy/src/lib/placement/SlownessTracker.ts
+++ b/packages/policy/src/lib/placement/SlownessTracker.ts
@@ -1,13 +1,7 @@
 import { DecayedSum } from '../util/DecayedSum'
 import { quantile } from '../util/quantile'
-
-/** One task that ran to its end. @public */
-export interface RunObservation {
-  readonly endpoint: string
-  readonly service: string
-  readonly estimateMs: number
-  readonly runMs: number
-}
+import { EndpointSpeeds } from './EndpointSpeeds'
+import type { EndpointSpeedSample, RunObservation } from './EndpointSpeeds'
 
 /** @public */
 export interface SlownessTrackerOptions {
@@ -54,16 +48,17 @@
  *
  * @public
  */
-export class SlownessTracker {
+export class SlownessTracker extends EndpointSpeeds {
   private readonly options: SlownessTrackerOptions
   private readonly speeds = new Map<string, EndpointSpeed>()
   private readonly medians = new Map<string, PeerMedian>()
 
   constructor(options: Partial<SlownessTrackerOptions> = {}) {
+    super()
     this.options = { ...defaultSlownessTrackerOptions, ...options }
   }
 
-  observe(now: number, { endpoint, service, estimateMs, runMs }: RunObservation): void {
+  override observe(now: number, { endpoint, service, estimateMs, runMs }: RunObservation): void {
     if (estimateMs <= 0 || runMs <= 0) return
     const ratio = Math.log(runMs / estimateMs)
     const clipped = Math.min(MAX_LOG_RATIO, Math.max(-MAX_LOG_RATIO, ratio))
@@ -72,8 +67,7 @@
     speed.logRatios.add(now, clipped)
   }
 
-  /** Ratio of run times here to those of the same work at peers; 1 without observations. */
-  slowness(now: number, endpoint: string): number {
+  override slowness(now: number, endpoint: string): number {
     const speed = this.speeds.get(endpoint)
     if (speed === undefined) return 1
     const runs = speed.runs.read(now)
@@ -82,12 +76,30 @@
     return Math.exp((logRatio * runs) / (runs + this.options.priorRuns))
   }
 
-  remove(endpoint: string): void {
+  override remove(endpoint: string): void {
     const service = this.speeds.get(endpoint)?.service
     this.speeds.delete(endpoint)
     if (service !== undefined) this.medians.delete(service)
   }
 
+  override snapshot(now: number): readonly EndpointSpeedSample[] {
+    return [...this.speeds].flatMap(([endpoint, { service, runs: sum, logRatios }]) => {
+      const runs = sum.read(now)
+      return runs > 0 ? [{ endpoint, service, runs, logRatio: logRatios.read(now) / runs }] : []
+    })
+  }
+
+  override merge(now: number, samples: readonly EndpointSpeedSample[]): void {
+    for (const { endpoint, service, runs, logRatio } of samples) {
+      const known = this.speeds.get(endpoint)
+      if (known?.service === service && known.runs.read(now) >= runs) continue
+      this.speeds.delete(endpoint)
+      const speed = this.speedOf(endpoint, service)
+      speed.runs.add(now, runs)
+      speed.logRatios.add(now, runs * logRatio)
+    }
+  }
+
   private speedOf(endpoint: string, service: string): EndpointSpeed {
     const known = this.speeds.get(endpoint)
     if (known?.service === service) return known
