--- a/apps/cherryhitch/src/lib/dispatching/ControlRequestHandler.ts
+++ b/apps/cherryhitch/src/lib/dispatching/ControlRequestHandler.ts
@@ -1,4 +1,5 @@
 import { create } from '@bufbuild/protobuf'
+import type { MessageInitShape } from '@bufbuild/protobuf'
 import type { ControlNode } from '@cherryhitch/control'
 import { hostOf } from '@cherryhitch/dispatch'
 import { ControlService } from '@cherryhitch/platform'
@@ -30,6 +31,18 @@
   readonly log: PartLog
 }
 
+/** A change of the replicated log, as it is written in a command. */
+type CommandChange = NonNullable<MessageInitShape<typeof CommandSchema>['change']>
+
+/** Result of a proposed change, for the log. */
+interface ProposalResult {
+  readonly outcome: string | undefined
+  readonly detail: string
+  /** Time until the answer. */
+  readonly ms: number
+  readonly commandId: string
+}
+
 /** Handles the requests of operators and endpoints to a dispatching instance. @internal */
 export class ControlRequestHandler extends ControlService {
   private commandCount = 0
@@ -41,16 +54,9 @@
   }
 
   override putRouting({ version }: RoutingTable, document: string): Effect.Effect<boolean> {
-    const { control, now, log } = this.options
-    const commandId = this.nextCommandId('routing')
-    const value = { version, document: compressDocument(document), atMs: now() }
-    const command = create(CommandSchema, { commandId, change: { case: 'putRouting', value } })
-    const sentAt = now()
-    return Effect.map(control.propose(command), ({ result, detail }) => {
-      const ms = Math.round(now() - sentAt)
-      const outcome = CommandResult[result]
-      log.info('routing update finished', { version, outcome, detail, ms, commandId })
-      return result === CommandResult.APPLIED
+    const value = { version, document: compressDocument(document), atMs: this.options.now() }
+    return this.propose('routing', { case: 'putRouting', value }, (fields) => {
+      this.options.log.info('routing update finished', { version, ...fields })
     })
   }
 
@@ -59,16 +65,9 @@
     // Taken when the order arrives: a copy that is committed only after the opposite order then
     // counts as outdated.
     const fromVersion = control.committedSettings()?.version ?? 0
-    const commandId = this.nextCommandId('zone')
     const value = { ...PLATFORM_ORDER, zone, drained, fromVersion, atMs: now() }
-    const command = create(CommandSchema, { commandId, change: { case: 'setZoneDrain', value } })
-    const sentAt = now()
-    return Effect.map(control.propose(command), ({ result, detail }) => {
-      const ms = Math.round(now() - sentAt)
-      const outcome = CommandResult[result]
-      const fields = { zone, drained, fromVersion, outcome, detail, ms, commandId }
-      log.info('zone drain order finished', fields)
-      return result === CommandResult.APPLIED
+    return this.propose('zone', { case: 'setZoneDrain', value }, (fields) => {
+      log.info('zone drain order finished', { zone, drained, fromVersion, ...fields })
     })
   }
 
@@ -92,6 +91,23 @@
     this.options.log.warn('rejected an invalid routing configuration', { reason })
   }
 
+  /** Proposes a change to the replicated log; true once it is applied. */
+  private propose(
+    kind: string,
+    change: CommandChange,
+    logResult: (fields: ProposalResult) => void,
+  ): Effect.Effect<boolean> {
+    const { control, now } = this.options
+    const commandId = this.nextCommandId(kind)
+    const sentAt = now()
+    const answered = control.propose(create(CommandSchema, { commandId, change }))
+    return Effect.map(answered, ({ result, detail }) => {
+      const ms = Math.round(now() - sentAt)
+      logResult({ outcome: CommandResult[result], detail, ms, commandId })
+      return result === CommandResult.APPLIED
+    })
+  }
+
   private nextCommandId(kind: string): string {
     const { instance, boot } = this.options
     return `${kind}.${instance}.${boot}.${++this.commandCount}`
