Let the run-time estimator give and take over what it has learnt

The estimator can now be read out as samples with ages and take over those of another instance, with the weight of at most 10 runs, less the older they are.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -30,6 +30,7 @@
 export type { LearnedEstimatorOptions } from './lib/estimates/LearnedEstimator'
 export { RunTimeEstimator } from './lib/estimates/RunTimeEstimator'
 export type { EstimateSubject } from './lib/estimates/RunTimeEstimator'
+export type { ModelSample, RunTimeSample } from './lib/estimates/RunTimeSample'
 export { AlwaysHealthy } from './lib/health/AlwaysHealthy'
 export {
   ConsecutiveFailureHealth,
--- a/packages/policy/src/lib/estimates/DeclaredEstimator.ts
+++ b/packages/policy/src/lib/estimates/DeclaredEstimator.ts
@@ -1,5 +1,6 @@
 import { RunTimeEstimator } from './RunTimeEstimator'
 import type { EstimateSubject } from './RunTimeEstimator'
+import type { RunTimeSample } from './RunTimeSample'
 
 /** Used without a declared run time: the middle of the typical range of 50 ms to 1 s. */
 const DEFAULT_RUN_MS = 300
@@ -17,4 +18,12 @@
   override observeAtLeast(): void {
     // Observations are not used.
   }
+
+  override snapshot(): readonly RunTimeSample[] {
+    return []
+  }
+
+  override merge(): void {
+    // Observations are not used.
+  }
 }
--- a/packages/policy/src/lib/estimates/LearnedEstimator.ts
+++ b/packages/policy/src/lib/estimates/LearnedEstimator.ts
@@ -2,6 +2,7 @@
 import { RunTimeEstimator } from './RunTimeEstimator'
 import type { EstimateSubject } from './RunTimeEstimator'
 import { RunTimeModel } from './RunTimeModel'
+import type { RunTimeSample } from './RunTimeSample'
 
 /** @public */
 export interface LearnedEstimatorOptions {
@@ -34,6 +35,10 @@
 const ERROR_WINDOW = 30
 /** Limits the deviation of the logarithms, so that a few outliers do not inflate the mean. */
 const MAX_DEVIATION = 1
+/** Largest weight of what another instance has learnt, so that a few dozen runs outweigh it. */
+const MAX_MERGED_RUNS = 10
+/** Age at which the weight of what another instance has learnt has decayed to 1/e. */
+const MERGED_TAU_MS = 300_000
 
 /** Run times learned for one caller's tasks of one service, or for a whole service. */
 class RunTimeLearner {
@@ -44,13 +49,41 @@
   private absoluteError = 0
   private ratioError = 0
   private comparisons = 0
+  private observedAt = -Infinity
+
+  constructor(
+    readonly caller: string | undefined,
+    readonly service: string,
+  ) {}
 
   /** Whether scaling the declared run time has predicted better. */
   get prefersRatio(): boolean {
     return this.comparisons > 0 && this.ratioError < this.absoluteError
   }
 
-  observe(declaredMs: number, runMs: number): void {
+  sample(now: number): RunTimeSample {
+    const { caller, service, absoluteError, ratioError, comparisons } = this
+    const ageMs = Math.max(0, now - this.observedAt)
+    const [absolute, ratio] = [this.absolute.sample, this.ratio.sample]
+    return { caller, service, ageMs, absolute, ratio, absoluteError, ratioError, comparisons }
+  }
+
+  /** Takes over a sample, unless the last observation here is more recent. */
+  merge(now: number, sample: RunTimeSample): void {
+    const { ageMs, absolute, ratio, absoluteError, ratioError, comparisons } = sample
+    if (this.observedAt >= now - ageMs) return
+    const decay = Math.exp(-ageMs / MERGED_TAU_MS)
+    const weight = (count: number): number => decay * Math.min(MAX_MERGED_RUNS, count)
+    this.absolute.restore(absolute, weight(absolute.count))
+    this.ratio.restore(ratio, weight(ratio.count))
+    this.absoluteError = absoluteError
+    this.ratioError = ratioError
+    this.comparisons = weight(comparisons)
+    this.observedAt = now - ageMs
+  }
+
+  observe(now: number, declaredMs: number, runMs: number): void {
+    this.observedAt = now
     const log = Math.log(Math.max(MIN_ESTIMATE_MS, runMs))
     if (declaredMs > 0) {
       const ratioLog = log - Math.log(declaredMs)
@@ -102,15 +135,37 @@
     return clampEstimate(Math.exp(center + deviation ** 2 / 2))
   }
 
-  override observe(_now: number, subject: EstimateSubject, runMs: number): void {
-    learnerOf(this.pairs, pairKey(subject)).observe(subject.declaredMs, runMs)
-    learnerOf(this.services, subject.service).observe(subject.declaredMs, runMs)
+  override observe(now: number, subject: EstimateSubject, runMs: number): void {
+    const { caller, service, declaredMs } = subject
+    this.learnerOf(caller, service).observe(now, declaredMs, runMs)
+    this.learnerOf(undefined, service).observe(now, declaredMs, runMs)
   }
 
   override observeAtLeast(now: number, subject: EstimateSubject, runMs: number): void {
     if (runMs > this.estimate(subject)) this.observe(now, subject, runMs)
   }
 
+  override snapshot(now: number): readonly RunTimeSample[] {
+    const learners = [...this.services.values(), ...this.pairs.values()]
+    return learners.map((learner) => learner.sample(now))
+  }
+
+  override merge(now: number, samples: readonly RunTimeSample[]): void {
+    for (const sample of samples) {
+      this.learnerOf(sample.caller, sample.service).merge(now, sample)
+    }
+  }
+
+  private learnerOf(caller: string | undefined, service: string): RunTimeLearner {
+    const learners = caller === undefined ? this.services : this.pairs
+    const key = caller === undefined ? service : pairKey({ caller, service })
+    const known = learners.get(key)
+    if (known !== undefined) return known
+    const learner = new RunTimeLearner(caller, service)
+    learners.set(key, learner)
+    return learner
+  }
+
   /** Prior of a caller, as a logarithm: its declared run time averaged with its service's model. */
   private priorLog({ service, declaredMs }: EstimateSubject): number {
     const { defaultMs, priorWeight } = this.options
@@ -133,15 +188,7 @@
   return { log: absolute.center, model: absolute }
 }
 
-function learnerOf(learners: LruMap<string, RunTimeLearner>, key: string): RunTimeLearner {
-  const known = learners.get(key)
-  if (known !== undefined) return known
-  const learner = new RunTimeLearner()
-  learners.set(key, learner)
-  return learner
-}
-
-function pairKey({ caller, service }: EstimateSubject): string {
+function pairKey({ caller, service }: Pick<EstimateSubject, 'caller' | 'service'>): string {
   return `${caller}/${service}`
 }
 
--- a/packages/policy/src/lib/estimates/RunTimeModel.ts
+++ b/packages/policy/src/lib/estimates/RunTimeModel.ts
@@ -1,3 +1,5 @@
+import type { ModelSample } from './RunTimeSample'
+
 /** Number of observations after which the mean becomes an exponential moving average. */
 const WINDOW = 50
 /** Observations are clipped to this many deviations from the mean. */
@@ -31,6 +33,17 @@
     return this.meanLog
   }
 
+  get sample(): ModelSample {
+    return { count: this.observations, center: this.meanLog, variance: this.variance }
+  }
+
+  /** Continues from the state of another model, with a weight of its own. */
+  restore({ center, variance }: ModelSample, count: number): void {
+    this.observations = count
+    this.meanLog = center
+    this.variance = variance
+  }
+
   observe(log: number): void {
     this.observations = Math.min(WINDOW, this.observations + 1)
     if (this.observations === 1) {
--- a/packages/policy/src/lib/util/LruMap.ts
+++ b/packages/policy/src/lib/util/LruMap.ts
@@ -8,6 +8,11 @@
     return this.entries.size
   }
 
+  /** The values, the least recently used first; reading them is no use of them. */
+  values(): IterableIterator<V> {
+    return this.entries.values()
+  }
+
   get(key: K): V | undefined {
     const value = this.entries.get(key)
     if (value === undefined) return undefined
