Pass what the leader has learnt to the instances that may lead next

A next leader started from declared estimates and equal speeds. The leader now sends what it has learnt while it leads: one message each 500 ms, of at most 8 KiB, with the entries that changed most first. The others store it, by term and age, and merge it when they become leader. Impossible values are dropped and counted.

--- a/apps/cherryhitch/src/lib/dispatching/DispatchParts.ts
+++ b/apps/cherryhitch/src/lib/dispatching/DispatchParts.ts
@@ -35,6 +35,9 @@
       case 'unansweredJobs':
         this.#dispatch({ kind: DispatchEventKind.UnansweredJobs, req: body.value })
         return
+      case 'leaderHints':
+        this.#dispatch({ kind: DispatchEventKind.LeaderHints, hints: body.value })
+        return
       case 'endpointOrders':
       case 'endpointAnswers':
         this.#receiveOrders(from, boot, body)
--- a/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
+++ b/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
@@ -7,6 +7,7 @@
   EndpointNotices,
   EndpointNoticesRead,
   Envelope,
+  LeaderHints,
   ReadEndpointNotices,
 } from '@cherryhitch/protocol'
 import { Effect } from 'effect'
@@ -144,6 +145,13 @@
     this.sendToPeers(create(EndpointNoticesSchema, { lost: [...lost], possible: [...possible] }))
   }
 
+  /** Sends what this leader has learnt to all instances that may become leader. */
+  broadcastHints(value: LeaderHints): void {
+    for (const peer of this.options.peers()) {
+      this.options.send(peer, envelope({ case: 'leaderHints', value }))
+    }
+  }
+
   /** Sends the endpoint directory of this instance to a newly discovered one. */
   sendDirectoryTo(instance: string): void {
     const value = this.directory()
--- a/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
@@ -44,6 +44,11 @@
         store.onLossUpdate(now())
       })
     },
+    broadcastHints: (hints) => {
+      parts.notices.use((notices) => {
+        notices.broadcastHints(hints)
+      })
+    },
     onDefect,
     log: (message, fields) => {
       log.info(message, fields)
--- a/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
+++ b/apps/cherryhitch/src/lib/instance/EnvelopeRouter.ts
@@ -66,6 +66,7 @@
       case 'endpointOrders':
       case 'endpointAnswers':
       case 'unansweredJobs':
+      case 'leaderHints':
       case 'text':
       case undefined:
         this.unknownEnvelopes++
--- a/packages/dispatch/src/lib/DispatchAction.ts
+++ b/packages/dispatch/src/lib/DispatchAction.ts
@@ -1,4 +1,4 @@
-import type { EndpointNotice, EndpointOrder, JobOutcome } from '@cherryhitch/protocol'
+import type { EndpointNotice, EndpointOrder, JobOutcome, LeaderHints } from '@cherryhitch/protocol'
 import type { LossUpdate } from './crashes/LossUpdate'
 
 /** Kinds of actions that the dispatcher requests. @public */
@@ -7,6 +7,7 @@
   Answer = 'answer',
   BroadcastNotice = 'spread',
   BroadcastLosses = 'spread_loss',
+  BroadcastHints = 'spread_hints',
   Log = 'log',
   Measure = 'measure',
 }
@@ -38,6 +39,8 @@
   | { readonly kind: DispatchActionKind.BroadcastNotice; readonly notice: EndpointNotice }
   /** Broadcast a report on lost endpoints to all instances that may become leader. */
   | { readonly kind: DispatchActionKind.BroadcastLosses; readonly losses: LossUpdate }
+  /** Send what this leader has learnt to all instances that may become leader. */
+  | { readonly kind: DispatchActionKind.BroadcastHints; readonly hints: LeaderHints }
   | {
       readonly kind: DispatchActionKind.Log
       readonly message: string
--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -79,6 +79,14 @@
   endpoints_visited: number
   /** Slots assigned in admission forecasts. */
   places_forecast: number
+  /** Entries of what was learnt that this instance sent as leader. */
+  hints_sent: number
+  /** Entries that other leaders sent: stored, known better, and unusable. */
+  hints_stored: number
+  hints_outdated: number
+  hints_dropped: number
+  /** Entries that this instance started from when it became leader. */
+  hints_taken_over: number
 }
 
 /** State shared by all parts of the dispatcher, and the actions of the current step. @internal */
@@ -119,6 +127,11 @@
     jobs_ranked: 0,
     endpoints_visited: 0,
     places_forecast: 0,
+    hints_sent: 0,
+    hints_stored: 0,
+    hints_outdated: 0,
+    hints_dropped: 0,
+    hints_taken_over: 0,
   }
   /** Term in which this instance is leader; undefined if it is not. */
   term: number | undefined
--- a/packages/dispatch/src/lib/DispatchEvent.ts
+++ b/packages/dispatch/src/lib/DispatchEvent.ts
@@ -3,6 +3,7 @@
   AskJob,
   EndpointNotice,
   EndpointOrder,
+  LeaderHints,
   RoutingTable,
   SubmitJob,
   UnansweredJobs,
@@ -21,6 +22,7 @@
   DrainedZones = 'drained_zones',
   Notice = 'notice',
   EndpointLosses = 'loss',
+  LeaderHints = 'hints',
   SubmitJob = 'submit',
   QueryJob = 'ask',
   AbandonJob = 'abandon',
@@ -66,6 +68,8 @@
   | { readonly kind: DispatchEventKind.Notice; readonly notice: EndpointNotice }
   /** Another instance reported lost endpoints. */
   | { readonly kind: DispatchEventKind.EndpointLosses; readonly losses: LossUpdate }
+  /** Another instance sent what it has learnt as leader. */
+  | { readonly kind: DispatchEventKind.LeaderHints; readonly hints: LeaderHints }
   | { readonly kind: DispatchEventKind.SubmitJob; readonly from: string; readonly req: SubmitJob }
   | { readonly kind: DispatchEventKind.QueryJob; readonly from: string; readonly req: AskJob }
   | { readonly kind: DispatchEventKind.AbandonJob; readonly from: string; readonly req: AbandonJob }
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -15,6 +15,7 @@
 import { IntakeLimit } from './jobs/IntakeLimit'
 import { JobLifecycle } from './jobs/JobLifecycle'
 import { RequestHandler } from './jobs/RequestHandler'
+import { KnowledgeExchange } from './knowledge/KnowledgeExchange'
 import { AnswerHandler } from './orders/AnswerHandler'
 import { ForecastAdmission } from './scheduling/ForecastAdmission'
 import type { JobAdmission } from './scheduling/JobAdmission'
@@ -40,6 +41,7 @@
  */
 export class DispatchMachine extends StateMachine<DispatchEvent, DispatchAction> {
   readonly #core: DispatchCore
+  readonly #knowledge: KnowledgeExchange
   readonly #leases: LeaseLoop
   readonly #lifecycle: JobLifecycle
   readonly #requests: RequestHandler
@@ -51,6 +53,7 @@
   constructor(options: DispatchOptions) {
     super()
     this.#core = new DispatchCore(options)
+    this.#knowledge = new KnowledgeExchange(this.#core)
     this.#leases = new LeaseLoop(this.#core)
     const wake = (): void => {
       this.#scheduler.wake()
@@ -150,6 +153,7 @@
     if (this.leads) {
       this.#leases.tick(now)
       this.#lifecycle.tick(now)
+      this.#knowledge.tick(now)
       this.#scheduler.wake()
     }
     return this.#placeAndTakeActions(now)
@@ -200,6 +204,9 @@
       case DispatchEventKind.EndpointLosses:
         this.#lifecycle.crashes.onUpdate(now, event.losses)
         return
+      case DispatchEventKind.LeaderHints:
+        this.#knowledge.onHints(now, event.hints)
+        return
       case DispatchEventKind.SubmitJob:
         this.#requests.submit(now, event.from, event.req)
         this.#scheduler.wake()
@@ -232,6 +239,7 @@
     core.table = table ?? core.table
     this.#setDrainedZones(now, drainedZones)
     core.endpoints.beginTerm()
+    this.#knowledge.takeOver(now)
     for (const endpoint of core.endpoints.all()) {
       endpoint.reset()
       this.#broadcast(now, endpoint)
@@ -305,6 +313,7 @@
   }
 
   #onNewIncarnation(now: number, endpoint: EndpointRecord): void {
+    this.#knowledge.onNewEndpoint(now, endpoint)
     this.#broadcast(now, endpoint)
     for (const earlier of this.#core.endpoints.otherIncarnations(endpoint))
       this.#leases.pollNow(now, earlier)
--- /dev/null
+++ b/packages/dispatch/src/lib/knowledge/HintRotation.ts
@@ -0,0 +1,69 @@
+/** Time after which an entry is repeated although it has not changed, in milliseconds. */
+const REPEAT_MS = 5_000
+/** Change of a logarithm from which an entry is sent again at once: 5 percent. */
+const MIN_CHANGE = 0.05
+
+/** An entry that may be sent. @internal */
+export interface HintCandidate {
+  readonly key: string
+  /** Weight of its observations. */
+  readonly runs: number
+  /** Logarithm of what was learnt. */
+  readonly log: number
+  /** Upper bound of its encoded size. */
+  readonly bytes: number
+}
+
+interface SentHint {
+  readonly at: number
+  readonly runs: number
+  readonly log: number
+}
+
+/**
+ * Chooses the entries of each message: those that were never sent, then those that have changed
+ * most since they were last sent. Entries that do not change are repeated in rotation, so that an
+ * instance that joined later or lost a message gets to know them too.
+ *
+ * @internal
+ */
+export class HintRotation {
+  private sent = new Map<string, SentHint>()
+
+  /** Chooses from all entries those that fit into a message of the given size. */
+  choose<T extends HintCandidate>(now: number, candidates: readonly T[], maxBytes: number): T[] {
+    this.forgetOthers(candidates)
+    const ranked = candidates
+      .map((candidate) => ({ candidate, urgency: this.urgencyOf(now, candidate) }))
+      .filter(({ urgency }) => urgency >= 1)
+      .sort((a, b) => b.urgency - a.urgency)
+    const chosen: T[] = []
+    let bytes = 0
+    for (const { candidate } of ranked) {
+      bytes += candidate.bytes
+      if (bytes > maxBytes) break
+      chosen.push(candidate)
+      const { key, runs, log } = candidate
+      this.sent.set(key, { at: now, runs, log })
+    }
+    return chosen
+  }
+
+  /** At least 1 if an entry is to be sent. */
+  private urgencyOf(now: number, { key, runs, log }: HintCandidate): number {
+    const sent = this.sent.get(key)
+    if (sent === undefined) return Infinity
+    const change = Math.abs(log - sent.log) + Math.abs(Math.log((runs + 1) / (sent.runs + 1)))
+    return change / MIN_CHANGE + (now - sent.at) / REPEAT_MS
+  }
+
+  /** Forgets entries that no longer exist. */
+  private forgetOthers(candidates: readonly HintCandidate[]): void {
+    const kept = new Map<string, SentHint>()
+    for (const { key } of candidates) {
+      const sent = this.sent.get(key)
+      if (sent !== undefined) kept.set(key, sent)
+    }
+    this.sent = kept
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/knowledge/KnowledgeSender.ts
@@ -0,0 +1,67 @@
+import type { EndpointSpeedSample, RunTimeSample } from '@cherryhitch/policy'
+import type { LeaderHints } from '@cherryhitch/protocol'
+import type { DispatchCore } from '../DispatchCore'
+import { encodeHints, runTimeBytes, speedBytes } from './encodeHints'
+import { HintRotation } from './HintRotation'
+import type { HintCandidate } from './HintRotation'
+import { isPlausibleRunTime, isPlausibleSpeed } from './plausibleSamples'
+
+/** Interval of the messages, in milliseconds: a next leader misses what was learnt in it. */
+const SEND_INTERVAL_MS = 500
+/**
+ * Size of a message, at most. Together with the interval it bounds what each peer is sent to 16 KiB
+ * a second, which brings the speeds of 300 endpoints, whereas 16 KiB hold only some hundred orders.
+ */
+export const MAX_HINTS_BYTES = 8_192
+/** Encoded size of a message and its envelope apart from the entries, at most. */
+const MESSAGE_BYTES = 32
+
+interface RunTimeCandidate extends HintCandidate {
+  readonly runTime: RunTimeSample
+}
+
+interface SpeedCandidate extends HintCandidate {
+  readonly speed: EndpointSpeedSample
+}
+
+/** Composes the messages in which a leader passes on what it has learnt. @internal */
+export class KnowledgeSender {
+  private rotation = new HintRotation()
+  private dueAt = Infinity
+
+  constructor(private readonly core: DispatchCore) {}
+
+  beginTerm(now: number): void {
+    this.rotation = new HintRotation()
+    this.dueAt = now + SEND_INTERVAL_MS
+  }
+
+  /** The next message, if one is due and there is anything to tell. */
+  next(now: number): LeaderHints | undefined {
+    if (now < this.dueAt) return undefined
+    this.dueAt = now + SEND_INTERVAL_MS
+    const { estimator, slowness, term = 0 } = this.core
+    const candidates = [
+      ...estimator.snapshot(now).filter(isPlausibleRunTime).map(runTimeCandidate),
+      ...slowness.snapshot(now).filter(isPlausibleSpeed).map(speedCandidate),
+    ]
+    const chosen = this.rotation.choose(now, candidates, MAX_HINTS_BYTES - MESSAGE_BYTES)
+    if (chosen.length === 0) return undefined
+    return encodeHints(term, {
+      runTimes: chosen.flatMap((entry) => ('runTime' in entry ? entry.runTime : [])),
+      speeds: chosen.flatMap((entry) => ('speed' in entry ? entry.speed : [])),
+    })
+  }
+}
+
+function runTimeCandidate(runTime: RunTimeSample): RunTimeCandidate {
+  const { caller, service, absolute, ratio } = runTime
+  const key = JSON.stringify([caller ?? null, service])
+  const log = absolute.center + ratio.center
+  return { key, runs: absolute.count, log, bytes: runTimeBytes(runTime), runTime }
+}
+
+function speedCandidate(speed: EndpointSpeedSample): SpeedCandidate {
+  const { endpoint, runs, logRatio } = speed
+  return { key: endpoint, runs, log: logRatio, bytes: speedBytes(speed), speed }
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/knowledge/LearntSamples.ts
@@ -0,0 +1,7 @@
+import type { EndpointSpeedSample, RunTimeSample } from '@cherryhitch/policy'
+
+/** Entries of what a leader has learnt. @internal */
+export interface LearntSamples {
+  readonly runTimes: readonly RunTimeSample[]
+  readonly speeds: readonly EndpointSpeedSample[]
+}
--- a/packages/dispatch/src/lib/soak/DispatchSimulation.ts
+++ b/packages/dispatch/src/lib/soak/DispatchSimulation.ts
@@ -365,9 +365,8 @@
         this.#tell(i, { kind: DispatchEventKind.LeadershipConfirmed, at: this.now - 2 * WAY_MS })
       }
       if (this.isUp(i)) leader.tick()
-      const machine = this.#machines[i]
-      if (this.options.storesDirectories === true && machine !== undefined && this.isUp(i)) {
-        this.#stored.tick(this.now, i, machine)
+      if (this.options.storesDirectories === true && this.isUp(i)) {
+        this.#stored.tick(this.now, i, this.#machines[i])
       }
       this.#proxies.tick(i, this.#machines[i]?.endpoints ?? 0)
     }
@@ -410,9 +409,10 @@
       else if (action.kind === DispatchActionKind.BroadcastNotice)
         this.#spread(leader, action.notice)
       else if (action.kind === DispatchActionKind.BroadcastLosses) {
-        const machine = this.#machines[leader]
-        if (machine !== undefined) this.#stored.noteNews(this.now, leader, machine)
+        this.#stored.noteNews(this.now, leader, this.#machines[leader])
         this.#tellOthers(leader, { kind: DispatchEventKind.EndpointLosses, losses: action.losses })
+      } else if (action.kind === DispatchActionKind.BroadcastHints) {
+        this.#tellOthers(leader, { kind: DispatchEventKind.LeaderHints, hints: action.hints })
       } else if (action.kind === DispatchActionKind.Answer) {
         const { outcome } = action
         this.after(WAY_MS, () => {
--- a/packages/dispatch/src/lib/soak/StoredDirectories.ts
+++ b/packages/dispatch/src/lib/soak/StoredDirectories.ts
@@ -19,16 +19,22 @@
 export class StoredDirectories {
   readonly #stored = new Map<number, Stored>()
 
-  tick(now: number, instance: number, machine: DispatchMachine): void {
+  tick(now: number, instance: number, machine: DispatchMachine | undefined): void {
     this.#store(now, instance, machine, STORE_MS)
   }
 
   /** Stores the directory of a leader that broadcasts losses of endpoints. */
-  noteNews(now: number, instance: number, machine: DispatchMachine): void {
+  noteNews(now: number, instance: number, machine: DispatchMachine | undefined): void {
     this.#store(now, instance, machine, STORE_NEWS_MS)
   }
 
-  #store(now: number, instance: number, machine: DispatchMachine, gapMs: number): void {
+  #store(
+    now: number,
+    instance: number,
+    machine: DispatchMachine | undefined,
+    gapMs: number,
+  ): void {
+    if (machine === undefined) return
     const storedAt = this.#stored.get(instance)?.at ?? -Infinity
     if (now - storedAt < gapMs) return
     const [notices, news] = [machine.notices(now), machine.losses(now)]
--- a/packages/dispatch/src/lib/startDispatcher.ts
+++ b/packages/dispatch/src/lib/startDispatcher.ts
@@ -1,6 +1,6 @@
 import { exhaustive } from '@cherryhitch/model'
 import { wrapMessage } from '@cherryhitch/protocol'
-import type { EndpointAnswers, EndpointNotice, Envelope } from '@cherryhitch/protocol'
+import type { EndpointAnswers, EndpointNotice, Envelope, LeaderHints } from '@cherryhitch/protocol'
 import { startActor, systemClock } from '@cherryhitch/runtime'
 import type { Clock, Actor } from '@cherryhitch/runtime'
 import { Effect } from 'effect'
@@ -27,6 +27,8 @@
   readonly broadcastNotice: (notice: EndpointNotice) => void
   /** Broadcasts a report on lost endpoints to all instances that may become leader. */
   readonly broadcastLosses: (news: LossUpdate) => void
+  /** Sends what this leader has learnt to all instances that may become leader. */
+  readonly broadcastHints: (hints: LeaderHints) => void
   readonly log: (message: string, fields: Readonly<Record<string, unknown>>) => void
   readonly measure: (stage: Stage, route: string, ms: number) => void
   readonly onDefect: (defect: unknown) => void
@@ -126,6 +128,9 @@
       case DispatchActionKind.BroadcastLosses:
         options.broadcastLosses(action.losses)
         return
+      case DispatchActionKind.BroadcastHints:
+        options.broadcastHints(action.hints)
+        return
       case DispatchActionKind.Log:
         options.log(action.message, action.fields)
         return
