--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -16,6 +16,7 @@
 import { JobLifecycle } from './jobs/JobLifecycle'
 import { RequestHandler } from './jobs/RequestHandler'
 import { KnowledgeExchange } from './knowledge/KnowledgeExchange'
+import type { LearntSamples } from './knowledge/LearntSamples'
 import { AnswerHandler } from './orders/AnswerHandler'
 import { ForecastAdmission } from './scheduling/ForecastAdmission'
 import type { JobAdmission } from './scheduling/JobAdmission'
@@ -130,6 +131,11 @@
     return this.#core.losses.all(now)
   }
 
+  /** What this instance has heard from leaders, with present ages. */
+  heardHints(now: number): LearntSamples {
+    return this.#knowledge.heard(now)
+  }
+
   /** Number of changes to what is known of lost endpoints so far. */
   get lossRevision(): number {
     return this.#core.losses.changes
--- a/packages/dispatch/src/lib/knowledge/KnowledgeExchange.ts
+++ b/packages/dispatch/src/lib/knowledge/KnowledgeExchange.ts
@@ -6,6 +6,7 @@
 import { decodeHints } from './decodeHints'
 import { KnowledgeSender } from './KnowledgeSender'
 import { KnowledgeStore } from './KnowledgeStore'
+import type { LearntSamples } from './LearntSamples'
 
 /** Least interval between two log lines about unusable hints, in milliseconds. */
 const LOG_INTERVAL_MS = 1_000
@@ -58,6 +59,11 @@
     counters.hints_stored += usable - outdated
   }
 
+  /** What this instance has heard from leaders, with present ages. */
+  heard(now: number): LearntSamples {
+    return this.#store.all(now)
+  }
+
   /** Merges what was heard into the estimates of this instance, which becomes leader. */
   takeOver(now: number): void {
     if (!this.#isEnabled) return
--- a/packages/dispatch/src/lib/knowledge/KnowledgeStore.ts
+++ b/packages/dispatch/src/lib/knowledge/KnowledgeStore.ts
@@ -28,6 +28,12 @@
     return stored.filter((isStored) => !isStored).length
   }
 
+  /** Everything, with present ages and the weights that were sent. */
+  all(now: number): LearntSamples {
+    const speeds = this.speeds.all(now).map(({ sample }) => sample)
+    return { runTimes: this.allRunTimes(now), speeds }
+  }
+
   /** All run times, with their present ages. */
   allRunTimes(now: number): RunTimeSample[] {
     return this.runTimes.all(now).map(({ learntAt, sample }) => {
--- a/packages/dispatch/src/lib/soak/StoredDirectories.ts
+++ b/packages/dispatch/src/lib/soak/StoredDirectories.ts
@@ -28,12 +28,7 @@
     this.#store(now, instance, machine, STORE_NEWS_MS)
   }
 
-  #store(
-    now: number,
-    instance: number,
-    machine: DispatchMachine | undefined,
-    gapMs: number,
-  ): void {
+  #store(now: number, instance: number, machine: DispatchMachine | undefined, gapMs: number): void {
     if (machine === undefined) return
     const storedAt = this.#stored.get(instance)?.at ?? -Infinity
     if (now - storedAt < gapMs) return
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.test.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.test.ts
@@ -84,6 +84,12 @@
     assert.match(violations.join(), /was refused, but/)
   })
 
+  it('detects that the hints of an earlier leader replace those of a later one', () => {
+    const options = { hasGaps: true, ignoresHintTerms: true }
+    const { violations } = runDispatchSoak(101, STEPS, options)
+    assert.match(violations.join(), /was replaced by term/)
+  })
+
   for (const [seed, cause] of failedBefore) {
     it(`violates no invariant with seed ${seed}: ${cause}`, () => {
       assert.deepEqual(runDispatchSoak(seed, STEPS).violations, [])
--- a/packages/dispatch/src/lib/soak/runDispatchSoak.ts
+++ b/packages/dispatch/src/lib/soak/runDispatchSoak.ts
@@ -1,6 +1,7 @@
 import { seededRandom } from '@cherryhitch/model'
 import { JobVerdict } from '@cherryhitch/protocol'
 import { DispatchSimulation } from './DispatchSimulation'
+import { HintCheckedMachine } from './HintCheckedMachine'
 import { SIMULATED_ZONES } from './ZoneDrains'
 import type { DrainFault } from './ZoneDrains'
 
@@ -29,6 +30,8 @@
   readonly resendsToNextProcess?: boolean
   /** See `DispatchSimulationOptions`. */
   readonly takesLivesForOne?: boolean
+  /** See `HintCheckOptions`. */
+  readonly ignoresHintTerms?: boolean
 }
 
 /** Failure rates of orders and runs: about those on the users' own days with trouble. */
@@ -51,6 +54,7 @@
   const keepsIds = options.hasEndpointRestarts === true
   const random = seededRandom(seed)
   const below = (n: number): number => Math.floor(random() * n)
+  const hintViolations: string[] = []
   const world = new DispatchSimulation({
     leaders: LEADERS,
     endpoints: 3,
@@ -63,6 +67,12 @@
     guardsPlaces: !keepsIds,
     ...(options.drainFault !== undefined && { drainFault: options.drainFault }),
     chances: CHANCES,
+    makeMachine: (chosen) => {
+      return new HintCheckedMachine(chosen, {
+        ignoresTerms: options.ignoresHintTerms === true,
+        report: (violation) => hintViolations.push(violation),
+      })
+    },
   })
   world.elect(0, 0)
   let submitted = 0
@@ -77,7 +87,7 @@
   world.run(5_000)
   const verdicts = [...world.outcomes.values()].map(({ verdict }) => verdict)
   const completed = verdicts.filter((verdict) => verdict === JobVerdict.COMPLETED).length
-  return { violations: world.violations, completed, submitted }
+  return { violations: [...world.violations, ...hintViolations], completed, submitted }
 }
 
 interface Draw {
