--- a/packages/dispatch/src/lib/knowledge/HintRotation.ts
+++ b/packages/dispatch/src/lib/knowledge/HintRotation.ts
@@ -53,7 +53,9 @@
   private urgencyOf(now: number, { key, runs, log }: HintCandidate): number {
     const sent = this.sent.get(key)
     if (sent === undefined) return Infinity
-    const change = Math.abs(log - sent.log) + Math.abs(Math.log((runs + 1) / (sent.runs + 1)))
+    // A weight that only decays is no news: the receiver lets it decay too.
+    const gained = Math.max(0, Math.log((runs + 1) / (sent.runs + 1)))
+    const change = Math.abs(log - sent.log) + gained
     return change / MIN_CHANGE + (now - sent.at) / REPEAT_MS
   }
 
