--- a/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
+++ b/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
@@ -77,7 +77,7 @@
     options.tell({ kind: DispatchEventKind.Notice, notice })
     if (isLeaving && machine.leads && !isHonored) return Effect.succeed(false)
     if (!isLeaving || machine.leads) {
-      if (changesDirectory) this.broadcastNotices([notice], '')
+      if (changesDirectory) this.broadcastNotices([notice])
       else this.addToBatch(notice)
       return Effect.succeed(true)
     }
@@ -135,9 +135,9 @@
     this.checkReadProgress()
   }
 
-  /** Sends a notice to all instances that may become leader. */
-  broadcastNotice(notice: EndpointNotice): void {
-    this.broadcastNotices([notice], '')
+  /** Sends notices to all instances that may become leader, which confirm those with a request id. */
+  broadcastNotices(notices: EndpointNotice[], requestId = ''): void {
+    this.sendToPeers(create(EndpointNoticesSchema, { notices, requestId }))
   }
 
   /** Sends losses of endpoints to all instances that may become leader. */
@@ -196,14 +196,10 @@
     this.options.after(BATCH_WINDOW_MS, () => {
       const notices = [...this.batched.values()]
       this.batched = new Map()
-      this.broadcastNotices(notices, '')
+      this.broadcastNotices(notices)
     })
   }
 
-  private broadcastNotices(notices: EndpointNotice[], requestId: string): void {
-    this.sendToPeers(create(EndpointNoticesSchema, { notices, requestId }))
-  }
-
   private sendToPeers(value: EndpointNotices): void {
     for (const peer of this.options.peers()) {
       this.options.send(peer, envelope({ case: 'endpointNotices', value }))
--- a/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
@@ -31,9 +31,9 @@
     machine,
     gateway,
     send,
-    broadcastNotice: (notice) => {
+    broadcastNotices: (broadcast) => {
       parts.notices.use((notices) => {
-        notices.broadcastNotice(notice)
+        notices.broadcastNotices(broadcast)
       })
     },
     broadcastLosses: (news) => {
--- a/packages/dispatch/src/lib/startDispatcher.ts
+++ b/packages/dispatch/src/lib/startDispatcher.ts
@@ -23,8 +23,8 @@
   readonly machine: DispatchMachine
   readonly gateway: EndpointGateway
   readonly send: (to: string, message: Envelope) => void
-  /** Broadcasts the notice of an endpoint to all instances that may become leader. */
-  readonly broadcastNotice: (notice: EndpointNotice) => void
+  /** Broadcasts notices of endpoints to all instances that may become leader. */
+  readonly broadcastNotices: (notices: EndpointNotice[]) => void
   /** Broadcasts a report on lost endpoints to all instances that may become leader. */
   readonly broadcastLosses: (news: LossUpdate) => void
   /** Sends what this leader has learnt to all instances that may become leader. */
@@ -72,6 +72,7 @@
       shell.perform(action)
     }
     const onStepEnd = (): void => {
+      shell.sendNotices()
       shell.sendOrders()
     }
     const gapMs = (tookMs: number): number => (shell.usesProxies ? stepIntervalMs(tookMs) : 0)
@@ -101,6 +102,8 @@
 class DispatcherShell {
   tell: (event: DispatchEvent) => void = () => undefined
   private readonly router: OrderRouter
+  /** Notices to broadcast at the end of the present step. */
+  private notices: EndpointNotice[] = []
 
   constructor(
     private readonly options: DispatcherOptions,
@@ -123,7 +126,7 @@
         options.send(action.to, wrapMessage({ case: 'jobOutcome', value: action.outcome }))
         return
       case DispatchActionKind.BroadcastNotice:
-        options.broadcastNotice(action.notice)
+        this.notices.push(action.notice)
         return
       case DispatchActionKind.BroadcastLosses:
         options.broadcastLosses(action.losses)
@@ -142,6 +145,16 @@
     }
   }
 
+  /**
+   * Sends the notices of the last step in one message to each instance, before the orders that they
+   * must precede: a new leader broadcasts all endpoints at once.
+   */
+  sendNotices(): void {
+    if (this.notices.length === 0) return
+    this.options.broadcastNotices(this.notices)
+    this.notices = []
+  }
+
   /** Sends the orders of the last step. */
   sendOrders(): void {
     this.route(this.router.tick(this.clock.now()))
