Bound the price of a message of hints where endpoints are many

With 18,000 endpoints a message took 68 ms of processor; 2,000 samples of each kind are looked at for one message now, in turn (23 ms, trial on a busy machine). Entries not sent for a minute are forgotten.

--- a/packages/dispatch/src/lib/knowledge/HintRotation.ts
+++ b/packages/dispatch/src/lib/knowledge/HintRotation.ts
@@ -1,5 +1,7 @@
 /** Time after which an entry is repeated although it has not changed, in milliseconds. */
 const REPEAT_MS = 5_000
+/** Time after which an entry that was not sent again is forgotten, in milliseconds. */
+const FORGET_MS = 60_000
 /** Change of a logarithm from which an entry is sent again at once: 5 percent. */
 const MIN_CHANGE = 0.05
 
@@ -28,11 +30,12 @@
  * @internal
  */
 export class HintRotation {
-  private sent = new Map<string, SentHint>()
+  /** Entries that were sent, the longest ago first. */
+  private readonly sent = new Map<string, SentHint>()
 
   /** Chooses from all entries those that fit into a message of the given size. */
   choose<T extends HintCandidate>(now: number, candidates: readonly T[], maxBytes: number): T[] {
-    if (this.sent.size > 2 * candidates.length) this.forgetOthers(candidates)
+    this.forgetOld(now)
     const ranked = candidates
       .map((candidate) => ({ candidate, urgency: this.urgencyOf(now, candidate) }))
       .filter(({ urgency }) => urgency >= 1)
@@ -44,6 +47,7 @@
       if (bytes > maxBytes) break
       chosen.push(candidate)
       const { key, runs, log } = candidate
+      this.sent.delete(key)
       this.sent.set(key, { at: now, runs, log })
     }
     return chosen
@@ -59,13 +63,11 @@
     return change / MIN_CHANGE + (now - sent.at) / REPEAT_MS
   }
 
-  /** Forgets entries that no longer exist. */
-  private forgetOthers(candidates: readonly HintCandidate[]): void {
-    const kept = new Map<string, SentHint>()
-    for (const { key } of candidates) {
-      const sent = this.sent.get(key)
-      if (sent !== undefined) kept.set(key, sent)
+  /** Forgets entries that have not been sent for long: most of them no longer exist. */
+  private forgetOld(now: number): void {
+    for (const [key, { at }] of this.sent) {
+      if (now - at <= FORGET_MS) return
+      this.sent.delete(key)
     }
-    this.sent = kept
   }
 }
--- a/packages/dispatch/src/lib/knowledge/KnowledgeExchange.test.ts
+++ b/packages/dispatch/src/lib/knowledge/KnowledgeExchange.test.ts
@@ -73,6 +73,17 @@
     assert.equal(told.size, ids.length)
   })
 
+  it('covers thousands of endpoints too, a part of them in each message', () => {
+    const { sent } = openLeader(5_000)
+    const told = new Set<string>()
+    for (let now = 0; now < 60_000; now += 100) {
+      for (const message of sent(now)) {
+        for (const { endpoint } of decodeHints(message)?.speeds ?? []) told.add(endpoint)
+      }
+    }
+    assert.ok(told.size > 4_500, `${told.size} endpoints`)
+  })
+
   it('comes at most twice a second, and an unchanged entry at most once in 5 s', () => {
     const { sent } = openLeader(3)
     const messages: LeaderHints[] = []
--- a/packages/dispatch/src/lib/knowledge/KnowledgeSender.ts
+++ b/packages/dispatch/src/lib/knowledge/KnowledgeSender.ts
@@ -16,6 +16,9 @@
 /** Encoded size of a message and its envelope apart from the entries, at most. */
 const MESSAGE_BYTES = 32
 
+/** Samples of each kind that are looked at for one message, to bound its price. */
+const MAX_RANKED = 2_000
+
 interface RunTimeCandidate extends HintCandidate {
   readonly runTime: RunTimeSample
 }
@@ -28,6 +31,7 @@
 export class KnowledgeSender {
   private rotation = new HintRotation()
   private dueAt = Infinity
+  private messages = 0
 
   constructor(private readonly core: DispatchCore) {}
 
@@ -42,9 +46,10 @@
     this.dueAt = now + SEND_INTERVAL_MS
     const { estimator, slowness, term = 0 } = this.core
     const candidates = [
-      ...estimator.snapshot(now).filter(isPlausibleRunTime).map(runTimeCandidate),
-      ...slowness.snapshot(now).filter(isPlausibleSpeed).map(speedCandidate),
+      ...this.part(estimator.snapshot(now)).filter(isPlausibleRunTime).map(runTimeCandidate),
+      ...this.part(slowness.snapshot(now)).filter(isPlausibleSpeed).map(speedCandidate),
     ]
+    this.messages++
     const chosen = this.rotation.choose(now, candidates, MAX_HINTS_BYTES - MESSAGE_BYTES)
     if (chosen.length === 0) return undefined
     this.core.counters.hints_sent += chosen.length
@@ -53,6 +58,14 @@
       speeds: chosen.flatMap((entry) => ('speed' in entry ? entry.speed : [])),
     })
   }
+
+  /** The samples whose turn it is; all of them unless there are many. */
+  private part<T>(samples: readonly T[]): readonly T[] {
+    const parts = Math.ceil(samples.length / MAX_RANKED)
+    if (parts <= 1) return samples
+    const start = (this.messages % parts) * MAX_RANKED
+    return samples.slice(start, start + MAX_RANKED)
+  }
 }
 
 function runTimeCandidate(runTime: RunTimeSample): RunTimeCandidate {
