Take back the new leader's intake limit that starts anew

It was meant to spare the jobs that a new leader refuses as overloaded. No gain for callers. Its test goes with it.

--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -246,7 +246,6 @@
     this.#setDrainedZones(now, drainedZones)
     core.endpoints.beginTerm()
     this.#knowledge.takeOver(now)
-    this.#intake.beginTerm()
     for (const endpoint of core.endpoints.all()) {
       endpoint.reset()
       this.#broadcast(now, endpoint)
--- a/packages/dispatch/src/lib/jobs/IntakeLimit.ts
+++ b/packages/dispatch/src/lib/jobs/IntakeLimit.ts
@@ -10,12 +10,10 @@
  */
 const DELAY_SAMPLE_CAP_MS = 100
 /**
- * Number of steps that the moving averages cover. It is not lower because a single pause, such as a
+ * Weight of the latest step in the moving averages. It is low because a single pause, such as a
  * garbage collection, is not an overload.
  */
-const AVERAGED_STEPS = 8
-/** Weight of the latest step in the moving averages. */
-const SMOOTHING_FACTOR = 1 / AVERAGED_STEPS
+const SMOOTHING_FACTOR = 1 / 8
 /** Factors applied to the limit after each step: during an overload, and after it. */
 const DECREASE_FACTOR = 0.9
 const INCREASE_FACTOR = 1.03
@@ -39,8 +37,6 @@
   #admitted = 0
   #meanAdmitted = 0
   #meanDelayMs = 0
-  /** Steps of this term since its first job, up to those that the moving averages cover. */
-  #steps = 0
 
   /** Whether one more job may be admitted in this step. If so, it is counted. */
   admit(): boolean {
@@ -54,29 +50,15 @@
     return this.#limit < UNLIMITED_JOBS_PER_STEP
   }
 
-  /**
-   * Starts anew for the term of a new leader. Steps until its first job arrives say nothing of the
-   * jobs that it has time for: it followed, or asked the endpoints for their runs.
-   */
-  beginTerm(): void {
-    this.#limit = UNLIMITED_JOBS_PER_STEP
-    this.#admitted = 0
-    this.#meanAdmitted = 0
-    this.#meanDelayMs = 0
-    this.#steps = 0
-  }
-
   /**
    * Updates the limit at the end of a step.
    *
    * @param delayMs - time since the first message of the step was received, in milliseconds
    */
   recordStep(delayMs: number): void {
-    if (this.#steps === 0 && this.#admitted === 0) return
-    this.#steps = Math.min(AVERAGED_STEPS, this.#steps + 1)
     this.#meanDelayMs +=
       (Math.min(delayMs, DELAY_SAMPLE_CAP_MS) - this.#meanDelayMs) * SMOOTHING_FACTOR
-    this.#meanAdmitted += (this.#admitted - this.#meanAdmitted) / this.#steps
+    this.#meanAdmitted += (this.#admitted - this.#meanAdmitted) * SMOOTHING_FACTOR
     this.#admitted = 0
     if (this.#meanDelayMs > MAX_DELAY_MS) {
       this.#limit = Math.max(1, Math.min(this.#limit, this.#meanAdmitted) * DECREASE_FACTOR)
--- a/packages/dispatch/src/lib/jobs/busyLeader.test.ts
+++ b/packages/dispatch/src/lib/jobs/busyLeader.test.ts
@@ -88,20 +88,6 @@
     }
   })
 
-  it('of a new leader does not start from the steps in which it followed and had no jobs', () => {
-    const limit = new IntakeLimit()
-    for (let step = 0; step < 100; step++) limit.recordStep(3)
-    limit.beginTerm()
-    for (let step = 0; step < 5; step++) limit.recordStep(80)
-    assert.equal(limit.isBinding, false, 'it asks the endpoints for their runs')
-    for (let step = 0; step < 4; step++) {
-      assert.ok(admitMany(limit, 20) >= 16)
-      limit.recordStep(80)
-    }
-    assert.equal(limit.isBinding, true)
-    assert.ok(admitMany(limit, 20) >= 14)
-  })
-
   it('falls while steps are delayed, and is lifted once they are not', () => {
     const limit = new IntakeLimit()
     for (let step = 0; step < 60; step++) {
