--- a/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchPart.ts
@@ -31,9 +31,9 @@
     machine,
     gateway,
     send,
-    broadcastNotice: (notice) => {
+    broadcastNotices: (broadcast) => {
       parts.notices.use((notices) => {
-        notices.broadcastNotice(notice)
+        notices.broadcastNotices(broadcast)
       })
     },
     broadcastLosses: (news) => {
@@ -44,6 +44,11 @@
         store.onLossUpdate(now())
       })
     },
+    broadcastHints: (hints) => {
+      parts.notices.use((notices) => {
+        notices.broadcastHints(hints)
+      })
+    },
     onDefect,
     log: (message, fields) => {
       log.info(message, fields)
--- a/packages/dispatch/src/lib/startDispatcher.ts
+++ b/packages/dispatch/src/lib/startDispatcher.ts
@@ -1,6 +1,6 @@
 import { exhaustive } from '@cherryhitch/model'
 import { wrapMessage } from '@cherryhitch/protocol'
-import type { EndpointAnswers, EndpointNotice, Envelope } from '@cherryhitch/protocol'
+import type { EndpointAnswers, EndpointNotice, Envelope, LeaderHints } from '@cherryhitch/protocol'
 import { startActor, systemClock } from '@cherryhitch/runtime'
 import type { Clock, Actor } from '@cherryhitch/runtime'
 import { Effect } from 'effect'
@@ -23,10 +23,12 @@
   readonly machine: DispatchMachine
   readonly gateway: EndpointGateway
   readonly send: (to: string, message: Envelope) => void
-  /** Broadcasts the notice of an endpoint to all instances that may become leader. */
-  readonly broadcastNotice: (notice: EndpointNotice) => void
+  /** Broadcasts notices of endpoints to all instances that may become leader. */
+  readonly broadcastNotices: (notices: EndpointNotice[]) => void
   /** Broadcasts a report on lost endpoints to all instances that may become leader. */
   readonly broadcastLosses: (news: LossUpdate) => void
+  /** Sends what this leader has learnt to all instances that may become leader. */
+  readonly broadcastHints: (hints: LeaderHints) => void
   readonly log: (message: string, fields: Readonly<Record<string, unknown>>) => void
   readonly measure: (stage: Stage, route: string, ms: number) => void
   readonly onDefect: (defect: unknown) => void
@@ -70,6 +72,7 @@
       shell.perform(action)
     }
     const onStepEnd = (): void => {
+      shell.sendNotices()
       shell.sendOrders()
     }
     const gapMs = (tookMs: number): number => (shell.usesProxies ? stepIntervalMs(tookMs) : 0)
@@ -99,6 +102,8 @@
 class DispatcherShell {
   tell: (event: DispatchEvent) => void = () => undefined
   private readonly router: OrderRouter
+  /** Notices to broadcast at the end of the present step. */
+  private notices: EndpointNotice[] = []
 
   constructor(
     private readonly options: DispatcherOptions,
@@ -121,11 +126,14 @@
         options.send(action.to, wrapMessage({ case: 'jobOutcome', value: action.outcome }))
         return
       case DispatchActionKind.BroadcastNotice:
-        options.broadcastNotice(action.notice)
+        this.notices.push(action.notice)
         return
       case DispatchActionKind.BroadcastLosses:
         options.broadcastLosses(action.losses)
         return
+      case DispatchActionKind.BroadcastHints:
+        options.broadcastHints(action.hints)
+        return
       case DispatchActionKind.Log:
         options.log(action.message, action.fields)
         return
@@ -137,6 +145,16 @@
     }
   }
 
+  /**
+   * Sends the notices of the last step in one message to each instance, before the orders that they
+   * must precede: a new leader broadcasts all endpoints at once.
+   */
+  sendNotices(): void {
+    if (this.notices.length === 0) return
+    this.options.broadcastNotices(this.notices)
+    this.notices = []
+  }
+
   /** Sends the orders of the last step. */
   sendOrders(): void {
     this.route(this.router.tick(this.clock.now()))
