Serve jobs late in slots that no job can use in time

Cause: admission knew two outcomes. A job that could not be in time was refused, at once or, when it had fallen behind and others could still be in time, after its latest start. Callers without retries lose the request, while an answer of up to three times the objective still helps them.

Change: a job that can't be in time is left to the slots that all others leave if the forecast promises an end in useful time with four times its wait. Late jobs rank after all others whatever the policy, in the order in which they became late, so none makes another later. Their waiting tasks are bounded by a quarter of the slots; none is accepted while under half of the recent ones were served; one that turns out hopeless is refused at its review, before it starts. Jobs that fall behind are decided by the same forecast in place of being dropped whenever another job can still be in time.

--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -24,6 +24,7 @@
 import { LossLedger } from './crashes/LossLedger'
 import { EndpointRegistry } from './endpoints/EndpointRegistry'
 import type { EndpointRecord } from './endpoints/EndpointRecord'
+import { LateOutcomes } from './scheduling/LateOutcomes'
 import { makeFencingToken } from './endpoints/fencingToken'
 import type { JobWaiter } from './jobs/Job'
 
@@ -41,6 +42,12 @@
   jobs_failed: number
   jobs_refused: number
   refused_at_door: number
+  /** New jobs admitted for late service, admitted ones that fell behind, and late ones given up. */
+  late_admitted: number
+  late_fallen_behind: number
+  late_given_up: number
+  /** Late jobs that were completed. */
+  late_completed: number
   /** Refused because this instance lagged behind in its event processing. */
   refused_busy: number
   jobs_unknown: number
@@ -89,12 +96,17 @@
   readonly slowness = new SlownessTracker()
   readonly health: EndpointHealth
   readonly losses: LossLedger
+  readonly lateOutcomes = new LateOutcomes()
   readonly counters: DispatchCounters = {
     jobs_taken: 0,
     jobs_completed: 0,
     jobs_failed: 0,
     jobs_refused: 0,
     refused_at_door: 0,
+    late_admitted: 0,
+    late_fallen_behind: 0,
+    late_given_up: 0,
+    late_completed: 0,
     refused_busy: 0,
     jobs_unknown: 0,
     starts: 0,
@@ -159,6 +171,11 @@
     return !this.#disabled.has(mechanism)
   }
 
+  /** Whether jobs that can't be in time may be served late; admission decides that. */
+  get hasLateService(): boolean {
+    return this.isEnabled(Mechanism.LateService) && this.isEnabled(Mechanism.Admission)
+  }
+
   /** Local time at which all orders of this leader expire, unless a majority confirms it again. */
   get ordersExpireAt(): number {
     return this.confirmedAt + this.timing.leaderLeaseMs
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -82,7 +82,8 @@
 
   #defaultAdmission(): JobAdmission {
     if (!this.#core.isEnabled(Mechanism.Admission)) return new UnconditionalAdmission()
-    return new ForecastAdmission()
+    const { hasLateService, lateOutcomes } = this.#core
+    return new ForecastAdmission(hasLateService ? { lateOutcomes } : {})
   }
 
   get counters(): Readonly<DispatchCounters> {
--- a/packages/dispatch/src/lib/jobs/Job.ts
+++ b/packages/dispatch/src/lib/jobs/Job.ts
@@ -98,6 +98,7 @@
   readonly anomalies: RunAnomalies = { unansweredStarts: 0, lostRuns: 0, overruns: 0 }
   /** Admission control has passed the job; until then it may be refused. */
   isAdmitted: boolean
+  #lateSince: number | undefined
   /** The verdict was given: no task is started any more, and the job is removed once none runs. */
   isClosed = false
   endpointsUsed = new Set<string>()
@@ -160,6 +161,17 @@
     return this.#unfinished === 0
   }
 
+  /** When the job was left to slots that no job can use in time; undefined for other jobs. */
+  get lateSince(): number | undefined {
+    return this.#lateSince
+  }
+
+  /** Leaves the job to slots that no job can use in time. */
+  serveLate(now: number): void {
+    this.#lateSince ??= now
+    this.#onTaskStateChange(this)
+  }
+
   /** Changes the state of a task and updates the counts of the job. */
   setTaskState(task: Task, state: TaskState): void {
     const before = task.state
--- a/packages/dispatch/src/lib/jobs/JobLifecycle.ts
+++ b/packages/dispatch/src/lib/jobs/JobLifecycle.ts
@@ -215,7 +215,9 @@
   }
 
   #endHopelessJobs(now: number): void {
-    for (const { job, verdict, reason, retryAfterMs } of findUnservableJobs(now, this.jobs.open)) {
+    const hasLateService = this.core.hasLateService
+    const unservable = findUnservableJobs(now, this.jobs.open, hasLateService)
+    for (const { job, verdict, reason, retryAfterMs } of unservable) {
       this.end(now, job, verdict, reason, retryAfterMs)
     }
     if (this.core.isEnabled(Mechanism.Overrun)) this.overruns.tick(now, this.jobs.open)
--- a/packages/dispatch/src/lib/jobs/JobRegistry.ts
+++ b/packages/dispatch/src/lib/jobs/JobRegistry.ts
@@ -140,6 +140,7 @@
     }
     job.waiters.length = 0
     this.#count(verdict)
+    if (job.lateSince !== undefined) this.#noteLateOutcome(now, verdict)
     this.#logEnd(now, job, verdict, more.reason)
     // A refused job did not run, so a repeated request for it counts as a new one.
     if (verdict !== JobVerdict.REFUSED) this.#retainVerdict(now, job.id, verdict, more.reason)
@@ -203,6 +204,14 @@
     this.#ended.set(id, { verdict, reason, endedAt: now })
   }
 
+  #noteLateOutcome(now: number, verdict: JobVerdict): void {
+    const { counters, lateOutcomes } = this.core
+    const wasServed = verdict === JobVerdict.COMPLETED
+    if (wasServed) counters.late_completed++
+    else counters.late_given_up++
+    lateOutcomes.note(now, wasServed)
+  }
+
   #count(verdict: JobVerdict): void {
     const { counters } = this.core
     if (verdict === JobVerdict.COMPLETED) counters.jobs_completed++
--- a/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
+++ b/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
@@ -32,6 +32,8 @@
   readonly #isExcluded: Uint8Array
   /** Jobs that are late whether or not the new jobs are admitted. */
   readonly #isLateRegardless: Uint8Array
+  /** Late jobs in the order in which they get slots. */
+  readonly #lateRows: SimulationRow[] = []
   readonly #rowOfUndecided = new Map<Job, SimulationRow>()
 
   /** @param toleranceMs - by how many milliseconds a job may miss its latest start */
@@ -62,11 +64,27 @@
       this.#latestStartMs[row] = latestStartMs
       this.#startLimitMs[row] = latestStartMs + toleranceMs(job)
       if (!job.isAdmitted) this.#rowOfUndecided.set(job, row)
+      if (job.lateSince !== undefined) this.#addLate(row)
       row++
       this.#firstTask[row] = task
     }
   }
 
+  #addLate(row: SimulationRow): void {
+    this.#lateRows.push(row)
+    this.#isExcluded[row] = 1
+  }
+
+  /** Late jobs in the order in which they get slots; they are excluded from other simulations. */
+  get lateRows(): readonly SimulationRow[] {
+    return this.#lateRows
+  }
+
+  /** Whether a job can no longer meet its objective. */
+  isPastLatestStart(row: SimulationRow): boolean {
+    return (this.#latestStartMs[row] ?? 0) < 0
+  }
+
   /** Jobs without an admission decision, in order of arrival. */
   undecidedRows(): SimulationRow[] {
     const rows = [...this.#rowOfUndecided]
@@ -113,6 +131,18 @@
     return caused
   }
 
+  /**
+   * Waits of late jobs, in milliseconds until the last task of each starts, in slots that all other
+   * jobs leave: first those that are late already, then others.
+   */
+  waitsOfLate(others: readonly SimulationRow[]): ReadonlyMap<SimulationRow, number> {
+    this.#simulate(() => true)
+    const waits = new Map<SimulationRow, number>()
+    for (const row of this.#lateRows) waits.set(row, this.#assignSlots(row))
+    for (const row of others) waits.set(row, this.#assignSlots(row))
+    return waits
+  }
+
   /** @param onLate - called for each job that starts too late; returns false to stop */
   #simulate(onLate: (row: SimulationRow, lateByMs: number) => boolean): void {
     const { forecast } = this
--- a/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
@@ -1,7 +1,10 @@
 import type { Job } from '../jobs/Job'
 import { JobAdmission } from './JobAdmission'
-import type { AdmissionDecision, AdmissionInput, RefusedJob } from './JobAdmission'
+import type { AdmissionDecision, AdmissionInput } from './JobAdmission'
 import { AdmissionSimulation } from './AdmissionSimulation'
+import type { LateOutcomes } from './LateOutcomes'
+import { LateService } from './LateService'
+import type { LateCandidate, LateServiceDecision } from './LateService'
 import { SlotForecast } from './SlotForecast'
 
 /**
@@ -17,28 +20,48 @@
 const ARRIVAL_TOLERANCE = 0.4
 const FINAL_TOLERANCE = 0.2
 
+/** @public */
+export interface ForecastAdmissionOptions {
+  /**
+   * Outcomes of late service; with them, a job that can't be in time may be served late, in slots
+   * that others leave.
+   */
+  readonly lateOutcomes?: LateOutcomes
+}
+
 /**
  * Admission control for overload: forecasts which new jobs will get slots in time, so that other
  * jobs are refused on arrival rather than at their deadline. A new job is refused if it would start
- * too late itself, or would make a job late that was admitted before it.
+ * too late itself, or would make a job late that was admitted before it. With late service, it is
+ * refused only if it would also end too late to be useful in the slots that others leave.
  *
  * @public
  */
 export class ForecastAdmission extends JobAdmission {
   readonly #forecast = new SlotForecast()
+  readonly #lateService: LateService | undefined
+
+  constructor({ lateOutcomes }: ForecastAdmissionOptions = {}) {
+    super()
+    if (lateOutcomes !== undefined) this.#lateService = new LateService(lateOutcomes)
+  }
 
   override decide(now: number, input: AdmissionInput): AdmissionDecision {
     const { undecided, waitingTasks, slots } = input
-    const all = { admitted: undecided, refused: [] }
+    const all = { admitted: undecided, refused: [], late: [] }
     if (waitingTasks <= slots.countFree(waitingTasks)) return { ...all, slotsSimulated: 0 }
     const toleranceOf = (job: Job): number => toleranceMs(now, job)
     const simulation = new AdmissionSimulation(now, input, toleranceOf, this.#forecast)
-    if (undecided.length > 1 && simulation.findLate().size === 0) {
+    if (
+      undecided.length > 1 &&
+      !(input.isReview && simulation.lateRows.length > 0) &&
+      simulation.findLate().size === 0
+    ) {
       return { ...all, slotsSimulated: simulation.slotsAssigned }
     }
     const rows = simulation.undecidedRows()
     for (const row of rows) simulation.setExcluded(row, true)
-    const refused = refuseAdmitted(now, simulation)
+    const candidates = this.#findFallenBehind(now, simulation)
     const admitted: Job[] = []
     for (const row of rows) {
       simulation.setExcluded(row, false)
@@ -48,23 +71,42 @@
         continue
       }
       simulation.setExcluded(row, true)
-      refused.push({ job: simulation.jobAt(row), lateByMs })
+      candidates.push({ row, lateByMs })
     }
-    return { admitted, refused, slotsSimulated: simulation.slotsAssigned }
+    const decision = this.#decideLate(now, simulation, candidates, input)
+    return { admitted, ...decision, slotsSimulated: simulation.slotsAssigned }
   }
-}
 
-/** Refuses admitted jobs that would now start too late, while they can still be refused. */
-function refuseAdmitted(now: number, simulation: AdmissionSimulation): RefusedJob[] {
-  const refused: RefusedJob[] = []
-  for (const [row, lateByMs] of simulation.findLate()) {
-    simulation.markLateRegardless(row)
-    const job = simulation.jobAt(row)
-    if (!isRefusable(now, job)) continue
-    simulation.setExcluded(row, true)
-    refused.push({ job, lateByMs })
+  /** Excludes admitted jobs that would now start too late, while they can still be refused. */
+  #findFallenBehind(now: number, simulation: AdmissionSimulation): LateCandidate[] {
+    const fallenBehind: LateCandidate[] = []
+    for (const [row, lateByMs] of simulation.findLate()) {
+      simulation.markLateRegardless(row)
+      const job = simulation.jobAt(row)
+      const isOver =
+        this.#lateService !== undefined && !job.hasStarted && simulation.isPastLatestStart(row)
+      if (!isOver && !isRefusable(now, job)) continue
+      simulation.setExcluded(row, true)
+      fallenBehind.push({ row, lateByMs })
+    }
+    return fallenBehind
+  }
+
+  #decideLate(
+    now: number,
+    simulation: AdmissionSimulation,
+    candidates: readonly LateCandidate[],
+    { slots, isReview }: AdmissionInput,
+  ): LateServiceDecision {
+    if (this.#lateService !== undefined) {
+      return this.#lateService.decide(now, simulation, candidates, { slots: slots.size, isReview })
+    }
+    const refused = candidates.map(({ row, lateByMs }) => ({
+      job: simulation.jobAt(row),
+      lateByMs,
+    }))
+    return { late: [], refused }
   }
-  return refused
 }
 
 /** By how many milliseconds a job's forecast start may be too late without a refusal. */
--- a/packages/dispatch/src/lib/scheduling/JobAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/JobAdmission.ts
@@ -10,6 +10,8 @@
 export interface AdmissionDecision {
   readonly admitted: readonly Job[]
   readonly refused: readonly RefusedJob[]
+  /** Jobs that only get slots that no job can use in time, from now on. */
+  readonly late: readonly Job[]
   /** Slots assigned in the simulation, as a measure of the cost of the decision. */
   readonly slotsSimulated: number
 }
@@ -23,6 +25,8 @@
   /** Number of waiting tasks of all waiting jobs. */
   readonly waitingTasks: number
   readonly slots: SlotSupply
+  /** Whether jobs with a decision are examined again. */
+  readonly isReview: boolean
 }
 
 /** The slots of a service; a slot has room for one task of average needs. @public */
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -27,6 +27,15 @@
   readonly refuse: (now: number, refused: RefusedJob) => void
 }
 
+/** The jobs and endpoints of one service in a scheduling round. */
+interface AdmissionRound {
+  readonly queue: JobQueue
+  readonly ranked: readonly Job[]
+  readonly endpoints: ServiceEndpoints
+  /** Whether admitted jobs are examined again. */
+  readonly isReview: boolean
+}
+
 /** Resource needs of the smallest task that fitted on no endpoint in this round. */
 interface SmallestUnplaced {
   needs: EndpointCapacity | undefined
@@ -78,14 +87,23 @@
     if (isReviewDue) this.#reviewDueAt = now + REVIEW_INTERVAL_MS
     this.core.counters.rounds++
     for (const [service, queue] of this.#waiting.entries()) {
-      const ranked = mayResume ? queue.ranked : this.#startable(queue)
+      const ranked = this.#candidates(queue, mayResume)
       if (ranked.length === 0) continue
       const endpoints = this.#endpoints.forService(service)
-      if (isReviewDue || queue.undecided.size > 0) this.#admit(now, queue, ranked, endpoints)
-      this.#placeAll(now, queue, ranked, endpoints)
+      const isAdmissionDue = isReviewDue || queue.undecided.size > 0
+      const hasChanged =
+        isAdmissionDue && this.#admit(now, { queue, ranked, endpoints, isReview: isReviewDue })
+      if (hasChanged) this.#waiting.refresh(now)
+      const next = hasChanged ? this.#candidates(queue, mayResume) : ranked
+      this.#placeAll(now, queue, next, endpoints)
     }
   }
 
+  /** The jobs of a queue that may be placed, by rank. */
+  #candidates(queue: JobQueue, mayResume: boolean): readonly Job[] {
+    return mayResume ? queue.ranked : this.#startable(queue)
+  }
+
   /**
    * Jobs that may be placed before all runs of earlier leaders are known: no earlier leader had
    * them, so they can't be running anywhere.
@@ -111,15 +129,23 @@
     }
   }
 
-  /** Applies the admission policy to the queue: marks jobs as admitted, and refuses others. */
-  #admit(now: number, queue: JobQueue, ranked: readonly Job[], endpoints: ServiceEndpoints): void {
+  /**
+   * Applies the admission policy to the queue: marks jobs as admitted or late, and refuses others.
+   *
+   * @returns whether ranks have changed
+   */
+  #admit(now: number, { queue, ranked, endpoints, isReview }: AdmissionRound): boolean {
     const slots = new ServiceSlots(now, endpoints, queue.meanNeeds)
     const undecided = [...queue.undecided]
-    const input = { ranked, undecided, waitingTasks: queue.waitingTasks, slots }
-    const { admitted, refused, slotsSimulated } = this.dependencies.admission.decide(now, input)
+    const input = { ranked, undecided, waitingTasks: queue.waitingTasks, slots, isReview }
+    const { admitted, late, refused, slotsSimulated } = this.dependencies.admission.decide(
+      now,
+      input,
+    )
     queue.clearUndecided()
     this.core.counters.places_forecast += slotsSimulated
     for (const job of admitted) job.isAdmitted = true
+    for (const job of late) this.#serveLate(now, job)
     for (const one of refused) {
       this.core.log('job refused: it would not get a slot in time', {
         job: one.job.id,
@@ -131,6 +157,15 @@
       })
       this.dependencies.refuse(now, one)
     }
+    return late.length > 0
+  }
+
+  /** Leaves a job to slots that no job can use in time. */
+  #serveLate(now: number, job: Job): void {
+    if (job.isAdmitted) this.core.counters.late_fallen_behind++
+    else this.core.counters.late_admitted++
+    job.isAdmitted = true
+    job.serveLate(now)
   }
 
   /**
--- a/packages/dispatch/src/lib/scheduling/UnconditionalAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/UnconditionalAdmission.ts
@@ -8,6 +8,6 @@
  */
 export class UnconditionalAdmission extends JobAdmission {
   override decide(_now: number, { undecided }: AdmissionInput): AdmissionDecision {
-    return { admitted: undecided, refused: [], slotsSimulated: 0 }
+    return { admitted: undecided, refused: [], late: [], slotsSimulated: 0 }
   }
 }
--- a/packages/dispatch/src/lib/scheduling/WaitingJobs.ts
+++ b/packages/dispatch/src/lib/scheduling/WaitingJobs.ts
@@ -2,8 +2,13 @@
 import type { Job } from '../jobs/Job'
 import type { JobRegistry } from '../jobs/JobRegistry'
 import { JobQueue } from './JobQueue'
+import type { QueuePosition } from './JobQueue'
 import type { QueuePolicy } from './QueuePolicy'
 
+/** Bases of the ranks of late jobs, in milliseconds; above all ranks of the queue policies. */
+const LATE_IN_PROGRESS_RANK_BASE = 2e15
+const LATE_SERVICE_RANK_BASE = 3e15
+
 /** The jobs with waiting tasks, in one queue per service. @internal */
 export class WaitingJobs {
   readonly #queues = new Map<string, JobQueue>()
@@ -42,9 +47,18 @@
     const arrival = this.#arrivals.get(job) ?? ++this.#lastArrival
     this.#arrivals.set(job, arrival)
     this.core.counters.jobs_ranked++
-    const rank = this.queuePolicy.rank(now, job)
-    const rankValidUntil = this.queuePolicy.rankValidUntil(now, job)
-    queue.set(job, { rank, arrival, rankValidUntil })
+    queue.set(job, { ...this.#rank(now, job), arrival })
+  }
+
+  /** Late jobs go last whatever the policy, in the order in which they became late. */
+  #rank(now: number, job: Job): Omit<QueuePosition, 'arrival'> {
+    const { lateSince, isInProgress } = job
+    if (lateSince === undefined) {
+      const rank = this.queuePolicy.rank(now, job)
+      return { rank, rankValidUntil: this.queuePolicy.rankValidUntil(now, job) }
+    }
+    const rank = (isInProgress ? LATE_IN_PROGRESS_RANK_BASE : LATE_SERVICE_RANK_BASE) + lateSince
+    return { rank, rankValidUntil: Infinity }
   }
 
   #queueOf(service: string): JobQueue {
--- a/packages/dispatch/src/lib/scheduling/findUnservableJobs.ts
+++ b/packages/dispatch/src/lib/scheduling/findUnservableJobs.ts
@@ -1,5 +1,6 @@
 import { JobVerdict } from '@cherryhitch/protocol'
 import type { Job } from '../jobs/Job'
+import { lastUsefulAt } from './lastUsefulAt'
 import { latestStart } from './latestStart'
 
 /** A job that can no longer be served, and the answer for its caller. @internal */
@@ -10,10 +11,6 @@
   readonly retryAfterMs: number
 }
 
-/** Answers are of no use to callers after this many times the objective. */
-const MAX_USEFUL_OBJECTIVES = 3
-/** Transit time of an answer from the leader to the caller, in milliseconds. */
-const ANSWER_TRANSIT_MS = 15
 /**
  * Time after which a refused caller may retry, in milliseconds: the backlog of a burst is gone
  * then.
@@ -23,20 +20,22 @@
 /**
  * Finds the jobs to give up now.
  *
- * A job that never started is refused as soon as its answer would come too late to be useful. It is
- * also refused once it can't meet its objective while other jobs of the service still can, since it
- * would only get slots after them.
+ * A job that never started is refused as soon as its answer would come too late to be useful. Without
+ * late service it is also refused once it can't meet its objective while other jobs of the service
+ * still can, since it would only get slots after them; with late service, admission decides that by
+ * its forecast.
  *
  * A job that started goes on until its caller's deadline, since a late answer is delivered as well.
  * With tasks still waiting it ends as soon as the whole job would end too late to be useful.
  *
  * @internal
  */
-export function findUnservableJobs(now: number, jobs: Iterable<Job>): readonly UnservableJob[] {
-  const contendedServices = new Set<string>()
-  for (const job of jobs) {
-    if (!job.hasStarted && !isPastLatestStart(now, job)) contendedServices.add(job.route.service)
-  }
+export function findUnservableJobs(
+  now: number,
+  jobs: Iterable<Job>,
+  hasLateService = false,
+): readonly UnservableJob[] {
+  const contendedServices = hasLateService ? new Set<string>() : findContended(now, jobs)
   const unservable: UnservableJob[] = []
   for (const job of jobs) {
     const one = assess(now, job, contendedServices)
@@ -45,6 +44,15 @@
   return unservable
 }
 
+/** Services with jobs that can still meet their objective and wait for their first slot. */
+function findContended(now: number, jobs: Iterable<Job>): ReadonlySet<string> {
+  const services = new Set<string>()
+  for (const job of jobs) {
+    if (!job.hasStarted && !isPastLatestStart(now, job)) services.add(job.route.service)
+  }
+  return services
+}
+
 function assess(
   now: number,
   job: Job,
@@ -79,9 +87,3 @@
 function isTooLateToBeUseful(now: number, job: Job): boolean {
   return now + job.remainingMs() > lastUsefulAt(job)
 }
-
-/** The last instant at which a job may end for its answer to reach the caller in useful time. */
-function lastUsefulAt({ arrivedAt, objectiveAt, deadlineAt }: Job): number {
-  const latest = arrivedAt + MAX_USEFUL_OBJECTIVES * (objectiveAt - arrivedAt)
-  return Math.min(deadlineAt, latest) - ANSWER_TRANSIT_MS
-}
