Divide a service's slots by priority when its queues compete

Cause: a queue's priority was read by nothing. A burst of one queue took slots on equal terms, and since runs are not preempted, the other queues' short jobs found all slots taken by long ones.

Change: where routes of one service differ in priority and their mean demand of the last second exceeds 0.9 of its capacity, waiting jobs are ordered by weighted max-min shares (each priority half the weight of the one before): in progress, within the share of their queue by slack, beyond it by priority, late. A job beyond the share starts only if free CPU is left for more urgent queues, 0.3 of their mean demand. A new job within its queue's share isn't refused for those beyond theirs; one beyond it is refused if the share has no room before its latest start. Use by queue is derived from the open jobs, so that a next leader has it back with them.

--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -42,6 +42,8 @@
   jobs_failed: number
   jobs_refused: number
   refused_at_door: number
+  /** Those of them that were beyond the share of their queue. */
+  refused_by_share: number
   /** New jobs admitted for late service, admitted ones that fell behind, and late ones given up. */
   late_admitted: number
   late_fallen_behind: number
@@ -103,6 +105,7 @@
     jobs_failed: 0,
     jobs_refused: 0,
     refused_at_door: 0,
+    refused_by_share: 0,
     late_admitted: 0,
     late_fallen_behind: 0,
     late_given_up: 0,
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -20,6 +20,7 @@
 import type { JobAdmission } from './scheduling/JobAdmission'
 import { FifoPolicy, LeastSlackPolicy } from './scheduling/QueuePolicy'
 import type { QueuePolicy } from './scheduling/QueuePolicy'
+import { NoShares, PriorityShares } from './scheduling/QueueShares'
 import { UnconditionalAdmission } from './scheduling/UnconditionalAdmission'
 import { Scheduler } from './scheduling/Scheduler'
 
@@ -66,6 +67,9 @@
       runs,
       queuePolicy,
       admission,
+      shares: this.#core.isEnabled(Mechanism.PriorityShares)
+        ? new PriorityShares()
+        : new NoShares(),
       unlisted: this.#lifecycle.unlisted,
       refuse: (now, refused) => {
         this.#lifecycle.refuseByAdmission(now, refused)
--- a/packages/dispatch/src/lib/jobs/Job.ts
+++ b/packages/dispatch/src/lib/jobs/Job.ts
@@ -107,6 +107,8 @@
   readonly #unfinishedByStep: number[]
   #unfinished: number
   #placed = 0
+  #placedCpuMillis = 0
+  #waitingCpuMillis: number | undefined
   #waiting: readonly Task[] | undefined
   #remainingMs: number | undefined
   readonly #stepMs: number[]
@@ -157,6 +159,17 @@
     return this.#placed > 0 || this.#unfinished < this.tasks.length
   }
 
+  /** CPU that its placed tasks need, in thousandths of a core. */
+  get placedCpuMillis(): number {
+    return this.#placedCpuMillis
+  }
+
+  /** CPU that its waiting tasks need, in thousandths of a core. */
+  get waitingCpuMillis(): number {
+    this.#waitingCpuMillis ??= this.waiting.reduce((sum, task) => sum + this.#cpuMillisOf(task), 0)
+    return this.#waitingCpuMillis
+  }
+
   get isDone(): boolean {
     return this.#unfinished === 0
   }
@@ -177,12 +190,15 @@
     const before = task.state
     if (before === state) return
     ;(task as MutableTask).state = state
-    this.#placed += countIf(state === TaskState.Placed) - countIf(before === TaskState.Placed)
+    const placed = countIf(state === TaskState.Placed) - countIf(before === TaskState.Placed)
+    this.#placed += placed
+    if (placed !== 0) this.#placedCpuMillis += placed * this.#cpuMillisOf(task)
     const change = countIf(before === TaskState.Done) - countIf(state === TaskState.Done)
     this.#unfinished += change
     this.#unfinishedByStep[task.step] = (this.#unfinishedByStep[task.step] ?? 0) + change
     if (change !== 0) this.#remainingMs = undefined
     this.#waiting = undefined
+    this.#waitingCpuMillis = undefined
     this.#onTaskStateChange(this)
   }
 
@@ -243,6 +259,10 @@
     return this.#unfinishedByStep[step] === 0
   }
 
+  #cpuMillisOf(task: Task): number {
+    return this.step(task).needs?.cpuMillis ?? 0
+  }
+
   #ms(step: number): number {
     return this.#stepMs[step] ?? 0
   }
--- a/packages/dispatch/src/lib/jobs/JobLifecycle.ts
+++ b/packages/dispatch/src/lib/jobs/JobLifecycle.ts
@@ -158,9 +158,12 @@
   }
 
   /** Refuses a job that would get its slots too late, so that its caller need not wait. */
-  refuseByAdmission(now: number, { job, lateByMs }: RefusedJob): void {
+  refuseByAdmission(now: number, { job, lateByMs, isBeyondShare }: RefusedJob): void {
     this.core.counters.refused_at_door++
-    const reason = 'no place becomes free in time'
+    if (isBeyondShare) this.core.counters.refused_by_share++
+    const reason = isBeyondShare
+      ? 'no place becomes free in time, and its queue uses its share'
+      : 'no place becomes free in time'
     this.end(now, job, JobVerdict.REFUSED, reason, retryAfter(job.id, lateByMs))
   }
 
--- a/packages/dispatch/src/lib/jobs/JobRegistry.ts
+++ b/packages/dispatch/src/lib/jobs/JobRegistry.ts
@@ -157,7 +157,7 @@
     for (const job of this.#jobs.values()) {
       for (const waiter of job.waiters) this.core.answer(waiter, verdict, { reason })
     }
-    for (const job of this.#waiting) this.#changed.add(job)
+    for (const job of this.#open) this.#changed.add(job)
     this.#jobs.clear()
     this.#open.clear()
     this.#waiting.clear()
--- a/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
+++ b/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
@@ -17,6 +17,9 @@
   /** Slots assigned in all simulations so far. */
   slotsAssigned = 0
   readonly #ranked: readonly Job[]
+  /** Slots that each job leaves free. */
+  readonly #headroomSlots: Int32Array
+  #headroomTaken = 0
   readonly #freeByMs: Int32Array
   /** Estimated run times of all waiting tasks in milliseconds, grouped by job. */
   readonly #runMs: Float64Array
@@ -32,6 +35,10 @@
   readonly #isExcluded: Uint8Array
   /** Jobs that are late whether or not the new jobs are admitted. */
   readonly #isLateRegardless: Uint8Array
+  /** Milliseconds until the share of its queue has room for a new job beyond it. */
+  readonly #shareWaitMs: Float64Array
+  /** Jobs beyond the share of their queue. */
+  readonly #isBeyondShare: Uint8Array
   /** Late jobs in the order in which they get slots. */
   readonly #lateRows: SimulationRow[] = []
   readonly #rowOfUndecided = new Map<Job, SimulationRow>()
@@ -39,7 +46,7 @@
   /** @param toleranceMs - by how many milliseconds a job may miss its latest start */
   constructor(
     now: number,
-    { ranked, waitingTasks, slots }: AdmissionInput,
+    { ranked, waitingTasks, slots, beyondShare, headroomSlots }: AdmissionInput,
     toleranceMs: (job: Job) => number,
     private readonly forecast: SlotForecast,
   ) {
@@ -51,10 +58,18 @@
     this.#startLimitMs = new Float64Array(ranked.length)
     this.#isExcluded = new Uint8Array(ranked.length)
     this.#isLateRegardless = new Uint8Array(ranked.length)
-    this.#fillColumns(now, toleranceMs)
+    this.#shareWaitMs = new Float64Array(ranked.length)
+    this.#isBeyondShare = new Uint8Array(ranked.length)
+    this.#headroomSlots = new Int32Array(ranked.length)
+    this.#fillColumns(now, toleranceMs, beyondShare, headroomSlots)
   }
 
-  #fillColumns(now: number, toleranceMs: (job: Job) => number): void {
+  #fillColumns(
+    now: number,
+    toleranceMs: (job: Job) => number,
+    beyondShare: ReadonlyMap<Job, number>,
+    headroomSlots: (job: Job) => number,
+  ): void {
     let task = 0
     let row = 0
     for (const job of this.#ranked) {
@@ -65,6 +80,10 @@
       this.#startLimitMs[row] = latestStartMs + toleranceMs(job)
       if (!job.isAdmitted) this.#rowOfUndecided.set(job, row)
       if (job.lateSince !== undefined) this.#addLate(row)
+      const shareWaitMs = beyondShare.get(job)
+      if (shareWaitMs !== undefined) this.#setBeyondShare(row, job, shareWaitMs)
+      const hasHeadroom = shareWaitMs !== undefined || job.lateSince !== undefined
+      if (hasHeadroom) this.#headroomSlots[row] = headroomSlots(job)
       row++
       this.#firstTask[row] = task
     }
@@ -75,6 +94,19 @@
     this.#isExcluded[row] = 1
   }
 
+  /** A new job beyond the share of its queue has no tolerance: its wait is that of the share. */
+  #setBeyondShare(row: SimulationRow, { isAdmitted }: Job, shareWaitMs: number): void {
+    this.#isBeyondShare[row] = 1
+    if (isAdmitted) return
+    this.#shareWaitMs[row] = shareWaitMs
+    this.#startLimitMs[row] = this.#latestStartMs[row] ?? 0
+  }
+
+  /** Whether a job is beyond the share of its queue. */
+  isBeyondShare(row: SimulationRow): boolean {
+    return this.#isBeyondShare[row] === 1
+  }
+
   /** Late jobs in the order in which they get slots; they are excluded from other simulations. */
   get lateRows(): readonly SimulationRow[] {
     return this.#lateRows
@@ -119,12 +151,14 @@
 
   /**
    * Lateness in milliseconds of the first job that a new job makes late, which may be the new job
-   * itself; undefined when it makes none late.
+   * itself; undefined when it makes none late. A job within the share of its queue may make jobs
+   * late that are beyond theirs.
    */
   latenessCausedBy(newJob: SimulationRow): number | undefined {
     let caused: number | undefined
     this.#simulate((row, lateByMs) => {
       if (row !== newJob && this.#isLateRegardless[row] === 1) return true
+      if (this.#isBeyondShare[row] === 1 && this.#isBeyondShare[newJob] === 0) return true
       caused = lateByMs
       return false
     })
@@ -147,17 +181,24 @@
   #simulate(onLate: (row: SimulationRow, lateByMs: number) => boolean): void {
     const { forecast } = this
     forecast.reset(this.#freeByMs)
+    this.#headroomTaken = 0
     for (let row = 0; row < this.#ranked.length; row++) {
       if (this.#isExcluded[row] === 1) continue
-      const waitMs = this.#assignSlots(row)
+      const waitMs = Math.max(this.#assignSlots(row), this.#shareWaitMs[row] ?? 0)
       // A job that can start at once gains nothing by a refusal, even if it is late already.
       if (waitMs === 0 || waitMs <= (this.#startLimitMs[row] ?? 0)) continue
       if (!onLate(row, waitMs - (this.#latestStartMs[row] ?? 0))) return
     }
   }
 
+  /** Takes the slots that a job leaves free; jobs with more headroom follow. */
+  #takeHeadroom(slots: number): void {
+    for (; this.#headroomTaken < slots; this.#headroomTaken++) this.forecast.take(Infinity)
+  }
+
   /** @returns milliseconds until the last task of the job starts */
   #assignSlots(row: SimulationRow): number {
+    this.#takeHeadroom(this.#headroomSlots[row] ?? 0)
     const end = this.#firstTask[row + 1] ?? 0
     let task = this.#firstTask[row] ?? 0
     this.slotsAssigned += end - task
--- a/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
@@ -3,7 +3,7 @@
 import type { AdmissionDecision, AdmissionInput } from './JobAdmission'
 import { AdmissionSimulation } from './AdmissionSimulation'
 import type { LateOutcomes } from './LateOutcomes'
-import { LateService } from './LateService'
+import { LateService, refuseCandidate } from './LateService'
 import type { LateCandidate, LateServiceDecision } from './LateService'
 import { SlotForecast } from './SlotForecast'
 
@@ -101,10 +101,7 @@
     if (this.#lateService !== undefined) {
       return this.#lateService.decide(now, simulation, candidates, { slots: slots.size, isReview })
     }
-    const refused = candidates.map(({ row, lateByMs }) => ({
-      job: simulation.jobAt(row),
-      lateByMs,
-    }))
+    const refused = candidates.map((one) => refuseCandidate(simulation, one))
     return { late: [], refused }
   }
 }
--- a/packages/dispatch/src/lib/scheduling/JobAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/JobAdmission.ts
@@ -4,6 +4,8 @@
 export interface RefusedJob {
   readonly job: Job
   readonly lateByMs: number
+  /** Whether its queue uses more than its share, so that other queues' jobs go first. */
+  readonly isBeyondShare: boolean
 }
 
 /** The outcome of an admission decision. @public */
@@ -25,6 +27,13 @@
   /** Number of waiting tasks of all waiting jobs. */
   readonly waitingTasks: number
   readonly slots: SlotSupply
+  /**
+   * Jobs beyond the share of their queue, with the milliseconds until that share has room for them.
+   * They go after others, which may make them late.
+   */
+  readonly beyondShare: ReadonlyMap<Job, number>
+  /** Slots that jobs beyond the share of their queue, and late jobs, leave free for others. */
+  readonly headroomSlots: (job: Job) => number
   /** Whether jobs with a decision are examined again. */
   readonly isReview: boolean
 }
--- a/packages/dispatch/src/lib/scheduling/JobQueue.ts
+++ b/packages/dispatch/src/lib/scheduling/JobQueue.ts
@@ -1,5 +1,6 @@
 import type { FreeCapacity } from '../endpoints/EndpointRecord'
 import type { Job } from '../jobs/Job'
+import { QueueUsage } from './QueueUsage'
 
 /** Position of a job in a queue. @internal */
 export interface QueuePosition {
@@ -28,6 +29,8 @@
  * @internal
  */
 export class JobQueue {
+  /** What the open jobs of the service use and wait for, by queue. */
+  readonly usage = new QueueUsage()
   readonly #queue: QueuedJob[] = []
   readonly #byJob = new Map<Job, QueuedJob>()
   readonly #undecided = new Set<Job>()
--- a/packages/dispatch/src/lib/scheduling/LateService.ts
+++ b/packages/dispatch/src/lib/scheduling/LateService.ts
@@ -54,7 +54,7 @@
     const possible = new Set(isOpen ? candidates.filter((one) => isUseful(now, jobOf(one), 0)) : [])
     const refused = candidates
       .filter((one) => !possible.has(one))
-      .map((one) => refuse(simulation, one))
+      .map((one) => refuseCandidate(simulation, one))
     const { lateRows } = simulation
     if (possible.size === 0 && (!isReview || lateRows.length === 0)) return { late: [], refused }
     const waits = simulation.waitsOfLate([...possible].map(({ row }) => row))
@@ -69,7 +69,7 @@
         late.push(job)
         room -= job.waiting.length
       } else {
-        refused.push(refuse(simulation, one))
+        refused.push(refuseCandidate(simulation, one))
       }
     }
     const hopeless = isReview ? findHopeless(now, simulation, waitOf) : undefined
@@ -78,8 +78,12 @@
   }
 }
 
-function refuse(simulation: AdmissionSimulation, { row, lateByMs }: LateCandidate): RefusedJob {
-  return { job: simulation.jobAt(row), lateByMs }
+/** @internal */
+export function refuseCandidate(
+  simulation: AdmissionSimulation,
+  { row, lateByMs }: LateCandidate,
+): RefusedJob {
+  return { job: simulation.jobAt(row), lateByMs, isBeyondShare: simulation.isBeyondShare(row) }
 }
 
 /** Whether a job would end in useful time, with a margin. */
@@ -100,7 +104,7 @@
   for (const row of simulation.lateRows) {
     const job = simulation.jobAt(row)
     const lateByMs = now + waitOf(row) + job.remainingMs() - lastUsefulAt(job)
-    if (!job.hasStarted && lateByMs > 0) return { job, lateByMs }
+    if (!job.hasStarted && lateByMs > 0) return refuseCandidate(simulation, { row, lateByMs })
   }
   return undefined
 }
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -12,6 +12,9 @@
 import type { QueuePolicy } from './QueuePolicy'
 import { areAllRunsKnown } from './areAllRunsKnown'
 import type { JobQueue } from './JobQueue'
+import { PrioritizedServices } from './PrioritizedServices'
+import { NoShares } from './QueueShares'
+import type { OrderedJobs, QueueShares } from './QueueShares'
 import type { ServiceEndpoints } from './ServiceEndpoints'
 import { ServiceSlots } from './ServiceSlots'
 import { WaitingJobs } from './WaitingJobs'
@@ -22,6 +25,8 @@
   readonly runs: RunTracker
   readonly queuePolicy: QueuePolicy
   readonly admission: JobAdmission
+  /** Divides the slots of services whose queues have different priorities. */
+  readonly shares: QueueShares
   readonly unlisted: UnlistedTaskDetector
   /** Ends a refused job and reports it as not run. */
   readonly refuse: (now: number, refused: RefusedJob) => void
@@ -30,7 +35,7 @@
 /** The jobs and endpoints of one service in a scheduling round. */
 interface AdmissionRound {
   readonly queue: JobQueue
-  readonly ranked: readonly Job[]
+  readonly ordered: OrderedJobs
   readonly endpoints: ServiceEndpoints
   /** Whether admitted jobs are examined again. */
   readonly isReview: boolean
@@ -48,10 +53,13 @@
  */
 const REVIEW_INTERVAL_MS = 10
 
+const NO_SHARES = new NoShares()
+
 /** Places waiting tasks on endpoints, in the order of the job queue. @internal */
 export class Scheduler {
   readonly #endpoints: EndpointIndex
   readonly #waiting: WaitingJobs
+  readonly #prioritized = new PrioritizedServices()
   #isDue = false
   #reviewDueAt = -Infinity
 
@@ -87,18 +95,38 @@
     if (isReviewDue) this.#reviewDueAt = now + REVIEW_INTERVAL_MS
     this.core.counters.rounds++
     for (const [service, queue] of this.#waiting.entries()) {
-      const ranked = this.#candidates(queue, mayResume)
-      if (ranked.length === 0) continue
+      const candidates = this.#candidates(queue, mayResume)
+      if (candidates.length === 0) continue
       const endpoints = this.#endpoints.forService(service)
+      const ordered = this.#order(now, service, queue, candidates, endpoints)
       const isAdmissionDue = isReviewDue || queue.undecided.size > 0
-      const hasChanged =
-        isAdmissionDue && this.#admit(now, { queue, ranked, endpoints, isReview: isReviewDue })
+      const round = { queue, ordered, endpoints, isReview: isReviewDue }
+      const hasChanged = isAdmissionDue && this.#admit(now, round)
       if (hasChanged) this.#waiting.refresh(now)
-      const next = hasChanged ? this.#candidates(queue, mayResume) : ranked
+      const next = hasChanged
+        ? this.#order(now, service, queue, this.#candidates(queue, mayResume), endpoints)
+        : ordered
       this.#placeAll(now, queue, next, endpoints)
     }
   }
 
+  /** Orders jobs by the shares of their queues, where these have different priorities. */
+  #order(
+    now: number,
+    service: string,
+    queue: JobQueue,
+    ranked: readonly Job[],
+    endpoints: ServiceEndpoints,
+  ): OrderedJobs {
+    if (!this.#prioritized.has(this.core.table, service)) return NO_SHARES.order({ ranked })
+    const freeCpuMillis = freeCpuMillisOf(queue, endpoints)
+    return this.dependencies.shares.order({
+      ranked,
+      queues: queue.usage.queues(now),
+      freeCpuMillis,
+    })
+  }
+
   /** The jobs of a queue that may be placed, by rank. */
   #candidates(queue: JobQueue, mayResume: boolean): readonly Job[] {
     return mayResume ? queue.ranked : this.#startable(queue)
@@ -114,18 +142,22 @@
   }
 
   /** Stops as soon as no endpoint has free CPU for the smallest waiting task. */
-  #placeAll(
-    now: number,
-    queue: JobQueue,
-    ranked: readonly Job[],
-    endpoints: ServiceEndpoints,
-  ): void {
+  #placeAll(now: number, queue: JobQueue, ordered: OrderedJobs, endpoints: ServiceEndpoints): void {
     const { available } = endpoints
     const { minCpuMillis } = queue
     const smallestUnplaced: SmallestUnplaced = { needs: undefined }
-    for (const job of ranked) {
+    // Jobs with headroom come last, so that their free CPU has to be computed only once.
+    let freeCpuMillis: number | undefined
+    for (const job of ordered.ranked) {
       if (available.size === 0 || available.maxFreeCpuMillis < minCpuMillis) return
-      if (!job.isClosed) this.#place(now, job, endpoints, smallestUnplaced)
+      if (job.isClosed) continue
+      const headroomCpuMillis = headroomOf(job, ordered)
+      if (headroomCpuMillis > 0) {
+        freeCpuMillis ??= freeCpuMillisOf(queue, endpoints)
+        if (freeCpuMillis - job.waitingCpuMillis < headroomCpuMillis) continue
+        freeCpuMillis -= job.waitingCpuMillis
+      }
+      this.#place(now, job, endpoints, smallestUnplaced)
     }
   }
 
@@ -134,10 +166,16 @@
    *
    * @returns whether ranks have changed
    */
-  #admit(now: number, { queue, ranked, endpoints, isReview }: AdmissionRound): boolean {
+  #admit(now: number, { queue, ordered, endpoints, isReview }: AdmissionRound): boolean {
     const slots = new ServiceSlots(now, endpoints, queue.meanNeeds)
     const undecided = [...queue.undecided]
-    const input = { ranked, undecided, waitingTasks: queue.waitingTasks, slots, isReview }
+    const { ranked, beyondShare, shares } = ordered
+    const slotCpuMillis = Math.max(1, queue.meanNeeds.cpuMillis)
+    const headroomSlots = (job: Job): number => {
+      return Math.round((shares.get(job.route.name)?.headroomCpuMillis ?? 0) / slotCpuMillis)
+    }
+    const { waitingTasks } = queue
+    const input = { ranked, undecided, waitingTasks, slots, beyondShare, headroomSlots, isReview }
     const { admitted, late, refused, slotsSimulated } = this.dependencies.admission.decide(
       now,
       input,
@@ -145,7 +183,7 @@
     queue.clearUndecided()
     this.core.counters.places_forecast += slotsSimulated
     for (const job of admitted) job.isAdmitted = true
-    for (const job of late) this.#serveLate(now, job)
+    for (const job of late) this.#serveLate(now, job, ordered)
     for (const one of refused) {
       this.core.log('job refused: it would not get a slot in time', {
         job: one.job.id,
@@ -154,6 +192,8 @@
         waitingJobs: ranked.length,
         places: slots.size,
         freePlaces: slots.countFree(Infinity),
+        wasLate: one.job.lateSince !== undefined,
+        ...shareFields(one.job, ordered),
       })
       this.dependencies.refuse(now, one)
     }
@@ -161,9 +201,16 @@
   }
 
   /** Leaves a job to slots that no job can use in time. */
-  #serveLate(now: number, job: Job): void {
+  #serveLate(now: number, job: Job, ordered: OrderedJobs): void {
     if (job.isAdmitted) this.core.counters.late_fallen_behind++
     else this.core.counters.late_admitted++
+    this.core.log('job is served late: it would not get a slot in time', {
+      job: job.id,
+      waitedMs: Math.round(now - job.arrivedAt),
+      tasks: job.waiting.length,
+      wasAdmitted: job.isAdmitted,
+      ...shareFields(job, ordered),
+    })
     job.isAdmitted = true
     job.serveLate(now)
   }
@@ -223,6 +270,32 @@
   }
 }
 
+/** Free CPU of a service in which mean tasks of its queue fit, in thousandths of a core. */
+function freeCpuMillisOf({ meanNeeds }: JobQueue, { available }: ServiceEndpoints): number {
+  return available.countFreeSlots(meanNeeds, Infinity) * meanNeeds.cpuMillis
+}
+
+/** Free CPU that a job has to leave if it is beyond the share of its queue, or late. */
+function headroomOf(job: Job, { beyondShare, shares }: OrderedJobs): number {
+  if (!beyondShare.has(job) && job.lateSince === undefined) return 0
+  return shares.get(job.route.name)?.headroomCpuMillis ?? 0
+}
+
+/** Share and use of a job's queue, for the log; nothing without contention of queues. */
+function shareFields(
+  { route }: Job,
+  { shares }: OrderedJobs,
+): Readonly<Record<string, string | number>> {
+  const share = shares.get(route.name)
+  if (share === undefined) return { queue: route.name }
+  return {
+    queue: route.name,
+    priority: route.priority,
+    queueShareCpuMillis: Math.round(share.shareCpuMillis),
+    queueUsedCpuMillis: share.usedCpuMillis,
+  }
+}
+
 /** True when `needs` is at least as large as `other` in every resource. */
 function needsAtLeast(needs: EndpointCapacity, other: EndpointCapacity): boolean {
   if (needs.cpuMillis < other.cpuMillis || needs.memoryMb < other.memoryMb) return false
--- a/packages/dispatch/src/lib/scheduling/WaitingJobs.ts
+++ b/packages/dispatch/src/lib/scheduling/WaitingJobs.ts
@@ -39,6 +39,8 @@
 
   #refresh(now: number, job: Job): void {
     const queue = this.#queueOf(job.route.service)
+    if (this.jobs.open.has(job)) queue.usage.set(now, job)
+    else queue.usage.delete(now, job)
     if (!this.jobs.waiting.has(job)) {
       this.#arrivals.delete(job)
       queue.delete(job)
