--- a/packages/dispatch/src/lib/scheduling/QueueShares.ts
+++ b/packages/dispatch/src/lib/scheduling/QueueShares.ts
@@ -28,8 +28,8 @@
   readonly ranked: readonly Job[]
   /** Load of each queue, by the name of its route. */
   readonly queues: ReadonlyMap<string, QueueLoad>
-  /** Free CPU of the service, in thousandths of a core. */
-  readonly freeCpuMillis: number
+  /** CPU of the service, free or used, in thousandths of a core. */
+  readonly capacityCpuMillis: number
 }
 
 /** Divides the slots of a service among its queues. @internal */
@@ -64,8 +64,8 @@
 export class PriorityShares extends QueueShares {
   readonly #withoutContention = new NoShares()
 
-  override order({ ranked, queues, freeCpuMillis }: QueueDemand): OrderedJobs {
-    const shares = computeShares(queues, freeCpuMillis)
+  override order({ ranked, queues, capacityCpuMillis }: QueueDemand): OrderedJobs {
+    const shares = computeShares(queues, capacityCpuMillis)
     if (shares === undefined) return this.#withoutContention.order({ ranked })
     const claimed = new Map<string, number>()
     for (const [name, { usedCpuMillis }] of shares) claimed.set(name, usedCpuMillis)
@@ -103,14 +103,10 @@
 /** @returns undefined without contention */
 function computeShares(
   queues: ReadonlyMap<string, QueueLoad>,
-  freeCpuMillis: number,
+  capacity: number,
 ): ReadonlyMap<string, QueueShare> | undefined {
-  let capacity = freeCpuMillis
   let demand = 0
-  for (const { placedCpuMillis, meanCpuMillis } of queues.values()) {
-    capacity += placedCpuMillis
-    demand += meanCpuMillis
-  }
+  for (const { meanCpuMillis } of queues.values()) demand += meanCpuMillis
   if (demand <= CONTENDED_SHARE * capacity) return undefined
   const shares = new Map<string, QueueShare>()
   for (const [name, load] of queues) {
--- a/packages/dispatch/src/lib/scheduling/QueueUsage.ts
+++ b/packages/dispatch/src/lib/scheduling/QueueUsage.ts
@@ -32,6 +32,19 @@
 export class QueueUsage {
   readonly #byJob = new Map<Job, JobLoad>()
   readonly #byQueue = new Map<string, MutableLoad>()
+  #capacityCpuMillis: number | undefined
+
+  /** CPU of the service, free or used; undefined until it is known. */
+  get capacityCpuMillis(): number | undefined {
+    return this.#capacityCpuMillis
+  }
+
+  /** Updates the capacity from the free CPU and what the queues use now. */
+  setFreeCpuMillis(freeCpuMillis: number): void {
+    let capacity = freeCpuMillis
+    for (const { placedCpuMillis } of this.#byQueue.values()) capacity += placedCpuMillis
+    this.#capacityCpuMillis = capacity
+  }
 
   /** Adds an open job, or updates what it uses and waits for. */
   set(now: number, job: Job): void {
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -32,6 +32,13 @@
   readonly refuse: (now: number, refused: RefusedJob) => void
 }
 
+/** What holds for all services in a scheduling round. */
+interface RoundState {
+  /** Whether jobs that an earlier leader may have started can be placed. */
+  readonly mayResume: boolean
+  readonly isReviewDue: boolean
+}
+
 /** The jobs and endpoints of one service in a scheduling round. */
 interface AdmissionRound {
   readonly queue: JobQueue
@@ -95,36 +102,42 @@
     if (isReviewDue) this.#reviewDueAt = now + REVIEW_INTERVAL_MS
     this.core.counters.rounds++
     for (const [service, queue] of this.#waiting.entries()) {
-      const candidates = this.#candidates(queue, mayResume)
-      if (candidates.length === 0) continue
-      const endpoints = this.#endpoints.forService(service)
-      const ordered = this.#order(now, service, queue, candidates, endpoints)
-      const isAdmissionDue = isReviewDue || queue.undecided.size > 0
-      const round = { queue, ordered, endpoints, isReview: isReviewDue }
-      const hasChanged = isAdmissionDue && this.#admit(now, round)
-      if (hasChanged) this.#waiting.refresh(now)
-      const next = hasChanged
-        ? this.#order(now, service, queue, this.#candidates(queue, mayResume), endpoints)
-        : ordered
-      this.#placeAll(now, queue, next, endpoints)
+      this.#runService(now, service, queue, { mayResume, isReviewDue })
     }
   }
 
-  /** Orders jobs by the shares of their queues, where these have different priorities. */
-  #order(
+  #runService(
     now: number,
     service: string,
     queue: JobQueue,
-    ranked: readonly Job[],
-    endpoints: ServiceEndpoints,
-  ): OrderedJobs {
-    if (!this.#prioritized.has(this.core.table, service)) return NO_SHARES.order({ ranked })
-    const freeCpuMillis = freeCpuMillisOf(queue, endpoints)
-    return this.dependencies.shares.order({
-      ranked,
-      queues: queue.usage.queues(now),
-      freeCpuMillis,
-    })
+    { mayResume, isReviewDue }: RoundState,
+  ): void {
+    const candidates = this.#candidates(queue, mayResume)
+    if (candidates.length === 0) return
+    const endpoints = this.#endpoints.forService(service)
+    const isAdmissionDue = isReviewDue || queue.undecided.size > 0
+    if (!isAdmissionDue && !hasRoom(queue, endpoints)) return
+    const isPrioritized = this.#prioritized.has(this.core.table, service)
+    if (isPrioritized && isReviewDue) {
+      queue.usage.setFreeCpuMillis(freeCpuMillisOf(queue, endpoints))
+    }
+    const order = (jobs: readonly Job[]): OrderedJobs => {
+      return isPrioritized ? this.#order(now, queue, jobs) : NO_SHARES.order({ ranked: jobs })
+    }
+    const ordered = order(candidates)
+    const round = { queue, ordered, endpoints, isReview: isReviewDue }
+    const hasChanged = isAdmissionDue && this.#admit(now, round)
+    if (hasChanged) this.#waiting.refresh(now)
+    const next = hasChanged ? order(this.#candidates(queue, mayResume)) : ordered
+    this.#placeAll(now, queue, next, endpoints)
+  }
+
+  /** Orders jobs by the shares of their queues. */
+  #order(now: number, { usage }: JobQueue, ranked: readonly Job[]): OrderedJobs {
+    const { capacityCpuMillis } = usage
+    if (capacityCpuMillis === undefined) return NO_SHARES.order({ ranked })
+    const queues = usage.queues(now)
+    return this.dependencies.shares.order({ ranked, queues, capacityCpuMillis })
   }
 
   /** The jobs of a queue that may be placed, by rank. */
@@ -143,13 +156,11 @@
 
   /** Stops as soon as no endpoint has free CPU for the smallest waiting task. */
   #placeAll(now: number, queue: JobQueue, ordered: OrderedJobs, endpoints: ServiceEndpoints): void {
-    const { available } = endpoints
-    const { minCpuMillis } = queue
     const smallestUnplaced: SmallestUnplaced = { needs: undefined }
     // Jobs with headroom come last, so that their free CPU has to be computed only once.
     let freeCpuMillis: number | undefined
     for (const job of ordered.ranked) {
-      if (available.size === 0 || available.maxFreeCpuMillis < minCpuMillis) return
+      if (!hasRoom(queue, endpoints)) return
       if (job.isClosed) continue
       const headroomCpuMillis = headroomOf(job, ordered)
       if (headroomCpuMillis > 0) {
@@ -270,6 +281,11 @@
   }
 }
 
+/** Whether any endpoint has free CPU for the smallest waiting task. */
+function hasRoom({ minCpuMillis }: JobQueue, { available }: ServiceEndpoints): boolean {
+  return available.size > 0 && available.maxFreeCpuMillis >= minCpuMillis
+}
+
 /** Free CPU of a service in which mean tasks of its queue fit, in thousandths of a core. */
 function freeCpuMillisOf({ meanNeeds }: JobQueue, { available }: ServiceEndpoints): number {
   return available.countFreeSlots(meanNeeds, Infinity) * meanNeeds.cpuMillis
