--- a/packages/dispatch/src/lib/jobs/Job.ts
+++ b/packages/dispatch/src/lib/jobs/Job.ts
@@ -98,6 +98,7 @@
   readonly anomalies: RunAnomalies = { unansweredStarts: 0, lostRuns: 0, overruns: 0 }
   /** Admission control has passed the job; until then it may be refused. */
   isAdmitted: boolean
+  #lateSince: number | undefined
   /** The verdict was given: no task is started any more, and the job is removed once none runs. */
   isClosed = false
   endpointsUsed = new Set<string>()
@@ -106,6 +107,8 @@
   readonly #unfinishedByStep: number[]
   #unfinished: number
   #placed = 0
+  #placedCpuMillis = 0
+  #waitingCpuMillis: number | undefined
   #waiting: readonly Task[] | undefined
   #remainingMs: number | undefined
   readonly #stepMs: number[]
@@ -156,21 +159,46 @@
     return this.#placed > 0 || this.#unfinished < this.tasks.length
   }
 
+  /** CPU that its placed tasks need, in thousandths of a core. */
+  get placedCpuMillis(): number {
+    return this.#placedCpuMillis
+  }
+
+  /** CPU that its waiting tasks need, in thousandths of a core. */
+  get waitingCpuMillis(): number {
+    this.#waitingCpuMillis ??= this.waiting.reduce((sum, task) => sum + this.#cpuMillisOf(task), 0)
+    return this.#waitingCpuMillis
+  }
+
   get isDone(): boolean {
     return this.#unfinished === 0
   }
 
+  /** When the job was left to slots that no job can use in time; undefined for other jobs. */
+  get lateSince(): number | undefined {
+    return this.#lateSince
+  }
+
+  /** Leaves the job to slots that no job can use in time. */
+  serveLate(now: number): void {
+    this.#lateSince ??= now
+    this.#onTaskStateChange(this)
+  }
+
   /** Changes the state of a task and updates the counts of the job. */
   setTaskState(task: Task, state: TaskState): void {
     const before = task.state
     if (before === state) return
     ;(task as MutableTask).state = state
-    this.#placed += countIf(state === TaskState.Placed) - countIf(before === TaskState.Placed)
+    const placed = countIf(state === TaskState.Placed) - countIf(before === TaskState.Placed)
+    this.#placed += placed
+    if (placed !== 0) this.#placedCpuMillis += placed * this.#cpuMillisOf(task)
     const change = countIf(before === TaskState.Done) - countIf(state === TaskState.Done)
     this.#unfinished += change
     this.#unfinishedByStep[task.step] = (this.#unfinishedByStep[task.step] ?? 0) + change
     if (change !== 0) this.#remainingMs = undefined
     this.#waiting = undefined
+    this.#waitingCpuMillis = undefined
     this.#onTaskStateChange(this)
   }
 
@@ -231,6 +259,10 @@
     return this.#unfinishedByStep[step] === 0
   }
 
+  #cpuMillisOf(task: Task): number {
+    return this.step(task).needs?.cpuMillis ?? 0
+  }
+
   #ms(step: number): number {
     return this.#stepMs[step] ?? 0
   }
--- a/packages/dispatch/src/lib/jobs/JobLifecycle.ts
+++ b/packages/dispatch/src/lib/jobs/JobLifecycle.ts
@@ -158,9 +158,12 @@
   }
 
   /** Refuses a job that would get its slots too late, so that its caller need not wait. */
-  refuseByAdmission(now: number, { job, lateByMs }: RefusedJob): void {
+  refuseByAdmission(now: number, { job, lateByMs, isBeyondShare }: RefusedJob): void {
     this.core.counters.refused_at_door++
-    const reason = 'no place becomes free in time'
+    if (isBeyondShare) this.core.counters.refused_by_share++
+    const reason = isBeyondShare
+      ? 'no place becomes free in time, and its queue uses its share'
+      : 'no place becomes free in time'
     this.end(now, job, JobVerdict.REFUSED, reason, retryAfter(job.id, lateByMs))
   }
 
@@ -215,7 +218,9 @@
   }
 
   #endHopelessJobs(now: number): void {
-    for (const { job, verdict, reason, retryAfterMs } of findUnservableJobs(now, this.jobs.open)) {
+    const hasLateService = this.core.hasLateService
+    const unservable = findUnservableJobs(now, this.jobs.open, hasLateService)
+    for (const { job, verdict, reason, retryAfterMs } of unservable) {
       this.end(now, job, verdict, reason, retryAfterMs)
     }
     if (this.core.isEnabled(Mechanism.Overrun)) this.overruns.tick(now, this.jobs.open)
--- a/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
+++ b/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
@@ -17,6 +17,9 @@
   /** Slots assigned in all simulations so far. */
   slotsAssigned = 0
   readonly #ranked: readonly Job[]
+  /** Slots that each job leaves free. */
+  readonly #headroomSlots: Int32Array
+  #headroomTaken = 0
   readonly #freeByMs: Int32Array
   /** Estimated run times of all waiting tasks in milliseconds, grouped by job. */
   readonly #runMs: Float64Array
@@ -32,12 +35,18 @@
   readonly #isExcluded: Uint8Array
   /** Jobs that are late whether or not the new jobs are admitted. */
   readonly #isLateRegardless: Uint8Array
+  /** Milliseconds until the share of its queue has room for a new job beyond it. */
+  readonly #shareWaitMs: Float64Array
+  /** Jobs beyond the share of their queue. */
+  readonly #isBeyondShare: Uint8Array
+  /** Late jobs in the order in which they get slots. */
+  readonly #lateRows: SimulationRow[] = []
   readonly #rowOfUndecided = new Map<Job, SimulationRow>()
 
   /** @param toleranceMs - by how many milliseconds a job may miss its latest start */
   constructor(
     now: number,
-    { ranked, waitingTasks, slots }: AdmissionInput,
+    { ranked, waitingTasks, slots, beyondShare, headroomSlots }: AdmissionInput,
     toleranceMs: (job: Job) => number,
     private readonly forecast: SlotForecast,
   ) {
@@ -49,10 +58,18 @@
     this.#startLimitMs = new Float64Array(ranked.length)
     this.#isExcluded = new Uint8Array(ranked.length)
     this.#isLateRegardless = new Uint8Array(ranked.length)
-    this.#fillColumns(now, toleranceMs)
+    this.#shareWaitMs = new Float64Array(ranked.length)
+    this.#isBeyondShare = new Uint8Array(ranked.length)
+    this.#headroomSlots = new Int32Array(ranked.length)
+    this.#fillColumns(now, toleranceMs, beyondShare, headroomSlots)
   }
 
-  #fillColumns(now: number, toleranceMs: (job: Job) => number): void {
+  #fillColumns(
+    now: number,
+    toleranceMs: (job: Job) => number,
+    beyondShare: ReadonlyMap<Job, number>,
+    headroomSlots: (job: Job) => number,
+  ): void {
     let task = 0
     let row = 0
     for (const job of this.#ranked) {
@@ -62,11 +79,44 @@
       this.#latestStartMs[row] = latestStartMs
       this.#startLimitMs[row] = latestStartMs + toleranceMs(job)
       if (!job.isAdmitted) this.#rowOfUndecided.set(job, row)
+      if (job.lateSince !== undefined) this.#addLate(row)
+      const shareWaitMs = beyondShare.get(job)
+      if (shareWaitMs !== undefined) this.#setBeyondShare(row, job, shareWaitMs)
+      const hasHeadroom = shareWaitMs !== undefined || job.lateSince !== undefined
+      if (hasHeadroom) this.#headroomSlots[row] = headroomSlots(job)
       row++
       this.#firstTask[row] = task
     }
   }
 
+  #addLate(row: SimulationRow): void {
+    this.#lateRows.push(row)
+    this.#isExcluded[row] = 1
+  }
+
+  /** A new job beyond the share of its queue has no tolerance: its wait is that of the share. */
+  #setBeyondShare(row: SimulationRow, { isAdmitted }: Job, shareWaitMs: number): void {
+    this.#isBeyondShare[row] = 1
+    if (isAdmitted) return
+    this.#shareWaitMs[row] = shareWaitMs
+    this.#startLimitMs[row] = this.#latestStartMs[row] ?? 0
+  }
+
+  /** Whether a job is beyond the share of its queue. */
+  isBeyondShare(row: SimulationRow): boolean {
+    return this.#isBeyondShare[row] === 1
+  }
+
+  /** Late jobs in the order in which they get slots; they are excluded from other simulations. */
+  get lateRows(): readonly SimulationRow[] {
+    return this.#lateRows
+  }
+
+  /** Whether a job can no longer meet its objective. */
+  isPastLatestStart(row: SimulationRow): boolean {
+    return (this.#latestStartMs[row] ?? 0) < 0
+  }
+
   /** Jobs without an admission decision, in order of arrival. */
   undecidedRows(): SimulationRow[] {
     const rows = [...this.#rowOfUndecided]
@@ -101,33 +151,54 @@
 
   /**
    * Lateness in milliseconds of the first job that a new job makes late, which may be the new job
-   * itself; undefined when it makes none late.
+   * itself; undefined when it makes none late. A job within the share of its queue may make jobs
+   * late that are beyond theirs.
    */
   latenessCausedBy(newJob: SimulationRow): number | undefined {
     let caused: number | undefined
     this.#simulate((row, lateByMs) => {
       if (row !== newJob && this.#isLateRegardless[row] === 1) return true
+      if (this.#isBeyondShare[row] === 1 && this.#isBeyondShare[newJob] === 0) return true
       caused = lateByMs
       return false
     })
     return caused
   }
 
+  /**
+   * Waits of late jobs, in milliseconds until the last task of each starts, in slots that all other
+   * jobs leave: first those that are late already, then others.
+   */
+  waitsOfLate(others: readonly SimulationRow[]): ReadonlyMap<SimulationRow, number> {
+    this.#simulate(() => true)
+    const waits = new Map<SimulationRow, number>()
+    for (const row of this.#lateRows) waits.set(row, this.#assignSlots(row))
+    for (const row of others) waits.set(row, this.#assignSlots(row))
+    return waits
+  }
+
   /** @param onLate - called for each job that starts too late; returns false to stop */
   #simulate(onLate: (row: SimulationRow, lateByMs: number) => boolean): void {
     const { forecast } = this
     forecast.reset(this.#freeByMs)
+    this.#headroomTaken = 0
     for (let row = 0; row < this.#ranked.length; row++) {
       if (this.#isExcluded[row] === 1) continue
-      const waitMs = this.#assignSlots(row)
+      const waitMs = Math.max(this.#assignSlots(row), this.#shareWaitMs[row] ?? 0)
       // A job that can start at once gains nothing by a refusal, even if it is late already.
       if (waitMs === 0 || waitMs <= (this.#startLimitMs[row] ?? 0)) continue
       if (!onLate(row, waitMs - (this.#latestStartMs[row] ?? 0))) return
     }
   }
 
+  /** Takes the slots that a job leaves free; jobs with more headroom follow. */
+  #takeHeadroom(slots: number): void {
+    for (; this.#headroomTaken < slots; this.#headroomTaken++) this.forecast.take(Infinity)
+  }
+
   /** @returns milliseconds until the last task of the job starts */
   #assignSlots(row: SimulationRow): number {
+    this.#takeHeadroom(this.#headroomSlots[row] ?? 0)
     const end = this.#firstTask[row + 1] ?? 0
     let task = this.#firstTask[row] ?? 0
     this.slotsAssigned += end - task
--- a/packages/dispatch/src/lib/scheduling/JobAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/JobAdmission.ts
@@ -4,12 +4,16 @@
 export interface RefusedJob {
   readonly job: Job
   readonly lateByMs: number
+  /** Whether its queue uses more than its share, so that other queues' jobs go first. */
+  readonly isBeyondShare: boolean
 }
 
 /** The outcome of an admission decision. @public */
 export interface AdmissionDecision {
   readonly admitted: readonly Job[]
   readonly refused: readonly RefusedJob[]
+  /** Jobs that only get slots that no job can use in time, from now on. */
+  readonly late: readonly Job[]
   /** Slots assigned in the simulation, as a measure of the cost of the decision. */
   readonly slotsSimulated: number
 }
@@ -23,6 +27,15 @@
   /** Number of waiting tasks of all waiting jobs. */
   readonly waitingTasks: number
   readonly slots: SlotSupply
+  /**
+   * Jobs beyond the share of their queue, with the milliseconds until that share has room for them.
+   * They go after others, which may make them late.
+   */
+  readonly beyondShare: ReadonlyMap<Job, number>
+  /** Slots that jobs beyond the share of their queue, and late jobs, leave free for others. */
+  readonly headroomSlots: (job: Job) => number
+  /** Whether jobs with a decision are examined again. */
+  readonly isReview: boolean
 }
 
 /** The slots of a service; a slot has room for one task of average needs. @public */
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -12,6 +12,9 @@
 import type { QueuePolicy } from './QueuePolicy'
 import { areAllRunsKnown } from './areAllRunsKnown'
 import type { JobQueue } from './JobQueue'
+import { PrioritizedServices } from './PrioritizedServices'
+import { NoShares } from './QueueShares'
+import type { OrderedJobs, QueueShares } from './QueueShares'
 import type { ServiceEndpoints } from './ServiceEndpoints'
 import { ServiceSlots } from './ServiceSlots'
 import { WaitingJobs } from './WaitingJobs'
@@ -22,11 +25,29 @@
   readonly runs: RunTracker
   readonly queuePolicy: QueuePolicy
   readonly admission: JobAdmission
+  /** Divides the slots of services whose queues have different priorities. */
+  readonly shares: QueueShares
   readonly unlisted: UnlistedTaskDetector
   /** Ends a refused job and reports it as not run. */
   readonly refuse: (now: number, refused: RefusedJob) => void
 }
 
+/** What holds for all services in a scheduling round. */
+interface RoundState {
+  /** Whether jobs that an earlier leader may have started can be placed. */
+  readonly mayResume: boolean
+  readonly isReviewDue: boolean
+}
+
+/** The jobs and endpoints of one service in a scheduling round. */
+interface AdmissionRound {
+  readonly queue: JobQueue
+  readonly ordered: OrderedJobs
+  readonly endpoints: ServiceEndpoints
+  /** Whether admitted jobs are examined again. */
+  readonly isReview: boolean
+}
+
 /** Resource needs of the smallest task that fitted on no endpoint in this round. */
 interface SmallestUnplaced {
   needs: EndpointCapacity | undefined
@@ -39,10 +60,13 @@
  */
 const REVIEW_INTERVAL_MS = 10
 
+const NO_SHARES = new NoShares()
+
 /** Places waiting tasks on endpoints, in the order of the job queue. @internal */
 export class Scheduler {
   readonly #endpoints: EndpointIndex
   readonly #waiting: WaitingJobs
+  readonly #prioritized = new PrioritizedServices()
   #isDue = false
   #reviewDueAt = -Infinity
 
@@ -78,12 +102,47 @@
     if (isReviewDue) this.#reviewDueAt = now + REVIEW_INTERVAL_MS
     this.core.counters.rounds++
     for (const [service, queue] of this.#waiting.entries()) {
-      const ranked = mayResume ? queue.ranked : this.#startable(queue)
-      if (ranked.length === 0) continue
-      const endpoints = this.#endpoints.forService(service)
-      if (isReviewDue || queue.undecided.size > 0) this.#admit(now, queue, ranked, endpoints)
-      this.#placeAll(now, queue, ranked, endpoints)
+      this.#runService(now, service, queue, { mayResume, isReviewDue })
+    }
+  }
+
+  #runService(
+    now: number,
+    service: string,
+    queue: JobQueue,
+    { mayResume, isReviewDue }: RoundState,
+  ): void {
+    const candidates = this.#candidates(queue, mayResume)
+    if (candidates.length === 0) return
+    const endpoints = this.#endpoints.forService(service)
+    const isAdmissionDue = isReviewDue || queue.undecided.size > 0
+    if (!isAdmissionDue && !hasRoom(queue, endpoints)) return
+    const isPrioritized = this.#prioritized.has(this.core.table, service)
+    if (isPrioritized && isReviewDue) {
+      queue.usage.setFreeCpuMillis(freeCpuMillisOf(queue, endpoints))
+    }
+    const order = (jobs: readonly Job[]): OrderedJobs => {
+      return isPrioritized ? this.#order(now, queue, jobs) : NO_SHARES.order({ ranked: jobs })
     }
+    const ordered = order(candidates)
+    const round = { queue, ordered, endpoints, isReview: isReviewDue }
+    const hasChanged = isAdmissionDue && this.#admit(now, round)
+    if (hasChanged) this.#waiting.refresh(now)
+    const next = hasChanged ? order(this.#candidates(queue, mayResume)) : ordered
+    this.#placeAll(now, queue, next, endpoints)
+  }
+
+  /** Orders jobs by the shares of their queues. */
+  #order(now: number, { usage }: JobQueue, ranked: readonly Job[]): OrderedJobs {
+    const { capacityCpuMillis } = usage
+    if (capacityCpuMillis === undefined) return NO_SHARES.order({ ranked })
+    const queues = usage.queues(now)
+    return this.dependencies.shares.order({ ranked, queues, capacityCpuMillis })
+  }
+
+  /** The jobs of a queue that may be placed, by rank. */
+  #candidates(queue: JobQueue, mayResume: boolean): readonly Job[] {
+    return mayResume ? queue.ranked : this.#startable(queue)
   }
 
   /**
@@ -96,30 +155,46 @@
   }
 
   /** Stops as soon as no endpoint has free CPU for the smallest waiting task. */
-  #placeAll(
-    now: number,
-    queue: JobQueue,
-    ranked: readonly Job[],
-    endpoints: ServiceEndpoints,
-  ): void {
-    const { available } = endpoints
-    const { minCpuMillis } = queue
+  #placeAll(now: number, queue: JobQueue, ordered: OrderedJobs, endpoints: ServiceEndpoints): void {
     const smallestUnplaced: SmallestUnplaced = { needs: undefined }
-    for (const job of ranked) {
-      if (available.size === 0 || available.maxFreeCpuMillis < minCpuMillis) return
-      if (!job.isClosed) this.#place(now, job, endpoints, smallestUnplaced)
+    // Jobs with headroom come last, so that their free CPU has to be computed only once.
+    let freeCpuMillis: number | undefined
+    for (const job of ordered.ranked) {
+      if (!hasRoom(queue, endpoints)) return
+      if (job.isClosed) continue
+      const headroomCpuMillis = headroomOf(job, ordered)
+      if (headroomCpuMillis > 0) {
+        freeCpuMillis ??= freeCpuMillisOf(queue, endpoints)
+        if (freeCpuMillis - job.waitingCpuMillis < headroomCpuMillis) continue
+        freeCpuMillis -= job.waitingCpuMillis
+      }
+      this.#place(now, job, endpoints, smallestUnplaced)
     }
   }
 
-  /** Applies the admission policy to the queue: marks jobs as admitted, and refuses others. */
-  #admit(now: number, queue: JobQueue, ranked: readonly Job[], endpoints: ServiceEndpoints): void {
+  /**
+   * Applies the admission policy to the queue: marks jobs as admitted or late, and refuses others.
+   *
+   * @returns whether ranks have changed
+   */
+  #admit(now: number, { queue, ordered, endpoints, isReview }: AdmissionRound): boolean {
     const slots = new ServiceSlots(now, endpoints, queue.meanNeeds)
     const undecided = [...queue.undecided]
-    const input = { ranked, undecided, waitingTasks: queue.waitingTasks, slots }
-    const { admitted, refused, slotsSimulated } = this.dependencies.admission.decide(now, input)
+    const { ranked, beyondShare, shares } = ordered
+    const slotCpuMillis = Math.max(1, queue.meanNeeds.cpuMillis)
+    const headroomSlots = (job: Job): number => {
+      return Math.round((shares.get(job.route.name)?.headroomCpuMillis ?? 0) / slotCpuMillis)
+    }
+    const { waitingTasks } = queue
+    const input = { ranked, undecided, waitingTasks, slots, beyondShare, headroomSlots, isReview }
+    const { admitted, late, refused, slotsSimulated } = this.dependencies.admission.decide(
+      now,
+      input,
+    )
     queue.clearUndecided()
     this.core.counters.places_forecast += slotsSimulated
     for (const job of admitted) job.isAdmitted = true
+    for (const job of late) this.#serveLate(now, job, ordered)
     for (const one of refused) {
       this.core.log('job refused: it would not get a slot in time', {
         job: one.job.id,
@@ -128,9 +203,27 @@
         waitingJobs: ranked.length,
         places: slots.size,
         freePlaces: slots.countFree(Infinity),
+        wasLate: one.job.lateSince !== undefined,
+        ...shareFields(one.job, ordered),
       })
       this.dependencies.refuse(now, one)
     }
+    return late.length > 0
+  }
+
+  /** Leaves a job to slots that no job can use in time. */
+  #serveLate(now: number, job: Job, ordered: OrderedJobs): void {
+    if (job.isAdmitted) this.core.counters.late_fallen_behind++
+    else this.core.counters.late_admitted++
+    this.core.log('job is served late: it would not get a slot in time', {
+      job: job.id,
+      waitedMs: Math.round(now - job.arrivedAt),
+      tasks: job.waiting.length,
+      wasAdmitted: job.isAdmitted,
+      ...shareFields(job, ordered),
+    })
+    job.isAdmitted = true
+    job.serveLate(now)
   }
 
   /**
@@ -188,6 +281,37 @@
   }
 }
 
+/** Whether any endpoint has free CPU for the smallest waiting task. */
+function hasRoom({ minCpuMillis }: JobQueue, { available }: ServiceEndpoints): boolean {
+  return available.size > 0 && available.maxFreeCpuMillis >= minCpuMillis
+}
+
+/** Free CPU of a service in which mean tasks of its queue fit, in thousandths of a core. */
+function freeCpuMillisOf({ meanNeeds }: JobQueue, { available }: ServiceEndpoints): number {
+  return available.countFreeSlots(meanNeeds, Infinity) * meanNeeds.cpuMillis
+}
+
+/** Free CPU that a job has to leave if it is beyond the share of its queue, or late. */
+function headroomOf(job: Job, { beyondShare, shares }: OrderedJobs): number {
+  if (!beyondShare.has(job) && job.lateSince === undefined) return 0
+  return shares.get(job.route.name)?.headroomCpuMillis ?? 0
+}
+
+/** Share and use of a job's queue, for the log; nothing without contention of queues. */
+function shareFields(
+  { route }: Job,
+  { shares }: OrderedJobs,
+): Readonly<Record<string, string | number>> {
+  const share = shares.get(route.name)
+  if (share === undefined) return { queue: route.name }
+  return {
+    queue: route.name,
+    priority: route.priority,
+    queueShareCpuMillis: Math.round(share.shareCpuMillis),
+    queueUsedCpuMillis: share.usedCpuMillis,
+  }
+}
+
 /** True when `needs` is at least as large as `other` in every resource. */
 function needsAtLeast(needs: EndpointCapacity, other: EndpointCapacity): boolean {
   if (needs.cpuMillis < other.cpuMillis || needs.memoryMb < other.memoryMb) return false
