--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -3,11 +3,19 @@
   CountedCrashAttribution,
   DecayedScoreHealth,
   DeclaredEstimator,
+  EVEN_SPREAD,
   LearnedEstimator,
   NoCrashAttribution,
+  PooledSpeeds,
   SlownessTracker,
 } from '@cherryhitch/policy'
-import type { EndpointHealth, EstimateSubject, RunTimeEstimator } from '@cherryhitch/policy'
+import type {
+  EndpointHealth,
+  EndpointSpeeds,
+  EstimateSubject,
+  RunTimeEstimator,
+  SpeedSpread,
+} from '@cherryhitch/policy'
 import { makeEndpointOrder, makeJobOutcome } from '@cherryhitch/protocol'
 import type {
   EndpointOrder,
@@ -86,7 +94,7 @@
   readonly timing: DispatchTiming
   readonly endpoints: EndpointRegistry
   readonly estimator: RunTimeEstimator
-  readonly slowness = new SlownessTracker()
+  readonly slowness: EndpointSpeeds
   readonly health: EndpointHealth
   readonly losses: LossLedger
   readonly counters: DispatchCounters = {
@@ -151,6 +159,9 @@
       ? new CountedCrashAttribution()
       : new NoCrashAttribution()
     this.losses = new LossLedger(blame, this.timing.verdictRetentionMs)
+    this.slowness = this.isEnabled(Mechanism.UnevenEndpoints)
+      ? new PooledSpeeds()
+      : new SlownessTracker()
     this.endpoints = new EndpointRegistry(this.timing, this.health, this.slowness)
   }
 
@@ -170,6 +181,11 @@
     return endpoint.slowness(now, () => this.slowness.slowness(now, endpoint.id))
   }
 
+  /** How much the endpoints of a service differ in speed. */
+  speedSpread(now: number, service: string): SpeedSpread {
+    return this.isEnabled(Mechanism.Slowness) ? this.slowness.spread(now, service) : EVEN_SPREAD
+  }
+
   /** Whether an operator has drained the availability zone of an endpoint. */
   isInDrainedZone({ notice }: EndpointRecord): boolean {
     return this.drainedZones.has(notice.zone)
--- a/packages/dispatch/src/lib/endpoints/EndpointRegistry.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRegistry.ts
@@ -1,6 +1,6 @@
 import { NoticeState } from '@cherryhitch/protocol'
 import type { EndpointNotice } from '@cherryhitch/protocol'
-import type { EndpointHealth, SlownessTracker } from '@cherryhitch/policy'
+import type { EndpointHealth, EndpointSpeeds } from '@cherryhitch/policy'
 import type { DispatchTiming } from '../DispatchOptions'
 import { EndpointRecord, machineOf } from './EndpointRecord'
 
@@ -27,7 +27,7 @@
   constructor(
     private readonly timing: DispatchTiming,
     private readonly health: EndpointHealth,
-    private readonly slowness: SlownessTracker,
+    private readonly slowness: EndpointSpeeds,
   ) {}
 
   get size(): number {
@@ -121,6 +121,8 @@
     this.#changed.add(record)
     this.#records.set(notice.endpoint, record)
     this.health.add(record.id, record.service)
+    const { service, labels } = notice
+    this.slowness.describe(record.id, { service, machine: record.machine, labels })
     const machine = this.#machineOf(record)
     for (const other of machine.incarnations) other.markPossiblyReplaced(now)
     record.incarnationNumber = machine.incarnationNumber = ++this.#incarnationCount
--- a/packages/dispatch/src/lib/runs/RunOutcomeRecorder.ts
+++ b/packages/dispatch/src/lib/runs/RunOutcomeRecorder.ts
@@ -54,7 +54,8 @@
     if (stopReason !== '') return
     const estimateMs = job.runMs(task)
     const factor = slowness.slowness(now, endpoint.id)
-    slowness.observe(now, { endpoint: endpoint.id, service, estimateMs, runMs })
+    const speedSample = { endpoint: endpoint.id, service, estimateMs, runMs }
+    slowness.observe(now, { ...speedSample, job: job.id, jobTasks: job.tasks.length })
     const declaredMs = job.step(task).estimateMs
     estimator.observe(now, estimateSubject(job.route, declaredMs), runMs / factor)
   }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -52,8 +52,15 @@
 export { createEndpointPicker } from './lib/placement/createEndpointPicker'
 export { EndpointPicker } from './lib/placement/EndpointPicker'
 export type { PlacementCandidate, PlacementOutlook } from './lib/placement/EndpointPicker'
-export { EndpointSpeeds } from './lib/placement/EndpointSpeeds'
-export type { EndpointSpeedSample, RunObservation } from './lib/placement/EndpointSpeeds'
+export { EndpointSpeeds, EVEN_SPREAD } from './lib/placement/EndpointSpeeds'
+export type {
+  EndpointSpeedSample,
+  EndpointTraits,
+  RunObservation,
+  SpeedSpread,
+} from './lib/placement/EndpointSpeeds'
+export { defaultPooledSpeedsOptions, PooledSpeeds } from './lib/placement/PooledSpeeds'
+export type { PooledSpeedsOptions } from './lib/placement/PooledSpeeds'
 export { RandomPicker } from './lib/placement/RandomPicker'
 export { defaultSlownessTrackerOptions, SlownessTracker } from './lib/placement/SlownessTracker'
 export type { SlownessTrackerOptions } from './lib/placement/SlownessTracker'
