--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -87,6 +87,12 @@
   endpoints_visited: number
   /** Slots assigned in admission forecasts. */
   places_forecast: number
+  /** Starts at endpoints faster than average and others, and waits of a task in a round for a
+   *  faster endpoint than the free ones, where endpoints differ much in speed.
+   */
+  starts_fast: number
+  starts_slow: number
+  waits_for_faster: number
 }
 
 /** State shared by all parts of the dispatcher, and the actions of the current step. @internal */
@@ -127,6 +133,9 @@
     jobs_ranked: 0,
     endpoints_visited: 0,
     places_forecast: 0,
+    starts_fast: 0,
+    starts_slow: 0,
+    waits_for_faster: 0,
   }
   /** Term in which this instance is leader; undefined if it is not. */
   term: number | undefined
--- a/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
+++ b/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
@@ -1,7 +1,7 @@
 import type { Job } from '../jobs/Job'
 import type { AdmissionInput } from './JobAdmission'
 import { latestStart } from './latestStart'
-import type { SlotForecast } from './SlotForecast'
+import type { SlotClass, SlotForecast } from './SlotForecast'
 
 /** Index of a waiting job in a simulation, by queue order. @internal */
 export type SimulationRow = number
@@ -17,7 +17,7 @@
   /** Slots assigned in all simulations so far. */
   slotsAssigned = 0
   readonly #ranked: readonly Job[]
-  readonly #freeByMs: Int32Array
+  readonly #slots: readonly SlotClass[]
   /** Estimated run times of all waiting tasks in milliseconds, grouped by job. */
   readonly #runMs: Float64Array
   /** Index of each job's first task in `#runMs`, followed by the length of `#runMs`. */
@@ -42,7 +42,7 @@
     private readonly forecast: SlotForecast,
   ) {
     this.#ranked = ranked
-    this.#freeByMs = slots.freeByMs(waitingTasks)
+    this.#slots = slots.classes(waitingTasks)
     this.#runMs = new Float64Array(waitingTasks)
     this.#firstTask = new Int32Array(ranked.length + 1)
     this.#latestStartMs = new Float64Array(ranked.length)
@@ -116,7 +116,7 @@
   /** @param onLate - called for each job that starts too late; returns false to stop */
   #simulate(onLate: (row: SimulationRow, lateByMs: number) => boolean): void {
     const { forecast } = this
-    forecast.reset(this.#freeByMs)
+    forecast.resetClasses(this.#slots)
     for (let row = 0; row < this.#ranked.length; row++) {
       if (this.#isExcluded[row] === 1) continue
       const waitMs = this.#assignSlots(row)
@@ -126,13 +126,18 @@
     }
   }
 
-  /** @returns milliseconds until the last task of the job starts */
+  /**
+   * @returns milliseconds until the last task of the job starts, or would have to at average speed
+   */
   #assignSlots(row: SimulationRow): number {
     const end = this.#firstTask[row + 1] ?? 0
     let task = this.#firstTask[row] ?? 0
     this.slotsAssigned += end - task
+    const latestStartMs = this.#latestStartMs[row] ?? 0
     let waitMs = 0
-    for (; task < end; task++) waitMs = this.forecast.take(this.#runMs[task] ?? 0)
+    for (; task < end; task++) {
+      waitMs = Math.max(waitMs, this.forecast.take(this.#runMs[task] ?? 0, latestStartMs))
+    }
     return waitMs
   }
 }
--- a/packages/dispatch/src/lib/scheduling/AvailableEndpoints.ts
+++ b/packages/dispatch/src/lib/scheduling/AvailableEndpoints.ts
@@ -2,6 +2,7 @@
 import type { EndpointCapacity } from '@cherryhitch/protocol'
 import type { EndpointRecord, FreeCapacity } from '../endpoints/EndpointRecord'
 import type { Task } from '../jobs/Job'
+import type { SpeedNeed } from './SpeedNeed'
 
 /**
  * An endpoint that can receive tasks, with the values by which endpoints are compared.
@@ -32,6 +33,12 @@
  */
 const MAX_SLOTS_PER_ENDPOINT = 64
 const INITIAL_ROWS = 64
+/**
+ * Cost offsets of the endpoints at which a task would end in time without a reserve, and of those
+ * at which it would be late, each above any cost of the others.
+ */
+const TIGHT_COST = 1_000
+const LATE_COST = 2_000
 
 /**
  * The endpoints of a service that can receive tasks now. Their free capacity is stored in columns
@@ -99,30 +106,54 @@
     return slots
   }
 
+  /** Calls back with the free slots of each healthy endpoint for tasks with these needs. */
+  visitFreeSlots(
+    needs: Readonly<FreeCapacity>,
+    visit: (slowness: number, slots: number) => void,
+  ): void {
+    for (const [row, { health }] of this.#rows.entries()) {
+      if (health !== HealthState.Healthy) continue
+      visit(this.#slowness[row] ?? 1, this.#countSlotsAt(row, needs))
+    }
+  }
+
+  /** Updates the slowness of all endpoints, which can change without any of them changing. */
+  refreshSlowness(read: (endpoint: EndpointRecord) => number): void {
+    for (const [row, entry] of this.#rows.entries()) {
+      const slowness = read(entry.endpoint)
+      this.#slowness[row] = slowness
+      this.#rows[row] = { ...entry, slowness }
+    }
+  }
+
   /**
    * The endpoint with the least cost among those where a task fits; undefined when there is none.
+   *
+   * @param need - set where endpoints differ much in speed: faster ones are left to tasks that need
+   *   them
    */
   pick(
     task: Task,
     needs: EndpointCapacity,
     prefersCloseFit: boolean,
+    need?: SpeedNeed,
   ): AvailableEndpoint | undefined {
     const fitWeight = prefersCloseFit ? FIT_WEIGHT : 0
-    if (!isUnconstrained(task)) return this.#pickConstrained(task, needs, fitWeight)
-    const picked = this.#rows[this.#cheapestRow(needs, fitWeight)]
+    if (!isUnconstrained(task)) return this.#pickConstrained(task, needs, fitWeight, need)
+    const picked = this.#rows[this.#cheapestRow(needs, fitWeight, need)]
     // An earlier run of the task is still active there, and names of runs are unique at an
     // endpoint.
     const isTaken = picked?.endpoint.runs.has(task.name) === true
-    return isTaken ? this.#pickConstrained(task, needs, fitWeight) : picked
+    return isTaken ? this.#pickConstrained(task, needs, fitWeight, need) : picked
   }
 
   /** Row of the endpoint with the least cost; -1 when the needs fit nowhere. */
-  #cheapestRow(needs: EndpointCapacity, fitWeight: number): number {
+  #cheapestRow(needs: EndpointCapacity, fitWeight: number, need: SpeedNeed | undefined): number {
     let best = -1
     let bestCost = Infinity
     for (let row = 0; row < this.#rows.length; row++) {
       if (!this.#fits(row, needs)) continue
-      const cost = this.#costAt(row, needs.cpuMillis, fitWeight)
+      const cost = this.#costAt(row, needs.cpuMillis, fitWeight, need)
       if (cost >= bestCost) continue
       best = row
       bestCost = cost
@@ -135,12 +166,13 @@
     task: Task,
     needs: EndpointCapacity,
     fitWeight: number,
+    need: SpeedNeed | undefined,
   ): AvailableEndpoint | undefined {
     let best: AvailableEndpoint | undefined
     let bestCost = Infinity
     for (const [row, entry] of this.#rows.entries()) {
       if (!this.#fits(row, needs) || !isAllowed(task, entry)) continue
-      const cost = this.#costAt(row, needs.cpuMillis, fitWeight) * penaltyOf(task, entry)
+      const cost = this.#costAt(row, needs.cpuMillis, fitWeight, need) * penaltyOf(task, entry)
       if (cost >= bestCost) continue
       best = entry
       bestCost = cost
@@ -148,10 +180,15 @@
     return best
   }
 
-  #costAt(row: number, cpuMillis: number, fitWeight: number): number {
+  #costAt(row: number, cpuMillis: number, fitWeight: number, need: SpeedNeed | undefined): number {
     const left = (this.#cpuMillis[row] ?? 0) - cpuMillis
     const leftShare = left / (this.#totalCpuMillis[row] ?? 1)
-    return (this.#slowness[row] ?? 1) * (1 + fitWeight * leftShare)
+    const slowness = this.#slowness[row] ?? 1
+    const fit = 1 + fitWeight * leftShare
+    if (need === undefined) return slowness * fit
+    if (slowness > need.maxSlowness) return LATE_COST + slowness * fit
+    if (slowness > need.easySlowness) return TIGHT_COST + slowness * fit
+    return fit / slowness
   }
 
   #fits(row: number, { cpuMillis, memoryMb, gpus }: EndpointCapacity): boolean {
--- a/packages/dispatch/src/lib/scheduling/EndpointIndex.ts
+++ b/packages/dispatch/src/lib/scheduling/EndpointIndex.ts
@@ -19,7 +19,7 @@
   forService(service: string): ServiceEndpoints {
     const known = this.#services.get(service)
     if (known !== undefined) return known
-    const endpoints = new ServiceEndpoints(this.core)
+    const endpoints = new ServiceEndpoints(this.core, service)
     this.#services.set(service, endpoints)
     return endpoints
   }
@@ -28,6 +28,7 @@
   refresh(now: number): void {
     this.refreshChanged(now)
     for (const endpoint of this.#timeDependent) this.#refresh(now, endpoint)
+    for (const service of this.#services.values()) service.refreshSpeeds(now)
   }
 
   /** Like `refresh`, but within a round, when no time has passed since. */
--- a/packages/dispatch/src/lib/scheduling/JobAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/JobAdmission.ts
@@ -1,4 +1,5 @@
 import type { Job } from '../jobs/Job'
+import type { SlotClass } from './SlotForecast'
 
 /** A refused job, and by how many milliseconds it would have started too late. @public */
 export interface RefusedJob {
@@ -36,6 +37,10 @@
    * now may stop once `enough` is reached.
    */
   abstract freeByMs(enough: number): Int32Array
+  /** The same by speed, fastest first; all slots are of average speed by default. */
+  classes(enough: number): readonly SlotClass[] {
+    return [{ freeByMs: this.freeByMs(enough), slowness: 1 }]
+  }
 }
 
 /** Decides which new jobs are admitted, and which are refused and reported as not run. @public */
--- a/packages/dispatch/src/lib/scheduling/RunEnds.ts
+++ b/packages/dispatch/src/lib/scheduling/RunEnds.ts
@@ -1,6 +1,8 @@
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
 import type { Run } from '../runs/Run'
 import { addFreeSlots } from './SlotForecast'
+import type { SlotClassCounts } from './SlotClassCounts'
+import { speedClassOf } from './speedClasses'
 
 /**
  * Expected remaining time of a run that has exceeded its estimate, as a share of the estimate. Run
@@ -13,6 +15,7 @@
   readonly endsAt: number
   /** Expected remaining time once the run has exceeded its estimate. */
   readonly overrunRemainderMs: number
+  readonly slowness: number
   /** Index in the list of all runs. */
   index: number
 }
@@ -31,10 +34,10 @@
   }
 
   /** Replaces the runs recorded for an endpoint by its current ones. */
-  set(endpoint: EndpointRecord): void {
+  set(endpoint: EndpointRecord, slowness = 1): void {
     this.delete(endpoint)
     if (endpoint.runs.size === 0) return
-    const timed = Array.from(endpoint.runs.values(), (run) => this.#add(run))
+    const timed = Array.from(endpoint.runs.values(), (run) => this.#add(run, slowness))
     this.#byEndpoint.set(endpoint, timed)
   }
 
@@ -52,11 +55,20 @@
     }
   }
 
-  #add({ confirmedAt, sentAt, expectedMs }: Run): TimedRun {
+  /** Like `addFreeSlotsTo`, by the speed classes of the endpoints. */
+  addFreeSlotsByClass(freeByClass: readonly SlotClassCounts[], now: number): void {
+    for (const { endsAt, overrunRemainderMs, slowness } of this.#runs) {
+      const afterMs = endsAt > now ? endsAt - now : overrunRemainderMs
+      freeByClass[speedClassOf(slowness)]?.add(afterMs, 1, slowness)
+    }
+  }
+
+  #add({ confirmedAt, sentAt, expectedMs }: Run, slowness: number): TimedRun {
     const endsAt = (confirmedAt ?? sentAt) + expectedMs
     const timed = {
       endsAt,
       overrunRemainderMs: OVERRUN_REMAINDER_SHARE * expectedMs,
+      slowness,
       index: this.#runs.length,
     }
     this.#runs.push(timed)
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -8,12 +8,15 @@
 import { expectedRunMs } from '../runs/expectedRunMs'
 import type { RunTracker } from '../runs/RunTracker'
 import { EndpointIndex } from './EndpointIndex'
+import { FasterSlots, SpeedDecision } from './FasterSlots'
 import type { JobAdmission, RefusedJob } from './JobAdmission'
 import type { QueuePolicy } from './QueuePolicy'
 import { areAllRunsKnown } from './areAllRunsKnown'
 import type { JobQueue } from './JobQueue'
+import { needsAtLeast } from './needsAtLeast'
 import type { ServiceEndpoints } from './ServiceEndpoints'
 import { ServiceSlots } from './ServiceSlots'
+import { speedNeedOf } from './SpeedNeed'
 import { WaitingJobs } from './WaitingJobs'
 
 /** Collaborators of the scheduler. @internal */
@@ -27,9 +30,23 @@
   readonly refuse: (now: number, refused: RefusedJob) => void
 }
 
-/** Resource needs of the smallest task that fitted on no endpoint in this round. */
-interface SmallestUnplaced {
+/** What a round has found out about the endpoints of a service. */
+interface PlacementRound {
+  /** Resource needs of the smallest task that fitted on no endpoint in this round. */
   needs: EndpointCapacity | undefined
+  /** Set where endpoints differ much in speed, until all tasks that can be in time are placed. */
+  fasterSlots: FasterSlots | undefined
+  /** Jobs with tasks that end late, and get what is left. */
+  readonly deferred: Set<Job>
+}
+
+/** What became of a waiting task in a round. */
+enum Placement {
+  Placed = 'placed',
+  /** It fits on no endpoint. */
+  NoRoom = 'no_room',
+  /** It fits, but waits for a faster endpoint, or until others have been placed. */
+  Postponed = 'postponed',
 }
 
 /**
@@ -104,11 +121,17 @@
   ): void {
     const { available } = endpoints
     const { minCpuMillis } = queue
-    const smallestUnplaced: SmallestUnplaced = { needs: undefined }
+    const round: PlacementRound = {
+      needs: undefined,
+      fasterSlots: endpoints.isUneven ? this.#makeFasterSlots(now, queue, endpoints) : undefined,
+      deferred: new Set(),
+    }
     for (const job of ranked) {
       if (available.size === 0 || available.maxFreeCpuMillis < minCpuMillis) return
-      if (!job.isClosed) this.#place(now, job, endpoints, smallestUnplaced)
+      if (!job.isClosed) this.#place(now, job, endpoints, round)
     }
+    round.fasterSlots = undefined
+    for (const job of round.deferred) if (!job.isClosed) this.#place(now, job, endpoints, round)
   }
 
   /** Applies the admission policy to the queue: marks jobs as admitted, and refuses others. */
@@ -136,22 +159,16 @@
   /**
    * Places those waiting tasks of a job that fit.
    *
-   * @param smallestUnplaced - updated when a task fits nowhere; tasks with at least these needs are
-   *   not tried again in this round, so that a long queue costs little while capacity is exhausted
+   * @param round - updated when a task fits nowhere; tasks with at least these needs are not tried again in this round, so that a long queue costs little while capacity is exhausted
    */
-  #place(
-    now: number,
-    job: Job,
-    endpoints: ServiceEndpoints,
-    smallestUnplaced: SmallestUnplaced,
-  ): void {
+  #place(now: number, job: Job, endpoints: ServiceEndpoints, round: PlacementRound): void {
     for (const task of job.waiting) {
       const { needs, requiredLabel, maxPerEndpoint } = job.step(task)
       if (needs === undefined) return
-      if (smallestUnplaced.needs !== undefined && needsAtLeast(needs, smallestUnplaced.needs))
-        return
-      if (this.#placeTask(now, task, needs, endpoints)) continue
-      if (requiredLabel === '' && maxPerEndpoint === 0) smallestUnplaced.needs = needs
+      if (round.needs !== undefined && needsAtLeast(needs, round.needs)) return
+      const placement = this.#placeTask(now, task, needs, endpoints, round)
+      if (placement !== Placement.NoRoom) continue
+      if (requiredLabel === '' && maxPerEndpoint === 0) round.needs = needs
       return
     }
   }
@@ -160,21 +177,51 @@
     now: number,
     task: Task,
     needs: EndpointCapacity,
-    { available }: ServiceEndpoints,
-  ): boolean {
+    endpoints: ServiceEndpoints,
+    round: PlacementRound,
+  ): Placement {
     const { job } = task
-    this.core.counters.endpoints_visited += available.size
-    const picked = available.pick(task, needs, this.core.isEnabled(Mechanism.BestFit))
-    if (picked === undefined) return false
+    const { fasterSlots } = round
+    const need = endpoints.isUneven ? speedNeedOf(now, task) : undefined
+    const unseen = need && fasterSlots?.decideUnseen(need, job.runMs(task), needs)
+    if (unseen !== undefined) return this.#postpone(job, unseen, round)
+    this.core.counters.endpoints_visited += endpoints.available.size
+    const bestFit = this.core.isEnabled(Mechanism.BestFit)
+    const picked = endpoints.available.pick(task, needs, bestFit, need)
+    if (picked === undefined) return Placement.NoRoom
     const { endpoint, slowness } = picked
+    const decision = need && fasterSlots?.decide(need, job.runMs(task), needs, slowness)
+    if (decision !== undefined && decision !== SpeedDecision.Start) {
+      return this.#postpone(job, decision, round)
+    }
     const expectedMs = expectedRunMs(task, slowness)
-    if (!this.dependencies.runs.start(now, task, endpoint, expectedMs)) return false
+    if (!this.dependencies.runs.start(now, task, endpoint, expectedMs)) return Placement.NoRoom
+    if (need !== undefined) this.#countSpeed(slowness)
     this.#endpoints.refreshChanged(now)
     if (job.firstStartAt === undefined) this.#noteFirstStart(now, job)
     job.lastStartAt = now
     job.hasStarted = true
     job.endpointsUsed.add(endpoint.id)
-    return true
+    return Placement.Placed
+  }
+
+  #postpone(
+    job: Job,
+    decision: SpeedDecision.Wait | SpeedDecision.Defer,
+    { deferred }: PlacementRound,
+  ): Placement {
+    if (decision === SpeedDecision.Defer) deferred.add(job)
+    else this.core.counters.waits_for_faster++
+    return Placement.Postponed
+  }
+
+  #makeFasterSlots(now: number, { meanNeeds }: JobQueue, endpoints: ServiceEndpoints): FasterSlots {
+    return new FasterSlots(() => new ServiceSlots(now, endpoints, meanNeeds).classes(Infinity))
+  }
+
+  #countSpeed(slowness: number): void {
+    if (slowness < 1) this.core.counters.starts_fast++
+    else this.core.counters.starts_slow++
   }
 
   #noteFirstStart(now: number, job: Job): void {
@@ -187,9 +234,3 @@
     })
   }
 }
-
-/** True when `needs` is at least as large as `other` in every resource. */
-function needsAtLeast(needs: EndpointCapacity, other: EndpointCapacity): boolean {
-  if (needs.cpuMillis < other.cpuMillis || needs.memoryMb < other.memoryMb) return false
-  return needs.gpus >= other.gpus
-}
--- a/packages/dispatch/src/lib/scheduling/ServiceEndpoints.ts
+++ b/packages/dispatch/src/lib/scheduling/ServiceEndpoints.ts
@@ -14,6 +14,9 @@
   Excluded = 'out',
 }
 
+/** Interval at which the slowness of all endpoints is read while they differ, in milliseconds. */
+const SLOWNESS_REFRESH_MS = 100
+
 /** The endpoints of one service, indexed for placement and forecasts. @internal */
 export class ServiceEndpoints {
   readonly available = new AvailableEndpoints()
@@ -21,7 +24,39 @@
   readonly expected = new Set<EndpointRecord>()
   readonly runEnds = new RunEnds()
 
-  constructor(private readonly core: DispatchCore) {}
+  #isUneven = false
+  #slownessReadAt = -Infinity
+
+  constructor(
+    private readonly core: DispatchCore,
+    private readonly service: string,
+  ) {}
+
+  /** Whether the endpoints differ so much in speed that it matters where a task runs. */
+  get isUneven(): boolean {
+    return this.#isUneven
+  }
+
+  /** Updates what depends on the speeds of all endpoints together. */
+  refreshSpeeds(now: number): void {
+    const { isUneven, slowToFast } = this.core.speedSpread(now, this.service)
+    if (isUneven !== this.#isUneven) {
+      this.#isUneven = isUneven
+      this.#slownessReadAt = -Infinity
+      this.core.log(
+        isUneven ? 'endpoints differ much in speed' : 'endpoints no longer differ much in speed',
+        { service: this.service, slowToFast: Number(slowToFast.toFixed(2)) },
+      )
+    }
+    if (!isUneven || now - this.#slownessReadAt < SLOWNESS_REFRESH_MS) return
+    this.#slownessReadAt = now
+    this.available.refreshSlowness((endpoint) => this.core.slownessOf(now, endpoint))
+  }
+
+  /** Ratio of run times at an endpoint to those at its peers. */
+  slownessOf(now: number, endpoint: EndpointRecord): number {
+    return this.core.slownessOf(now, endpoint)
+  }
 
   /**
    * Updates the indexes for an endpoint that may have changed.
@@ -40,7 +75,7 @@
     if (use === EndpointUse.Expected) this.expected.add(endpoint)
     else this.expected.delete(endpoint)
     const isCounted = use !== EndpointUse.Excluded && health === HealthState.Healthy
-    if (isCounted) this.runEnds.set(endpoint)
+    if (isCounted) this.runEnds.set(endpoint, this.#isUneven ? core.slownessOf(now, endpoint) : 1)
     else this.runEnds.delete(endpoint)
     const isHeldBack = now < endpoint.pausedUntil || core.confirmedAt < endpoint.broadcastAt
     return health !== HealthState.Healthy || isHeldBack
--- a/packages/dispatch/src/lib/scheduling/ServiceSlots.ts
+++ b/packages/dispatch/src/lib/scheduling/ServiceSlots.ts
@@ -3,6 +3,9 @@
 import { countSlots } from './AvailableEndpoints'
 import { addFreeSlots, makeFreeSlotsByMs } from './SlotForecast'
 import type { ServiceEndpoints } from './ServiceEndpoints'
+import { SlotClassCounts } from './SlotClassCounts'
+import type { SlotClass } from './SlotForecast'
+import { SPEED_CLASSES, speedClassOf } from './speedClasses'
 
 /**
  * Time after which the free capacity of an endpoint that has not yet reported to this leader is
@@ -10,6 +13,13 @@
  */
 const ADOPTION_DELAY_MS = 30
 
+/** Free slots of an endpoint that can't receive tasks now but is expected to soon. */
+interface ExpectedSlots {
+  readonly isAdopted: boolean
+  readonly slots: number
+  readonly slowness: number
+}
+
 /**
  * When the slots of a service's endpoints become free: at once for free capacity, and at their
  * expected end for occupied ones.
@@ -46,12 +56,31 @@
     return freeByMs
   }
 
+  override classes(enough: number): readonly SlotClass[] {
+    const { available, runEnds, isUneven } = this.endpoints
+    if (!isUneven) return super.classes(enough)
+    const classes = Array.from({ length: SPEED_CLASSES }, () => new SlotClassCounts())
+    const add = (afterMs: number, slots: number, slowness: number): void => {
+      classes[speedClassOf(slowness)]?.add(afterMs, slots, slowness)
+    }
+    available.visitFreeSlots(this.needs, (slowness, slots) => {
+      add(0, slots, slowness)
+    })
+    for (const { isAdopted, slots, slowness } of this.#expected()) {
+      add(isAdopted ? 0 : ADOPTION_DELAY_MS, slots, slowness)
+    }
+    runEnds.addFreeSlotsByClass(classes, this.now)
+    const filled = classes.filter(({ isEmpty }) => !isEmpty)
+    return filled.length === 0 ? super.classes(enough) : filled
+  }
+
   /** Free slots of endpoints that can't receive tasks now but are expected to soon. */
-  *#expected(): Generator<{ readonly isAdopted: boolean; readonly slots: number }> {
+  *#expected(): Generator<ExpectedSlots> {
     for (const endpoint of this.endpoints.expected) {
       const { cpuMillis, memoryMb, gpus } = endpoint.freeCapacity()
       const slots = countSlots(cpuMillis, memoryMb, gpus, this.needs)
-      yield { isAdopted: endpoint.isSynced, slots }
+      const slowness = this.endpoints.slownessOf(this.now, endpoint)
+      yield { isAdopted: endpoint.isSynced, slots, slowness }
     }
   }
 }
--- a/packages/dispatch/src/lib/scheduling/SlotForecast.ts
+++ b/packages/dispatch/src/lib/scheduling/SlotForecast.ts
@@ -18,37 +18,120 @@
   freeByMs[ms] = (freeByMs[ms] ?? 0) + slots
 }
 
-/**
- * Computes when tasks start that are assigned to the slots of a service one after another. All
- * slots are treated as equal, and each task takes the one that becomes free first. The first free
- * millisecond never moves back, so that the cost per task doesn't depend on the number of slots.
- *
- * @internal
- */
-export class SlotForecast {
+/** Slots of about equal speed. @public */
+export interface SlotClass {
+  /** Number of slots that become free in each millisecond from now. */
+  readonly freeByMs: Int32Array
+  /** Ratio of run times in these slots to the estimated ones. */
+  readonly slowness: number
+}
+
+/** The slots of a class during a forecast. */
+class ClassForecast {
+  slowness = 1
   readonly #freeByMs = makeFreeSlotsByMs()
   #firstFreeMs = 0
 
-  /** Starts over with the given free slots. */
-  reset(freeByMs: Int32Array): void {
+  reset({ freeByMs, slowness }: SlotClass): void {
     this.#freeByMs.set(freeByMs)
     this.#firstFreeMs = 0
+    this.slowness = slowness
   }
 
-  /**
-   * Takes the slot that becomes free first, for a run of the given length.
-   *
-   * @returns milliseconds until the run can start; Infinity when there is no slot at all
-   */
-  take(runMs: number): number {
+  /** Milliseconds until the first slot is free; `HORIZON_MS` when there is none. */
+  findFirst(): number {
     const free = this.#freeByMs
     let first = this.#firstFreeMs
     while (first < HORIZON_MS && (free[first] ?? 0) <= 0) first++
     this.#firstFreeMs = first
-    if (first === HORIZON_MS) return Infinity
+    return first
+  }
+
+  /** Takes the slot that is free first until a run of the given length has ended. */
+  takeFirst(first: number, runMs: number): void {
+    const free = this.#freeByMs
     free[first] = (free[first] ?? 0) - 1
     const end = Math.min(HORIZON_MS - 1, first + Math.max(1, Math.round(runMs)))
     free[end] = (free[end] ?? 0) + 1
-    return first
   }
 }
+
+/**
+ * Computes when tasks start that are assigned to the slots of a service one after another. The
+ * slots of a class are treated as equal, and each task takes the one that becomes free first. The
+ * first free millisecond never moves back, so that the cost per task doesn't depend on the number
+ * of slots.
+ *
+ * With several classes, a task takes a slot of the slowest class in which it is in time, or else
+ * the slot in which it ends first.
+ *
+ * @internal
+ */
+export class SlotForecast {
+  readonly #first = new ClassForecast()
+  readonly #others: ClassForecast[] = []
+  /** Number of `#others` in use. */
+  #otherCount = 0
+
+  /** Starts over with the given free slots, all of them of average speed. */
+  reset(freeByMs: Int32Array): void {
+    this.#first.reset({ freeByMs, slowness: 1 })
+    this.#otherCount = 0
+  }
+
+  /** Starts over with the given free slots, by speed. */
+  resetClasses([first, ...others]: readonly SlotClass[]): void {
+    this.#first.reset(first ?? { freeByMs: makeFreeSlotsByMs(), slowness: 1 })
+    this.#otherCount = others.length
+    for (const [index, slots] of others.entries()) {
+      const forecast = (this.#others[index] ??= new ClassForecast())
+      forecast.reset(slots)
+    }
+  }
+
+  /**
+   * Takes a slot for a run.
+   *
+   * @param runMs - length of the run at average speed
+   * @param latestStartMs - until when the run would have to start at average speed
+   * @returns milliseconds until the run would have to start at average speed to end when it does;
+   *   Infinity when there is no slot at all
+   */
+  take(runMs: number, latestStartMs = 0): number {
+    const slots = this.#otherCount === 0 ? this.#first : this.#choose(runMs, latestStartMs)
+    const first = slots.findFirst()
+    if (first === HORIZON_MS) return Infinity
+    slots.takeFirst(first, slots.slowness * runMs)
+    return Math.max(0, startAtAverageSpeed(first, slots, runMs))
+  }
+
+  /**
+   * Milliseconds until a run would end in the slot that is best for it, without taking the slot.
+   */
+  peekEnd(runMs: number): number {
+    const slots = this.#choose(runMs, -Infinity)
+    return slots.findFirst() + slots.slowness * runMs
+  }
+
+  #choose(runMs: number, latestStartMs: number): ClassForecast {
+    let best = this.#first
+    let bestStart = Infinity
+    // Classes are in the order of their speed, so the last one that is in time is the slowest.
+    for (let index = -1; index < this.#otherCount; index++) {
+      const slots = index < 0 ? this.#first : this.#others[index]
+      if (slots === undefined) continue
+      const first = slots.findFirst()
+      if (first === HORIZON_MS) continue
+      const start = startAtAverageSpeed(first, slots, runMs)
+      if (start >= bestStart && start > latestStartMs) continue
+      best = slots
+      bestStart = start
+    }
+    return best
+  }
+}
+
+/** When a run in a slot that is free at `first` would have to start at average speed. */
+function startAtAverageSpeed(first: number, { slowness }: ClassForecast, runMs: number): number {
+  return first + (slowness - 1) * runMs
+}
