--- a/packages/dispatch/src/lib/scheduling/SpeedNeed.ts
+++ b/packages/dispatch/src/lib/scheduling/SpeedNeed.ts
@@ -10,7 +10,7 @@
 }
 
 /** Share of the largest slowness up to which the errors of estimates hardly make a job late. */
-const RESERVE_SHARE = 0.8
+const RESERVE_SHARE = 0.7
 
 /**
  * The speed that a task needs for its job to be in time. The job ends with the longest of its
