--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -3,11 +3,19 @@
   CountedCrashAttribution,
   DecayedScoreHealth,
   DeclaredEstimator,
+  EVEN_SPREAD,
   LearnedEstimator,
   NoCrashAttribution,
+  PooledSpeeds,
   SlownessTracker,
 } from '@cherryhitch/policy'
-import type { EndpointHealth, EstimateSubject, RunTimeEstimator } from '@cherryhitch/policy'
+import type {
+  EndpointHealth,
+  EndpointSpeeds,
+  EstimateSubject,
+  RunTimeEstimator,
+  SpeedSpread,
+} from '@cherryhitch/policy'
 import { makeEndpointOrder, makeJobOutcome } from '@cherryhitch/protocol'
 import type {
   EndpointOrder,
@@ -96,6 +104,12 @@
   hints_dropped: number
   /** Entries that this instance started from when it became leader. */
   hints_taken_over: number
+  /** Starts at endpoints faster than average and others, and waits of a task in a round for a
+   *  faster endpoint than the free ones, where endpoints differ much in speed.
+   */
+  starts_fast: number
+  starts_slow: number
+  waits_for_faster: number
 }
 
 /** State shared by all parts of the dispatcher, and the actions of the current step. @internal */
@@ -103,7 +117,7 @@
   readonly timing: DispatchTiming
   readonly endpoints: EndpointRegistry
   readonly estimator: RunTimeEstimator
-  readonly slowness = new SlownessTracker()
+  readonly slowness: EndpointSpeeds
   readonly health: EndpointHealth
   readonly losses: LossLedger
   readonly lateOutcomes = new LateOutcomes()
@@ -147,6 +161,9 @@
     hints_outdated: 0,
     hints_dropped: 0,
     hints_taken_over: 0,
+    starts_fast: 0,
+    starts_slow: 0,
+    waits_for_faster: 0,
   }
   /** Term in which this instance is leader; undefined if it is not. */
   term: number | undefined
@@ -179,6 +196,9 @@
       ? new CountedCrashAttribution()
       : new NoCrashAttribution()
     this.losses = new LossLedger(blame, this.timing.verdictRetentionMs)
+    this.slowness = this.isEnabled(Mechanism.UnevenEndpoints)
+      ? new PooledSpeeds()
+      : new SlownessTracker()
     this.endpoints = new EndpointRegistry(this.timing, this.health, this.slowness)
   }
 
@@ -203,6 +223,11 @@
     return endpoint.slowness(now, () => this.slowness.slowness(now, endpoint.id))
   }
 
+  /** How much the endpoints of a service differ in speed. */
+  speedSpread(now: number, service: string): SpeedSpread {
+    return this.isEnabled(Mechanism.Slowness) ? this.slowness.spread(now, service) : EVEN_SPREAD
+  }
+
   /** Whether an operator has drained the availability zone of an endpoint. */
   isInDrainedZone({ notice }: EndpointRecord): boolean {
     return this.drainedZones.has(notice.zone)
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -1,13 +1,12 @@
 import { Mechanism } from '@cherryhitch/model'
-import type { EndpointCapacity } from '@cherryhitch/protocol'
-import { DispatchActionKind, Stage } from '../DispatchAction'
 import type { UnlistedTaskDetector } from '../crashes/UnlistedTaskDetector'
 import type { DispatchCore } from '../DispatchCore'
-import type { Job, Task } from '../jobs/Job'
+import type { Job } from '../jobs/Job'
 import type { JobRegistry } from '../jobs/JobRegistry'
-import { expectedRunMs } from '../runs/expectedRunMs'
 import type { RunTracker } from '../runs/RunTracker'
 import { EndpointIndex } from './EndpointIndex'
+import { freeCpuMillisOf } from './freeCpuMillisOf'
+import { hasRoom } from './hasRoom'
 import type { JobAdmission, RefusedJob } from './JobAdmission'
 import type { QueuePolicy } from './QueuePolicy'
 import { areAllRunsKnown } from './areAllRunsKnown'
@@ -17,6 +16,7 @@
 import type { OrderedJobs, QueueShares } from './QueueShares'
 import type { ServiceEndpoints } from './ServiceEndpoints'
 import { ServiceSlots } from './ServiceSlots'
+import { TaskPlacer } from './TaskPlacer'
 import { WaitingJobs } from './WaitingJobs'
 
 /** Collaborators of the scheduler. @internal */
@@ -48,11 +48,6 @@
   readonly isReview: boolean
 }
 
-/** Resource needs of the smallest task that fitted on no endpoint in this round. */
-interface SmallestUnplaced {
-  needs: EndpointCapacity | undefined
-}
-
 /**
  * Interval at which admitted jobs are reviewed when there are no new ones, in milliseconds. Slots
  * may have been lost in the meantime, and a caller that is refused early can still go to another
@@ -62,11 +57,17 @@
 
 const NO_SHARES = new NoShares()
 
-/** Places waiting tasks on endpoints, in the order of the job queue. @internal */
+/**
+ * Runs the scheduling rounds: orders waiting jobs, applies the admission policy to them, and has
+ * their tasks placed.
+ *
+ * @internal
+ */
 export class Scheduler {
   readonly #endpoints: EndpointIndex
   readonly #waiting: WaitingJobs
   readonly #prioritized = new PrioritizedServices()
+  readonly #placer: TaskPlacer
   #isDue = false
   #reviewDueAt = -Infinity
 
@@ -76,6 +77,7 @@
   ) {
     this.#endpoints = new EndpointIndex(core)
     this.#waiting = new WaitingJobs(core, dependencies.jobs, dependencies.queuePolicy)
+    this.#placer = new TaskPlacer(core, dependencies.runs, this.#endpoints)
   }
 
   /** Requests a scheduling round, after a change that may allow a task to start. */
@@ -129,7 +131,7 @@
     const hasChanged = isAdmissionDue && this.#admit(now, round)
     if (hasChanged) this.#waiting.refresh(now)
     const next = hasChanged ? order(this.#candidates(queue, mayResume)) : ordered
-    this.#placeAll(now, queue, next, endpoints)
+    this.#placer.place(now, queue, next, endpoints)
   }
 
   /** Orders jobs by the shares of their queues. */
@@ -154,24 +156,6 @@
     return queue.ranked.filter(({ isResumed }) => !isResumed)
   }
 
-  /** Stops as soon as no endpoint has free CPU for the smallest waiting task. */
-  #placeAll(now: number, queue: JobQueue, ordered: OrderedJobs, endpoints: ServiceEndpoints): void {
-    const smallestUnplaced: SmallestUnplaced = { needs: undefined }
-    // Jobs with headroom come last, so that their free CPU has to be computed only once.
-    let freeCpuMillis: number | undefined
-    for (const job of ordered.ranked) {
-      if (!hasRoom(queue, endpoints)) return
-      if (job.isClosed) continue
-      const headroomCpuMillis = headroomOf(job, ordered)
-      if (headroomCpuMillis > 0) {
-        freeCpuMillis ??= freeCpuMillisOf(queue, endpoints)
-        if (freeCpuMillis - job.waitingCpuMillis < headroomCpuMillis) continue
-        freeCpuMillis -= job.waitingCpuMillis
-      }
-      this.#place(now, job, endpoints, smallestUnplaced)
-    }
-  }
-
   /**
    * Applies the admission policy to the queue: marks jobs as admitted or late, and refuses others.
    *
@@ -225,76 +209,6 @@
     job.isAdmitted = true
     job.serveLate(now)
   }
-
-  /**
-   * Places those waiting tasks of a job that fit.
-   *
-   * @param smallestUnplaced - updated when a task fits nowhere; tasks with at least these needs are
-   *   not tried again in this round, so that a long queue costs little while capacity is exhausted
-   */
-  #place(
-    now: number,
-    job: Job,
-    endpoints: ServiceEndpoints,
-    smallestUnplaced: SmallestUnplaced,
-  ): void {
-    for (const task of job.waiting) {
-      const { needs, requiredLabel, maxPerEndpoint } = job.step(task)
-      if (needs === undefined) return
-      if (smallestUnplaced.needs !== undefined && needsAtLeast(needs, smallestUnplaced.needs))
-        return
-      if (this.#placeTask(now, task, needs, endpoints)) continue
-      if (requiredLabel === '' && maxPerEndpoint === 0) smallestUnplaced.needs = needs
-      return
-    }
-  }
-
-  #placeTask(
-    now: number,
-    task: Task,
-    needs: EndpointCapacity,
-    { available }: ServiceEndpoints,
-  ): boolean {
-    const { job } = task
-    this.core.counters.endpoints_visited += available.size
-    const picked = available.pick(task, needs, this.core.isEnabled(Mechanism.BestFit))
-    if (picked === undefined) return false
-    const { endpoint, slowness } = picked
-    const expectedMs = expectedRunMs(task, slowness)
-    if (!this.dependencies.runs.start(now, task, endpoint, expectedMs)) return false
-    this.#endpoints.refreshChanged(now)
-    if (job.firstStartAt === undefined) this.#noteFirstStart(now, job)
-    job.lastStartAt = now
-    job.hasStarted = true
-    job.endpointsUsed.add(endpoint.id)
-    return true
-  }
-
-  #noteFirstStart(now: number, job: Job): void {
-    job.firstStartAt = now
-    this.core.emit({
-      kind: DispatchActionKind.Measure,
-      stage: Stage.Queue,
-      route: job.route.name,
-      ms: now - job.arrivedAt,
-    })
-  }
-}
-
-/** Whether any endpoint has free CPU for the smallest waiting task. */
-function hasRoom({ minCpuMillis }: JobQueue, { available }: ServiceEndpoints): boolean {
-  return available.size > 0 && available.maxFreeCpuMillis >= minCpuMillis
-}
-
-/** Free CPU of a service in which mean tasks of its queue fit, in thousandths of a core. */
-function freeCpuMillisOf({ meanNeeds }: JobQueue, { available }: ServiceEndpoints): number {
-  return available.countFreeSlots(meanNeeds, Infinity) * meanNeeds.cpuMillis
-}
-
-/** Free CPU that a job has to leave if it is beyond the share of its queue, or late. */
-function headroomOf(job: Job, { beyondShare, shares }: OrderedJobs): number {
-  if (!beyondShare.has(job) && job.lateSince === undefined) return 0
-  return shares.get(job.route.name)?.headroomCpuMillis ?? 0
 }
 
 /** Share and use of a job's queue, for the log; nothing without contention of queues. */
@@ -311,9 +225,3 @@
     queueUsedCpuMillis: share.usedCpuMillis,
   }
 }
-
-/** True when `needs` is at least as large as `other` in every resource. */
-function needsAtLeast(needs: EndpointCapacity, other: EndpointCapacity): boolean {
-  if (needs.cpuMillis < other.cpuMillis || needs.memoryMb < other.memoryMb) return false
-  return needs.gpus >= other.gpus
-}
