Look for a slot from the slowest class on

Cause: a forecast looked at all speed classes for each task, though the slowest one that is in time is taken.

Change: the search begins at the slowest class and ends with the first in time.

--- a/packages/dispatch/src/lib/scheduling/SlotForecast.ts
+++ b/packages/dispatch/src/lib/scheduling/SlotForecast.ts
@@ -117,13 +117,14 @@
     let best = this.#first
     let bestStart = Infinity
     // Classes are in the order of their speed, so the last one that is in time is the slowest.
-    for (let index = -1; index < this.#otherCount; index++) {
+    for (let index = this.#otherCount - 1; index >= -1; index--) {
       const slots = index < 0 ? this.#first : this.#others[index]
       if (slots === undefined) continue
       const first = slots.findFirst()
       if (first === HORIZON_MS) continue
       const start = startAtAverageSpeed(first, slots, runMs)
-      if (start >= bestStart && start > latestStartMs) continue
+      if (start <= latestStartMs) return slots
+      if (start > bestStart) continue
       best = slots
       bestStart = start
     }
