Let an instance dispatch in one zone alone, under a grant between terms

Cause: a dispatching instance can only lead, and a zone that is cut off has no leader.

Change: tokens get a grant between term and incarnation (grant 0 gives the tokens of before); a zone dispatcher gives orders only to its zone's endpoints, renews no lease and starts nothing beside runs of others, and never takes silence for the end of a run; a leader takes endpoints back with a higher grant, where zones may serve alone. The decisions of a holder and of an entry are code of their own (zones/). Without the option nothing changes.

--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -122,6 +122,8 @@
   }
   /** Term in which this instance is leader; undefined if it is not. */
   term: number | undefined
+  /** The availability zone that this instance serves alone; undefined for a leader. */
+  zone: string | undefined
   /** Upper bound on the time at which a majority last confirmed an earlier leader. */
   earlierLeadersConfirmedUntil = 0
   /** True once a majority of the voters has sent this leader all endpoints that they know. */
@@ -164,6 +166,20 @@
     return this.confirmedAt + this.timing.leaderLeaseMs
   }
 
+  /** Whether this instance gives orders to an endpoint when it dispatches. */
+  serves({ notice }: EndpointRecord): boolean {
+    return this.zone === undefined || notice.zone === this.zone
+  }
+
+  /**
+   * Whether runs of other holders are to end at an endpoint: they count on the end of its lease, so
+   * it isn't renewed, and nothing starts beside them.
+   */
+  awaitsOtherRuns(endpoint: EndpointRecord): boolean {
+    if (this.zone === undefined && endpoint.grant === 0) return false
+    return !endpoint.isSynced || endpoint.hasForeignRun
+  }
+
   /** Ratio of run times at an endpoint to those of the same work at its peers. */
   slownessOf(now: number, endpoint: EndpointRecord): number {
     if (!this.isEnabled(Mechanism.Slowness)) return 1
@@ -186,14 +202,14 @@
    * @returns the id of the order, which its answer repeats
    */
   sendOrder(now: number, target: EndpointRecord, body: OrderBody): number {
-    const { id: endpoint, notice, incarnationNumber } = target
+    const { id: endpoint, notice, incarnationNumber, grant } = target
     const { address, zone } = notice
     this.#lastOrderId = (this.#lastOrderId + 1) % ORDER_ID_RANGE
     const order = makeEndpointOrder({
       id: this.#lastOrderId,
       endpoint,
       address,
-      fencingToken: makeFencingToken(this.term ?? 0, incarnationNumber),
+      fencingToken: makeFencingToken(this.term ?? 0, incarnationNumber, grant),
       timeoutMs: body.timeoutMs,
       order: body.order,
     })
--- a/packages/dispatch/src/lib/DispatchEvent.ts
+++ b/packages/dispatch/src/lib/DispatchEvent.ts
@@ -13,7 +13,11 @@
 /** Kinds of events that the dispatcher handles. @public */
 export enum DispatchEventKind {
   BecomeLeader = 'lead',
+  /** This instance begins to serve its zone, which is cut off. */
+  BecomeZoneDispatcher = 'serve_zone',
   StepDown = 'step_down',
+  /** A zone dispatcher of the leader's term has ended. */
+  ZoneServiceEnded = 'zone_ended',
   DirectoryComplete = 'directory_read',
   EarlierLeadersConfirmed = 'earlier_leaders',
   LeadershipConfirmed = 'confirmed',
@@ -46,7 +50,20 @@
       /** See `DrainedZones`; as committed at the beginning of the term. */
       readonly drainedZones: ReadonlySet<string>
     }
+  /** Jobs come from entries of this zone only, and orders go to its endpoints only. */
+  | {
+      readonly kind: DispatchEventKind.BecomeZoneDispatcher
+      readonly term: number
+      readonly grant: number
+      readonly zone: string
+    }
   | { readonly kind: DispatchEventKind.StepDown }
+  | {
+      readonly kind: DispatchEventKind.ZoneServiceEnded
+      readonly zone: string
+      readonly term: number
+      readonly grant: number
+    }
   /** No majority has confirmed an earlier leader after the given time. */
   | {
       readonly kind: DispatchEventKind.EarlierLeadersConfirmed
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -13,6 +13,7 @@
 import type { EndpointRecord } from './endpoints/EndpointRecord'
 import { LeaseLoop } from './endpoints/LeaseLoop'
 import { IntakeLimit } from './jobs/IntakeLimit'
+import { EndpointTakeBack } from './zones/EndpointTakeBack'
 import { JobLifecycle } from './jobs/JobLifecycle'
 import { RequestHandler } from './jobs/RequestHandler'
 import { AnswerHandler } from './orders/AnswerHandler'
@@ -46,12 +47,14 @@
   readonly #answers: AnswerHandler
   readonly #scheduler: Scheduler
   readonly #intake = new IntakeLimit()
+  readonly #takeBack: EndpointTakeBack
   #expiryCheckDueAt = -Infinity
 
   constructor(options: DispatchOptions) {
     super()
     this.#core = new DispatchCore(options)
     this.#leases = new LeaseLoop(this.#core)
+    this.#takeBack = new EndpointTakeBack(this.#core, options.hasZoneDispatchers === true)
     const wake = (): void => {
       this.#scheduler.wake()
     }
@@ -117,6 +120,11 @@
     return this.#core.term !== undefined
   }
 
+  /** The zone that this instance serves alone; undefined if it leads, or does neither. */
+  get zone(): string | undefined {
+    return this.#core.zone
+  }
+
   /** Notices of all known endpoints, for another instance. */
   notices(now: number): EndpointNotice[] {
     return this.#core.endpoints.notices(now)
@@ -148,6 +156,7 @@
     if (this.leads) this.#lifecycle.crashes.tick(now)
     if (now >= this.#expiryCheckDueAt) this.#removeExpiredEndpoints(now)
     if (this.leads) {
+      this.#takeBack.tick(now)
       this.#leases.tick(now)
       this.#lifecycle.tick(now)
       this.#scheduler.wake()
@@ -175,9 +184,15 @@
       case DispatchEventKind.BecomeLeader:
         this.#becomeLeader(now, event)
         return
+      case DispatchEventKind.BecomeZoneDispatcher:
+        this.#becomeZoneDispatcher(now, event)
+        return
       case DispatchEventKind.StepDown:
         this.#stepDown(now)
         return
+      case DispatchEventKind.ZoneServiceEnded:
+        this.#takeBack.onZoneServiceEnded(event)
+        return
       case DispatchEventKind.DirectoryComplete:
         if (event.term === this.#core.term) this.#core.hasDirectory = true
         return
@@ -240,6 +255,22 @@
     this.#leases.tick(now)
   }
 
+  #becomeZoneDispatcher(
+    now: number,
+    { term, grant, zone }: EventOf<DispatchEventKind.BecomeZoneDispatcher>,
+  ): void {
+    const core = this.#core
+    if (core.term !== undefined) this.#stepDown(now)
+    core.term = term
+    core.zone = zone
+    core.earlierLeadersConfirmedUntil = now
+    core.hasDirectory = false
+    core.endpoints.beginTerm(grant)
+    for (const endpoint of core.endpoints.all()) endpoint.reset()
+    core.log('zone dispatching begins', { zone, term, grant, routing: core.table?.version ?? 0 })
+    this.#leases.tick(now)
+  }
+
   /** Runs in a drained zone go on; only new starts are excluded. */
   #setDrainedZones(now: number, zones: ReadonlySet<string>): void {
     const core = this.#core
@@ -267,10 +298,16 @@
     const core = this.#core
     if (core.term === undefined) return
     this.#lifecycle.crashes.handOver(now)
-    core.log('stepped down as leader', { term: core.term, openJobs: this.openJobs })
+    const { term, zone } = core
+    if (zone === undefined) {
+      core.log('stepped down as leader', { term, openJobs: this.openJobs })
+    } else {
+      core.log('zone dispatching ends', { zone, term, openJobs: this.openJobs })
+    }
     this.#lifecycle.clear()
     this.#requests.clear()
     core.term = undefined
+    core.zone = undefined
     for (const endpoint of core.endpoints.all()) endpoint.reset()
   }
 
--- a/packages/dispatch/src/lib/DispatchOptions.ts
+++ b/packages/dispatch/src/lib/DispatchOptions.ts
@@ -88,6 +88,8 @@
   readonly order?: QueuePolicy
   /** Decides which new jobs are admitted; by a forecast of free slots by default. */
   readonly admission?: JobAdmission
+  /** Whether zones that are cut off serve alone, so that their endpoints have to be taken back. */
+  readonly hasZoneDispatchers?: boolean
   /** Mechanisms to disable, to measure what each contributes. */
   readonly without?: readonly Mechanism[]
 }
--- a/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRecord.ts
@@ -75,6 +75,12 @@
    * lower one.
    */
   incarnationNumber = 0
+  /** Grant in the fencing tokens of this instance's orders; see `makeFencingToken`. */
+  grant = 0
+  /** Grant to use as soon as no run of this instance is left there. */
+  nextGrant: number | undefined
+  /** Since when it has refused the fencing token of this instance. */
+  fencedSince: number | undefined
   /**
    * When another incarnation of its machine was discovered; cleared when this one answers a hold or
    * poll sent after that.
@@ -220,6 +226,12 @@
     return false
   }
 
+  /** Whether a run is listed there that this instance didn't start, and whose job it doesn't have. */
+  get hasForeignRun(): boolean {
+    for (const { task } of this.#runs.values()) if (task === undefined) return true
+    return false
+  }
+
   /** Ratio of run times here to those at its peers, cached for `SLOWNESS_CACHE_MS`. */
   slowness(now: number, read: () => number): number {
     if (now - this.#slowness.readAt >= SLOWNESS_CACHE_MS) {
--- a/packages/dispatch/src/lib/endpoints/EndpointRegistry.ts
+++ b/packages/dispatch/src/lib/endpoints/EndpointRegistry.ts
@@ -21,6 +21,8 @@
   readonly #machines = new Map<string, Machine>()
   /** Number of incarnations discovered in the current leader's term. */
   #incarnationCount = 0
+  /** Grant of newly discovered endpoints. */
+  #grant = 0
   /** Records that have changed since the last `drainChanged`. */
   readonly #changed = new Set<EndpointRecord>()
 
@@ -82,10 +84,16 @@
   }
 
   /** Starts a new term: its fencing tokens are higher than those of all earlier terms. */
-  beginTerm(): void {
+  beginTerm(grant = 0): void {
     this.#incarnationCount = 0
+    this.#grant = grant
     for (const machine of this.#machines.values()) machine.incarnationNumber = 0
-    for (const record of this.#records.values()) record.incarnationNumber = 0
+    for (const record of this.#records.values()) {
+      record.incarnationNumber = 0
+      record.grant = grant
+      record.nextGrant = undefined
+      record.fencedSince = undefined
+    }
   }
 
   /**
@@ -118,6 +126,7 @@
       this.#changed.add(changed)
     }
     const record = new EndpointRecord(notice, now, { drift, roundTrip, onChange })
+    record.grant = this.#grant
     this.#changed.add(record)
     this.#records.set(notice.endpoint, record)
     this.health.add(record.id, record.service)
--- a/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
+++ b/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
@@ -24,6 +24,7 @@
   /** Opens a hold at an endpoint, unless one is pending or the next one is not due yet. */
   openHold(now: number, endpoint: EndpointRecord): void {
     if (endpoint.hold !== undefined || now < endpoint.nextHoldAt) return
+    if (!this.core.serves(endpoint)) return
     const { timing } = this.core
     // The first hold is answered immediately: it shows what runs there, and the endpoint's clock.
     const isKnown = endpoint.isSynced && endpoint.unanswered === 0 && endpoint.clock.isKnown
@@ -53,7 +54,8 @@
     if (this.core.term === undefined || endpoint.isReplaced) return undefined
     // The lease of an endpoint that may be unreachable is not renewed: it would then never expire,
     // and the tasks there could never be restarted elsewhere.
-    const leaseEndsAt = endpoint.unanswered === 0 ? this.leaseEnd(now, endpoint) : undefined
+    const isRenewed = endpoint.unanswered === 0 && !this.core.awaitsOtherRuns(endpoint)
+    const leaseEndsAt = isRenewed ? this.leaseEnd(now, endpoint) : undefined
     if (leaseEndsAt !== undefined) {
       endpoint.leaseEndsAt = Math.max(endpoint.leaseEndsAt, leaseEndsAt)
     }
@@ -74,9 +76,13 @@
   }
 
   /** Like `leaseEnd`, for an order that is valid for at most the given time. */
-  orderEnd(now: number, { clock }: EndpointRecord, validMs: number): number | undefined {
+  orderEnd(now: number, endpoint: EndpointRecord, validMs: number): number | undefined {
+    const { clock } = endpoint
     if (!clock.isKnown) return undefined
-    const end = Math.min(clock.at(now) + validMs, clock.at(this.core.ordersExpireAt))
+    const { zone, ordersExpireAt } = this.core
+    // No majority confirms a zone dispatcher: its token alone decides whether its orders count.
+    const expiresAt = zone === undefined ? clock.at(ordersExpireAt) : Infinity
+    const end = Math.min(clock.at(now) + validMs, expiresAt)
     return end <= clock.at(now) ? undefined : Math.floor(end)
   }
 
@@ -89,6 +95,7 @@
       endpoint.hold = undefined
     }
     endpoint.unanswered = 0
+    endpoint.fencedSince = undefined
     endpoint.answeredAt = now
     endpoint.nextHoldAt = now
     endpoint.clock.addSample(now, clockMs)
@@ -124,7 +131,10 @@
     this.core.counters.holds_missed++
     this.noteUnanswered(now, endpoint)
     // It answers another leader, so it must not count among endpoints that were lost together.
-    if (failure === HoldFailure.FENCED) endpoint.silentSince = -Infinity
+    if (failure === HoldFailure.FENCED) {
+      endpoint.silentSince = -Infinity
+      endpoint.fencedSince ??= now
+    }
     const slow = endpoint.unanswered > QUICK_RETRIES ? SLOW_RETRY_FACTOR : 1
     if (endpoint.hold === undefined) {
       endpoint.nextHoldAt = now + this.core.timing.holdRetryDelayMs * slow
@@ -164,11 +174,12 @@
    * True if everything ever ordered there is certain to have ended: the lease had expired when a
    * majority last confirmed this leader. Expiry after that time proves nothing, since the next
    * leader may have renewed the lease; a partitioned leader would restart tasks that are still
-   * running.
+   * running. For a zone dispatcher, a leader may have taken the endpoint at any time.
    */
   hasLapsed(now: number, endpoint: EndpointRecord): boolean {
     const { confirmedAt } = this.core
     if (endpoint.isReplaced) return endpoint.isQuiescent(now)
+    if (this.core.zone !== undefined) return false
     return endpoint.clock.isPast(confirmedAt, endpoint.leaseEndsAt)
   }
 }
--- a/packages/dispatch/src/lib/endpoints/fencingToken.ts
+++ b/packages/dispatch/src/lib/endpoints/fencingToken.ts
@@ -1,21 +1,32 @@
+/** Numbers for orders in one term: for incarnations, within grants. */
+const TOKENS_PER_TERM = 2 ** 20
 /**
- * Incarnations that a leader can distinguish in a term; any further ones share the highest number.
+ * Incarnations that a holder can distinguish in a grant; any further ones share the highest number.
  */
-const INCARNATIONS_PER_TERM = 2 ** 20
+const INCARNATIONS_PER_GRANT = 2 ** 15
+/** Highest grant of a term. @internal */
+export const MAX_GRANT = TOKENS_PER_TERM / INCARNATIONS_PER_GRANT - 1
 
 /**
  * Returns the fencing token of an order. Tokens of a later term are higher than all tokens of
- * earlier terms; within a term, a later incarnation of a machine has a higher token than the
- * earlier ones.
+ * earlier terms; within a term, those of a higher grant are higher; within a grant, a later
+ * incarnation of a machine has a higher token than the earlier ones.
  *
- * @param incarnation - number of the incarnation, as counted by the leader
+ * @param incarnation - number of the incarnation, as counted by the leader or zone dispatcher
+ * @param grant - 0 for a leader, unless a zone dispatcher has had the endpoint in its term
  * @internal
  */
-export function makeFencingToken(term: number, incarnation: number): number {
-  return term * INCARNATIONS_PER_TERM + Math.min(incarnation, INCARNATIONS_PER_TERM - 1)
+export function makeFencingToken(term: number, incarnation: number, grant = 0): number {
+  const number = Math.min(incarnation, INCARNATIONS_PER_GRANT - 1)
+  return term * TOKENS_PER_TERM + Math.min(grant, MAX_GRANT) * INCARNATIONS_PER_GRANT + number
 }
 
 /** Returns the term in which an order was issued. @internal */
 export function termOfToken(token: number): number {
-  return Math.floor(token / INCARNATIONS_PER_TERM)
+  return Math.floor(token / TOKENS_PER_TERM)
+}
+
+/** Returns the grant under which an order was issued. @internal */
+export function grantOfToken(token: number): number {
+  return Math.floor((token % TOKENS_PER_TERM) / INCARNATIONS_PER_GRANT)
 }
--- a/packages/dispatch/src/lib/jobs/RequestHandler.ts
+++ b/packages/dispatch/src/lib/jobs/RequestHandler.ts
@@ -158,6 +158,11 @@
       this.core.answer(waiter, JobVerdict.REFUSED, { reason, retryAfterMs: NO_ROUTING_RETRY_MS })
       return
     }
+    if (this.core.zone !== undefined) {
+      const reason = 'the zone is cut off, and no route is known here'
+      this.core.answer(waiter, JobVerdict.REFUSED, { reason, retryAfterMs: NO_ROUTING_RETRY_MS })
+      return
+    }
     if (this.#isConfirming) {
       const { version } = table
       this.core.log('no route matches the request', { ...waiter, version })
--- a/packages/dispatch/src/lib/orders/AnswerHandler.ts
+++ b/packages/dispatch/src/lib/orders/AnswerHandler.ts
@@ -4,7 +4,7 @@
 import type { DispatchCore } from '../DispatchCore'
 import type { OrderAnswered } from '../DispatchEvent'
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
-import { termOfToken } from '../endpoints/fencingToken'
+import { grantOfToken, termOfToken } from '../endpoints/fencingToken'
 import type { LeaseLoop } from '../endpoints/LeaseLoop'
 import type { JobLifecycle } from '../jobs/JobLifecycle'
 import type { Run } from '../runs/Run'
@@ -28,8 +28,9 @@
 
   handle(now: number, { order, sentAt, answer }: OrderAnswered): void {
     const endpoint = this.core.endpoints.get(order.endpoint)
-    // Ignore answers to orders that this instance gave as the leader of an earlier term.
+    // Ignore answers to orders that this instance gave in an earlier term or under another grant.
     if (endpoint === undefined || termOfToken(order.fencingToken) !== this.core.term) return
+    if (grantOfToken(order.fencingToken) !== endpoint.grant) return
     switch (answer.case) {
       case 'report':
         this.#onReport(now, endpoint, { order, sentAt, report: answer.value })
--- a/packages/dispatch/src/lib/relay/JobRelay.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.ts
@@ -74,8 +74,16 @@
   | ({ readonly kind: RelayEventKind.Ask; readonly question: JobQuestionKind } & CallerRequest)
   | { readonly kind: RelayEventKind.Abandon; readonly requestId: string }
   | { readonly kind: RelayEventKind.Outcome; readonly from: string; readonly outcome: JobOutcome }
-  /** `leader` is empty while no leader is known. */
-  | { readonly kind: RelayEventKind.Leader; readonly leader: string; readonly term: number }
+  /**
+   * `leader` is empty while no leader is known. With `isZone` it names a zone dispatcher, which
+   * gets only jobs that were sent to nobody else.
+   */
+  | {
+      readonly kind: RelayEventKind.Leader
+      readonly leader: string
+      readonly term: number
+      readonly isZone?: boolean
+    }
   | { readonly kind: RelayEventKind.QuorumUnreachable }
 
 /** @public */
@@ -95,6 +103,7 @@
     }
 
 type Submit = Extract<RelayEvent, { kind: RelayEventKind.Submit }>
+type LeaderNews = Extract<RelayEvent, { kind: RelayEventKind.Leader }>
 type Ask = Extract<RelayEvent, { kind: RelayEventKind.Ask }>
 
 interface OpenRequest {
@@ -104,6 +113,8 @@
   sentTerm: number
   /** Number of leaders that may have accepted the request. */
   attempts: number
+  /** Whether it was last sent to a zone dispatcher. */
+  isWithZone: boolean
   /**
    * The leader was lost after the request was sent to it. An answer under the leader's name may
    * come from a later process of that instance.
@@ -136,6 +147,7 @@
   readonly #unanswered = new Map<string, UnansweredJob>()
   #leader = ''
   #term = 0
+  #isZone = false
   #leaderLostAt = -Infinity
   /** When the next open request must be checked; may be too early after requests have ended. */
   #dueAt = Infinity
@@ -167,7 +179,7 @@
         this.#onOutcome(now, event.from, event.outcome)
         break
       case RelayEventKind.Leader:
-        this.#onLeader(now, event.leader, event.term)
+        this.#onLeader(now, event)
         break
       case RelayEventKind.QuorumUnreachable:
         this.#endAllLeaderless(now)
@@ -206,6 +218,7 @@
       sentTo: '',
       sentTerm: 0,
       attempts: 0,
+      isWithZone: false,
       isLeaderLost: false,
       waitingSince: now,
     }
@@ -220,6 +233,7 @@
     request.sentTo = this.#leader
     request.sentTerm = this.#term
     request.isLeaderLost = false
+    request.isWithZone = this.#isZone
     request.attempts++
     const message =
       event.kind === RelayEventKind.Ask
@@ -239,24 +253,30 @@
     this.#actions.push({ kind: RelayActionKind.Send, to: this.#leader, envelope: message })
   }
 
-  #onLeader(now: number, leader: string, term: number): void {
+  #onLeader(now: number, { leader, term, isZone = false }: LeaderNews): void {
     if (leader === '' && this.#leader !== '') this.#leaderLostAt = now
     this.#expireUnanswered(now)
     for (const job of this.#unanswered.values()) job.reportedAt = leader === '' ? undefined : now
     this.#leader = leader
     this.#term = term
+    if (leader !== '') this.#isZone = isZone
     if (leader === '') {
       for (const request of this.#open.values()) request.isLeaderLost = true
       if (this.#open.size > 0) this.#dueAt = -Infinity
       return
     }
-    this.#reportUnanswered()
+    if (!isZone) this.#reportUnanswered()
     for (const request of this.#open.values()) {
       if (request.sentTo === leader && request.sentTerm === term) continue
-      this.#send(now, request)
+      if (this.#maySend(request)) this.#send(now, request)
     }
   }
 
+  /** What a leader may have isn't sent to a zone dispatcher, nor the other way round. */
+  #maySend({ attempts, isWithZone }: OpenRequest): boolean {
+    return attempts === 0 || !(this.#isZone || isWithZone)
+  }
+
   /**
    * Reports the jobs with an unknown outcome to the new leader. Their callers may submit them again
    * through another instance, and an earlier leader may have started them.
@@ -339,7 +359,8 @@
   #checkRequest(now: number, request: OpenRequest): void {
     const { event, sentTo, attempts, waitingSince } = request
     const { requestId, deadlineAt } = event
-    if (sentTo === '' && this.#leader !== '' && now > waitingSince) this.#send(now, request)
+    const mayBeSent = sentTo === '' && this.#leader !== '' && this.#maySend(request)
+    if (mayBeSent && now > waitingSince) this.#send(now, request)
     const isOver = now >= deadlineAt - this.#timing.answerMarginMs
     if (this.#hasLeaderWaitExpired(now, request) || (isOver && attempts === 0)) {
       this.#endLeaderless(now, request)
--- a/packages/dispatch/src/lib/runs/RunTracker.ts
+++ b/packages/dispatch/src/lib/runs/RunTracker.ts
@@ -64,6 +64,7 @@
     const { term, timing, counters } = this.core
     const orderEndsAt = this.leases.orderEnd(now, endpoint, timing.startOrderValidityMs)
     if (term === undefined || orderEndsAt === undefined) return false
+    if (this.core.awaitsOtherRuns(endpoint)) return false
     const number = ++task.lastRun
     const { name, job } = task
     const run: Run = {
--- a/packages/dispatch/src/lib/scheduling/ServiceEndpoints.ts
+++ b/packages/dispatch/src/lib/scheduling/ServiceEndpoints.ts
@@ -61,16 +61,17 @@
 ): EndpointUse {
   const { notice, isReplaced, unanswered, runs, broadcastAt } = endpoint
   if (notice.state !== NoticeState.SERVING || isReplaced) return EndpointUse.Excluded
-  if (core.isInDrainedZone(endpoint)) return EndpointUse.Excluded
+  if (core.isInDrainedZone(endpoint) || !core.serves(endpoint)) return EndpointUse.Excluded
   // After one call without an answer the endpoint still counts: a single answer may have been lost.
   if (unanswered > 1 || health === HealthState.Ejected) return EndpointUse.Excluded
   // An endpoint on probation gets one task at a time.
   const isTrusted = health === HealthState.Healthy || runs.size === 0
   // The next leader must be able to learn of the endpoint from any majority, so a majority must
   // have confirmed this leader since the endpoint's notice was last broadcast.
-  const isKnown = core.confirmedAt >= broadcastAt
+  // A zone dispatcher's jobs are never sent on to a leader.
+  const isKnown = core.zone !== undefined || core.confirmedAt >= broadcastAt
   // Tasks beside a suspect one could be lost with it, and would become suspects as well.
-  const hasNoSuspect = !endpoint.hasSuspectTask
+  const hasNoSuspect = !endpoint.hasSuspectTask && !core.awaitsOtherRuns(endpoint)
   if (isTrusted && isKnown && hasNoSuspect && endpoint.mayStart(now)) return EndpointUse.Available
   return health === HealthState.Healthy ? EndpointUse.Expected : EndpointUse.Excluded
 }
--- /dev/null
+++ b/packages/dispatch/src/lib/zones/ZoneMessages.ts
@@ -0,0 +1,50 @@
+import type { ZoneToken } from './ZoneToken'
+
+/** What a dispatching instance does for its zone. @internal */
+export enum ZonePhase {
+  /** It serves nobody alone, and no job that it took is left. */
+  Idle = 'idle',
+  /** It has just started, and an earlier process may have served the zone. */
+  Unsure = 'unsure',
+  /** It asks the entries of its zone to join. */
+  Forming = 'forming',
+  /** It takes the jobs of its zone. */
+  Serving = 'serving',
+  /** It takes no more jobs, and finishes those that it has. */
+  Ending = 'ending',
+}
+
+/** A job that a holder may have, and for how long. @internal */
+export interface SubmittedJob {
+  readonly jobId: string
+  /** Time after which no holder that was sent it has any run of it, in milliseconds. */
+  readonly overInMs: number
+}
+
+/** Sent by a dispatching instance to each entry of its zone, at short intervals. @internal */
+export interface ZoneOffer {
+  readonly holder: string
+  readonly token: ZoneToken
+  readonly phase: ZonePhase
+  /** By the sender's clock. */
+  readonly sentAt: number
+  /** Entries whose list of jobs has arrived. */
+  readonly heard: readonly string[]
+  /** While ending: the jobs that it took and that aren't over. */
+  readonly open: readonly SubmittedJob[]
+}
+
+/** Answer of an entry to an offer. @internal */
+export interface ZoneJoin {
+  readonly entry: string
+  /** The highest token that it has joined. */
+  readonly token: ZoneToken
+  /** Whether it has joined the offer that this answers. */
+  readonly isJoined: boolean
+  /** `sentAt` of that offer. */
+  readonly offerSentAt: number
+  /** Time since its start, in milliseconds. */
+  readonly ageMs: number
+  /** The jobs that it sent to any other holder and that aren't over; sent until it is heard. */
+  readonly submitted: readonly SubmittedJob[] | undefined
+}
