Simulate zones that are cut off and serve alone

Two instances of a zone that offered at the same time shared its entries for good: the worse-ranked one now withdraws, and an offer below a token that an entry has joined is renewed.

--- a/packages/dispatch/src/lib/DispatchEvent.ts
+++ b/packages/dispatch/src/lib/DispatchEvent.ts
@@ -56,6 +56,10 @@
       readonly term: number
       readonly grant: number
       readonly zone: string
+      /** The last routing table that this instance knows. */
+      readonly table: RoutingTable | undefined
+      /** See `DrainedZones`; the last that this instance knows. */
+      readonly drainedZones: ReadonlySet<string>
     }
   | { readonly kind: DispatchEventKind.StepDown }
   | {
--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -257,12 +257,14 @@
 
   #becomeZoneDispatcher(
     now: number,
-    { term, grant, zone }: EventOf<DispatchEventKind.BecomeZoneDispatcher>,
+    { term, grant, zone, table, drainedZones }: EventOf<DispatchEventKind.BecomeZoneDispatcher>,
   ): void {
     const core = this.#core
     if (core.term !== undefined) this.#stepDown(now)
     core.term = term
     core.zone = zone
+    core.table = table ?? core.table
+    this.#setDrainedZones(now, drainedZones)
     core.earlierLeadersConfirmedUntil = now
     core.hasDirectory = false
     core.endpoints.beginTerm(grant)
--- a/packages/dispatch/src/lib/soak/DispatchSimulation.ts
+++ b/packages/dispatch/src/lib/soak/DispatchSimulation.ts
@@ -8,7 +8,7 @@
 import type { DispatchCounters } from '../DispatchCore'
 import { DispatchMachine } from '../DispatchMachine'
 import { JobRelay, RelayActionKind, RelayEventKind } from '../relay/JobRelay'
-import type { RelayAction } from '../relay/JobRelay'
+import type { RelayAction, RelayEvent } from '../relay/JobRelay'
 import type {
   AddedEndpoint,
   DispatchSimulationOptions,
@@ -25,6 +25,7 @@
 import type { SimulatedLeader } from './SimulatedLeader'
 import { requestOf, SentRequests } from './SentRequests'
 import { HOST, makeSimulatedRouting, SERVICE } from './simulatedRouting'
+import { SimulatedZones } from './SimulatedZones'
 import { StartChecks } from './StartChecks'
 import { StoredDirectories } from './StoredDirectories'
 import { SIMULATED_ZONES, ZoneDrains } from './ZoneDrains'
@@ -56,7 +57,8 @@
   readonly startedTasks = this.#checks.startedTasks
   readonly #machines: DispatchMachine[]
   readonly #leaders: SimulatedLeader[]
-  readonly #relay = new JobRelay()
+  readonly #relays = new Map<string, JobRelay>()
+  readonly zones: SimulatedZones | undefined
   readonly #orders: OrderTransport
   readonly #proxies: SimulatedOrderRouting
   readonly #processes: Processes
@@ -77,6 +79,8 @@
 
   constructor(private readonly options: DispatchSimulationOptions) {
     this.#processes = new Processes(options.leaders)
+    this.zones = this.#makeZones()
+    for (const entry of this.zones?.entries ?? [ENTRY]) this.#relays.set(entry, new JobRelay())
     this.drains = this.#makeDrains()
     this.lifecycle = new EndpointLifecycle({
       endpoints: this.endpoints,
@@ -107,7 +111,14 @@
       random: options.random,
       now: () => this.now,
       after: this.#after,
-      isCut: (caller, endpoint) => this.#cuts.has(caller, endpoint),
+      isCut: (caller, endpoint) => {
+        if (this.#cuts.has(caller, endpoint)) return true
+        return this.zones?.reaches(caller, this.#zoneOfEndpoint(endpoint)) === false
+      },
+      isAnswerCut: (caller, endpoint) => {
+        if (this.#cuts.has(caller, endpoint)) return true
+        return this.zones?.hears(caller, this.#zoneOfEndpoint(endpoint)) === false
+      },
       takesLivesForOne: options.takesLivesForOne === true,
     })
     this.#proxies = new SimulatedOrderRouting({
@@ -127,6 +138,45 @@
     for (let i = 0; i < endpoints; i++) this.addEndpoint(`e${i}`, { rack: `r${i % racks}` })
   }
 
+  #makeZones(): SimulatedZones | undefined {
+    const { zones, leaders, random } = this.options
+    if (zones === undefined) return undefined
+    return new SimulatedZones({
+      ...zones,
+      instances: leaders,
+      random,
+      now: () => this.now,
+      after: this.#after,
+      machine: (i) => this.#machines[i],
+      isUp: (i) => this.isUp(i),
+      tell: (i, event) => {
+        this.#tell(i, event)
+      },
+      tellRelay: (entry, event) => {
+        this.#stepRelay(entry, event)
+      },
+      onOutcome: (outcome) => {
+        this.#onOutcome(outcome)
+      },
+      leader: () => ({
+        index: this.#leader,
+        term: this.#term,
+        isCut: this.#isCutFromQuorum(this.#leader),
+      }),
+      restartRelay: (entry) => {
+        this.#relays.set(entry, new JobRelay())
+      },
+    })
+  }
+
+  #zoneOfEndpoint(id: string): string {
+    return this.endpoints.find(({ options }) => options.id === id)?.options.zone ?? ''
+  }
+
+  #isCutFromQuorum(instance: number): boolean {
+    return this.#cutFromQuorum.has(instance) || this.zones?.hasQuorum(instance) === false
+  }
+
   #makeDrains(): ZoneDrains {
     return new ZoneDrains({
       fault: this.options.drainFault,
@@ -144,6 +194,7 @@
     const { order, admission, without = [], makeMachine } = this.options
     const chosen = {
       without,
+      ...(this.options.zones?.areAlone === true && { hasZoneDispatchers: true }),
       ...(order !== undefined && { order }),
       ...(admission !== undefined && { admission }),
     }
@@ -195,7 +246,18 @@
     const drift = random() * 0.02
     const clockStartMs = Math.floor(random() * 1e6)
     const more = { drift, clockStartMs, maxLeaseMs: MAX_LEASE_MS }
-    const own = { id, startedAt, isNamedById, address, rack, zone, places, guardsPlaces }
+    const ignoresGrants = this.zones?.ignoresGrants === true
+    const own = {
+      id,
+      startedAt,
+      isNamedById,
+      address,
+      rack,
+      zone,
+      places,
+      guardsPlaces,
+      ignoresGrants,
+    }
     const endpoint = new SimulatedEndpoint({ ...own, service: SERVICE, ...more })
     endpoint.onStart = (run, isLate) => {
       this.#checks.onStart(endpoint, run.task, isLate)
@@ -225,7 +287,9 @@
     if (old !== leader) {
       this.#cutFromQuorum.add(old)
       this.after(oldLearnsAfterMs, () => {
-        if (this.#leader !== old) this.#tell(old, { kind: DispatchEventKind.StepDown })
+        const servesZone = this.#machines[old]?.zone !== undefined
+        if (this.#leader !== old && !servesZone)
+          this.#tell(old, { kind: DispatchEventKind.StepDown })
       })
     }
     if (gapMs === 0) this.#lead(leader, term, followedUntil)
@@ -259,11 +323,13 @@
     this.#machines[leader] = machine
     this.#leaders[leader] = this.#makeLeader(machine, leader)
     this.#proxies.restart(leader)
+    this.zones?.restartInstance(leader, this.now + downMs)
     this.after(
       downMs,
       this.#processes.bind(leader, () => {
         for (const event of this.#stored.read(leader)) this.#tell(leader, event)
-        for (const i of this.#machines.keys()) if (i !== leader) this.#tellNotices(i, leader)
+        for (const i of this.#machines.keys())
+          if (this.#areLinked(i, leader)) this.#tellNotices(i, leader)
         if (this.options.resendsToNextProcess !== true) return
         for (const event of this.#sent.unacknowledged(this.now, leader)) this.#tell(leader, event)
       }),
@@ -275,9 +341,19 @@
     })
   }
 
+  /** Entries in zones find the leader by themselves. */
   #tellLeader(leader: string): void {
-    const told = { kind: RelayEventKind.Leader, leader, term: this.#term } as const
-    this.#performRelay(this.#relay.step(this.now, told))
+    if (this.zones !== undefined) return
+    this.#stepRelay(ENTRY, { kind: RelayEventKind.Leader, leader, term: this.#term })
+  }
+
+  #stepRelay(entry: string, event: RelayEvent): void {
+    this.#performRelay(entry, this.#relays.get(entry)?.step(this.now, event) ?? [])
+  }
+
+  #areLinked(one: number, other: number): boolean {
+    if (one === other) return false
+    return this.zones?.areLinked(`d${one}`, `d${other}`) ?? true
   }
 
   #lead(leader: number, term: number, followedUntil: number): void {
@@ -306,10 +382,11 @@
    * majority.
    */
   #readDirectories(leader: number, term: number): void {
-    const others = [...this.#machines.keys()].filter((i) => i !== leader)
+    const others = [...this.#machines.keys()].filter((i) => this.#areLinked(i, leader))
     const asked = others[Math.floor(this.options.random() * others.length)]
     if (asked !== undefined) this.#tellNotices(asked, leader)
     const majority = asked === undefined ? [leader] : [leader, asked]
+    if (2 * majority.length <= this.#machines.length) return
     if (!majority.every((i) => this.#hasWholeDirectory(i))) return
     this.#tell(leader, { kind: DispatchEventKind.DirectoryComplete, term })
   }
@@ -330,7 +407,7 @@
   }
 
   submit(id: string, tasks: number, options: SubmitOptions = {}): void {
-    const { deadlineMs = 5_000, queue = 0 } = options
+    const { deadlineMs = 5_000, queue = 0, entry = ENTRY } = options
     const spec = makeSimulatedJob(id, tasks, options)
     const place = {
       host: HOST,
@@ -338,9 +415,9 @@
       receivedAt: this.now,
       deadlineAt: this.now + deadlineMs,
     }
-    this.#performRelay(
-      this.#relay.step(this.now, { kind: RelayEventKind.Submit, requestId: id, spec, ...place }),
-    )
+    if (this.zones !== undefined) this.outcomes.delete(id)
+    if (this.zones?.accept(entry, id) === false) return
+    this.#stepRelay(entry, { kind: RelayEventKind.Submit, requestId: id, spec, ...place })
   }
 
   after(ms: number, run: () => void): void {
@@ -360,8 +437,9 @@
   #tick(): void {
     for (const endpoint of this.endpoints) endpoint.advance(this.now)
     this.#sendHeartbeats()
+    this.zones?.tick()
     for (const [i, leader] of this.#leaders.entries()) {
-      if (!this.#cutFromQuorum.has(i)) {
+      if (!this.#isCutFromQuorum(i)) {
         this.#tell(i, { kind: DispatchEventKind.LeadershipConfirmed, at: this.now - 2 * WAY_MS })
       }
       if (this.isUp(i)) leader.tick()
@@ -371,7 +449,9 @@
       }
       this.#proxies.tick(i, this.#machines[i]?.endpoints ?? 0)
     }
-    this.#performRelay(this.#relay.tick(this.now))
+    for (const [entry, relay] of this.#relays) {
+      if (this.zones?.isEntryUp(entry) !== false) this.#performRelay(entry, relay.tick(this.now))
+    }
   }
 
   /** Sends a notice of each endpoint to all instances that know it. */
@@ -386,6 +466,7 @@
     for (const [i, machine] of this.#machines.entries()) {
       // A leave notice goes to all instances before it is acknowledged.
       if (!machine.hasEndpoint(notice.endpoint) && notice.state === NoticeState.SERVING) continue
+      if (this.zones?.hears(`d${i}`, notice.zone) === false) continue
       this.#tellNotice(i, notice)
     }
     const isLeaving = notice.state === NoticeState.LEAVING
@@ -406,7 +487,8 @@
 
   #perform(leader: number, actions: readonly DispatchAction[]): void {
     for (const action of actions) {
-      if (action.kind === DispatchActionKind.Order) this.#proxies.order(leader, action)
+      if (action.kind === DispatchActionKind.Order)
+        this.#proxies.order(leader, this.zones?.alter(leader, action) ?? action)
       else if (action.kind === DispatchActionKind.BroadcastNotice)
         this.#spread(leader, action.notice)
       else if (action.kind === DispatchActionKind.BroadcastLosses) {
@@ -414,16 +496,21 @@
         if (machine !== undefined) this.#stored.noteNews(this.now, leader, machine)
         this.#tellOthers(leader, { kind: DispatchEventKind.EndpointLosses, losses: action.losses })
       } else if (action.kind === DispatchActionKind.Answer) {
-        const { outcome } = action
-        this.after(WAY_MS, () => {
-          const event = { kind: RelayEventKind.Outcome, from: `d${leader}`, outcome } as const
-          this.#performRelay(this.#relay.step(this.now, event))
-        })
+        this.#sendOutcome(leader, action.to, action.outcome)
       }
     }
     this.#proxies.flush(leader)
   }
 
+  #sendOutcome(leader: number, entry: string, outcome: JobOutcome): void {
+    const from = `d${leader}`
+    if (this.zones?.areLinked(from, entry) === false) return
+    this.after(WAY_MS, () => {
+      if (this.zones?.isEntryUp(entry) === false) return
+      this.#stepRelay(entry, { kind: RelayEventKind.Outcome, from, outcome })
+    })
+  }
+
   #spread(leader: number, notice: EndpointNotice): void {
     if (this.#cutFromQuorum.has(leader)) return
     this.#tellOthers(leader, { kind: DispatchEventKind.Notice, notice })
@@ -431,7 +518,7 @@
 
   #tellOthers(leader: number, event: DispatchEvent): void {
     this.after(WAY_MS, () => {
-      for (const i of this.#leaders.keys()) if (i !== leader) this.#tell(i, event)
+      for (const i of this.#leaders.keys()) if (this.#areLinked(leader, i)) this.#tell(i, event)
     })
   }
 
@@ -444,25 +531,33 @@
     }
   }
 
-  #performRelay(actions: readonly RelayAction[]): void {
+  #performRelay(entry: string, actions: readonly RelayAction[]): void {
     for (const action of actions) {
       if (action.kind === RelayActionKind.Answer) this.#onOutcome(action.outcome)
-      else this.#deliver(action.to, action.envelope)
+      else this.#deliver(entry, action.to, action.envelope)
     }
   }
 
-  #deliver(to: string, message: Envelope): void {
+  #deliver(entry: string, to: string, message: Envelope): void {
     const leader = Number(to.slice(1))
-    const event = requestOf(ENTRY, message)
+    const event = requestOf(entry, message)
     if (event === undefined) return
+    this.zones?.noteSent(entry, event)
+    if (this.zones?.areLinked(entry, to) === false) return
     if (this.options.resendsToNextProcess === true) this.#sent.note(this.now, leader, event)
     const deliver = (): void => {
-      this.#tell(leader, event)
+      const outcome = this.zones?.refusal(leader, event)
+      if (outcome !== undefined) this.#sendOutcome(leader, entry, outcome)
+      else this.#tell(leader, event)
     }
     this.after(WAY_MS, this.#processes.bind(leader, deliver))
   }
 
   #onOutcome(outcome: JobOutcome): void {
+    if (this.zones !== undefined) {
+      this.#onAttemptOutcome(this.zones, outcome)
+      return
+    }
     const earlier = this.outcomes.get(outcome.requestId)
     this.outcomes.set(outcome.requestId, outcome)
     this.answeredAt.set(outcome.requestId, this.now)
@@ -470,4 +565,13 @@
     if (outcome.verdict !== JobVerdict.REFUSED || earlier?.verdict === JobVerdict.UNKNOWN) return
     this.#checks.onRefused(outcome.requestId)
   }
+
+  /** A job was refused only if all submissions of it were. */
+  #onAttemptOutcome(zones: SimulatedZones, outcome: JobOutcome): void {
+    const { requestId } = outcome
+    const settled = zones.settle(outcome)
+    this.outcomes.set(requestId, settled)
+    this.answeredAt.set(requestId, this.now)
+    if (settled.verdict === JobVerdict.REFUSED) this.#checks.onRefused(requestId)
+  }
 }
--- a/packages/dispatch/src/lib/soak/DispatchSimulationOptions.ts
+++ b/packages/dispatch/src/lib/soak/DispatchSimulationOptions.ts
@@ -5,6 +5,7 @@
 import type { QueuePolicy } from '../scheduling/QueuePolicy'
 import type { WorldChances } from './OrderTransport'
 import type { LeaderCosts } from './PayingLeader'
+import type { SimulatedZonesOptions } from './SimulatedZones'
 import type { DrainFault } from './ZoneDrains'
 
 /** @internal */
@@ -47,6 +48,8 @@
   readonly guardsPlaces?: boolean
   /** How the drains of zones are handled wrongly; correctly by default. */
   readonly drainFault?: DrainFault
+  /** Entries in each zone, and cuts between zones; a single entry by default. */
+  readonly zones?: SimulatedZonesOptions
   /** Creates the dispatchers, for measurements. */
   readonly makeMachine?: (options: DispatchOptions) => DispatchMachine
 }
@@ -58,6 +61,8 @@
   readonly estimateMs?: number
   /** Index of its queue, below `QUEUES`: each learns the run times of its own jobs. */
   readonly queue?: number
+  /** The entry that gets the job; the first by default. */
+  readonly entry?: string
   /** Whether the tasks request no cores and no memory. */
   readonly isWeightless?: boolean
 }
--- a/packages/dispatch/src/lib/soak/OrderTransport.ts
+++ b/packages/dispatch/src/lib/soak/OrderTransport.ts
@@ -30,6 +30,8 @@
   readonly after: (ms: number, run: () => void) => void
   /** Whether an instance can't reach an endpoint now. */
   readonly isCut: (caller: string, endpoint: string) => boolean
+  /** Whether an endpoint's answers don't reach an instance now; like `isCut` by default. */
+  readonly isAnswerCut?: (caller: string, endpoint: string) => boolean
   /** See `DispatchSimulationOptions`. */
   readonly takesLivesForOne?: boolean
 }
@@ -80,7 +82,8 @@
       const target = isTaken ? present : this.currentIncarnation(id)
       if (target === undefined || target.isGone) return
       this.carryOut(target, { order, isLate }, (answer) => {
-        if (isLost || this.world.isCut(caller, id) || target.isGone) return
+        const { isCut, isAnswerCut = isCut } = this.world
+        if (isLost || isAnswerCut(caller, id) || target.isGone) return
         this.world.after(WAY_MS, () => {
           settle(answer)
         })
--- a/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
@@ -17,6 +17,7 @@
   StartOrder,
   StopOrder,
 } from '@cherryhitch/protocol'
+import { termOfToken } from '../endpoints/fencingToken'
 
 /** A run on a simulated endpoint. */
 export interface SimulatedRun {
@@ -56,6 +57,8 @@
   readonly drift: number
   /** Reading of its clock at simulated time 0, in milliseconds. */
   readonly clockStartMs: number
+  /** Whether it compares the terms of fencing tokens only, as an endpoint must not. */
+  readonly ignoresGrants?: boolean
   /** Longest lease that it grants, in milliseconds by its own clock. */
   readonly maxLeaseMs: number
 }
@@ -138,8 +141,7 @@
   start(now: number, token: number, order: StartOrder, fate: RunFate): StartResult {
     const { runMs, fails, isLate = false } = fate
     this.advance(now)
-    if (token < this.fence) return StartResult.FENCED
-    this.fence = token
+    if (!this.obeys(token)) return StartResult.FENCED
     if (this.running.get(order.task)?.run === order.run) return StartResult.RUNS
     if (order.orderEndsAt < this.clock(now)) return StartResult.TOO_LATE
     this.renew(now, order.orderEndsAt)
@@ -153,8 +155,7 @@
 
   stop(now: number, token: number, order: StopOrder): boolean {
     this.advance(now)
-    if (token < this.fence) return false
-    this.fence = token
+    if (!this.obeys(token)) return false
     const run = this.running.get(order.task)
     if (run?.run === order.run) this.end(run, ListedEnd.STOPPED)
     const highest = this.highestEnded.get(order.task) ?? 0
@@ -165,8 +166,7 @@
   /** Processes a hold, also repeatedly while it waits; returns the failure, if any. */
   hold(now: number, token: number, order: HoldOrder): HoldFailure | undefined {
     this.advance(now)
-    if (token < this.fence) return HoldFailure.FENCED
-    this.fence = token
+    if (!this.obeys(token)) return HoldFailure.FENCED
     if (order.leaseEndsAt !== undefined) this.renew(now, order.leaseEndsAt)
     const [first] = this.ended
     if (first !== undefined && first.position <= order.acknowledgedEnd) {
@@ -185,6 +185,14 @@
     return makeHoldReport(this.clock(now), running, this.ended)
   }
 
+  /** Whether it executes an order with this token; it then obeys no lower one any more. */
+  private obeys(token: number): boolean {
+    const number = this.options.ignoresGrants === true ? termOfToken(token) : token
+    if (number < this.fence) return false
+    this.fence = number
+    return true
+  }
+
   private renew(now: number, leaseEndsAt: number): void {
     const longest = this.clock(now) + this.options.maxLeaseMs
     this.leaseEndsAt = Math.max(this.leaseEndsAt, Math.min(leaseEndsAt, longest))
--- a/packages/dispatch/src/lib/zones/ZoneEntry.ts
+++ b/packages/dispatch/src/lib/zones/ZoneEntry.ts
@@ -3,7 +3,7 @@
 import type { ZoneJoin, ZoneOffer } from './ZoneMessages'
 import { isHigher } from './ZoneToken'
 import type { ZoneToken } from './ZoneToken'
-import { defaultZoneTiming, leaveAfterMs } from './ZoneTiming'
+import { defaultZoneTiming, jobHorizonMs, leaveAfterMs } from './ZoneTiming'
 import type { ZoneTiming } from './ZoneTiming'
 
 /** Where an entry sends new jobs. @internal */
@@ -35,7 +35,9 @@
  */
 export class ZoneEntry {
   readonly #timing: ZoneTiming
-  /** Jobs that this entry sent to any holder. */
+  /** Jobs that this entry sent to the zone dispatcher that it has joined. */
+  readonly #sentToZone = new SubmittedJobs()
+  /** Jobs that it sent to any holder before. */
   readonly #sent = new SubmittedJobs()
   /** Jobs of zone dispatchers that have ended, which may still run. */
   readonly #others = new SubmittedJobs()
@@ -43,6 +45,8 @@
   #membership: ZoneMembership
   #token: ZoneToken = { term: 0, grant: 0 }
   #holder = ''
+  /** Whether the zone dispatcher that it has joined takes jobs. */
+  #isServed = false
   #holderHeardAt = -Infinity
   #joinedAt = -Infinity
   #hasLeader = false
@@ -59,7 +63,7 @@
   /** The zone dispatcher that gets new jobs, or undefined. */
   holder(now: number): string | undefined {
     if (this.#membership !== ZoneMembership.Joined) return undefined
-    return this.#hearsHolder(now) ? this.#holder : undefined
+    return this.#isServed && this.#hearsHolder(now) ? this.#holder : undefined
   }
 
   /** Whether new jobs may go to the leader, if there is one. */
@@ -76,7 +80,8 @@
   noteSent(now: number, jobId: string, deadlineAt: number): void {
     const { longestDeadlineMs, overAfterDeadlineMs } = this.#timing
     const endsAt = Math.min(deadlineAt, now + longestDeadlineMs)
-    this.#sent.add(now, jobId, endsAt + overAfterDeadlineMs)
+    const sent = this.#membership === ZoneMembership.Joined ? this.#sentToZone : this.#sent
+    sent.add(now, jobId, endsAt + overAfterDeadlineMs)
   }
 
   onLeader(hasLeader: boolean): void {
@@ -87,7 +92,7 @@
   onOffer(now: number, offer: ZoneOffer): ZoneJoin | undefined {
     switch (offer.phase) {
       case ZonePhase.Idle:
-        this.#clear(offer.holder)
+        this.#clear(now, offer.holder)
         return undefined
       case ZonePhase.Unsure:
         return undefined
@@ -104,7 +109,7 @@
     const since =
       this.#membership === ZoneMembership.Unsure ? this.options.startedAt : this.#joinedAt
     if (this.#membership === ZoneMembership.Leader) return
-    if (now - since >= leaveAfterMs(this.#timing)) this.#returnToLeader()
+    if (now - since >= leaveAfterMs(this.#timing)) this.#returnToLeader(now)
   }
 
   #hearsHolder(now: number): boolean {
@@ -112,24 +117,27 @@
   }
 
   /** One of the zone's dispatching instances has nothing that this entry would have to know. */
-  #clear(holder: string): void {
+  #clear(now: number, holder: string): void {
     this.#clearedBy.add(holder)
     if (this.#membership !== ZoneMembership.Unsure) return
-    if (this.options.holders.every((one) => this.#clearedBy.has(one))) this.#returnToLeader()
+    if (this.options.holders.every((one) => this.#clearedBy.has(one))) {
+      this.#returnToLeader(now)
+    }
   }
 
   #onEnding(now: number, { holder, token, open }: ZoneOffer): void {
     this.#others.addAll(now, open)
-    this.#clear(holder)
+    this.#clear(now, holder)
     const isOwn = holder === this.#holder && !isHigher(this.#token, token)
-    if (this.#membership === ZoneMembership.Joined && isOwn) this.#returnToLeader()
+    if (this.#membership === ZoneMembership.Joined && isOwn) this.#returnToLeader(now)
   }
 
   #onServing(now: number, offer: ZoneOffer): ZoneJoin | undefined {
     this.#clearedBy.delete(offer.holder)
     if (this.#mayJoin(now, offer)) this.#join(now, offer)
     const { holder, token, sentAt, heard } = offer
-    const { name, startedAt } = this.options
+    const { name, startedAt, mayHaveRunBefore } = this.options
+    const certainAt = mayHaveRunBefore ? startedAt + jobHorizonMs(this.#timing) : now
     const isJoined =
       this.#membership === ZoneMembership.Joined &&
       holder === this.#holder &&
@@ -137,13 +145,15 @@
     if (isJoined) {
       this.#holderHeardAt = now
       this.#joinedAt = now
+      this.#isServed = offer.phase === ZonePhase.Serving
     }
     return {
       entry: name,
       token: this.#token,
       isJoined,
+      hasLeader: this.#membership === ZoneMembership.Leader && this.#hasLeader,
       offerSentAt: sentAt,
-      ageMs: now - startedAt,
+      uncertainForMs: Math.max(0, certainAt - now),
       submitted: isJoined && !heard.includes(name) ? this.#listOf(now) : undefined,
     }
   }
@@ -162,14 +172,23 @@
   }
 
   #join(now: number, { holder, token }: ZoneOffer): void {
+    this.#forgetHolder(now)
     this.#membership = ZoneMembership.Joined
     this.#holder = holder
     this.#token = token
     this.#holderHeardAt = now
   }
 
-  #returnToLeader(): void {
+  #returnToLeader(now: number): void {
     this.#membership = ZoneMembership.Leader
+    this.#forgetHolder(now)
     this.#holder = ''
   }
+
+  /** From now on, the zone dispatcher that it had joined is a holder like any other. */
+  #forgetHolder(now: number): void {
+    this.#sent.addAll(now, this.#sentToZone.list(now))
+    this.#sentToZone.clear()
+    this.#isServed = false
+  }
 }
--- a/packages/dispatch/src/lib/zones/ZoneHolder.ts
+++ b/packages/dispatch/src/lib/zones/ZoneHolder.ts
@@ -46,6 +46,16 @@
   zone_may_run_elsewhere: number
 }
 
+/** A job that an entry hands in. @internal */
+export interface ZoneRequest {
+  readonly entry: string
+  readonly requestId: string
+  readonly jobId: string
+  readonly deadlineAt: number
+}
+
+type AbandonedRequest = Pick<ZoneRequest, 'entry' | 'requestId'>
+
 interface JoinedEntry {
   /** `sentAt` of the offer that its last join answers. */
   readonly offerSentAt: number
@@ -72,12 +82,16 @@
   readonly #others = new SubmittedJobs()
   /** Jobs that this instance took. */
   readonly #taken = new SubmittedJobs()
+  /** Requests that may still be open, by id. */
+  readonly #requests = new Map<string, { readonly entry: string; readonly endsAt: number }>()
   #phase = ZonePhase.Idle
   #token: ZoneToken = { term: 0, grant: 0 }
   /** The highest token of which this instance has heard. */
   #highest: ZoneToken = { term: 0, grant: 0 }
   #leaderHeardAt: number
-  #betterHeardAt = -Infinity
+  /** When another instance of the zone was last heard that has precedence. */
+  #otherHeardAt = -Infinity
+  #pausedUntil = -Infinity
   #endingSince = -Infinity
   #offerDueAt = -Infinity
   #isDispatching = false
@@ -104,13 +118,19 @@
   }
 
   /** Another dispatching instance of the zone sent an offer to this one. */
-  onOtherOffer(now: number, { token }: ZoneOffer, rank: number): void {
-    if (rank < this.options.rank) this.#betterHeardAt = now
+  onOtherOffer(now: number, { token, phase }: ZoneOffer, rank: number): void {
     this.#noteToken(token)
+    if (rank > this.options.rank && phase !== ZonePhase.Serving) return
+    this.#otherHeardAt = now
+    if (this.#phase === ZonePhase.Forming) this.#end(now)
   }
 
   onJoin(now: number, join: ZoneJoin): void {
     this.#noteToken(join.token)
+    if (join.hasLeader && this.#phase === ZonePhase.Forming) {
+      this.#pausedUntil = now + this.#timing.withdrawnPauseMs
+      this.#end(now)
+    }
     const isAlone = this.#phase === ZonePhase.Forming || this.#phase === ZonePhase.Serving
     const isThis = !isHigher(join.token, this.#token) && !isHigher(this.#token, join.token)
     if (!isAlone || !join.isJoined || !isThis) return
@@ -118,13 +138,13 @@
     // Until its list has come, the entry hasn't joined.
     if (known === undefined && join.submitted === undefined) return
     this.#others.addAll(now, join.submitted ?? [])
-    const certainAt = known?.certainAt ?? now + jobHorizonMs(this.#timing) - join.ageMs
+    const certainAt = known?.certainAt ?? now + join.uncertainForMs
     const offerSentAt = Math.max(known?.offerSentAt ?? -Infinity, join.offerSentAt)
     this.#joined.set(join.entry, { offerSentAt, certainAt })
   }
 
-  /** Decides on a job; the deadline may be capped by the caller of this function. */
-  decide(now: number, jobId: string, deadlineAt: number): ZoneDecision {
+  /** Decides on a job that an entry hands in. */
+  decide(now: number, { entry, requestId, jobId, deadlineAt }: ZoneRequest): ZoneDecision {
     if (this.#phase !== ZonePhase.Serving || !this.#haveAllJoined(now)) {
       this.counters.zone_refused_unjoined++
       return ZoneDecision.Refuse
@@ -137,12 +157,21 @@
     const { longestDeadlineMs, overAfterDeadlineMs } = this.#timing
     const endsAt = Math.min(deadlineAt, now + longestDeadlineMs)
     this.#taken.add(now, jobId, endsAt + overAfterDeadlineMs)
+    this.#requests.set(requestId, { entry, endsAt })
     return ZoneDecision.Take
   }
 
-  /** An entry whose join is too old, so that its callers are gone if it was lost. */
-  isLost(now: number, entry: string): boolean {
-    return !this.#isCurrent(now, this.#joined.get(entry))
+  /** Takes the requests of entries that are lost: nobody waits for them any more. */
+  takeAbandoned(now: number): readonly AbandonedRequest[] {
+    const abandoned: AbandonedRequest[] = []
+    for (const [requestId, { entry, endsAt }] of this.#requests) {
+      const heardAt = this.#joined.get(entry)?.offerSentAt ?? -Infinity
+      const isLost = now - heardAt >= this.#timing.entryLostMs
+      const isAbandoned = this.#phase === ZonePhase.Serving && isLost
+      if (isAbandoned) abandoned.push({ entry, requestId })
+      if (isAbandoned || now >= endsAt) this.#requests.delete(requestId)
+    }
+    return abandoned
   }
 
   /** @param openJobs - number of jobs that the dispatcher of this instance has */
@@ -153,6 +182,8 @@
         if (!leads && this.#mayOffer(now)) this.#form(now)
         return undefined
       case ZonePhase.Forming:
+        // An entry has joined a higher token before, and joins no lower one.
+        if (isHigher(this.#highest, this.#token)) this.#form(now)
         if (!this.#haveAllJoined(now)) return undefined
         this.#phase = ZonePhase.Serving
         this.#isDispatching = true
@@ -189,15 +220,19 @@
   }
 
   #mayOffer(now: number): boolean {
-    const { quietMs, offerTimeoutMs } = this.#timing
-    const hearsBetter = now - this.#betterHeardAt < offerTimeoutMs
-    return now - this.#leaderHeardAt >= quietMs && !hearsBetter
+    const { quietMs, rankDelayMs, offerTimeoutMs } = this.#timing
+    const waitMs = quietMs + this.options.rank * rankDelayMs
+    const hearsOther = now - this.#otherHeardAt < offerTimeoutMs
+    return now - this.#leaderHeardAt >= waitMs && now >= this.#pausedUntil && !hearsOther
   }
 
   #form(now: number): void {
     const { term } = this.#highest
     const grant = nextZoneGrant(this.#highest.grant, this.options.rank)
-    if (grant === undefined) return
+    if (grant === undefined) {
+      if (this.#phase === ZonePhase.Forming) this.#end(now)
+      return
+    }
     this.#token = { term, grant }
     this.#highest = this.#token
     this.#joined.clear()
--- a/packages/dispatch/src/lib/zones/ZoneMessages.ts
+++ b/packages/dispatch/src/lib/zones/ZoneMessages.ts
@@ -41,10 +41,12 @@
   readonly token: ZoneToken
   /** Whether it has joined the offer that this answers. */
   readonly isJoined: boolean
+  /** Whether it keeps to a leader, and so doesn't join. */
+  readonly hasLeader: boolean
   /** `sentAt` of that offer. */
   readonly offerSentAt: number
-  /** Time since its start, in milliseconds. */
-  readonly ageMs: number
+  /** Time until all jobs are over that an earlier process of it may have sent, in milliseconds. */
+  readonly uncertainForMs: number
   /** The jobs that it sent to any other holder and that aren't over; sent until it is heard. */
   readonly submitted: readonly SubmittedJob[] | undefined
 }
--- a/packages/dispatch/src/lib/zones/ZoneTiming.ts
+++ b/packages/dispatch/src/lib/zones/ZoneTiming.ts
@@ -2,12 +2,18 @@
 export interface ZoneTiming {
   /** How long a dispatching instance hears no leader before it offers to serve its zone. */
   readonly quietMs: number
+  /** How much longer each instance waits than the one ranked before it. */
+  readonly rankDelayMs: number
+  /** Pause after an offer that was withdrawn because an entry has a leader. */
+  readonly withdrawnPauseMs: number
   /** Interval of offers. */
   readonly offerIntervalMs: number
   /** How long a join counts, from the offer that it answers. */
   readonly joinLeaseMs: number
   /** How long an entry keeps to a zone dispatcher that it doesn't hear before it joins another. */
   readonly offerTimeoutMs: number
+  /** After this time without a join, the callers of an entry are taken to be gone. */
+  readonly entryLostMs: number
   /** Longest time that a job may take from its arrival; longer deadlines are capped. */
   readonly longestDeadlineMs: number
   /**
@@ -22,9 +28,12 @@
 /** @internal */
 export const defaultZoneTiming: ZoneTiming = {
   quietMs: 600,
+  rankDelayMs: 100,
+  withdrawnPauseMs: 1_000,
   offerIntervalMs: 50,
   joinLeaseMs: 300,
   offerTimeoutMs: 250,
+  entryLostMs: 800,
   longestDeadlineMs: 4_000,
   overAfterDeadlineMs: 3_000,
   retryAfterMs: 1_000,
