--- a/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
@@ -23,6 +23,8 @@
 export interface SimulatedRun {
   readonly task: string
   readonly run: number
+  /** Fencing token of the order that started it. */
+  readonly token: number
   /** Simulated time at which it ends by itself. */
   readonly endsAt: number
   readonly fails: boolean
@@ -90,6 +92,8 @@
   private ended: ListedRunEnd[] = []
   private position = 0
   private fence = 0
+  /** Token of the last order that it obeyed. */
+  lastToken = 0
   private leaseEndsAt = -Infinity
   private sequence = 0
   /** Current number of slots, from which the capacity in its notices is derived. */
@@ -147,7 +151,7 @@
     this.renew(now, order.orderEndsAt)
     if (order.run <= (this.highestEnded.get(order.task) ?? 0)) return StartResult.OLD_RUN
     if (this.options.guardsPlaces && this.running.size >= this.places) return StartResult.NO_ROOM
-    const run = { task: order.task, run: order.run, endsAt: now + runMs, fails }
+    const run = { task: order.task, run: order.run, token, endsAt: now + runMs, fails }
     this.running.set(order.task, run)
     this.onStart(run, isLate)
     return StartResult.RUNS
@@ -190,6 +194,7 @@
     const number = this.options.ignoresGrants === true ? termOfToken(token) : token
     if (number < this.fence) return false
     this.fence = number
+    this.lastToken = token
     return true
   }
 
--- a/packages/dispatch/src/lib/soak/SimulatedZones.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedZones.ts
@@ -91,6 +91,7 @@
   readonly #entries = new Map<string, Entry>()
   readonly #holders: ZoneHolder[]
   readonly #submissions = new Submissions()
+  readonly #separated = new Set<string>()
   readonly #lastStop = new Map<number, () => void>()
 
   constructor(private readonly world: ZonesWorld) {
@@ -129,8 +130,21 @@
     return this.#cuts.reaches(zone, this.zoneOf(name))
   }
 
+  /**
+   * Cuts an entry from the dispatching instances of its zone for some time, but not from those of
+   * other zones.
+   */
+  separate(entry: string, forMs: number): void {
+    this.#separated.add(entry)
+    this.world.after(forMs, () => {
+      this.#separated.delete(entry)
+    })
+  }
+
   /** Whether messages from one instance or entry arrive at another. */
   areLinked(from: string, to: string): boolean {
+    const isSeparated = this.#separated.has(from) || this.#separated.has(to)
+    if (isSeparated) return this.zoneOf(from) !== this.zoneOf(to)
     return this.reaches(from, this.zoneOf(to))
   }
 
--- a/packages/dispatch/src/lib/soak/StartChecks.ts
+++ b/packages/dispatch/src/lib/soak/StartChecks.ts
@@ -1,5 +1,7 @@
 import { JobVerdict } from '@cherryhitch/protocol'
 import type { JobOutcome } from '@cherryhitch/protocol'
+import { grantOfToken, termOfToken } from '../endpoints/fencingToken'
+import { isLeaderGrant } from '../zones/ZoneToken'
 import type { SimulatedEndpoint } from './SimulatedEndpoint'
 
 /** Interface of the simulation to the checks. @internal */
@@ -70,10 +72,22 @@
       other.advance(now)
       if (other === endpoint || !other.running.has(task)) continue
       const where = `${other.options.id} and ${endpoint.options.id}`
-      this.violations.push(`${task} runs on ${where} at ${now}`)
+      this.violations.push(
+        `${task} runs on ${where} at ${now}${this.#holders(endpoint, other, task)}`,
+      )
     }
   }
 
+  /** Names the holders of two endpoints with the same task, if a zone dispatcher had part in it. */
+  #holders(one: SimulatedEndpoint, other: SimulatedEndpoint, task: string): string {
+    const tokens = [other, one].flatMap(({ running, lastToken }) => {
+      return [running.get(task)?.token ?? 0, lastToken]
+    })
+    if (tokens.every((token) => isLeaderGrant(grantOfToken(token)))) return ''
+    const names = tokens.map((token) => `${termOfToken(token)}.${grantOfToken(token)}`)
+    return `, beside a zone dispatcher: tokens ${names.join(' ')}`
+  }
+
   #checkRoom({ running, name, options }: SimulatedEndpoint): void {
     if (options.guardsPlaces || running.size <= options.places) return
     this.violations.push(`${running.size} tasks run on ${name}, which has ${options.places} places`)
--- a/packages/dispatch/src/lib/soak/runZoneSoak.ts
+++ b/packages/dispatch/src/lib/soak/runZoneSoak.ts
@@ -11,6 +11,11 @@
   readonly areAlone?: boolean
   /** Whether callers may send a job again to entries of another zone. */
   readonly callersRoam?: boolean
+  /**
+   * Whether callers hand in jobs again sooner and more often than the platform lets them, and jobs
+   * take longer, so that more jobs are with two holders if they can be.
+   */
+  readonly areCallersHasty?: boolean
   /** Whether entries and dispatching instances restart. */
   readonly hasRestarts?: boolean
 }
@@ -30,6 +35,7 @@
 const STEP_MS = 50
 /** Time after which callers send a job of unknown outcome again. */
 const RETRANSMIT_MS = 1_300
+const HASTY_RETRANSMIT_MS = 100
 const MAX_ATTEMPTS = 3
 const CHANCES = { lostAnswer: 0.02, lateOrder: 0.02, failedRun: 0.03 }
 
@@ -58,14 +64,15 @@
     seed: number,
     private readonly options: ZoneSoakOptions,
   ) {
-    const { fault, areAlone = true } = options
+    const { fault, areAlone = true, areCallersHasty = false } = options
+    const longShare = areCallersHasty ? 0.4 : 0.1
     this.#random = seededRandom(seed)
     this.#world = new DispatchSimulation({
       leaders: INSTANCES,
       endpoints: 6,
       placesEach: 3,
       random: this.#random,
-      runMs: () => (this.#random() < 0.1 ? 1_500 : 20 + this.#random() * 200),
+      runMs: () => (this.#random() < longShare ? 1_500 : 20 + this.#random() * 200),
       chances: CHANCES,
       zones: { entriesPerZone: 2, areAlone, ...(fault !== undefined && { fault }) },
     })
@@ -75,7 +82,7 @@
   step(): void {
     this.#world.run(STEP_MS)
     if (this.#random() < 0.7) this.#submitNew()
-    if (this.#random() < 0.015) this.#cut()
+    if (this.#random() < 0.02) this.#cut()
     if (this.#random() < 0.02) this.#elect(this.#below(1_000))
     if (this.options.hasRestarts === true) this.#restart()
     if (this.#random() < 0.05) {
@@ -116,8 +123,13 @@
     const zone = this.#zone()
     const job = { id, zone, tasks: 1 + this.#below(3), deadlineMs: 800 + this.#below(2_000) }
     this.#submit(job, 1)
+    const isHasty = this.options.areCallersHasty === true
     // A copy of the request that the caller doesn't know of.
-    if (this.#random() < 0.05) this.#world.after(this.#below(1_500), () => this.#submit(job, 9))
+    if (this.#random() >= (isHasty ? 0.4 : 0.05)) return
+    const copiedAfterMs = (isHasty ? 0 : RETRANSMIT_MS) + this.#below(1_500)
+    this.#world.after(copiedAfterMs, () => {
+      this.#submit(job, MAX_ATTEMPTS)
+    })
   }
 
   #submit(job: SoakJob, attempt: number): void {
@@ -135,7 +147,8 @@
       if (outcome === undefined && !isOver) {
         this.#resubmitIfUnknown(job, attempt, waitedMs + STEP_MS)
       } else if (outcome?.verdict === JobVerdict.UNKNOWN || isOver) {
-        this.#world.after(RETRANSMIT_MS, () => {
+        const isHasty = this.options.areCallersHasty === true
+        this.#world.after(isHasty ? HASTY_RETRANSMIT_MS : RETRANSMIT_MS, () => {
           this.#submit(job, attempt + 1)
         })
       }
@@ -147,11 +160,24 @@
     const zone = this.#zone()
     const kind = this.#random()
     const others = kind < 0.6 ? SIMULATED_ZONES : [this.#zone()]
-    const forMs = this.#random() < 0.3 ? this.#below(600) : 1_000 + this.#below(5_000)
+    const longestMs = this.#random() < 0.2 ? 12_000 : 5_000
+    const forMs = this.#random() < 0.3 ? this.#below(600) : 1_000 + this.#below(longestMs)
     this.#world.zones?.cut(zone, forMs, others, kind < 0.85)
+    if (this.#random() < 0.4) this.#separateEntry(zone)
     this.#elect(300 + this.#below(1_000))
   }
 
+  /** One entry still reaches the other zones; at times it is a new process that does. */
+  #separateEntry(zone: string): void {
+    const entry = this.#entryOf(zone)
+    const forMs = 500 + this.#below(9_000)
+    const isRestarted = this.options.hasRestarts === true && this.#random() < 0.5
+    this.#world.after(this.#below(3_000), () => {
+      this.#world.zones?.separate(entry, forMs)
+      if (isRestarted) this.#world.zones?.restartEntry(entry, this.#below(200))
+    })
+  }
+
   /** Some time later, elects an instance that a majority can confirm if the leader is not one. */
   #elect(afterMs: number): void {
     const learnsMs = this.#below(2_000)
--- a/packages/dispatch/src/lib/zones/ZoneToken.ts
+++ b/packages/dispatch/src/lib/zones/ZoneToken.ts
@@ -31,6 +31,11 @@
   return grant + GRANTS_PER_ROUND > MAX_GRANT ? undefined : grant
 }
 
+/** Whether a grant is a leader's, not that of a zone's dispatching instance. @internal */
+export function isLeaderGrant(grant: number): boolean {
+  return grant % GRANTS_PER_ROUND === 0
+}
+
 /** Returns the lowest grant of a leader above the given one. @internal */
 export function nextLeaderGrant(above: number): number {
   const grant = (Math.floor(above / GRANTS_PER_ROUND) + 1) * GRANTS_PER_ROUND
