Keep an entry from the leader when its next zone dispatcher never served

Change: an offer says whether all entries had joined under its token, and whether an earlier process of the instance may have taken jobs; without it an entry waits until the jobs of the one before are over. Cuts may spare endpoints; the checks name the holders of two runs.

--- a/packages/dispatch/src/lib/soak/SimulatedZones.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedZones.ts
@@ -48,6 +48,16 @@
   readonly timing?: Partial<ZoneTiming>
 }
 
+/** @internal */
+export interface CutOptions {
+  /** The zones from which it is cut; all others by default. */
+  readonly others?: readonly string[]
+  /** Whether messages to the zone still arrive. */
+  readonly isOneWay?: boolean
+  /** Whether only instances and entries are cut from each other. */
+  readonly sparesEndpoints?: boolean
+}
+
 /** Interface of the simulation to its zones. @internal */
 export interface ZonesWorld extends SimulatedZonesOptions {
   readonly instances: number
@@ -88,6 +98,8 @@
 export class SimulatedZones {
   readonly entries: readonly string[]
   readonly #cuts: ZoneCuts
+  /** Cuts between instances and endpoints of different zones. */
+  readonly #endpointCuts: ZoneCuts
   readonly #entries = new Map<string, Entry>()
   readonly #holders: ZoneHolder[]
   readonly #submissions = new Submissions()
@@ -96,6 +108,7 @@
 
   constructor(private readonly world: ZonesWorld) {
     this.#cuts = new ZoneCuts(world.after)
+    this.#endpointCuts = new ZoneCuts(world.after)
     const numbers = Array.from({ length: world.entriesPerZone }, (_, i) => i)
     this.entries = SIMULATED_ZONES.flatMap((zone) => numbers.map((i) => `${zone}/e${i}`))
     for (const name of this.entries) this.#entries.set(name, this.#makeEntry(name, 0))
@@ -120,14 +133,14 @@
     return this.entries.filter((entry) => this.zoneOf(entry) === zone)
   }
 
-  /** Whether messages from an instance or entry arrive in a zone. */
+  /** Whether messages from an instance arrive at the endpoints of a zone. */
   reaches(name: string, zone: string): boolean {
-    return this.#cuts.reaches(this.zoneOf(name), zone)
+    return this.#endpointCuts.reaches(this.zoneOf(name), zone)
   }
 
-  /** Whether messages from a zone arrive at an instance or entry. */
+  /** Whether messages from the endpoints of a zone arrive at an instance. */
   hears(name: string, zone: string): boolean {
-    return this.#cuts.reaches(zone, this.zoneOf(name))
+    return this.#endpointCuts.reaches(zone, this.zoneOf(name))
   }
 
   /**
@@ -145,15 +158,19 @@
   areLinked(from: string, to: string): boolean {
     const isSeparated = this.#separated.has(from) || this.#separated.has(to)
     if (isSeparated) return this.zoneOf(from) !== this.zoneOf(to)
-    return this.reaches(from, this.zoneOf(to))
+    return this.#cuts.reaches(this.zoneOf(from), this.zoneOf(to))
   }
 
-  /** Cuts a zone from others for some time; from all others by default. */
-  cut(zone: string, forMs: number, others = SIMULATED_ZONES, bothWays = true): void {
+  /** Cuts a zone from others for some time. */
+  cut(zone: string, forMs: number, options: CutOptions = {}): void {
+    const { others = SIMULATED_ZONES, isOneWay = false, sparesEndpoints = false } = options
+    const cuts = sparesEndpoints ? [this.#cuts] : [this.#cuts, this.#endpointCuts]
     for (const other of others) {
       if (other === zone) continue
-      this.#cuts.add(zone, other, forMs)
-      if (bothWays) this.#cuts.add(other, zone, forMs)
+      for (const one of cuts) {
+        one.add(zone, other, forMs)
+        if (!isOneWay) one.add(other, zone, forMs)
+      }
     }
   }
 
--- a/packages/dispatch/src/lib/soak/StartChecks.ts
+++ b/packages/dispatch/src/lib/soak/StartChecks.ts
@@ -78,14 +78,19 @@
     }
   }
 
-  /** Names the holders of two endpoints with the same task, if a zone dispatcher had part in it. */
+  /**
+   * Names the holders that ordered two runs of a task, if both are leaders, or if a zone dispatcher
+   * had part in it: as the holder of a run, or as the one that an endpoint obeyed last.
+   */
   #holders(one: SimulatedEndpoint, other: SimulatedEndpoint, task: string): string {
-    const tokens = [other, one].flatMap(({ running, lastToken }) => {
-      return [running.get(task)?.token ?? 0, lastToken]
-    })
-    if (tokens.every((token) => isLeaderGrant(grantOfToken(token)))) return ''
-    const names = tokens.map((token) => `${termOfToken(token)}.${grantOfToken(token)}`)
-    return `, beside a zone dispatcher: tokens ${names.join(' ')}`
+    const runs = [other, one].map(({ running }) => running.get(task)?.token ?? 0)
+    const [first = 0, second = 0] = runs
+    const areLeaders = runs.every((token) => isLeaderGrant(grantOfToken(token)))
+    if (areLeaders && termOfToken(first) !== termOfToken(second)) return ' under two leaders'
+    const all = [...runs, one.lastToken, other.lastToken]
+    if (all.every((token) => isLeaderGrant(grantOfToken(token)))) return ''
+    const names = all.map((token) => `${termOfToken(token)}.${grantOfToken(token)}`)
+    return ` beside a zone dispatcher, tokens ${names.join(' ')}`
   }
 
   #checkRoom({ running, name, options }: SimulatedEndpoint): void {
--- a/packages/dispatch/src/lib/soak/runZoneSoak.ts
+++ b/packages/dispatch/src/lib/soak/runZoneSoak.ts
@@ -162,7 +162,8 @@
     const others = kind < 0.6 ? SIMULATED_ZONES : [this.#zone()]
     const longestMs = this.#random() < 0.2 ? 12_000 : 5_000
     const forMs = this.#random() < 0.3 ? this.#below(600) : 1_000 + this.#below(longestMs)
-    this.#world.zones?.cut(zone, forMs, others, kind < 0.85)
+    const sparesEndpoints = this.#random() < 0.3
+    this.#world.zones?.cut(zone, forMs, { others, isOneWay: kind > 0.85, sparesEndpoints })
     if (this.#random() < 0.4) this.#separateEntry(zone)
     this.#elect(300 + this.#below(1_000))
   }
--- a/packages/dispatch/src/lib/zones/ZoneEntry.ts
+++ b/packages/dispatch/src/lib/zones/ZoneEntry.ts
@@ -8,7 +8,7 @@
 
 /** Where an entry sends new jobs. @internal */
 export enum ZoneMembership {
-  /** It has just started, and doesn't know whether its zone serves alone: nowhere. */
+  /** Nowhere: it has just started, or has lost its zone dispatcher, whose jobs it doesn't know. */
   Unsure = 'unsure',
   /** To the leader. */
   Leader = 'leader',
@@ -50,10 +50,15 @@
   #holderHeardAt = -Infinity
   #joinedAt = -Infinity
   #hasLeader = false
+  /** When all jobs are over that zone dispatchers took before the one that it has joined. */
+  #unsureUntil = -Infinity
 
   constructor(private readonly options: ZoneEntryOptions) {
     this.#timing = { ...defaultZoneTiming, ...options.timing }
     this.#membership = options.mayHaveRunBefore ? ZoneMembership.Unsure : ZoneMembership.Leader
+    if (options.mayHaveRunBefore) {
+      this.#unsureUntil = options.startedAt + leaveAfterMs(this.#timing)
+    }
   }
 
   get membership(): ZoneMembership {
@@ -92,9 +97,7 @@
   onOffer(now: number, offer: ZoneOffer): ZoneJoin | undefined {
     switch (offer.phase) {
       case ZonePhase.Idle:
-        this.#clear(now, offer.holder)
-        return undefined
-      case ZonePhase.Unsure:
+        if (offer.isCertain) this.#clear(now, offer.holder)
         return undefined
       case ZonePhase.Ending:
         this.#onEnding(now, offer)
@@ -106,10 +109,15 @@
   }
 
   tick(now: number): void {
-    const since =
-      this.#membership === ZoneMembership.Unsure ? this.options.startedAt : this.#joinedAt
-    if (this.#membership === ZoneMembership.Leader) return
-    if (now - since >= leaveAfterMs(this.#timing)) this.#returnToLeader(now)
+    switch (this.#membership) {
+      case ZoneMembership.Leader:
+        return
+      case ZoneMembership.Unsure:
+        if (now >= this.#unsureUntil) this.#returnToLeader(now)
+        return
+      case ZoneMembership.Joined:
+        if (now - this.#joinedAt >= leaveAfterMs(this.#timing)) this.#returnToLeader(now)
+    }
   }
 
   #hearsHolder(now: number): boolean {
@@ -125,11 +133,14 @@
     }
   }
 
-  #onEnding(now: number, { holder, token, open }: ZoneOffer): void {
+  #onEnding(now: number, { holder, token, hasServed, isCertain, open }: ZoneOffer): void {
     this.#others.addAll(now, open)
-    this.#clear(now, holder)
+    if (isCertain) this.#clear(now, holder)
     const isOwn = holder === this.#holder && !isHigher(this.#token, token)
-    if (this.#membership === ZoneMembership.Joined && isOwn) this.#returnToLeader(now)
+    if (this.#membership !== ZoneMembership.Joined || !isOwn) return
+    // Without all lists, it doesn't know the jobs of the one that this entry had joined before.
+    if (hasServed || now >= this.#unsureUntil) this.#returnToLeader(now)
+    else this.#becomeUnsure(now)
   }
 
   #onServing(now: number, offer: ZoneOffer): ZoneJoin | undefined {
@@ -172,6 +183,9 @@
   }
 
   #join(now: number, { holder, token }: ZoneOffer): void {
+    const isFromOther = this.#membership === ZoneMembership.Joined
+    if (isFromOther) this.#unsureUntil = this.#joinedAt + leaveAfterMs(this.#timing)
+    if (this.#membership === ZoneMembership.Leader) this.#unsureUntil = -Infinity
     this.#forgetHolder(now)
     this.#membership = ZoneMembership.Joined
     this.#holder = holder
@@ -185,6 +199,13 @@
     this.#holder = ''
   }
 
+  #becomeUnsure(now: number): void {
+    this.#membership = ZoneMembership.Unsure
+    this.#clearedBy.clear()
+    this.#forgetHolder(now)
+    this.#holder = ''
+  }
+
   /** From now on, the zone dispatcher that it had joined is a holder like any other. */
   #forgetHolder(now: number): void {
     this.#sent.addAll(now, this.#sentToZone.list(now))
--- a/packages/dispatch/src/lib/zones/ZoneHolder.ts
+++ b/packages/dispatch/src/lib/zones/ZoneHolder.ts
@@ -95,6 +95,7 @@
   #endingSince = -Infinity
   #offerDueAt = -Infinity
   #isDispatching = false
+  #hasServed = false
 
   constructor(private readonly options: ZoneHolderOptions) {
     this.#timing = { ...defaultZoneTiming, ...options.timing }
@@ -178,7 +179,6 @@
   tick(now: number, leads: boolean, openJobs: number): ZoneChange | undefined {
     switch (this.#phase) {
       case ZonePhase.Idle:
-      case ZonePhase.Unsure:
         if (!leads && this.#mayOffer(now)) this.#form(now)
         return undefined
       case ZonePhase.Forming:
@@ -187,6 +187,7 @@
         if (!this.#haveAllJoined(now)) return undefined
         this.#phase = ZonePhase.Serving
         this.#isDispatching = true
+        this.#hasServed = true
         this.counters.zone_rounds++
         return ZoneChange.Begin
       case ZonePhase.Serving:
@@ -203,12 +204,14 @@
     if (now < this.#offerDueAt) return undefined
     this.#offerDueAt = now + this.#timing.offerIntervalMs
     const isEnding = this.#phase === ZonePhase.Ending
-    const isUnsure = this.#phase === ZonePhase.Idle && this.#mayHaveServedBefore(now)
     return {
       holder: this.options.name,
       token: this.#token,
-      phase: isUnsure ? ZonePhase.Unsure : this.#phase,
+      phase: this.#phase,
       sentAt: now,
+      hasServed: this.#hasServed,
+      // To serve, it has got the lists of all entries.
+      isCertain: this.#hasServed || !this.#mayHaveServedBefore(now),
       heard: [...this.#joined.keys()],
       open: isEnding ? [...this.#taken.list(now), ...this.#others.list(now)] : [],
     }
@@ -239,6 +242,7 @@
     this.#others.addAll(now, this.#taken.list(now))
     this.#taken.clear()
     this.#phase = ZonePhase.Forming
+    this.#hasServed = false
     this.#offerDueAt = now
   }
 
--- a/packages/dispatch/src/lib/zones/ZoneMessages.ts
+++ b/packages/dispatch/src/lib/zones/ZoneMessages.ts
@@ -4,8 +4,6 @@
 export enum ZonePhase {
   /** It serves nobody alone, and no job that it took is left. */
   Idle = 'idle',
-  /** It has just started, and an earlier process may have served the zone. */
-  Unsure = 'unsure',
   /** It asks the entries of its zone to join. */
   Forming = 'forming',
   /** It takes the jobs of its zone. */
@@ -30,7 +28,11 @@
   readonly sentAt: number
   /** Entries whose list of jobs has arrived. */
   readonly heard: readonly string[]
-  /** While ending: the jobs that it took and that aren't over. */
+  /** Whether it has taken jobs under this token, for which all entries had to join. */
+  readonly hasServed: boolean
+  /** Whether no earlier process of it may have taken jobs that it doesn't know and aren't over. */
+  readonly isCertain: boolean
+  /** While ending: the jobs that it took or heard of, and that aren't over. */
   readonly open: readonly SubmittedJob[]
 }
 
