--- a/packages/dispatch/src/lib/soak/DispatchSimulation.ts
+++ b/packages/dispatch/src/lib/soak/DispatchSimulation.ts
@@ -246,7 +246,6 @@
     const drift = random() * 0.02
     const clockStartMs = Math.floor(random() * 1e6)
     const more = { drift, clockStartMs, maxLeaseMs: MAX_LEASE_MS }
-    const ignoresGrants = this.zones?.ignoresGrants === true
     const own = {
       id,
       startedAt,
@@ -256,7 +255,6 @@
       zone,
       places,
       guardsPlaces,
-      ignoresGrants,
     }
     const endpoint = new SimulatedEndpoint({ ...own, service: SERVICE, ...more })
     endpoint.onStart = (run, isLate) => {
--- a/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
@@ -17,7 +17,6 @@
   StartOrder,
   StopOrder,
 } from '@cherryhitch/protocol'
-import { termOfToken } from '../endpoints/fencingToken'
 
 /** A run on a simulated endpoint. */
 export interface SimulatedRun {
@@ -59,8 +58,6 @@
   readonly drift: number
   /** Reading of its clock at simulated time 0, in milliseconds. */
   readonly clockStartMs: number
-  /** Whether it compares the terms of fencing tokens only, as an endpoint must not. */
-  readonly ignoresGrants?: boolean
   /** Longest lease that it grants, in milliseconds by its own clock. */
   readonly maxLeaseMs: number
 }
@@ -91,9 +88,8 @@
   private readonly highestEnded = new Map<string, number>()
   private ended: ListedRunEnd[] = []
   private position = 0
-  private fence = 0
-  /** Token of the last order that it obeyed. */
-  lastToken = 0
+  /** Highest fencing token of the orders that it has obeyed. */
+  fence = 0
   private leaseEndsAt = -Infinity
   private sequence = 0
   /** Current number of slots, from which the capacity in its notices is derived. */
@@ -191,10 +187,8 @@
 
   /** Whether it executes an order with this token; it then obeys no lower one any more. */
   private obeys(token: number): boolean {
-    const number = this.options.ignoresGrants === true ? termOfToken(token) : token
-    if (number < this.fence) return false
-    this.fence = number
-    this.lastToken = token
+    if (token < this.fence) return false
+    this.fence = token
     return true
   }
 
--- a/packages/dispatch/src/lib/soak/SimulatedZones.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedZones.ts
@@ -33,8 +33,6 @@
   ForgetsRestart = 'forgets_restart',
   /** A zone dispatcher renews the runs that it finds. */
   RenewsOtherRuns = 'renews_other_runs',
-  /** Endpoints obey the leader beside a zone dispatcher of its term. */
-  NoFence = 'no_fence',
   /** Entries send what they sent to one holder to the next one. */
   ResendsToOther = 'resends_to_other',
 }
@@ -115,10 +113,6 @@
     this.#holders = Array.from({ length: world.instances }, (_, i) => this.#makeHolder(i, 0))
   }
 
-  get ignoresGrants(): boolean {
-    return this.world.fault === ZoneFault.NoFence
-  }
-
   /** Counters of all instances of a zone's service. */
   total(counter: keyof ZoneHolder['counters']): number {
     return this.#holders.reduce((sum, { counters }) => sum + counters[counter], 0)
@@ -314,28 +308,34 @@
 
   #tickEntry(name: string, entry: Entry): void {
     const now = this.world.now()
-    const { index, term, isCut } = this.world.leader()
     const { zoneEntry } = entry
-    const isLed =
-      this.world.isUp(index) &&
-      !isCut &&
-      this.world.machine(index)?.leads === true &&
-      this.#areLinkedBothWays(name, `d${index}`)
-    const leader = isLed ? `leader d${index} ${term}` : ''
+    const leader = this.#leaderOf(name)
     if (leader !== entry.next.holder) entry.next = { holder: leader, since: now }
     const isSettled = leader !== '' || now - entry.next.since >= LOSS_NOTICED_MS
     if (isSettled) zoneEntry.onLeader(leader !== '')
     zoneEntry.tick(now)
     const own = zoneEntry.holder(now)
-    const present = zoneEntry.mayUseLeader ? leader : own === undefined ? '' : `zone ${own} 0`
+    const zoneDispatcher = own === undefined ? '' : `zone ${own} 0`
+    const present = zoneEntry.mayUseLeader ? leader : zoneDispatcher
     const isLeaderLost = present === '' && entry.told.startsWith('leader') && zoneEntry.mayUseLeader
     if (present === entry.told || (isLeaderLost && !isSettled)) return
     entry.told = present
-    const [kind, holder = '', number] = present.split(' ')
-    const mayResend = this.world.fault === ZoneFault.ResendsToOther
-    const isZone = kind === 'zone' && !mayResend
-    const news = { leader: holder, term: Number(number ?? 0), isZone }
-    this.world.tellRelay(name, { kind: RelayEventKind.Leader, ...news })
+    this.#tellRelay(name, present)
+  }
+
+  /** The leader that an entry can reach, or an empty string. */
+  #leaderOf(entry: string): string {
+    const { index, term, isCut } = this.world.leader()
+    const leads = this.world.isUp(index) && this.world.machine(index)?.leads === true
+    const isReached = leads && !isCut && this.#areLinkedBothWays(entry, `d${index}`)
+    return isReached ? `leader d${index} ${term}` : ''
+  }
+
+  #tellRelay(entry: string, holder: string): void {
+    const [kind, leader = '', number] = holder.split(' ')
+    const isZone = kind === 'zone' && this.world.fault !== ZoneFault.ResendsToOther
+    const news = { leader, term: Number(number ?? 0), isZone }
+    this.world.tellRelay(entry, { kind: RelayEventKind.Leader, ...news })
   }
 
   #tickHolder(i: number, holder: ZoneHolder): void {
--- a/packages/dispatch/src/lib/soak/StartChecks.ts
+++ b/packages/dispatch/src/lib/soak/StartChecks.ts
@@ -87,7 +87,7 @@
     const [first = 0, second = 0] = runs
     const areLeaders = runs.every((token) => isLeaderGrant(grantOfToken(token)))
     if (areLeaders && termOfToken(first) !== termOfToken(second)) return ' under two leaders'
-    const all = [...runs, one.lastToken, other.lastToken]
+    const all = [...runs, one.fence, other.fence]
     if (all.every((token) => isLeaderGrant(grantOfToken(token)))) return ''
     const names = all.map((token) => `${termOfToken(token)}.${grantOfToken(token)}`)
     return ` beside a zone dispatcher, tokens ${names.join(' ')}`
