--- a/packages/dispatch/src/lib/soak/DispatchSimulation.ts
+++ b/packages/dispatch/src/lib/soak/DispatchSimulation.ts
@@ -1,14 +1,12 @@
-import { JobVerdict, NoticeState } from '@cherryhitch/protocol'
-import type { EndpointNotice, Envelope, JobOutcome } from '@cherryhitch/protocol'
+import type { JobOutcome } from '@cherryhitch/protocol'
 import { EventScheduler } from '@cherryhitch/runtime'
 import { DispatchActionKind } from '../DispatchAction'
 import type { DispatchAction } from '../DispatchAction'
 import { DispatchEventKind } from '../DispatchEvent'
 import type { DispatchEvent } from '../DispatchEvent'
 import type { DispatchCounters } from '../DispatchCore'
-import { DispatchMachine } from '../DispatchMachine'
-import { JobRelay, RelayActionKind, RelayEventKind } from '../relay/JobRelay'
-import type { RelayAction, RelayEvent } from '../relay/JobRelay'
+import type { DispatchMachine } from '../DispatchMachine'
+import { RelayEventKind } from '../relay/JobRelay'
 import type {
   AddedEndpoint,
   DispatchSimulationOptions,
@@ -19,22 +17,23 @@
 import { OrderTransport, WAY_MS } from './OrderTransport'
 import { PayingLeader } from './PayingLeader'
 import { makeSimulatedJob } from './makeSimulatedJob'
+import { makeSimulatedMachine } from './makeSimulatedMachine'
 import { Processes } from './Processes'
 import { SimulatedOrderRouting } from './SimulatedOrderRouting'
 import { InstantLeader } from './SimulatedLeader'
 import type { SimulatedLeader } from './SimulatedLeader'
-import { requestOf, SentRequests } from './SentRequests'
 import { HOST, makeSimulatedRouting, SERVICE } from './simulatedRouting'
-import { SimulatedZones } from './SimulatedZones'
+import { Heartbeats, HEARTBEAT_MS } from './Heartbeats'
+import { ENTRY, SimulatedEntries } from './SimulatedEntries'
+import { SimulatedPeers } from './SimulatedPeers'
+import type { SimulatedZones } from './SimulatedZones'
 import { StartChecks } from './StartChecks'
 import { StoredDirectories } from './StoredDirectories'
 import { SIMULATED_ZONES, ZoneDrains } from './ZoneDrains'
 import { SimulatedEndpoint } from './SimulatedEndpoint'
 
-const ENTRY = 'entry'
 const TICK_MS = 10
 const MAX_LEASE_MS = 1_000
-const HEARTBEAT_MS = 1_500
 /**
  * Simulates dispatchers, an entry and endpoints on a virtual clock, with orders that are lost or
  * delayed. Checks that no task ever runs twice at the same time, and that no task of a job that was
@@ -57,30 +56,33 @@
   readonly startedTasks = this.#checks.startedTasks
   readonly #machines: DispatchMachine[]
   readonly #leaders: SimulatedLeader[]
-  readonly #relays = new Map<string, JobRelay>()
-  readonly zones: SimulatedZones | undefined
+  readonly #entries: SimulatedEntries
+  readonly #peers: SimulatedPeers
+  readonly #heartbeats: Heartbeats
   readonly #orders: OrderTransport
   readonly #proxies: SimulatedOrderRouting
   readonly #processes: Processes
-  readonly #sent = new SentRequests()
   readonly #stored = new StoredDirectories()
   readonly drains: ZoneDrains
   readonly lifecycle: EndpointLifecycle
   readonly #after = (ms: number, run: () => void): void => {
     this.after(ms, run)
   }
-  readonly #cuts = new EndpointCuts(this.#after)
+  readonly #cuts = new EndpointCuts(this.#after, {
+    reaches: (caller, endpoint) => this.zones?.reaches(caller, this.#zoneOf(endpoint)) ?? true,
+    hears: (caller, endpoint) => this.zones?.hears(caller, this.#zoneOf(endpoint)) ?? true,
+  })
   readonly #cutFromQuorum = new Set<number>()
   readonly #agenda = new EventScheduler({ startMs: 0 })
-  #heartbeatDueAt = 0
   #endpointsAdded = 0
   #term = 0
   #leader = 0
 
   constructor(private readonly options: DispatchSimulationOptions) {
     this.#processes = new Processes(options.leaders)
-    this.zones = this.#makeZones()
-    for (const entry of this.zones?.entries ?? [ENTRY]) this.#relays.set(entry, new JobRelay())
+    this.#peers = this.#makePeers()
+    this.#heartbeats = this.#makeHeartbeats()
+    this.#entries = this.#makeEntries()
     this.drains = this.#makeDrains()
     this.lifecycle = new EndpointLifecycle({
       endpoints: this.endpoints,
@@ -91,13 +93,13 @@
       keepsIds: options.keepsIds === true,
       add: (id, place) => this.addEndpoint(id, place),
       announce: (endpoint) => {
-        this.#announce(endpoint)
+        this.#heartbeats.announce(endpoint)
       },
       tellAll: (notice) => {
-        for (const i of this.#machines.keys()) this.#tellNotice(i, notice)
+        for (const i of this.#machines.keys()) this.#peers.tellNotice(i, notice)
       },
       tellOne: (notice) => {
-        this.#tellNotice(this.#drawInstance(), notice)
+        this.#peers.tellNotice(this.#drawInstance(), notice)
       },
       report: (violation) => this.violations.push(violation),
     })
@@ -111,14 +113,8 @@
       random: options.random,
       now: () => this.now,
       after: this.#after,
-      isCut: (caller, endpoint) => {
-        if (this.#cuts.has(caller, endpoint)) return true
-        return this.zones?.reaches(caller, this.#zoneOfEndpoint(endpoint)) === false
-      },
-      isAnswerCut: (caller, endpoint) => {
-        if (this.#cuts.has(caller, endpoint)) return true
-        return this.zones?.hears(caller, this.#zoneOfEndpoint(endpoint)) === false
-      },
+      isCut: (caller, endpoint) => this.#cuts.has(caller, endpoint),
+      isAnswerCut: (caller, endpoint) => this.#cuts.hasBack(caller, endpoint),
       takesLivesForOne: options.takesLivesForOne === true,
     })
     this.#proxies = new SimulatedOrderRouting({
@@ -132,44 +128,74 @@
       },
       processes: this.#processes,
     })
-    this.#machines = Array.from({ length: options.leaders }, () => this.#makeMachine())
+    this.#machines = Array.from({ length: options.leaders }, () =>
+      makeSimulatedMachine(this.options),
+    )
     this.#leaders = this.#machines.map((machine, i) => this.#makeLeader(machine, i))
     const { endpoints, racks = 1 } = options
     for (let i = 0; i < endpoints; i++) this.addEndpoint(`e${i}`, { rack: `r${i % racks}` })
   }
 
-  #makeZones(): SimulatedZones | undefined {
-    const { zones, leaders, random } = this.options
-    if (zones === undefined) return undefined
-    return new SimulatedZones({
-      ...zones,
-      instances: leaders,
-      random,
+  /** The surroundings that entries and peers have in common. */
+  get #world() {
+    return {
+      instances: this.options.leaders,
+      random: this.options.random,
       now: () => this.now,
       after: this.#after,
-      machine: (i) => this.#machines[i],
-      isUp: (i) => this.isUp(i),
-      tell: (i, event) => {
+      machine: (i: number) => this.#machines[i],
+      tell: (i: number, event: DispatchEvent) => {
         this.#tell(i, event)
       },
-      tellRelay: (entry, event) => {
-        this.#stepRelay(entry, event)
+    }
+  }
+
+  #makePeers(): SimulatedPeers {
+    return new SimulatedPeers({
+      ...this.#world,
+      isCutFromQuorum: (i) => this.#cutFromQuorum.has(i),
+      isLinked: (from, to) => this.zones?.areLinked(`d${from}`, `d${to}`) ?? true,
+      hasWholeDirectory: (i) => this.#hasWholeDirectory(i),
+    })
+  }
+
+  #makeHeartbeats(): Heartbeats {
+    return new Heartbeats({
+      ...this.#world,
+      endpoints: this.endpoints,
+      hears: (i, zone) => this.zones?.hears(`d${i}`, zone) ?? true,
+      onLeaving: (endpoint) => {
+        if (this.#hasLeaderInTouch) this.#checks.noteLeaving(endpoint)
       },
-      onOutcome: (outcome) => {
-        this.#onOutcome(outcome)
+    })
+  }
+
+  #makeEntries(): SimulatedEntries {
+    const { zones, resendsToNextProcess = false } = this.options
+    return new SimulatedEntries({
+      ...this.#world,
+      zones,
+      resendsToNextProcess,
+      outcomes: this.outcomes,
+      answeredAt: this.answeredAt,
+      processes: this.#processes,
+      isUp: (i) => this.isUp(i),
+      leader: () => {
+        const index = this.#leader
+        return { index, term: this.#term, isCut: this.#isCutFromQuorum(index) }
       },
-      leader: () => ({
-        index: this.#leader,
-        term: this.#term,
-        isCut: this.#isCutFromQuorum(this.#leader),
-      }),
-      restartRelay: (entry) => {
-        this.#relays.set(entry, new JobRelay())
+      onRefused: (jobId) => {
+        this.#checks.onRefused(jobId)
       },
     })
   }
 
-  #zoneOfEndpoint(id: string): string {
+  /** The zones and the cuts between them, if the simulation has entries by zone. */
+  get zones(): SimulatedZones | undefined {
+    return this.#entries.zones
+  }
+
+  #zoneOf(id: string): string {
     return this.endpoints.find(({ options }) => options.id === id)?.options.zone ?? ''
   }
 
@@ -190,17 +216,6 @@
     })
   }
 
-  #makeMachine(): DispatchMachine {
-    const { order, admission, without = [], makeMachine } = this.options
-    const chosen = {
-      without,
-      ...(this.options.zones?.areAlone === true && { hasZoneDispatchers: true }),
-      ...(order !== undefined && { order }),
-      ...(admission !== undefined && { admission }),
-    }
-    return makeMachine?.(chosen) ?? new DispatchMachine(chosen)
-  }
-
   #makeLeader(machine: DispatchMachine, i: number): SimulatedLeader {
     const around = {
       machine,
@@ -246,16 +261,7 @@
     const drift = random() * 0.02
     const clockStartMs = Math.floor(random() * 1e6)
     const more = { drift, clockStartMs, maxLeaseMs: MAX_LEASE_MS }
-    const own = {
-      id,
-      startedAt,
-      isNamedById,
-      address,
-      rack,
-      zone,
-      places,
-      guardsPlaces,
-    }
+    const own = { id, startedAt, isNamedById, address, rack, zone, places, guardsPlaces }
     const endpoint = new SimulatedEndpoint({ ...own, service: SERVICE, ...more })
     endpoint.onStart = (run, isLate) => {
       this.#checks.onStart(endpoint, run.task, isLate)
@@ -263,7 +269,7 @@
     }
     this.#endpointsAdded++
     this.endpoints.push(endpoint)
-    for (const i of knownTo) this.#tellNotice(i, endpoint.notice())
+    for (const i of knownTo) this.#peers.tellNotice(i, endpoint.notice())
     return endpoint
   }
 
@@ -317,7 +323,7 @@
    */
   restart(leader: number, downMs: number, newsMs: number): void {
     this.#processes.restart(leader, this.now + downMs)
-    const machine = this.#makeMachine()
+    const machine = makeSimulatedMachine(this.options)
     this.#machines[leader] = machine
     this.#leaders[leader] = this.#makeLeader(machine, leader)
     this.#proxies.restart(leader)
@@ -326,10 +332,9 @@
       downMs,
       this.#processes.bind(leader, () => {
         for (const event of this.#stored.read(leader)) this.#tell(leader, event)
-        for (const i of this.#machines.keys())
-          if (this.#areLinked(i, leader)) this.#tellNotices(i, leader)
+        this.#peers.tellAllNotices(leader)
         if (this.options.resendsToNextProcess !== true) return
-        for (const event of this.#sent.unacknowledged(this.now, leader)) this.#tell(leader, event)
+        for (const event of this.#entries.unacknowledged(leader)) this.#tell(leader, event)
       }),
     )
     const term = this.#term
@@ -342,16 +347,7 @@
   /** Entries in zones find the leader by themselves. */
   #tellLeader(leader: string): void {
     if (this.zones !== undefined) return
-    this.#stepRelay(ENTRY, { kind: RelayEventKind.Leader, leader, term: this.#term })
-  }
-
-  #stepRelay(entry: string, event: RelayEvent): void {
-    this.#performRelay(entry, this.#relays.get(entry)?.step(this.now, event) ?? [])
-  }
-
-  #areLinked(one: number, other: number): boolean {
-    if (one === other) return false
-    return this.zones?.areLinked(`d${one}`, `d${other}`) ?? true
+    this.#entries.step(ENTRY, { kind: RelayEventKind.Leader, leader, term: this.#term })
   }
 
   #lead(leader: number, term: number, followedUntil: number): void {
@@ -362,7 +358,7 @@
     const table = makeSimulatedRouting(this.options.priorities)
     this.#tell(leader, { kind: DispatchEventKind.BecomeLeader, term, table, drainedZones })
     const learn = (): void => {
-      this.#readDirectories(leader, term)
+      this.#peers.readDirectories(leader, term)
       this.#tell(leader, {
         kind: DispatchEventKind.EarlierLeadersConfirmed,
         term,
@@ -375,20 +371,6 @@
     })
   }
 
-  /**
-   * Sends the new leader the directory of another instance, chosen at random, with which it forms a
-   * majority.
-   */
-  #readDirectories(leader: number, term: number): void {
-    const others = [...this.#machines.keys()].filter((i) => this.#areLinked(i, leader))
-    const asked = others[Math.floor(this.options.random() * others.length)]
-    if (asked !== undefined) this.#tellNotices(asked, leader)
-    const majority = asked === undefined ? [leader] : [leader, asked]
-    if (2 * majority.length <= this.#machines.length) return
-    if (!majority.every((i) => this.#hasWholeDirectory(i))) return
-    this.#tell(leader, { kind: DispatchEventKind.DirectoryComplete, term })
-  }
-
   /** Whether a process has run long enough to have got a notice from every endpoint. */
   #hasWholeDirectory(leader: number): boolean {
     return this.now >= this.#processes.of(leader).startedAt + 2 * HEARTBEAT_MS
@@ -415,7 +397,7 @@
     }
     if (this.zones !== undefined) this.outcomes.delete(id)
     if (this.zones?.accept(entry, id) === false) return
-    this.#stepRelay(entry, { kind: RelayEventKind.Submit, requestId: id, spec, ...place })
+    this.#entries.step(entry, { kind: RelayEventKind.Submit, requestId: id, spec, ...place })
   }
 
   after(ms: number, run: () => void): void {
@@ -434,7 +416,7 @@
 
   #tick(): void {
     for (const endpoint of this.endpoints) endpoint.advance(this.now)
-    this.#sendHeartbeats()
+    this.#heartbeats.tick()
     this.zones?.tick()
     for (const [i, leader] of this.#leaders.entries()) {
       if (!this.#isCutFromQuorum(i)) {
@@ -447,38 +429,13 @@
       }
       this.#proxies.tick(i, this.#machines[i]?.endpoints ?? 0)
     }
-    for (const [entry, relay] of this.#relays) {
-      if (this.zones?.isEntryUp(entry) !== false) this.#performRelay(entry, relay.tick(this.now))
-    }
-  }
-
-  /** Sends a notice of each endpoint to all instances that know it. */
-  #sendHeartbeats(): void {
-    if (this.now < this.#heartbeatDueAt) return
-    this.#heartbeatDueAt = this.now + HEARTBEAT_MS
-    for (const endpoint of this.endpoints) this.#announce(endpoint)
-  }
-
-  #announce(endpoint: SimulatedEndpoint): void {
-    const notice = endpoint.notice()
-    for (const [i, machine] of this.#machines.entries()) {
-      // A leave notice goes to all instances before it is acknowledged.
-      if (!machine.hasEndpoint(notice.endpoint) && notice.state === NoticeState.SERVING) continue
-      if (this.zones?.hears(`d${i}`, notice.zone) === false) continue
-      this.#tellNotice(i, notice)
-    }
-    const isLeaving = notice.state === NoticeState.LEAVING
-    if (isLeaving && this.#hasLeaderInTouch) this.#checks.noteLeaving(endpoint)
+    this.#entries.tick()
   }
 
   get #hasLeaderInTouch(): boolean {
     return this.isUp(this.#leader) && !this.#cutFromQuorum.has(this.#leader)
   }
 
-  #tellNotice(leader: number, notice: EndpointNotice): void {
-    this.#tell(leader, { kind: DispatchEventKind.Notice, notice })
-  }
-
   #tell(leader: number, event: DispatchEvent): void {
     if (this.isUp(leader)) this.#leaders[leader]?.tell(event)
   }
@@ -488,88 +445,18 @@
       if (action.kind === DispatchActionKind.Order)
         this.#proxies.order(leader, this.zones?.alter(leader, action) ?? action)
       else if (action.kind === DispatchActionKind.BroadcastNotice)
-        this.#spread(leader, action.notice)
+        this.#peers.spread(leader, action.notice)
       else if (action.kind === DispatchActionKind.BroadcastLosses) {
         const machine = this.#machines[leader]
         if (machine !== undefined) this.#stored.noteNews(this.now, leader, machine)
-        this.#tellOthers(leader, { kind: DispatchEventKind.EndpointLosses, losses: action.losses })
+        this.#peers.tellOthers(leader, {
+          kind: DispatchEventKind.EndpointLosses,
+          losses: action.losses,
+        })
       } else if (action.kind === DispatchActionKind.Answer) {
-        this.#sendOutcome(leader, action.to, action.outcome)
+        this.#entries.sendOutcome(leader, action.to, action.outcome)
       }
     }
     this.#proxies.flush(leader)
   }
-
-  #sendOutcome(leader: number, entry: string, outcome: JobOutcome): void {
-    const from = `d${leader}`
-    if (this.zones?.areLinked(from, entry) === false) return
-    this.after(WAY_MS, () => {
-      if (this.zones?.isEntryUp(entry) === false) return
-      this.#stepRelay(entry, { kind: RelayEventKind.Outcome, from, outcome })
-    })
-  }
-
-  #spread(leader: number, notice: EndpointNotice): void {
-    if (this.#cutFromQuorum.has(leader)) return
-    this.#tellOthers(leader, { kind: DispatchEventKind.Notice, notice })
-  }
-
-  #tellOthers(leader: number, event: DispatchEvent): void {
-    this.after(WAY_MS, () => {
-      for (const i of this.#leaders.keys()) if (this.#areLinked(leader, i)) this.#tell(i, event)
-    })
-  }
-
-  /** Sends the endpoints and losses that one instance knows to another one. */
-  #tellNotices(from: number, to: number): void {
-    const news = this.#machines[from]?.losses(this.now)
-    if (news !== undefined) this.#tell(to, { kind: DispatchEventKind.EndpointLosses, losses: news })
-    for (const notice of this.#machines[from]?.notices(this.now) ?? []) {
-      this.#tellNotice(to, notice)
-    }
-  }
-
-  #performRelay(entry: string, actions: readonly RelayAction[]): void {
-    for (const action of actions) {
-      if (action.kind === RelayActionKind.Answer) this.#onOutcome(action.outcome)
-      else this.#deliver(entry, action.to, action.envelope)
-    }
-  }
-
-  #deliver(entry: string, to: string, message: Envelope): void {
-    const leader = Number(to.slice(1))
-    const event = requestOf(entry, message)
-    if (event === undefined) return
-    this.zones?.noteSent(entry, event)
-    if (this.zones?.areLinked(entry, to) === false) return
-    if (this.options.resendsToNextProcess === true) this.#sent.note(this.now, leader, event)
-    const deliver = (): void => {
-      const outcome = this.zones?.refusal(leader, event)
-      if (outcome !== undefined) this.#sendOutcome(leader, entry, outcome)
-      else this.#tell(leader, event)
-    }
-    this.after(WAY_MS, this.#processes.bind(leader, deliver))
-  }
-
-  #onOutcome(outcome: JobOutcome): void {
-    if (this.zones !== undefined) {
-      this.#onAttemptOutcome(this.zones, outcome)
-      return
-    }
-    const earlier = this.outcomes.get(outcome.requestId)
-    this.outcomes.set(outcome.requestId, outcome)
-    this.answeredAt.set(outcome.requestId, this.now)
-    // A caller that resubmits a job of unknown outcome knows that its first attempt may have run.
-    if (outcome.verdict !== JobVerdict.REFUSED || earlier?.verdict === JobVerdict.UNKNOWN) return
-    this.#checks.onRefused(outcome.requestId)
-  }
-
-  /** A job was refused only if all submissions of it were. */
-  #onAttemptOutcome(zones: SimulatedZones, outcome: JobOutcome): void {
-    const { requestId } = outcome
-    const settled = zones.settle(outcome)
-    this.outcomes.set(requestId, settled)
-    this.answeredAt.set(requestId, this.now)
-    if (settled.verdict === JobVerdict.REFUSED) this.#checks.onRefused(requestId)
-  }
 }
