--- a/packages/dispatch/src/lib/soak/runZoneSoak.test.ts
+++ b/packages/dispatch/src/lib/soak/runZoneSoak.test.ts
@@ -28,6 +28,11 @@
     })
   }
 
+  it('lets no two leaders run a task when its caller sends it again after a change of leaders', () => {
+    const { violations } = runZoneSoak(29, STEPS, { hasRestarts: true, areAlone: false })
+    assert.deepEqual(violations, [])
+  })
+
   it('serves jobs of zones that are cut off', () => {
     const reports = [21, 22, 23, 24].map((seed) => runZoneSoak(seed, STEPS))
     assert.ok(reports.some(({ zoneJobsTaken }) => zoneJobsTaken > 0))
