--- a/packages/dispatch/src/lib/soak/DispatchSimulation.ts
+++ b/packages/dispatch/src/lib/soak/DispatchSimulation.ts
@@ -1,14 +1,12 @@
-import { JobVerdict, NoticeState } from '@cherryhitch/protocol'
-import type { EndpointNotice, Envelope, JobOutcome } from '@cherryhitch/protocol'
+import type { JobOutcome } from '@cherryhitch/protocol'
 import { EventScheduler } from '@cherryhitch/runtime'
 import { DispatchActionKind } from '../DispatchAction'
 import type { DispatchAction } from '../DispatchAction'
 import { DispatchEventKind } from '../DispatchEvent'
 import type { DispatchEvent } from '../DispatchEvent'
 import type { DispatchCounters } from '../DispatchCore'
-import { DispatchMachine } from '../DispatchMachine'
-import { JobRelay, RelayActionKind, RelayEventKind } from '../relay/JobRelay'
-import type { RelayAction } from '../relay/JobRelay'
+import type { DispatchMachine } from '../DispatchMachine'
+import { RelayEventKind } from '../relay/JobRelay'
 import type {
   AddedEndpoint,
   DispatchSimulationOptions,
@@ -19,21 +17,23 @@
 import { OrderTransport, WAY_MS } from './OrderTransport'
 import { PayingLeader } from './PayingLeader'
 import { makeSimulatedJob } from './makeSimulatedJob'
+import { makeSimulatedMachine } from './makeSimulatedMachine'
 import { Processes } from './Processes'
 import { SimulatedOrderRouting } from './SimulatedOrderRouting'
 import { InstantLeader } from './SimulatedLeader'
 import type { SimulatedLeader } from './SimulatedLeader'
-import { requestOf, SentRequests } from './SentRequests'
 import { HOST, makeSimulatedRouting, SERVICE } from './simulatedRouting'
+import { Heartbeats, HEARTBEAT_MS } from './Heartbeats'
+import { ENTRY, SimulatedEntries } from './SimulatedEntries'
+import { SimulatedPeers } from './SimulatedPeers'
+import type { SimulatedZones } from './SimulatedZones'
 import { StartChecks } from './StartChecks'
 import { StoredDirectories } from './StoredDirectories'
 import { SIMULATED_ZONES, ZoneDrains } from './ZoneDrains'
 import { SimulatedEndpoint } from './SimulatedEndpoint'
 
-const ENTRY = 'entry'
 const TICK_MS = 10
 const MAX_LEASE_MS = 1_000
-const HEARTBEAT_MS = 1_500
 /**
  * Simulates dispatchers, an entry and endpoints on a virtual clock, with orders that are lost or
  * delayed. Checks that no task ever runs twice at the same time, and that no task of a job that was
@@ -56,27 +56,33 @@
   readonly startedTasks = this.#checks.startedTasks
   readonly #machines: DispatchMachine[]
   readonly #leaders: SimulatedLeader[]
-  readonly #relay = new JobRelay()
+  readonly #entries: SimulatedEntries
+  readonly #peers: SimulatedPeers
+  readonly #heartbeats: Heartbeats
   readonly #orders: OrderTransport
   readonly #proxies: SimulatedOrderRouting
   readonly #processes: Processes
-  readonly #sent = new SentRequests()
   readonly #stored = new StoredDirectories()
   readonly drains: ZoneDrains
   readonly lifecycle: EndpointLifecycle
   readonly #after = (ms: number, run: () => void): void => {
     this.after(ms, run)
   }
-  readonly #cuts = new EndpointCuts(this.#after)
+  readonly #cuts = new EndpointCuts(this.#after, {
+    reaches: (caller, endpoint) => this.zones?.reaches(caller, this.#zoneOf(endpoint)) ?? true,
+    hears: (caller, endpoint) => this.zones?.hears(caller, this.#zoneOf(endpoint)) ?? true,
+  })
   readonly #cutFromQuorum = new Set<number>()
   readonly #agenda = new EventScheduler({ startMs: 0 })
-  #heartbeatDueAt = 0
   #endpointsAdded = 0
   #term = 0
   #leader = 0
 
   constructor(private readonly options: DispatchSimulationOptions) {
     this.#processes = new Processes(options.leaders)
+    this.#peers = this.#makePeers()
+    this.#heartbeats = this.#makeHeartbeats()
+    this.#entries = this.#makeEntries()
     this.drains = this.#makeDrains()
     this.lifecycle = new EndpointLifecycle({
       endpoints: this.endpoints,
@@ -87,13 +93,13 @@
       keepsIds: options.keepsIds === true,
       add: (id, place) => this.addEndpoint(id, place),
       announce: (endpoint) => {
-        this.#announce(endpoint)
+        this.#heartbeats.announce(endpoint)
       },
       tellAll: (notice) => {
-        for (const i of this.#machines.keys()) this.#tellNotice(i, notice)
+        for (const i of this.#machines.keys()) this.#peers.tellNotice(i, notice)
       },
       tellOne: (notice) => {
-        this.#tellNotice(this.#drawInstance(), notice)
+        this.#peers.tellNotice(this.#drawInstance(), notice)
       },
       report: (violation) => this.violations.push(violation),
     })
@@ -108,6 +114,7 @@
       now: () => this.now,
       after: this.#after,
       isCut: (caller, endpoint) => this.#cuts.has(caller, endpoint),
+      isAnswerCut: (caller, endpoint) => this.#cuts.hasBack(caller, endpoint),
       takesLivesForOne: options.takesLivesForOne === true,
     })
     this.#proxies = new SimulatedOrderRouting({
@@ -121,12 +128,81 @@
       },
       processes: this.#processes,
     })
-    this.#machines = Array.from({ length: options.leaders }, () => this.#makeMachine())
+    this.#machines = Array.from({ length: options.leaders }, () =>
+      makeSimulatedMachine(this.options),
+    )
     this.#leaders = this.#machines.map((machine, i) => this.#makeLeader(machine, i))
     const { endpoints, racks = 1 } = options
     for (let i = 0; i < endpoints; i++) this.addEndpoint(`e${i}`, { rack: `r${i % racks}` })
   }
 
+  /** The surroundings that entries and peers have in common. */
+  get #world() {
+    return {
+      instances: this.options.leaders,
+      random: this.options.random,
+      now: () => this.now,
+      after: this.#after,
+      machine: (i: number) => this.#machines[i],
+      tell: (i: number, event: DispatchEvent) => {
+        this.#tell(i, event)
+      },
+    }
+  }
+
+  #makePeers(): SimulatedPeers {
+    return new SimulatedPeers({
+      ...this.#world,
+      isCutFromQuorum: (i) => this.#cutFromQuorum.has(i),
+      isLinked: (from, to) => this.zones?.areLinked(`d${from}`, `d${to}`) ?? true,
+      hasWholeDirectory: (i) => this.#hasWholeDirectory(i),
+    })
+  }
+
+  #makeHeartbeats(): Heartbeats {
+    return new Heartbeats({
+      ...this.#world,
+      endpoints: this.endpoints,
+      hears: (i, zone) => this.zones?.hears(`d${i}`, zone) ?? true,
+      onLeaving: (endpoint) => {
+        if (this.#hasLeaderInTouch) this.#checks.noteLeaving(endpoint)
+      },
+    })
+  }
+
+  #makeEntries(): SimulatedEntries {
+    const { zones, resendsToNextProcess = false } = this.options
+    return new SimulatedEntries({
+      ...this.#world,
+      zones,
+      resendsToNextProcess,
+      outcomes: this.outcomes,
+      answeredAt: this.answeredAt,
+      processes: this.#processes,
+      isUp: (i) => this.isUp(i),
+      leader: () => {
+        const index = this.#leader
+        return { index, term: this.#term, isCut: this.#isCutFromQuorum(index) }
+      },
+      onRefused: (jobId) => {
+        this.#checks.onRefused(jobId)
+      },
+    })
+  }
+
+  /** The zones and the cuts between them, if the simulation has entries by zone. */
+  get zones(): SimulatedZones | undefined {
+    return this.#entries.zones
+  }
+
+  #zoneOf(id: string): string {
+    return this.endpoints.find(({ options }) => options.id === id)?.options.zone ?? ''
+  }
+
+  #isCutFromQuorum(instance: number): boolean {
+    return this.#cutFromQuorum.has(instance) || this.zones?.hasQuorum(instance) === false
+  }
+
   #makeDrains(): ZoneDrains {
     return new ZoneDrains({
       fault: this.options.drainFault,
@@ -140,16 +216,6 @@
     })
   }
 
-  #makeMachine(): DispatchMachine {
-    const { order, admission, without = [], makeMachine } = this.options
-    const chosen = {
-      without,
-      ...(order !== undefined && { order }),
-      ...(admission !== undefined && { admission }),
-    }
-    return makeMachine?.(chosen) ?? new DispatchMachine(chosen)
-  }
-
   #makeLeader(machine: DispatchMachine, i: number): SimulatedLeader {
     const around = {
       machine,
@@ -203,7 +269,7 @@
     }
     this.#endpointsAdded++
     this.endpoints.push(endpoint)
-    for (const i of knownTo) this.#tellNotice(i, endpoint.notice())
+    for (const i of knownTo) this.#peers.tellNotice(i, endpoint.notice())
     return endpoint
   }
 
@@ -225,7 +291,9 @@
     if (old !== leader) {
       this.#cutFromQuorum.add(old)
       this.after(oldLearnsAfterMs, () => {
-        if (this.#leader !== old) this.#tell(old, { kind: DispatchEventKind.StepDown })
+        const servesZone = this.#machines[old]?.zone !== undefined
+        if (this.#leader !== old && !servesZone)
+          this.#tell(old, { kind: DispatchEventKind.StepDown })
       })
     }
     if (gapMs === 0) this.#lead(leader, term, followedUntil)
@@ -255,17 +323,18 @@
    */
   restart(leader: number, downMs: number, newsMs: number): void {
     this.#processes.restart(leader, this.now + downMs)
-    const machine = this.#makeMachine()
+    const machine = makeSimulatedMachine(this.options)
     this.#machines[leader] = machine
     this.#leaders[leader] = this.#makeLeader(machine, leader)
     this.#proxies.restart(leader)
+    this.zones?.restartInstance(leader, this.now + downMs)
     this.after(
       downMs,
       this.#processes.bind(leader, () => {
         for (const event of this.#stored.read(leader)) this.#tell(leader, event)
-        for (const i of this.#machines.keys()) if (i !== leader) this.#tellNotices(i, leader)
+        this.#peers.tellAllNotices(leader)
         if (this.options.resendsToNextProcess !== true) return
-        for (const event of this.#sent.unacknowledged(this.now, leader)) this.#tell(leader, event)
+        for (const event of this.#entries.unacknowledged(leader)) this.#tell(leader, event)
       }),
     )
     const term = this.#term
@@ -275,9 +344,10 @@
     })
   }
 
+  /** Entries in zones find the leader by themselves. */
   #tellLeader(leader: string): void {
-    const told = { kind: RelayEventKind.Leader, leader, term: this.#term } as const
-    this.#performRelay(this.#relay.step(this.now, told))
+    if (this.zones !== undefined) return
+    this.#entries.step(ENTRY, { kind: RelayEventKind.Leader, leader, term: this.#term })
   }
 
   #lead(leader: number, term: number, followedUntil: number): void {
@@ -288,7 +358,7 @@
     const table = makeSimulatedRouting(this.options.priorities)
     this.#tell(leader, { kind: DispatchEventKind.BecomeLeader, term, table, drainedZones })
     const learn = (): void => {
-      this.#readDirectories(leader, term)
+      this.#peers.readDirectories(leader, term)
       this.#tell(leader, {
         kind: DispatchEventKind.EarlierLeadersConfirmed,
         term,
@@ -301,19 +371,6 @@
     })
   }
 
-  /**
-   * Sends the new leader the directory of another instance, chosen at random, with which it forms a
-   * majority.
-   */
-  #readDirectories(leader: number, term: number): void {
-    const others = [...this.#machines.keys()].filter((i) => i !== leader)
-    const asked = others[Math.floor(this.options.random() * others.length)]
-    if (asked !== undefined) this.#tellNotices(asked, leader)
-    const majority = asked === undefined ? [leader] : [leader, asked]
-    if (!majority.every((i) => this.#hasWholeDirectory(i))) return
-    this.#tell(leader, { kind: DispatchEventKind.DirectoryComplete, term })
-  }
-
   /** Whether a process has run long enough to have got a notice from every endpoint. */
   #hasWholeDirectory(leader: number): boolean {
     return this.now >= this.#processes.of(leader).startedAt + 2 * HEARTBEAT_MS
@@ -330,7 +387,7 @@
   }
 
   submit(id: string, tasks: number, options: SubmitOptions = {}): void {
-    const { deadlineMs = 5_000, queue = 0 } = options
+    const { deadlineMs = 5_000, queue = 0, entry = ENTRY } = options
     const spec = makeSimulatedJob(id, tasks, options)
     const place = {
       host: HOST,
@@ -338,9 +395,9 @@
       receivedAt: this.now,
       deadlineAt: this.now + deadlineMs,
     }
-    this.#performRelay(
-      this.#relay.step(this.now, { kind: RelayEventKind.Submit, requestId: id, spec, ...place }),
-    )
+    if (this.zones !== undefined) this.outcomes.delete(id)
+    if (this.zones?.accept(entry, id) === false) return
+    this.#entries.step(entry, { kind: RelayEventKind.Submit, requestId: id, spec, ...place })
   }
 
   after(ms: number, run: () => void): void {
@@ -359,9 +416,10 @@
 
   #tick(): void {
     for (const endpoint of this.endpoints) endpoint.advance(this.now)
-    this.#sendHeartbeats()
+    this.#heartbeats.tick()
+    this.zones?.tick()
     for (const [i, leader] of this.#leaders.entries()) {
-      if (!this.#cutFromQuorum.has(i)) {
+      if (!this.#isCutFromQuorum(i)) {
         this.#tell(i, { kind: DispatchEventKind.LeadershipConfirmed, at: this.now - 2 * WAY_MS })
       }
       if (this.isUp(i)) leader.tick()
@@ -370,104 +428,34 @@
       }
       this.#proxies.tick(i, this.#machines[i]?.endpoints ?? 0)
     }
-    this.#performRelay(this.#relay.tick(this.now))
-  }
-
-  /** Sends a notice of each endpoint to all instances that know it. */
-  #sendHeartbeats(): void {
-    if (this.now < this.#heartbeatDueAt) return
-    this.#heartbeatDueAt = this.now + HEARTBEAT_MS
-    for (const endpoint of this.endpoints) this.#announce(endpoint)
-  }
-
-  #announce(endpoint: SimulatedEndpoint): void {
-    const notice = endpoint.notice()
-    for (const [i, machine] of this.#machines.entries()) {
-      // A leave notice goes to all instances before it is acknowledged.
-      if (!machine.hasEndpoint(notice.endpoint) && notice.state === NoticeState.SERVING) continue
-      this.#tellNotice(i, notice)
-    }
-    const isLeaving = notice.state === NoticeState.LEAVING
-    if (isLeaving && this.#hasLeaderInTouch) this.#checks.noteLeaving(endpoint)
+    this.#entries.tick()
   }
 
   get #hasLeaderInTouch(): boolean {
     return this.isUp(this.#leader) && !this.#cutFromQuorum.has(this.#leader)
   }
 
-  #tellNotice(leader: number, notice: EndpointNotice): void {
-    this.#tell(leader, { kind: DispatchEventKind.Notice, notice })
-  }
-
   #tell(leader: number, event: DispatchEvent): void {
     if (this.isUp(leader)) this.#leaders[leader]?.tell(event)
   }
 
   #perform(leader: number, actions: readonly DispatchAction[]): void {
     for (const action of actions) {
-      if (action.kind === DispatchActionKind.Order) this.#proxies.order(leader, action)
+      if (action.kind === DispatchActionKind.Order)
+        this.#proxies.order(leader, this.zones?.alter(leader, action) ?? action)
       else if (action.kind === DispatchActionKind.BroadcastNotice)
-        this.#spread(leader, action.notice)
+        this.#peers.spread(leader, action.notice)
       else if (action.kind === DispatchActionKind.BroadcastLosses) {
         this.#stored.noteNews(this.now, leader, this.#machines[leader])
-        this.#tellOthers(leader, { kind: DispatchEventKind.EndpointLosses, losses: action.losses })
+        const { losses } = action
+        this.#peers.tellOthers(leader, { kind: DispatchEventKind.EndpointLosses, losses })
       } else if (action.kind === DispatchActionKind.BroadcastHints) {
-        this.#tellOthers(leader, { kind: DispatchEventKind.LeaderHints, hints: action.hints })
+        const { hints } = action
+        this.#peers.tellOthers(leader, { kind: DispatchEventKind.LeaderHints, hints })
       } else if (action.kind === DispatchActionKind.Answer) {
-        const { outcome } = action
-        this.after(WAY_MS, () => {
-          const event = { kind: RelayEventKind.Outcome, from: `d${leader}`, outcome } as const
-          this.#performRelay(this.#relay.step(this.now, event))
-        })
+        this.#entries.sendOutcome(leader, action.to, action.outcome)
       }
     }
     this.#proxies.flush(leader)
   }
-
-  #spread(leader: number, notice: EndpointNotice): void {
-    if (this.#cutFromQuorum.has(leader)) return
-    this.#tellOthers(leader, { kind: DispatchEventKind.Notice, notice })
-  }
-
-  #tellOthers(leader: number, event: DispatchEvent): void {
-    this.after(WAY_MS, () => {
-      for (const i of this.#leaders.keys()) if (i !== leader) this.#tell(i, event)
-    })
-  }
-
-  /** Sends the endpoints and losses that one instance knows to another one. */
-  #tellNotices(from: number, to: number): void {
-    const news = this.#machines[from]?.losses(this.now)
-    if (news !== undefined) this.#tell(to, { kind: DispatchEventKind.EndpointLosses, losses: news })
-    for (const notice of this.#machines[from]?.notices(this.now) ?? []) {
-      this.#tellNotice(to, notice)
-    }
-  }
-
-  #performRelay(actions: readonly RelayAction[]): void {
-    for (const action of actions) {
-      if (action.kind === RelayActionKind.Answer) this.#onOutcome(action.outcome)
-      else this.#deliver(action.to, action.envelope)
-    }
-  }
-
-  #deliver(to: string, message: Envelope): void {
-    const leader = Number(to.slice(1))
-    const event = requestOf(ENTRY, message)
-    if (event === undefined) return
-    if (this.options.resendsToNextProcess === true) this.#sent.note(this.now, leader, event)
-    const deliver = (): void => {
-      this.#tell(leader, event)
-    }
-    this.after(WAY_MS, this.#processes.bind(leader, deliver))
-  }
-
-  #onOutcome(outcome: JobOutcome): void {
-    const earlier = this.outcomes.get(outcome.requestId)
-    this.outcomes.set(outcome.requestId, outcome)
-    this.answeredAt.set(outcome.requestId, this.now)
-    // A caller that resubmits a job of unknown outcome knows that its first attempt may have run.
-    if (outcome.verdict !== JobVerdict.REFUSED || earlier?.verdict === JobVerdict.UNKNOWN) return
-    this.#checks.onRefused(outcome.requestId)
-  }
 }
--- a/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
+++ b/packages/dispatch/src/lib/soak/SimulatedEndpoint.ts
@@ -22,6 +22,8 @@
 export interface SimulatedRun {
   readonly task: string
   readonly run: number
+  /** Fencing token of the order that started it. */
+  readonly token: number
   /** Simulated time at which it ends by itself. */
   readonly endsAt: number
   readonly fails: boolean
@@ -86,7 +88,8 @@
   private readonly highestEnded = new Map<string, number>()
   private ended: ListedRunEnd[] = []
   private position = 0
-  private fence = 0
+  /** Highest fencing token of the orders that it has obeyed. */
+  fence = 0
   private leaseEndsAt = -Infinity
   private sequence = 0
   /** Current number of slots, from which the capacity in its notices is derived. */
@@ -138,14 +141,13 @@
   start(now: number, token: number, order: StartOrder, fate: RunFate): StartResult {
     const { runMs, fails, isLate = false } = fate
     this.advance(now)
-    if (token < this.fence) return StartResult.FENCED
-    this.fence = token
+    if (!this.obeys(token)) return StartResult.FENCED
     if (this.running.get(order.task)?.run === order.run) return StartResult.RUNS
     if (order.orderEndsAt < this.clock(now)) return StartResult.TOO_LATE
     this.renew(now, order.orderEndsAt)
     if (order.run <= (this.highestEnded.get(order.task) ?? 0)) return StartResult.OLD_RUN
     if (this.options.guardsPlaces && this.running.size >= this.places) return StartResult.NO_ROOM
-    const run = { task: order.task, run: order.run, endsAt: now + runMs, fails }
+    const run = { task: order.task, run: order.run, token, endsAt: now + runMs, fails }
     this.running.set(order.task, run)
     this.onStart(run, isLate)
     return StartResult.RUNS
@@ -153,8 +155,7 @@
 
   stop(now: number, token: number, order: StopOrder): boolean {
     this.advance(now)
-    if (token < this.fence) return false
-    this.fence = token
+    if (!this.obeys(token)) return false
     const run = this.running.get(order.task)
     if (run?.run === order.run) this.end(run, ListedEnd.STOPPED)
     const highest = this.highestEnded.get(order.task) ?? 0
@@ -165,8 +166,7 @@
   /** Processes a hold, also repeatedly while it waits; returns the failure, if any. */
   hold(now: number, token: number, order: HoldOrder): HoldFailure | undefined {
     this.advance(now)
-    if (token < this.fence) return HoldFailure.FENCED
-    this.fence = token
+    if (!this.obeys(token)) return HoldFailure.FENCED
     if (order.leaseEndsAt !== undefined) this.renew(now, order.leaseEndsAt)
     const [first] = this.ended
     if (first !== undefined && first.position <= order.acknowledgedEnd) {
@@ -185,6 +185,13 @@
     return makeHoldReport(this.clock(now), running, this.ended)
   }
 
+  /** Whether it executes an order with this token; it then obeys no lower one any more. */
+  private obeys(token: number): boolean {
+    if (token < this.fence) return false
+    this.fence = token
+    return true
+  }
+
   private renew(now: number, leaseEndsAt: number): void {
     const longest = this.clock(now) + this.options.maxLeaseMs
     this.leaseEndsAt = Math.max(this.leaseEndsAt, Math.min(leaseEndsAt, longest))
--- a/packages/dispatch/src/lib/soak/StartChecks.ts
+++ b/packages/dispatch/src/lib/soak/StartChecks.ts
@@ -1,5 +1,7 @@
 import { JobVerdict } from '@cherryhitch/protocol'
 import type { JobOutcome } from '@cherryhitch/protocol'
+import { grantOfToken, termOfToken } from '../endpoints/fencingToken'
+import { isLeaderGrant } from '../zones/ZoneToken'
 import type { SimulatedEndpoint } from './SimulatedEndpoint'
 
 /** Interface of the simulation to the checks. @internal */
@@ -70,10 +72,27 @@
       other.advance(now)
       if (other === endpoint || !other.running.has(task)) continue
       const where = `${other.options.id} and ${endpoint.options.id}`
-      this.violations.push(`${task} runs on ${where} at ${now}`)
+      this.violations.push(
+        `${task} runs on ${where} at ${now}${this.#holders(endpoint, other, task)}`,
+      )
     }
   }
 
+  /**
+   * Names the holders that ordered two runs of a task, if both are leaders, or if a zone dispatcher
+   * had part in it: as the holder of a run, or as the one that an endpoint obeyed last.
+   */
+  #holders(one: SimulatedEndpoint, other: SimulatedEndpoint, task: string): string {
+    const runs = [other, one].map(({ running }) => running.get(task)?.token ?? 0)
+    const [first = 0, second = 0] = runs
+    const areLeaders = runs.every((token) => isLeaderGrant(grantOfToken(token)))
+    if (areLeaders && termOfToken(first) !== termOfToken(second)) return ' under two leaders'
+    const all = [...runs, one.fence, other.fence]
+    if (all.every((token) => isLeaderGrant(grantOfToken(token)))) return ''
+    const names = all.map((token) => `${termOfToken(token)}.${grantOfToken(token)}`)
+    return ` beside a zone dispatcher, tokens ${names.join(' ')}`
+  }
+
   #checkRoom({ running, name, options }: SimulatedEndpoint): void {
     if (options.guardsPlaces || running.size <= options.places) return
     this.violations.push(`${running.size} tasks run on ${name}, which has ${options.places} places`)
