Let no task wait for a faster slot that it can't use

Found by review: with labels, racks, endpoints to avoid or needs above the mean, a task was compared with fast slots that were free but not for it, and waited in every round; such a task also held up all others in the round; and from the 33rd task on all waited without a look at the forecast. The forecast of faster slots now holds only those that become free later, is asked only for tasks without other constraints, and has no limit. Penalties for an endpoint no longer scale the offsets by which late endpoints come last; a change between even and uneven reaches all indexes.

--- a/packages/dispatch/src/lib/scheduling/AvailableEndpoints.ts
+++ b/packages/dispatch/src/lib/scheduling/AvailableEndpoints.ts
@@ -2,6 +2,7 @@
 import type { EndpointCapacity } from '@cherryhitch/protocol'
 import type { EndpointRecord, FreeCapacity } from '../endpoints/EndpointRecord'
 import type { Task } from '../jobs/Job'
+import { isUnconstrained } from './isUnconstrained'
 import type { SpeedNeed } from './SpeedNeed'
 
 /**
@@ -182,7 +183,8 @@
     let bestCost = Infinity
     for (const [row, entry] of this.#rows.entries()) {
       if (!this.#fits(row, needs) || !isAllowed(task, entry)) continue
-      const cost = this.#costAt(row, needs.cpuMillis, fitWeight, need) * penaltyOf(task, entry)
+      const penalty = penaltyOf(task, entry)
+      const cost = this.#costAt(row, needs.cpuMillis, fitWeight, need, penalty)
       if (cost >= bestCost) continue
       best = entry
       bestCost = cost
@@ -190,11 +192,17 @@
     return best
   }
 
-  #costAt(row: number, cpuMillis: number, fitWeight: number, need: SpeedNeed | undefined): number {
+  #costAt(
+    row: number,
+    cpuMillis: number,
+    fitWeight: number,
+    need: SpeedNeed | undefined,
+    penalty = 1,
+  ): number {
     const left = (this.#cpuMillis[row] ?? 0) - cpuMillis
     const leftShare = left / (this.#totalCpuMillis[row] ?? 1)
     const slowness = this.#slowness[row] ?? 1
-    const fit = 1 + fitWeight * leftShare
+    const fit = (1 + fitWeight * leftShare) * penalty
     if (need === undefined) return slowness * fit
     if (slowness > need.maxSlowness) return LATE_COST + slowness * fit
     if (slowness > need.easySlowness) return TIGHT_COST + slowness * fit
@@ -238,13 +246,6 @@
   return Math.max(0, slots)
 }
 
-/** Whether a task's placement depends only on its resource needs and the endpoint's speed. */
-function isUnconstrained(task: Task): boolean {
-  if (task.avoidedEndpoints.size > 0 || task.failures > 0 || task.isSuspect) return false
-  const { requiredLabel, maxPerEndpoint, dataRack } = task.job.step(task)
-  return requiredLabel === '' && maxPerEndpoint === 0 && dataRack === ''
-}
-
 function isAllowed(task: Task, { endpoint, health }: AvailableEndpoint): boolean {
   if (endpoint.runs.has(task.name)) return false
   // An endpoint on probation may fail again; a task that has failed before needs a reliable one.
--- a/packages/dispatch/src/lib/scheduling/FasterSlots.ts
+++ b/packages/dispatch/src/lib/scheduling/FasterSlots.ts
@@ -6,11 +6,6 @@
 
 /** Least share of a run time by which a task has to end earlier after a wait for a faster slot. */
 const LEAST_GAIN = 0.1
-/**
- * Number of tasks in a round for which a faster slot is forecast. Those after them with the same
- * need wait as well, so that a long queue costs little.
- */
-const MAX_FORECAST = 32
 
 /** What to do with a task that fits at a free endpoint. @internal */
 export enum SpeedDecision {
@@ -34,12 +29,12 @@
  * @internal
  */
 export class FasterSlots {
-  #forecastTasks = 0
   #isForecastReady = false
   #fastestFree: FastestFree | undefined
 
   /**
-   * @param readSlots - called once a task may have to wait
+   * @param readSlots - the slots that become free later, called once a task may have to wait; the
+   *   free ones are left out, since a task that could use them isn't asked about
    * @param forecast - used by this round alone
    */
   constructor(
@@ -82,11 +77,9 @@
   }
 
   #waits(runMs: number, slowness: number): boolean {
-    if (this.#forecastTasks >= MAX_FORECAST) return true
     const forecast = this.#readyForecast()
     if (forecast.peekEnd(runMs) + LEAST_GAIN * runMs >= slowness * runMs) return false
     forecast.take(runMs, -Infinity)
-    this.#forecastTasks++
     return true
   }
 
--- a/packages/dispatch/src/lib/scheduling/ServiceEndpoints.ts
+++ b/packages/dispatch/src/lib/scheduling/ServiceEndpoints.ts
@@ -51,12 +51,20 @@
         isUneven ? 'endpoints differ much in speed' : 'endpoints no longer differ much in speed',
         { service: this.service, slowToFast: Number(slowToFast.toFixed(2)) },
       )
+      this.#noteChanges()
     }
     if (!isUneven || now - this.#slownessReadAt < SLOWNESS_REFRESH_MS) return
     this.#slownessReadAt = now
     this.available.refreshSlowness((endpoint) => this.core.slownessOf(now, endpoint))
   }
 
+  /** Has all indexes updated, in which the speeds of endpoints count from now on or no longer. */
+  #noteChanges(): void {
+    for (const endpoint of this.core.endpoints.all()) {
+      if (endpoint.service === this.service) endpoint.noteChange()
+    }
+  }
+
   /** Ratio of run times at an endpoint to those at its peers. */
   slownessOf(now: number, endpoint: EndpointRecord): number {
     return this.core.slownessOf(now, endpoint)
--- a/packages/dispatch/src/lib/scheduling/ServiceSlots.ts
+++ b/packages/dispatch/src/lib/scheduling/ServiceSlots.ts
@@ -3,6 +3,7 @@
 import { countSlots } from './AvailableEndpoints'
 import { addFreeSlots, makeFreeSlotsByMs } from './SlotForecast'
 import type { ServiceEndpoints } from './ServiceEndpoints'
+import type { SlotClassCounts } from './SlotClassCounts'
 import type { SlotClass } from './SlotForecast'
 import { speedClassOf } from './speedClasses'
 
@@ -57,24 +58,35 @@
 
   /** The result is valid until the next call. */
   override classes(enough: number): readonly SlotClass[] {
-    const { available, runEnds, isUneven } = this.endpoints
+    const { available, isUneven } = this.endpoints
     if (!isUneven) return super.classes(enough)
-    const classes = this.endpoints.slotsByClass
-    for (const one of classes) one.clear()
-    const add = (afterMs: number, slots: number, slowness: number): void => {
-      classes[speedClassOf(slowness)]?.add(afterMs, slots, slowness)
-    }
+    const classes = this.#collectUpcoming()
     available.visitFreeSlots(this.needs, (slowness, slots) => {
-      add(0, slots, slowness)
+      classes[speedClassOf(slowness)]?.add(0, slots, slowness)
     })
-    for (const { isAdopted, slots, slowness } of this.#expected()) {
-      add(isAdopted ? 0 : ADOPTION_DELAY_MS, slots, slowness)
-    }
-    runEnds.addFreeSlotsByClass(classes, this.now)
     const filled = classes.filter(({ isEmpty }) => !isEmpty)
     return filled.length === 0 ? super.classes(enough) : filled
   }
 
+  /**
+   * The slots that can't be used now but become free, by speed. The result is valid until the next
+   * call, also of `classes`.
+   */
+  upcomingClasses(): readonly SlotClass[] {
+    return this.#collectUpcoming().filter(({ isEmpty }) => !isEmpty)
+  }
+
+  #collectUpcoming(): readonly SlotClassCounts[] {
+    const { runEnds, slotsByClass } = this.endpoints
+    for (const one of slotsByClass) one.clear()
+    for (const { isAdopted, slots, slowness } of this.#expected()) {
+      const afterMs = isAdopted ? 0 : ADOPTION_DELAY_MS
+      slotsByClass[speedClassOf(slowness)]?.add(afterMs, slots, slowness)
+    }
+    runEnds.addFreeSlotsByClass(slotsByClass, this.now)
+    return slotsByClass
+  }
+
   /** Free slots of endpoints that can't receive tasks now but are expected to soon. */
   *#expected(): Generator<ExpectedSlots> {
     for (const endpoint of this.endpoints.expected) {
--- a/packages/dispatch/src/lib/scheduling/SlotForecast.ts
+++ b/packages/dispatch/src/lib/scheduling/SlotForecast.ts
@@ -108,8 +108,9 @@
   /** Takes the slot that becomes free first for longer than the forecast. */
   reserve(): void {
     let slots = this.#first
-    for (const other of this.#others.slice(0, this.#otherCount)) {
-      if (other.findFirst() < slots.findFirst()) slots = other
+    for (let index = 0; index < this.#otherCount; index++) {
+      const other = this.#others[index]
+      if (other !== undefined && other.findFirst() < slots.findFirst()) slots = other
     }
     const first = slots.findFirst()
     if (first < HORIZON_MS) slots.takeFirst(first, HORIZON_MS)
--- a/packages/dispatch/src/lib/scheduling/TaskPlacer.ts
+++ b/packages/dispatch/src/lib/scheduling/TaskPlacer.ts
@@ -9,6 +9,7 @@
 import { FasterSlots, SpeedDecision } from './FasterSlots'
 import { freeCpuMillisOf } from './freeCpuMillisOf'
 import { hasRoom } from './hasRoom'
+import { isUnconstrained } from './isUnconstrained'
 import type { JobQueue } from './JobQueue'
 import { needsAtLeast } from './needsAtLeast'
 import type { OrderedJobs } from './QueueShares'
@@ -97,7 +98,8 @@
     round: PlacementRound,
   ): Placement {
     const { job } = task
-    const { fasterSlots } = round
+    // The forecast of faster slots knows nothing of other constraints than the needs of tasks.
+    const fasterSlots = isUnconstrained(task) ? round.fasterSlots : undefined
     const need = endpoints.isUneven ? speedNeedOf(now, task) : undefined
     const unseen = need && fasterSlots?.decideUnseen(need, job.runMs(task), needs)
     if (unseen !== undefined) return this.#postpone(job, unseen, round)
@@ -133,7 +135,7 @@
 
   #makeFasterSlots(now: number, { meanNeeds }: JobQueue, endpoints: ServiceEndpoints): FasterSlots {
     const slots = new ServiceSlots(now, endpoints, meanNeeds)
-    return new FasterSlots(() => slots.classes(Infinity), this.#placementForecast)
+    return new FasterSlots(() => slots.upcomingClasses(), this.#placementForecast)
   }
 
   #countSpeed(slowness: number): void {
