Measure free CPU without regard to what waits

Cause: free CPU was counted in slots of the mean waiting task. One of ten waiting tasks with a GPU gave none at endpoints without one, and tiny needs met the bound on slots per endpoint. The capacity then shrank towards what was placed, so that contention was seen at any load.

--- a/packages/dispatch/src/lib/scheduling/AvailableEndpoints.ts
+++ b/packages/dispatch/src/lib/scheduling/AvailableEndpoints.ts
@@ -105,6 +105,15 @@
     return most
   }
 
+  /** Free CPU of all healthy endpoints, in thousandths of a core. */
+  freeCpuMillis(): number {
+    let free = 0
+    for (let row = 0; row < this.#rows.length; row++) {
+      if (this.#rows[row]?.health === HealthState.Healthy) free += this.#cpuMillis[row] ?? 0
+    }
+    return free
+  }
+
   /**
    * Number of tasks with these needs that can start now; counting stops once `enough` is reached.
    */
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -121,7 +121,7 @@
     if (!isAdmissionDue && !hasRoom(queue, endpoints)) return
     const isPrioritized = this.#prioritized.has(this.core.table, service)
     if (isPrioritized && isReviewDue) {
-      queue.usage.setFreeCpuMillis(freeCpuMillisOf(queue, endpoints))
+      queue.usage.setFreeCpuMillis(freeCpuMillisOf(endpoints))
     }
     const order = (jobs: readonly Job[]): OrderedJobs => {
       return isPrioritized ? this.#order(now, queue, jobs) : NO_SHARES.order({ ranked: jobs })
--- a/packages/dispatch/src/lib/scheduling/TaskPlacer.ts
+++ b/packages/dispatch/src/lib/scheduling/TaskPlacer.ts
@@ -61,7 +61,7 @@
       if (job.isClosed) continue
       const headroomCpuMillis = headroomOf(job, ordered)
       if (headroomCpuMillis > 0) {
-        freeCpuMillis ??= freeCpuMillisOf(queue, endpoints)
+        freeCpuMillis ??= freeCpuMillisOf(endpoints)
         if (freeCpuMillis - job.waitingCpuMillis < headroomCpuMillis) continue
         freeCpuMillis -= job.waitingCpuMillis
       }
