Give queues finite shares when their priorities are far apart

Cause: a weight of 2 ** -priority is 0 for large priorities, so that shares were NaN; maxMinShares lost small weights by subtraction from their sum, and compared Infinity with Infinity.

Change: weights by steps from the most urgent queue's priority, at most 4 between successive priorities and 20 in all. Weights of priorities at most 4 apart stay as they were, relative to each other. maxMinShares sums weights from the last claim on.

--- a/packages/dispatch/src/lib/scheduling/QueueShares.ts
+++ b/packages/dispatch/src/lib/scheduling/QueueShares.ts
@@ -46,6 +46,12 @@
 
 /** Ratio of the weights of two adjacent priorities. */
 const WEIGHT_RATIO = 2
+/**
+ * Upper bounds on the steps by which the weights of successive priorities differ, and those of any
+ * two. Priorities can be any 32-bit numbers, and the weights of distant ones would be 0.
+ */
+const MAX_STEPS_BETWEEN = 4
+const MAX_STEPS = 20
 /** Demand above this share of the capacity counts as contention: jobs then wait for each other. */
 const CONTENDED_SHARE = 0.9
 /**
@@ -109,9 +115,10 @@
   for (const { meanCpuMillis } of queues.values()) demand += meanCpuMillis
   if (demand <= CONTENDED_SHARE * capacity) return undefined
   const shares = new Map<string, QueueShare>()
+  const weights = weightsOf(queues)
   for (const [name, load] of queues) {
     shares.set(name, {
-      shareCpuMillis: shareOf(name, queues, capacity),
+      shareCpuMillis: shareOf(name, queues, weights, capacity),
       usedCpuMillis: load.placedCpuMillis,
       headroomCpuMillis: headroomFor(load, queues),
     })
@@ -119,14 +126,34 @@
   return shares
 }
 
+/** Weights by priority; the most urgent one has weight 1. */
+function weightsOf(queues: ReadonlyMap<string, QueueLoad>): ReadonlyMap<number, number> {
+  const priorities = [...queues.values()].map(({ priority }) => priority).sort((a, b) => a - b)
+  const weights = new Map<number, number>()
+  let steps = 0
+  let previous = priorities[0] ?? 0
+  for (const priority of priorities) {
+    steps = Math.min(MAX_STEPS, steps + Math.min(MAX_STEPS_BETWEEN, priority - previous))
+    weights.set(priority, WEIGHT_RATIO ** -steps)
+    previous = priority
+  }
+  return weights
+}
+
 /** The most that a queue can use while the others use what they did on average. */
-function shareOf(name: string, queues: ReadonlyMap<string, QueueLoad>, capacity: number): number {
+function shareOf(
+  name: string,
+  queues: ReadonlyMap<string, QueueLoad>,
+  weights: ReadonlyMap<number, number>,
+  capacity: number,
+): number {
   const claims: ShareClaim[] = []
   let own = 0
   for (const [other, { priority, meanCpuMillis }] of queues) {
     const isOwn = other === name
     if (isOwn) own = claims.length
-    claims.push({ weight: WEIGHT_RATIO ** -priority, demand: isOwn ? Infinity : meanCpuMillis })
+    const weight = weights.get(priority) ?? 1
+    claims.push({ weight, demand: isOwn ? Infinity : meanCpuMillis })
   }
   return maxMinShares(capacity, claims)[own] ?? 0
 }
--- a/packages/policy/src/lib/shares/maxMinShares.test.ts
+++ b/packages/policy/src/lib/shares/maxMinShares.test.ts
@@ -22,6 +22,15 @@
     )
   })
 
+  it('divides what is left by weights that are far below those of other parties', () => {
+    const shares = maxMinShares(100, [
+      { weight: 1, demand: 10 },
+      { weight: 2 ** -60, demand: Infinity },
+      { weight: 2 ** -60, demand: Infinity },
+    ])
+    assert.deepEqual(shares, [10, 45, 45])
+  })
+
   it('leaves nothing unused that a party demands', () => {
     fc.assert(
       fc.property(fc.nat(200), claims, (capacity, parties) => {
--- a/packages/policy/src/lib/shares/maxMinShares.ts
+++ b/packages/policy/src/lib/shares/maxMinShares.ts
@@ -17,14 +17,23 @@
   const amounts = claims.map(() => 0)
   // The claim with the least demand for its weight is satisfied first.
   const order = claims.map((claim, index) => ({ ...claim, index }))
-  order.sort((a, b) => a.demand / a.weight - b.demand / b.weight)
+  order.sort((a, b) => compare(a.demand / a.weight, b.demand / b.weight))
+  // Sums from the last claim on; subtraction from the total would lose small weights.
+  const weightsLeft = order.map(({ weight }) => weight)
+  for (let at = order.length - 2; at >= 0; at--) {
+    weightsLeft[at] = (weightsLeft[at] ?? 0) + (weightsLeft[at + 1] ?? 0)
+  }
   let left = Math.max(0, capacity)
-  let weightLeft = claims.reduce((sum, { weight }) => sum + weight, 0)
-  for (const { weight, demand, index } of order) {
-    const amount = Math.min(demand, (left * weight) / weightLeft)
+  for (const [at, { weight, demand, index }] of order.entries()) {
+    const share = weight / (weightsLeft[at] ?? weight)
+    const amount = Math.min(demand, left * share)
     amounts[index] = amount
     left -= amount
-    weightLeft -= weight
   }
   return amounts
 }
+
+/** Compares two numbers, also when both are Infinity. */
+function compare(a: number, b: number): number {
+  return a === b ? 0 : a - b
+}
