Forecast also when headroom keeps jobs from free slots

Cause: admission ended early when the free slots sufficed for all waiting tasks, although jobs beyond the share of their queue, and late ones, leave some of them free and wait. They were admitted and found late.

Change: it ends early only if no job leaves headroom, and the forecast counts free slots for the headroom as well.

Evidence: of the two new tests, the first fails with the early end, the second without the further slots.

--- a/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
+++ b/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
@@ -51,7 +51,6 @@
     private readonly forecast: SlotForecast,
   ) {
     this.#ranked = ranked
-    this.#slots = slots.classes(waitingTasks)
     this.#runMs = new Float64Array(waitingTasks)
     this.#firstTask = new Int32Array(ranked.length + 1)
     this.#latestStartMs = new Float64Array(ranked.length)
@@ -62,6 +61,8 @@
     this.#isBeyondShare = new Uint8Array(ranked.length)
     this.#headroomSlots = new Int32Array(ranked.length)
     this.#fillColumns(now, toleranceMs, beyondShare, headroomSlots)
+    const mostHeadroom = this.#headroomSlots.reduce((most, one) => Math.max(most, one), 0)
+    this.#slots = slots.classes(waitingTasks + mostHeadroom)
   }
 
   #fillColumns(
--- a/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
+++ b/packages/dispatch/src/lib/scheduling/ForecastAdmission.ts
@@ -49,7 +49,8 @@
   override decide(now: number, input: AdmissionInput): AdmissionDecision {
     const { undecided, waitingTasks, slots } = input
     const all = { admitted: undecided, refused: [], late: [] }
-    if (waitingTasks <= slots.countFree(waitingTasks)) return { ...all, slotsSimulated: 0 }
+    const isForAll = waitingTasks <= slots.countFree(waitingTasks)
+    if (isForAll && !isHeadroomLeft(input)) return { ...all, slotsSimulated: 0 }
     const toleranceOf = (job: Job): number => toleranceMs(now, job)
     const simulation = new AdmissionSimulation(now, input, toleranceOf, this.#forecast)
     if (
@@ -106,6 +107,12 @@
   }
 }
 
+/** Whether some jobs leave free slots to others, so that they may wait although all would fit. */
+function isHeadroomLeft({ ranked, beyondShare, headroomSlots }: AdmissionInput): boolean {
+  if (beyondShare.size > 0) return true
+  return ranked.some((job) => job.lateSince !== undefined && headroomSlots(job) > 0)
+}
+
 /** By how many milliseconds a job's forecast start may be too late without a refusal. */
 function toleranceMs(now: number, { arrivedAt, objectiveAt }: Job): number {
   const objectiveMs = objectiveAt - arrivedAt
--- a/packages/dispatch/src/lib/scheduling/headroom.test.ts
+++ b/packages/dispatch/src/lib/scheduling/headroom.test.ts
@@ -1,12 +1,25 @@
 /** Guards what jobs beyond the share of their queue, and late ones, leave free for others. */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { create } from '@bufbuild/protobuf'
 import { HealthState } from '@cherryhitch/policy'
+import {
+  makeEndpointCapacity,
+  makeJobStep,
+  makeSteppedJob,
+  RouteSchema,
+} from '@cherryhitch/protocol'
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
+import { Job } from '../jobs/Job'
 import { AvailableEndpoints } from './AvailableEndpoints'
+import { ForecastAdmission } from './ForecastAdmission'
 import { freeCpuMillisOf } from './freeCpuMillisOf'
+import { SlotSupply } from './JobAdmission'
+import type { AdmissionDecision, AdmissionInput } from './JobAdmission'
+import { LateOutcomes } from './LateOutcomes'
 import { PriorityShares } from './QueueShares'
 import type { QueueLoad } from './QueueUsage'
+import { addFreeSlots, makeFreeSlotsByMs } from './SlotForecast'
 
 function fakeEndpoint(cpuMillis: number, isSynced = true): EndpointRecord {
   const capacity = { cpuMillis, memoryMb: 1_000, gpus: 0 }
@@ -23,6 +36,81 @@
   return available
 }
 
+interface JobShape {
+  readonly tasks?: number
+  readonly priority?: number
+  readonly arrivedAt?: number
+  readonly memoryMb?: number
+}
+
+/** A job of 100 ms, which is in time by 220 ms and of use until 645 ms. */
+function makeJob(id: string, shape: JobShape = {}): Job {
+  const { tasks = 1, priority = 2, arrivedAt = 0, memoryMb = 64 } = shape
+  const needs = makeEndpointCapacity(1_000, memoryMb, 0)
+  const step = { count: tasks, needs, estimateMs: 100, dependsOn: [] }
+  const rest = { requiredLabel: '', dataRack: '', maxPerEndpoint: 0 }
+  return new Job({
+    id,
+    route: create(RouteSchema, { name: 'r', service: 's', stretch: 1.6, targetMs: 60, priority }),
+    spec: makeSteppedJob(id, 'p', [makeJobStep({ ...step, ...rest })]),
+    arrivedAt,
+    deadlineAt: 1_500,
+    stepMs: [100],
+    startMarginMs: 25,
+    firstRun: 0,
+    isResumed: false,
+  })
+}
+
+/** Slots that are free now; counting stops once enough are found, as at endpoints. */
+class FreeSlots extends SlotSupply {
+  constructor(override readonly size: number) {
+    super()
+  }
+
+  override countFree(enough: number): number {
+    return Math.min(enough, this.size)
+  }
+
+  override freeByMs(enough: number): Int32Array {
+    const freeByMs = makeFreeSlotsByMs()
+    addFreeSlots(freeByMs, 0, this.countFree(enough))
+    return freeByMs
+  }
+}
+
+function decide(ranked: readonly Job[], input: Partial<AdmissionInput>): AdmissionDecision {
+  return new ForecastAdmission({ lateOutcomes: new LateOutcomes() }).decide(0, {
+    ranked,
+    undecided: ranked.filter(({ isAdmitted }) => !isAdmitted),
+    waitingTasks: ranked.reduce((sum, { waiting }) => sum + waiting.length, 0),
+    slots: new FreeSlots(10),
+    beyondShare: new Map(),
+    headroomSlots: () => 0,
+    isReview: true,
+    ...input,
+  })
+}
+
+function idsOf(decision: AdmissionDecision): readonly (readonly string[])[] {
+  const { admitted, late, refused } = decision
+  return [admitted, late, refused.map(({ job }) => job)].map((jobs) => jobs.map(({ id }) => id))
+}
+
+describe('admission of a job beyond the share of its queue', () => {
+  it('refuses it if too few slots are free besides those it leaves', () => {
+    const job = makeJob('j')
+    const beyondShare = new Map([[job, 0]])
+    assert.deepEqual(idsOf(decide([job], { beyondShare, headroomSlots: () => 10 }))[2], ['j'])
+  })
+
+  it('admits it if enough slots are free besides those it leaves', () => {
+    const job = makeJob('j')
+    const beyondShare = new Map([[job, 0]])
+    assert.deepEqual(idsOf(decide([job], { beyondShare, headroomSlots: () => 9 }))[0], ['j'])
+  })
+})
+
 describe('the free CPU of a service', () => {
   it('is that of its endpoints, whatever the waiting tasks need', () => {
     const available = availableOf(3_000, 500)
