Leave no headroom to jobs in progress, and count only CPU that was taken

Cause: late jobs and those beyond the share of their queue left headroom also when in progress, so that their later tasks waited until the work was lost. And all CPU that a job waits for counted as taken when it was tried, also if nothing was placed, so that the jobs after it were held back.

Change: a job in progress leaves none, in placement and forecast; what was placed is subtracted.

--- a/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
+++ b/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
@@ -84,7 +84,7 @@
       const shareWaitMs = beyondShare.get(job)
       if (shareWaitMs !== undefined) this.#setBeyondShare(row, job, shareWaitMs)
       const hasHeadroom = shareWaitMs !== undefined || job.lateSince !== undefined
-      if (hasHeadroom) this.#headroomSlots[row] = headroomSlots(job)
+      if (hasHeadroom && !job.isInProgress) this.#headroomSlots[row] = headroomSlots(job)
       row++
       this.#firstTask[row] = task
     }
--- a/packages/dispatch/src/lib/scheduling/TaskPlacer.ts
+++ b/packages/dispatch/src/lib/scheduling/TaskPlacer.ts
@@ -9,6 +9,7 @@
 import { FasterSlots, SpeedDecision } from './FasterSlots'
 import { freeCpuMillisOf } from './freeCpuMillisOf'
 import { hasRoom } from './hasRoom'
+import { headroomOf } from './headroomOf'
 import type { JobQueue } from './JobQueue'
 import { needsAtLeast } from './needsAtLeast'
 import type { OrderedJobs } from './QueueShares'
@@ -54,7 +55,7 @@
       fasterSlots: endpoints.isUneven ? this.#makeFasterSlots(now, queue, endpoints) : undefined,
       deferred: new Set(),
     }
-    // Jobs with headroom come last, so that their free CPU has to be computed only once.
+    // Computed once, when a job has to leave headroom.
     let freeCpuMillis: number | undefined
     for (const job of ordered.ranked) {
       if (!hasRoom(queue, endpoints)) return
@@ -63,9 +64,10 @@
       if (headroomCpuMillis > 0) {
         freeCpuMillis ??= freeCpuMillisOf(endpoints)
         if (freeCpuMillis - job.waitingCpuMillis < headroomCpuMillis) continue
-        freeCpuMillis -= job.waitingCpuMillis
       }
+      const placedBefore = job.placedCpuMillis
       this.#placeJob(now, job, endpoints, round)
+      if (freeCpuMillis !== undefined) freeCpuMillis -= job.placedCpuMillis - placedBefore
     }
     round.fasterSlots = undefined
     for (const job of round.deferred) if (!job.isClosed) this.#placeJob(now, job, endpoints, round)
@@ -151,9 +153,3 @@
     })
   }
 }
-
-/** Free CPU that a job has to leave if it is beyond the share of its queue, or late. */
-function headroomOf(job: Job, { beyondShare, shares }: OrderedJobs): number {
-  if (!beyondShare.has(job) && job.lateSince === undefined) return 0
-  return shares.get(job.route.name)?.headroomCpuMillis ?? 0
-}
--- a/packages/dispatch/src/lib/scheduling/headroom.test.ts
+++ b/packages/dispatch/src/lib/scheduling/headroom.test.ts
@@ -10,16 +10,23 @@
   RouteSchema,
 } from '@cherryhitch/protocol'
 import type { EndpointRecord } from '../endpoints/EndpointRecord'
-import { Job } from '../jobs/Job'
+import type { DispatchCore } from '../DispatchCore'
+import { Job, TaskState } from '../jobs/Job'
+import type { Task } from '../jobs/Job'
+import type { RunTracker } from '../runs/RunTracker'
 import { AvailableEndpoints } from './AvailableEndpoints'
+import type { EndpointIndex } from './EndpointIndex'
 import { ForecastAdmission } from './ForecastAdmission'
 import { freeCpuMillisOf } from './freeCpuMillisOf'
 import { SlotSupply } from './JobAdmission'
 import type { AdmissionDecision, AdmissionInput } from './JobAdmission'
+import { JobQueue } from './JobQueue'
 import { LateOutcomes } from './LateOutcomes'
 import { PriorityShares } from './QueueShares'
 import type { QueueLoad } from './QueueUsage'
+import type { ServiceEndpoints } from './ServiceEndpoints'
 import { addFreeSlots, makeFreeSlotsByMs } from './SlotForecast'
+import { TaskPlacer } from './TaskPlacer'
 
 function fakeEndpoint(cpuMillis: number, isSynced = true): EndpointRecord {
   const capacity = { cpuMillis, memoryMb: 1_000, gpus: 0 }
@@ -111,6 +118,23 @@
   })
 })
 
+describe('admission beside a late job', () => {
+  it('expects the later tasks of one in progress to need no headroom', () => {
+    const job = makeJob('late', { tasks: 2 })
+    const [first] = job.tasks
+    if (first !== undefined) job.setTaskState(first, TaskState.Done)
+    job.isAdmitted = true
+    job.serveLate(0)
+    const next = makeJob('next')
+    next.isAdmitted = true
+    next.serveLate(0)
+    const slots = new FreeSlots(1)
+    // The second job follows in the slot of the first, as no slot has to stay free.
+    const headroomSlots = (one: Job): number => (one === job ? 1 : 0)
+    assert.deepEqual(idsOf(decide([job, next], { slots, headroomSlots }))[2], [])
+  })
+})
+
 describe('the free CPU of a service', () => {
   it('is that of its endpoints, whatever the waiting tasks need', () => {
     const available = availableOf(3_000, 500)
@@ -133,3 +157,58 @@
     assert.ok(most < 10_000 && middle < most && least < middle && least > 0, own.join(' '))
   })
 })
+
+/** Places jobs of a queue with the given headroom; returns the ids of those in progress after it. */
+function placedOf(
+  jobs: readonly Job[],
+  freeCpuMillis: number,
+  headroomCpuMillis: number,
+): string[] {
+  const available = availableOf(freeCpuMillis)
+  const counters = { endpoints_visited: 0 }
+  const core = { counters, isEnabled: () => false, emit: () => undefined, slownessOf: () => 1 }
+  const start = (_now: number, task: Task, endpoint: EndpointRecord): boolean => {
+    const free = endpoint.freeCapacity() as { cpuMillis: number }
+    free.cpuMillis -= 1_000
+    available.set({ endpoint, slowness: 1, health: HealthState.Healthy })
+    task.job.setTaskState(task, TaskState.Placed)
+    return true
+  }
+  const queue = new JobQueue()
+  const position = { rank: 0, arrival: 0, rankValidUntil: Infinity }
+  for (const job of jobs) queue.set(job, position)
+  const share = { shareCpuMillis: 0, usedCpuMillis: 0, headroomCpuMillis }
+  const ordered = {
+    ranked: jobs,
+    beyondShare: new Map(jobs.map((job) => [job, 0])),
+    shares: new Map([['r', share]]),
+  }
+  const placer = new TaskPlacer(
+    core as unknown as DispatchCore,
+    { start } as unknown as RunTracker,
+    { refreshChanged: () => undefined } as unknown as EndpointIndex,
+  )
+  const endpoints = { available, expected: new Set(), isUneven: false }
+  placer.place(0, queue, ordered, endpoints as unknown as ServiceEndpoints)
+  return jobs.filter(({ isInProgress }) => isInProgress).map(({ id }) => id)
+}
+
+describe('placement of jobs beyond the share of their queue', () => {
+  it('starts them only as far as they leave the headroom', () => {
+    const jobs = ['a', 'b', 'c'].map((id) => makeJob(id))
+    assert.deepEqual(placedOf(jobs, 4_000, 2_000), ['a', 'b'])
+  })
+
+  it('counts no CPU for a job that fits nowhere', () => {
+    const jobs = [makeJob('large', { tasks: 2, memoryMb: 5_000 }), makeJob('b')]
+    assert.deepEqual(placedOf(jobs, 4_000, 2_000), ['b'])
+  })
+
+  it('starts the later tasks of a job in progress without headroom', () => {
+    const job = makeJob('j', { tasks: 2 })
+    const [first] = job.tasks
+    if (first !== undefined) job.setTaskState(first, TaskState.Done)
+    placedOf([job], 1_000, 2_000)
+    assert.equal(job.waiting.length, 0)
+  })
+})
