Follow a changed priority of a queue

Cause: the priority of a queue's load was that of the first job; after a change of routing it stayed old while the queue had jobs.

Change: it is that of the job that arrived last. Evidence: the new test fails without it.

--- a/packages/dispatch/src/lib/scheduling/QueueUsage.ts
+++ b/packages/dispatch/src/lib/scheduling/QueueUsage.ts
@@ -16,7 +16,11 @@
 }
 
 /** A load whose mean includes the time until `meanAt`. */
-type MutableLoad = { -readonly [K in keyof QueueLoad]: QueueLoad[K] } & { meanAt: number }
+type MutableLoad = { -readonly [K in keyof QueueLoad]: QueueLoad[K] } & {
+  meanAt: number
+  /** Arrival of the newest job, whose route gives the priority. */
+  newestAt: number
+}
 
 /** Age at which a load counts 1/e of the present one, in milliseconds. */
 const MEAN_TAU_MS = 1_000
@@ -75,9 +79,18 @@
     return this.#byQueue
   }
 
-  #add(now: number, { route }: Job, { queue, placed, waiting }: JobLoad, sign: 1 | -1): void {
+  #add(
+    now: number,
+    { route, arrivedAt }: Job,
+    { queue, placed, waiting }: JobLoad,
+    sign: 1 | -1,
+  ): void {
     const load = this.#byQueue.get(queue) ?? makeLoad(now, route.priority)
     this.#byQueue.set(queue, load)
+    if (arrivedAt >= load.newestAt) {
+      load.priority = route.priority
+      load.newestAt = arrivedAt
+    }
     updateMean(now, load)
     load.placedCpuMillis += sign * placed
     load.waitingCpuMillis += sign * waiting
@@ -85,7 +98,15 @@
 }
 
 function makeLoad(now: number, priority: number): MutableLoad {
-  return { priority, placedCpuMillis: 0, waitingCpuMillis: 0, meanCpuMillis: 0, meanAt: now }
+  const newestAt = -Infinity
+  return {
+    priority,
+    placedCpuMillis: 0,
+    waitingCpuMillis: 0,
+    meanCpuMillis: 0,
+    meanAt: now,
+    newestAt,
+  }
 }
 
 function updateMean(now: number, load: MutableLoad): void {
--- a/packages/dispatch/src/lib/scheduling/headroom.test.ts
+++ b/packages/dispatch/src/lib/scheduling/headroom.test.ts
@@ -23,6 +23,7 @@
 import { JobQueue } from './JobQueue'
 import { LateOutcomes } from './LateOutcomes'
 import { PriorityShares } from './QueueShares'
+import { QueueUsage } from './QueueUsage'
 import type { QueueLoad } from './QueueUsage'
 import type { ServiceEndpoints } from './ServiceEndpoints'
 import { addFreeSlots, makeFreeSlotsByMs } from './SlotForecast'
@@ -212,3 +213,15 @@
     assert.equal(job.waiting.length, 0)
   })
 })
+
+describe('the use of a queue whose priority changes', () => {
+  it('has the priority of its newest job', () => {
+    const usage = new QueueUsage()
+    const old = makeJob('old', { priority: 2 })
+    usage.set(0, old)
+    usage.set(10, makeJob('new', { priority: 0, arrivedAt: 10 }))
+    for (const task of old.tasks) old.setTaskState(task, TaskState.Placed)
+    usage.set(20, old)
+    assert.equal(usage.queues(20).get('r')?.priority, 0)
+  })
+})
