Judge late service by the outcomes of each service

Cause: one sum of outcomes for all services, so that a service short of slots ended late service for the others. Cancelled jobs and failed ones counted as given up, although the former show nothing and the latter got slots.

Change: outcomes by service; cancelled jobs are skipped, failed ones count as served. The counter late_given_up leaves out both. LateOutcomes.note takes service and verdict; the test of its end was adapted, with the same bounds.

Evidence: the new test, and 'late service' of contention.test.ts, pass; the new one can't be written without it.

--- a/packages/dispatch/src/lib/jobs/JobRegistry.ts
+++ b/packages/dispatch/src/lib/jobs/JobRegistry.ts
@@ -140,7 +140,7 @@
     }
     job.waiters.length = 0
     this.#count(verdict)
-    if (job.lateSince !== undefined) this.#noteLateOutcome(now, verdict)
+    if (job.lateSince !== undefined) this.#noteLateOutcome(now, job, verdict)
     this.#logEnd(now, job, verdict, more.reason)
     // A refused job did not run, so a repeated request for it counts as a new one.
     if (verdict !== JobVerdict.REFUSED) this.#retainVerdict(now, job.id, verdict, more.reason)
@@ -204,12 +204,12 @@
     this.#ended.set(id, { verdict, reason, endedAt: now })
   }
 
-  #noteLateOutcome(now: number, verdict: JobVerdict): void {
+  #noteLateOutcome(now: number, { route }: Job, verdict: JobVerdict): void {
     const { counters, lateOutcomes } = this.core
-    const wasServed = verdict === JobVerdict.COMPLETED
-    if (wasServed) counters.late_completed++
-    else counters.late_given_up++
-    lateOutcomes.note(now, wasServed)
+    const isWithoutSlots = verdict !== JobVerdict.CANCELLED && verdict !== JobVerdict.FAILED
+    if (verdict === JobVerdict.COMPLETED) counters.late_completed++
+    else if (isWithoutSlots) counters.late_given_up++
+    lateOutcomes.note(now, route.service, verdict)
   }
 
   #count(verdict: JobVerdict): void {
--- a/packages/dispatch/src/lib/scheduling/LateService.ts
+++ b/packages/dispatch/src/lib/scheduling/LateService.ts
@@ -49,9 +49,10 @@
     candidates: readonly LateCandidate[],
     { slots, isReview }: { readonly slots: number; readonly isReview: boolean },
   ): LateServiceDecision {
-    const isOpen = this.outcomes.servedShare(now) >= MIN_SERVED_SHARE
     const jobOf = ({ row }: LateCandidate): Job => simulation.jobAt(row)
-    const possible = new Set(isOpen ? candidates.filter((one) => isUseful(now, jobOf(one), 0)) : [])
+    const possible = new Set(
+      candidates.filter((one) => this.#isOpen(now, jobOf(one)) && isUseful(now, jobOf(one), 0)),
+    )
     const refused = candidates
       .filter((one) => !possible.has(one))
       .map((one) => refuseCandidate(simulation, one))
@@ -76,6 +77,11 @@
     if (hopeless !== undefined) refused.push(hopeless)
     return { late, refused }
   }
+
+  /** Whether enough of the recent late jobs of a job's service were served. */
+  #isOpen(now: number, { route }: Job): boolean {
+    return this.outcomes.servedShare(now, route.service) >= MIN_SERVED_SHARE
+  }
 }
 
 /** @internal */
--- a/packages/dispatch/src/lib/scheduling/contention.test.ts
+++ b/packages/dispatch/src/lib/scheduling/contention.test.ts
@@ -4,6 +4,7 @@
 import { create } from '@bufbuild/protobuf'
 import { Mechanism } from '@cherryhitch/model'
 import {
+  JobVerdict,
   makeEndpointCapacity,
   makeJobStep,
   makeSteppedJob,
@@ -183,9 +184,20 @@
 
   it('ends while most late jobs are given up, and is tried again later', () => {
     const outcomes = new LateOutcomes()
-    for (let i = 0; i < 10; i++) outcomes.note(0, false)
-    assert.ok(outcomes.servedShare(0) < 0.5)
-    assert.ok(outcomes.servedShare(10_000) > 0.5)
+    for (let i = 0; i < 10; i++) outcomes.note(0, 's', JobVerdict.REFUSED)
+    assert.ok(outcomes.servedShare(0, 's') < 0.5)
+    assert.ok(outcomes.servedShare(10_000, 's') > 0.5)
+  })
+
+  it('goes on for other services, and despite jobs that were cancelled or that failed', () => {
+    const outcomes = new LateOutcomes()
+    for (let i = 0; i < 10; i++) {
+      outcomes.note(0, 'other', JobVerdict.REFUSED)
+      outcomes.note(0, 's', JobVerdict.CANCELLED)
+      outcomes.note(0, 's', JobVerdict.FAILED)
+    }
+    for (let i = 0; i < 5; i++) outcomes.note(0, 's', JobVerdict.UNKNOWN)
+    assert.equal(outcomes.servedShare(0, 's'), 12 / 17)
   })
 })
 
