Forecast late service with the headroom that late jobs leave

Cause: a candidate for late service had no headroom in the forecast, but the placer asks it of the job once it is late. Such jobs were accepted, waited and were given up.

Change: the headroom of all rows is read, and applied to rows beyond their share, to late ones and to candidates.

--- a/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
+++ b/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
@@ -17,7 +17,7 @@
   /** Slots assigned in all simulations so far. */
   slotsAssigned = 0
   readonly #ranked: readonly Job[]
-  /** Slots that each job leaves free. */
+  /** Slots that each job leaves free once it is beyond the share of its queue, or late. */
   readonly #headroomSlots: Int32Array
   #headroomTaken = 0
   readonly #slots: readonly SlotClass[]
@@ -83,8 +83,7 @@
       if (job.lateSince !== undefined) this.#addLate(row)
       const shareWaitMs = beyondShare.get(job)
       if (shareWaitMs !== undefined) this.#setBeyondShare(row, job, shareWaitMs)
-      const hasHeadroom = shareWaitMs !== undefined || job.lateSince !== undefined
-      if (hasHeadroom && !job.isInProgress) this.#headroomSlots[row] = headroomSlots(job)
+      if (!job.isInProgress) this.#headroomSlots[row] = headroomSlots(job)
       row++
       this.#firstTask[row] = task
     }
@@ -173,8 +172,10 @@
   waitsOfLate(others: readonly SimulationRow[]): ReadonlyMap<SimulationRow, number> {
     this.#simulate(() => true)
     const waits = new Map<SimulationRow, number>()
-    for (const row of this.#lateRows) waits.set(row, this.#assignSlots(row))
-    for (const row of others) waits.set(row, this.#assignSlots(row))
+    for (const row of [...this.#lateRows, ...others]) {
+      this.#takeHeadroom(row)
+      waits.set(row, this.#assignSlots(row))
+    }
     return waits
   }
 
@@ -185,6 +186,7 @@
     this.#headroomTaken = 0
     for (let row = 0; row < this.#ranked.length; row++) {
       if (this.#isExcluded[row] === 1) continue
+      if (this.#isBeyondShare[row] === 1) this.#takeHeadroom(row)
       const waitMs = Math.max(this.#assignSlots(row), this.#shareWaitMs[row] ?? 0)
       // A job that can start at once gains nothing by a refusal, even if it is late already.
       if (waitMs === 0 || waitMs <= (this.#startLimitMs[row] ?? 0)) continue
@@ -193,7 +195,8 @@
   }
 
   /** Takes the slots that a job leaves free; jobs with more headroom follow. */
-  #takeHeadroom(slots: number): void {
+  #takeHeadroom(row: SimulationRow): void {
+    const slots = this.#headroomSlots[row] ?? 0
     for (; this.#headroomTaken < slots; this.#headroomTaken++) this.forecast.reserve()
   }
 
@@ -201,7 +204,6 @@
    * @returns milliseconds until the last task of the job starts, or would have to at average speed
    */
   #assignSlots(row: SimulationRow): number {
-    this.#takeHeadroom(this.#headroomSlots[row] ?? 0)
     const end = this.#firstTask[row + 1] ?? 0
     let task = this.#firstTask[row] ?? 0
     this.slotsAssigned += end - task
--- a/packages/dispatch/src/lib/scheduling/headroom.test.ts
+++ b/packages/dispatch/src/lib/scheduling/headroom.test.ts
@@ -70,19 +70,23 @@
   })
 }
 
-/** Slots that are free now; counting stops once enough are found, as at endpoints. */
+/** Slots that become free at once; counting of free ones stops when enough are found. */
 class FreeSlots extends SlotSupply {
-  constructor(override readonly size: number) {
+  constructor(
+    override readonly size: number,
+    private readonly afterMs = 0,
+  ) {
     super()
   }
 
   override countFree(enough: number): number {
-    return Math.min(enough, this.size)
+    return this.afterMs === 0 ? Math.min(enough, this.size) : 0
   }
 
   override freeByMs(enough: number): Int32Array {
     const freeByMs = makeFreeSlotsByMs()
-    addFreeSlots(freeByMs, 0, this.countFree(enough))
+    const slots = this.afterMs === 0 ? this.countFree(enough) : this.size
+    addFreeSlots(freeByMs, this.afterMs, slots)
     return freeByMs
   }
 }
@@ -136,6 +140,20 @@
   })
 })
 
+describe('late service of a job that falls behind', () => {
+  for (const [what, headroom, expected] of [
+    ['is refused if its queue leaves all slots to others', 4, [[], [], ['j']]],
+    ['is accepted if a slot is left besides', 3, [[], ['j'], []]],
+  ] as const) {
+    it(what, () => {
+      const job = makeJob('j', { arrivedAt: -200 })
+      job.isAdmitted = true
+      const slots = new FreeSlots(4, 30)
+      assert.deepEqual(idsOf(decide([job], { slots, headroomSlots: () => headroom })), expected)
+    })
+  }
+})
+
 describe('the free CPU of a service', () => {
   it('is that of its endpoints, whatever the waiting tasks need', () => {
     const available = availableOf(3_000, 500)
