--- a/packages/dispatch/src/lib/scheduling/TaskPlacer.ts
+++ b/packages/dispatch/src/lib/scheduling/TaskPlacer.ts
@@ -10,6 +10,7 @@
 import { freeCpuMillisOf } from './freeCpuMillisOf'
 import { hasRoom } from './hasRoom'
 import { isUnconstrained } from './isUnconstrained'
+import { headroomOf } from './headroomOf'
 import type { JobQueue } from './JobQueue'
 import { needsAtLeast } from './needsAtLeast'
 import type { OrderedJobs } from './QueueShares'
@@ -55,18 +56,19 @@
       fasterSlots: endpoints.isUneven ? this.#makeFasterSlots(now, queue, endpoints) : undefined,
       deferred: new Set(),
     }
-    // Jobs with headroom come last, so that their free CPU has to be computed only once.
+    // Computed once, when a job has to leave headroom.
     let freeCpuMillis: number | undefined
     for (const job of ordered.ranked) {
       if (!hasRoom(queue, endpoints)) return
       if (job.isClosed) continue
       const headroomCpuMillis = headroomOf(job, ordered)
       if (headroomCpuMillis > 0) {
-        freeCpuMillis ??= freeCpuMillisOf(queue, endpoints)
+        freeCpuMillis ??= freeCpuMillisOf(endpoints)
         if (freeCpuMillis - job.waitingCpuMillis < headroomCpuMillis) continue
-        freeCpuMillis -= job.waitingCpuMillis
       }
+      const placedBefore = job.placedCpuMillis
       this.#placeJob(now, job, endpoints, round)
+      if (freeCpuMillis !== undefined) freeCpuMillis -= job.placedCpuMillis - placedBefore
     }
     round.fasterSlots = undefined
     for (const job of round.deferred) if (!job.isClosed) this.#placeJob(now, job, endpoints, round)
@@ -153,9 +155,3 @@
     })
   }
 }
-
-/** Free CPU that a job has to leave if it is beyond the share of its queue, or late. */
-function headroomOf(job: Job, { beyondShare, shares }: OrderedJobs): number {
-  if (!beyondShare.has(job) && job.lateSince === undefined) return 0
-  return shares.get(job.route.name)?.headroomCpuMillis ?? 0
-}
