Resume a job that its caller repeats after a resumed one has ended

Cause: a new leader ends a resumed job as unknown while an endpoint that it has not reached still runs a task of it. The caller's repeat of the id names no earlier leader, was taken for new, and its task started beside that run.

Change: a job and its retained verdict keep the number of earlier attempts; `accept` takes over the higher of it and that of the request. The repeat waits for all runs of earlier leaders, and its run numbers start after theirs.

Measured: the new takeover test fails without the change ("a.0.0.0 runs on e0 and e1 at 174 under two leaders") and passes with it.

--- a/packages/dispatch/src/lib/DispatchMachine.takeover.test.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.takeover.test.ts
@@ -131,4 +131,21 @@
     assert.deepEqual(world.violations, [])
     assert.equal(world.outcomes.get('a')?.verdict, JobVerdict.COMPLETED)
   })
+
+  it('does not run a job beside an earlier run when its caller repeats it after it has ended', () => {
+    const runs = { runMs: 300, placesEach: 4, random: middle }
+    const world = new DispatchSimulation({ leaders: 2, endpoints: 2, ...runs })
+    world.elect(0, 0)
+    world.run(100)
+    world.submit('a', 1, { deadlineMs: 100 })
+    world.run(20)
+    world.cut('d1', 'e0', 200)
+    world.elect(1, 0)
+    world.run(50)
+    assert.equal(world.outcomes.get('a')?.verdict, JobVerdict.UNKNOWN)
+    world.submit('a', 1)
+    world.run(5_000)
+    assert.deepEqual(world.violations, [])
+    assert.equal(world.outcomes.get('a')?.verdict, JobVerdict.COMPLETED)
+  })
 })
--- a/packages/dispatch/src/lib/jobs/Job.ts
+++ b/packages/dispatch/src/lib/jobs/Job.ts
@@ -66,6 +66,8 @@
   readonly firstRun: number
   /** An earlier leader may have started the job. */
   readonly isResumed: boolean
+  /** Earlier leaders that may have started the job; 0 by default. */
+  readonly earlierAttempts?: number
   /** Called when the state or the estimate of a task has changed. */
   readonly onTaskStateChange?: (job: Job) => void
 }
@@ -88,6 +90,8 @@
   readonly startMarginMs: number
   /** An earlier leader may have started the job. */
   readonly isResumed: boolean
+  /** Earlier leaders that may have started the job. */
+  readonly earlierAttempts: number
   readonly tasks: readonly Task[]
   readonly waiters: JobWaiter[] = []
   /** True once a start order was sent for a task, by this leader or an earlier one. */
@@ -124,6 +128,7 @@
     this.#stepMs = [...stepMs]
     this.startMarginMs = options.startMarginMs
     this.isResumed = isResumed
+    this.earlierAttempts = options.earlierAttempts ?? 0
     this.hasStarted = isResumed
     this.isAdmitted = isResumed
     this.#criticalPathMs = computeCriticalPathMs(spec.steps, stepMs)
--- a/packages/dispatch/src/lib/jobs/JobRegistry.ts
+++ b/packages/dispatch/src/lib/jobs/JobRegistry.ts
@@ -12,6 +12,8 @@
   readonly verdict: JobVerdict
   readonly reason: string
   readonly endedAt: number
+  /** Earlier leaders that may have started the job. */
+  readonly earlierAttempts: number
 }
 
 /** Run numbers reserved per task for each leader; the next leader starts after them. */
@@ -63,7 +65,12 @@
   recordCancelled(now: number, id: string): void {
     // An ended job keeps its verdict; otherwise a repeated request would run it again.
     if (this.#ended.has(id)) return
-    this.#retainVerdict(now, id, JobVerdict.CANCELLED, 'cancelled by its caller')
+    this.#retainVerdict(id, {
+      verdict: JobVerdict.CANCELLED,
+      reason: 'cancelled by its caller',
+      endedAt: now,
+      earlierAttempts: 0,
+    })
   }
 
   jobOfRequest(instance: string, requestId: string): Job | undefined {
@@ -80,6 +87,9 @@
       known.deadlineAt = Math.max(known.deadlineAt, deadlineAt)
       return known
     }
+    // A caller that repeats an ended job names no earlier leader, but a run of one may go on.
+    const endedAttempts = this.#ended.get(spec.jobId)?.earlierAttempts ?? 0
+    const earlierAttempts = Math.max(req.earlierAttempts, endedAttempts)
     const stepMs = spec.steps.map(({ estimateMs }) => this.#estimate(route, estimateMs))
     const keepsMargin = this.core.isEnabled(Mechanism.StartMargin)
     const job = new Job({
@@ -92,8 +102,9 @@
       startMarginMs: keepsMargin
         ? startMargin(route, computeCriticalPathMs(spec.steps, stepMs))
         : 0,
-      firstRun: req.earlierAttempts * RUNS_PER_LEADER,
-      isResumed: req.earlierAttempts > 0,
+      firstRun: earlierAttempts * RUNS_PER_LEADER,
+      isResumed: earlierAttempts > 0,
+      earlierAttempts,
       onTaskStateChange: (changed) => {
         if (this.#open.has(changed)) this.#updateIndexes(changed)
       },
@@ -143,7 +154,10 @@
     if (job.lateSince !== undefined) this.#noteLateOutcome(now, verdict)
     this.#logEnd(now, job, verdict, more.reason)
     // A refused job did not run, so a repeated request for it counts as a new one.
-    if (verdict !== JobVerdict.REFUSED) this.#retainVerdict(now, job.id, verdict, more.reason)
+    if (verdict !== JobVerdict.REFUSED) {
+      const { earlierAttempts } = job
+      this.#retainVerdict(job.id, { verdict, reason: more.reason, endedAt: now, earlierAttempts })
+    }
     this.removeIfFinished(job)
   }
 
@@ -199,9 +213,9 @@
     return this.core.estimator.estimate(estimateSubject(route, declaredMs))
   }
 
-  #retainVerdict(now: number, id: string, verdict: JobVerdict, reason: string): void {
+  #retainVerdict(id: string, ended: EndedJob): void {
     this.#ended.delete(id)
-    this.#ended.set(id, { verdict, reason, endedAt: now })
+    this.#ended.set(id, ended)
   }
 
   #noteLateOutcome(now: number, verdict: JobVerdict): void {
