Warm up the code of the mechanisms that the dispatcher uses

Found on reading the change: the warm-up built a dispatcher with all mechanisms while the deploy settings disable four, so that it compiled the code of PooledSpeeds, late service and shares, and left that of their replacements cold. It now takes the same list.

--- a/apps/cherryhitch/src/lib/dispatching/startWarmUp.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startWarmUp.ts
@@ -21,7 +21,7 @@
  * @internal
  */
 export function startWarmUp(
-  { now, startedAt, log }: ProcessContext,
+  { settings, now, startedAt, log }: ProcessContext,
   { machine }: DispatchPart,
 ): Effect.Effect<void, never, Scope.Scope> {
   let warmUp: LeaderWarmup | undefined
@@ -29,7 +29,7 @@
   let spentMs = 0
   const end = (why: string): number => {
     isOver = true
-    const { completed = 0 } = warmUp ?? {}
+    const completed = warmUp?.counters.jobs_completed ?? 0
     log.info('warm-up ended', { why, completed, spentMs: Math.round(spentMs) })
     warmUp = undefined
     return IDLE_INTERVAL_MS
@@ -38,7 +38,7 @@
     if (isOver) return IDLE_INTERVAL_MS
     if (machine.leads) return end('this instance leads')
     if (now() < startedAt + START_DELAY_MS) return SLICE_INTERVAL_MS
-    warmUp ??= new LeaderWarmup()
+    warmUp ??= new LeaderWarmup({ without: settings.without ?? [] })
     const since = performance.now()
     while (!warmUp.isDone && performance.now() < since + SLICE_MS) warmUp.step()
     spentMs += performance.now() - since
--- a/packages/dispatch/src/lib/warmup/LeaderWarmup.ts
+++ b/packages/dispatch/src/lib/warmup/LeaderWarmup.ts
@@ -1,4 +1,5 @@
 import { create } from '@bufbuild/protobuf'
+import type { Mechanism } from '@cherryhitch/model'
 import {
   decodeText,
   encodeText,
@@ -13,6 +14,7 @@
 import type { EndpointAnswer, EndpointOrder, EnvelopeBody } from '@cherryhitch/protocol'
 import { DispatchActionKind } from '../DispatchAction'
 import type { DispatchAction } from '../DispatchAction'
+import type { DispatchCounters } from '../DispatchCore'
 import { DispatchEventKind } from '../DispatchEvent'
 import type { DispatchEvent } from '../DispatchEvent'
 import { DispatchMachine } from '../DispatchMachine'
@@ -40,6 +42,17 @@
 const DEADLINE_MS = 1_500
 const ID_DIGITS = 16
 
+/** @public */
+export interface LeaderWarmupOptions {
+  /** Mechanisms that the process's dispatcher has disabled: their code would be warmed up in vain. */
+  readonly without: readonly Mechanism[]
+}
+
+/** @public */
+export const defaultLeaderWarmupOptions: LeaderWarmupOptions = {
+  without: [],
+}
+
 /**
  * Warms up the JIT compiler for the code of a leader, by running jobs through a separate dispatcher
  * with simulated endpoints. A new leader receives all open jobs at once, and code that runs for the
@@ -50,7 +63,7 @@
  * @public
  */
 export class LeaderWarmup {
-  readonly #machine = new DispatchMachine({})
+  readonly #machine: DispatchMachine
   readonly #router = new OrderRouter()
   readonly #endpoints = new Map<string, WarmupEndpoint>()
   #events: DispatchEvent[] = []
@@ -58,7 +71,9 @@
   #steps = 0
   #jobs = 0
 
-  constructor() {
+  constructor(options: Partial<LeaderWarmupOptions> = {}) {
+    const { without } = { ...defaultLeaderWarmupOptions, ...options }
+    this.#machine = new DispatchMachine({ without })
     this.#events.push(
       {
         kind: DispatchEventKind.BecomeLeader,
@@ -76,9 +91,8 @@
     return this.#steps >= STEPS
   }
 
-  /** Number of completed jobs. */
-  get completed(): number {
-    return this.#machine.counters.jobs_completed
+  get counters(): Readonly<DispatchCounters> {
+    return this.#machine.counters
   }
 
   /** Advances the simulated time by one step. */
