Keep the use of queues only where their shares are divided

With shares disabled, each change of a job was still booked by queue, and each review summed the free CPU and the loads, for an order that ignores them. Decisions are the same.

--- a/packages/dispatch/src/lib/scheduling/QueueShares.ts
+++ b/packages/dispatch/src/lib/scheduling/QueueShares.ts
@@ -34,11 +34,15 @@
 
 /** Divides the slots of a service among its queues. @internal */
 export abstract class QueueShares {
+  /** Whether the order depends on what each queue uses, which then has to be kept up to date. */
+  abstract readonly needsUsage: boolean
   abstract order(demand: QueueDemand): OrderedJobs
 }
 
 /** All queues compete on equal terms. @internal */
 export class NoShares extends QueueShares {
+  override readonly needsUsage = false
+
   override order({ ranked }: Pick<QueueDemand, 'ranked'>): OrderedJobs {
     return { ranked, beyondShare: new Map(), shares: new Map() }
   }
@@ -68,6 +72,7 @@
  * @internal
  */
 export class PriorityShares extends QueueShares {
+  override readonly needsUsage = true
   readonly #withoutContention = new NoShares()
 
   override order({ ranked, queues, capacityCpuMillis }: QueueDemand): OrderedJobs {
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -76,7 +76,8 @@
     private readonly dependencies: SchedulerDependencies,
   ) {
     this.#endpoints = new EndpointIndex(core)
-    this.#waiting = new WaitingJobs(core, dependencies.jobs, dependencies.queuePolicy)
+    const { jobs, queuePolicy, shares } = dependencies
+    this.#waiting = new WaitingJobs(core, jobs, queuePolicy, shares.needsUsage)
     this.#placer = new TaskPlacer(core, dependencies.runs, this.#endpoints)
   }
 
@@ -119,7 +120,8 @@
     const endpoints = this.#endpoints.forService(service)
     const isAdmissionDue = isReviewDue || queue.undecided.size > 0
     if (!isAdmissionDue && !hasRoom(queue, endpoints)) return
-    const isPrioritized = this.#prioritized.has(this.core.table, service)
+    const isPrioritized =
+      this.dependencies.shares.needsUsage && this.#prioritized.has(this.core.table, service)
     if (isPrioritized && isReviewDue) {
       queue.usage.setFreeCpuMillis(freeCpuMillisOf(endpoints))
     }
--- a/packages/dispatch/src/lib/scheduling/WaitingJobs.ts
+++ b/packages/dispatch/src/lib/scheduling/WaitingJobs.ts
@@ -20,6 +20,7 @@
     private readonly core: DispatchCore,
     private readonly jobs: JobRegistry,
     private readonly queuePolicy: QueuePolicy,
+    private readonly tracksUsage: boolean,
   ) {}
 
   /** Applies all changes since the last call. */
@@ -39,8 +40,7 @@
 
   #refresh(now: number, job: Job): void {
     const queue = this.#queueOf(job.route.service)
-    if (this.jobs.open.has(job)) queue.usage.set(now, job)
-    else queue.usage.delete(now, job)
+    if (this.tracksUsage) this.#trackUsage(now, job, queue)
     if (!this.jobs.waiting.has(job)) {
       this.#arrivals.delete(job)
       queue.delete(job)
@@ -52,6 +52,11 @@
     queue.set(job, { ...this.#rank(now, job), arrival })
   }
 
+  #trackUsage(now: number, job: Job, { usage }: JobQueue): void {
+    if (this.jobs.open.has(job)) usage.set(now, job)
+    else usage.delete(now, job)
+  }
+
   /** Late jobs go last whatever the policy, in the order in which they became late. */
   #rank(now: number, job: Job): Omit<QueuePosition, 'arrival'> {
     const { lateSince, isInProgress } = job
