Start a forecast over in one way, without allocation

SlotForecast had two ways to start over; the one for equal slots was left for a test only, and the other copied the list of classes for each simulated job. Tests keep their assertions.

--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -104,8 +104,9 @@
   hints_dropped: number
   /** Entries that this instance started from when it became leader. */
   hints_taken_over: number
-  /** Starts at endpoints faster than average and others, and waits of a task in a round for a
-   *  faster endpoint than the free ones, where endpoints differ much in speed.
+  /**
+   * Starts at endpoints faster than average and others, and waits of a task in a round for a faster
+   * endpoint than the free ones, where endpoints differ much in speed.
    */
   starts_fast: number
   starts_slow: number
--- a/packages/dispatch/src/lib/runs/RunOutcomeRecorder.ts
+++ b/packages/dispatch/src/lib/runs/RunOutcomeRecorder.ts
@@ -54,8 +54,9 @@
     if (stopReason !== '') return
     const estimateMs = job.runMs(task)
     const factor = slowness.slowness(now, endpoint.id)
-    const speedSample = { endpoint: endpoint.id, service, estimateMs, runMs }
-    slowness.observe(now, { ...speedSample, job: job.id, jobTasks: job.tasks.length })
+    const jobTasks = job.tasks.length
+    const observed = { endpoint: endpoint.id, service, estimateMs, runMs, job: job.id, jobTasks }
+    slowness.observe(now, observed)
     const declaredMs = job.step(task).estimateMs
     estimator.observe(now, estimateSubject(job.route, declaredMs), runMs / factor)
   }
--- a/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
+++ b/packages/dispatch/src/lib/scheduling/AdmissionSimulation.ts
@@ -182,7 +182,7 @@
   /** @param onLate - called for each job that starts too late; returns false to stop */
   #simulate(onLate: (row: SimulationRow, lateByMs: number) => boolean): void {
     const { forecast } = this
-    forecast.resetClasses(this.#slots)
+    forecast.reset(this.#slots)
     this.#headroomTaken = 0
     for (let row = 0; row < this.#ranked.length; row++) {
       if (this.#isExcluded[row] === 1) continue
--- a/packages/dispatch/src/lib/scheduling/FasterSlots.ts
+++ b/packages/dispatch/src/lib/scheduling/FasterSlots.ts
@@ -84,7 +84,7 @@
   }
 
   #readyForecast(): SlotForecast {
-    if (!this.#isForecastReady) this.forecast.resetClasses(this.readSlots())
+    if (!this.#isForecastReady) this.forecast.reset(this.readSlots())
     this.#isForecastReady = true
     return this.forecast
   }
--- a/packages/dispatch/src/lib/scheduling/SlotForecast.ts
+++ b/packages/dispatch/src/lib/scheduling/SlotForecast.ts
@@ -73,19 +73,14 @@
   /** Number of `#others` in use. */
   #otherCount = 0
 
-  /** Starts over with the given free slots, all of them of average speed. */
-  reset(freeByMs: Int32Array): void {
-    this.#first.reset({ freeByMs, slowness: 1 })
-    this.#otherCount = 0
-  }
-
   /** Starts over with the given free slots, by speed. */
-  resetClasses([first, ...others]: readonly SlotClass[]): void {
-    this.#first.reset(first ?? { freeByMs: makeFreeSlotsByMs(), slowness: 1 })
-    this.#otherCount = others.length
-    for (const [index, slots] of others.entries()) {
+  reset(classes: readonly SlotClass[]): void {
+    this.#first.reset(classes[0] ?? { freeByMs: makeFreeSlotsByMs(), slowness: 1 })
+    this.#otherCount = Math.max(0, classes.length - 1)
+    for (let index = 0; index < this.#otherCount; index++) {
+      const slots = classes[index + 1]
       const forecast = (this.#others[index] ??= new ClassForecast())
-      forecast.reset(slots)
+      if (slots !== undefined) forecast.reset(slots)
     }
   }
 
--- a/packages/dispatch/src/lib/scheduling/incremental.test.ts
+++ b/packages/dispatch/src/lib/scheduling/incremental.test.ts
@@ -257,7 +257,7 @@
         const freeByMs = makeFreeSlotsByMs()
         for (const ms of freeAt) addFreeSlots(freeByMs, ms, 1)
         const forecast = new SlotForecast()
-        forecast.reset(freeByMs)
+        forecast.reset([{ freeByMs, slowness: 1 }])
         const slots = [...freeAt]
         for (const ms of runMs) {
           slots.sort((a, b) => a - b)
--- a/packages/dispatch/src/lib/scheduling/uneven.test.ts
+++ b/packages/dispatch/src/lib/scheduling/uneven.test.ts
@@ -63,7 +63,7 @@
 describe('the slot forecast with slots of several speeds', () => {
   it('takes the slowest slot that is in time, and else the one that ends first', () => {
     const forecast = new SlotForecast()
-    forecast.resetClasses([slots(0.6, [50]), slots(1, [20]), slots(2, [0])])
+    forecast.reset([slots(0.6, [50]), slots(1, [20]), slots(2, [0])])
     assert.equal(forecast.take(100, 100), 100)
     assert.equal(forecast.take(100, 15), 10)
     assert.equal(forecast.take(100, 0), 20)
@@ -75,9 +75,9 @@
     fc.assert(
       fc.property(frees, frees, runs, (some, others, runMs) => {
         const one = new SlotForecast()
-        one.resetClasses([slots(1, [...some, ...others])])
+        one.reset([slots(1, [...some, ...others])])
         const two = new SlotForecast()
-        two.resetClasses([slots(1, some), slots(1, others)])
+        two.reset([slots(1, some), slots(1, others)])
         for (const ms of runMs) assert.equal(two.take(ms, -Infinity), one.take(ms))
       }),
     )
