--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -12,6 +12,8 @@
 const MAX_HOLD_MS = 1_000
 const HEARTBEAT_MS = 1_500
 const STOP_MS = 10
+/** Takes the place of the response to an order that is carried out late. */
+const NO_RESPONSE = { destroyed: true }
 
 export class Worker {
   constructor({ id, service, zone, host, rack = 'r1-1', cpu = 32_000, memMb = 65_536, record }) {
@@ -29,6 +31,8 @@
     this.startedAt = performance.now() - 100_000
     /** Decides on each call: return true to leave it unanswered and not to carry it out. */
     this.ignores = () => false
+    /** Decides on each call: after how many milliseconds it is carried out, without an answer. */
+    this.lateBy = () => undefined
     this.onStart = () => undefined
     this.onEnd = () => undefined
   }
@@ -76,6 +80,7 @@
   }
 
   stop() {
+    this.isOver = true
     clearInterval(this.beats)
     clearInterval(this.leaseTimer)
     for (const { timer } of this.running.values()) clearTimeout(timer)
@@ -93,7 +98,7 @@
       state: this.state,
       coldRemainingMs: 0,
       capacity: { cpu: this.cpu, memMb: this.memMb, gpu: 0 },
-      labels: ['a', this.rack],
+      labels: [this.kind ?? 'a', this.rack],
       clockMs: this.clock(),
       seq: ++this.seq,
     }
@@ -107,6 +112,17 @@
 
   #answer(req, body, res) {
     if (this.ignores(req.url, body)) return
+    const lateMs = this.lateBy(req.url, body)
+    if (lateMs !== undefined) {
+      this.record.add('order is carried out late', { worker: this.id, path: req.url, lateMs })
+      setTimeout(() => this.#carryOut(req, body, NO_RESPONSE), lateMs)
+      return
+    }
+    this.#carryOut(req, body, res)
+  }
+
+  #carryOut(req, body, res) {
+    if (this.isOver) return
     if (req.headers['x-cherryhitch-target-instance'] !== this.id) {
       this.#reply(res, 421)
       return
