--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -28,8 +28,9 @@
 }
 
 export class Deployment {
-  constructor(record) {
+  constructor(record, { hasLinkPorts = false } = {}) {
     this.record = record
+    this.hasLinkPorts = hasLinkPorts
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'review-'))
     this.processes = new Map()
   }
@@ -37,7 +38,7 @@
   async prepare() {
     const address = loopbackNet()
     const hosts = [1, 2, 3, 11, 12, 13, 21].map(address)
-    const [link, metrics, control, front, readiness, workers] = await freePorts(6, hosts)
+    const [metrics, control, front, readiness, workers, ...links] = await freePorts(11, hosts)
     this.workerPort = workers
     this.workerHost = (n) => address(30 + n)
     this.nodes = ZONES.flatMap((zone, i) => [
@@ -48,10 +49,12 @@
     this.edges = this.nodes.filter(({ role }) => role === 'entry')
     this.controls = this.cores.map(({ host }) => `${host}:${control}`)
     this.fronts = this.edges.map(({ host }) => `${host}:${front}`)
-    for (const node of this.nodes) {
+    for (const [n, node] of this.nodes.entries()) {
       node.dataDir = path.join(this.folder, node.name)
       fs.mkdirSync(node.dataDir)
       node.file = path.join(this.folder, `${node.name}.jsonc`)
+      // The same for all, unless proxies stand between the processes; see `links.mjs`.
+      const link = links[this.hasLinkPorts ? n : 0]
       node.ports = { link, metrics, control, front, readiness }
     }
   }
@@ -115,7 +118,7 @@
   }
 
   /** The operator's first configuration, sent until it is acknowledged. */
-  async putConfig(version, untilMs = 20_000) {
+  async putConfig(version, { timeoutMs = 1_500, untilMs = 20_000 } = {}) {
     const body = {
       version,
       routes: [
@@ -124,7 +127,7 @@
           host: HOST_NAME,
           pathPrefix: PREFIX,
           type: 'non_idempotent',
-          timeoutMs: 1_500,
+          timeoutMs,
           targetDurationMs: 60,
           priority: 0,
           service: SERVICE,
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -33,6 +33,8 @@
     this.ignores = () => false
     /** Decides on each call: after how many milliseconds it is carried out, without an answer. */
     this.lateBy = () => undefined
+    /** Whether its heartbeats reach a control address. */
+    this.reaches = () => true
     this.onStart = () => undefined
     this.onEnd = () => undefined
   }
@@ -60,6 +62,11 @@
     const beat = async () => {
       for (let tries = 0; tries < controls.length + 1; tries++) {
         const address = preferred ?? controls[next % controls.length]
+        if (!this.reaches(address)) {
+          preferred = undefined
+          next++
+          continue
+        }
         const answer = await call({
           address,
           method: 'PUT',
