--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -6,6 +6,7 @@
  */
 import path from 'node:path'
 import process from 'node:process'
+import { setTimeout } from 'node:timers'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { client, Deployment, jobBody, SERVICE, ZONES } from '../lib/deployment.mjs'
@@ -15,6 +16,8 @@
 
 const RETRANSMIT_MS = 1_300
 const CUT_AFTER_MS = Number(process.env.CUT_AFTER_MS ?? 450)
+/** The site file has zone cuts of 5.5 s and more. */
+const CUT_MS = 5_000
 const RUN_MS = 2_500
 const DEADLINE_MS = 6_000
 const JOBS = Array.from({ length: 9 }, (_, n) => `00000000000000b${n}`)
@@ -52,6 +55,16 @@
     worker.reaches = (address) => inside.some((host) => address.startsWith(host)) === isInside
   }
   record.add('the zone is cut off', { zone })
+  setTimeout(heal, CUT_MS).unref()
+}
+
+function heal() {
+  links.isCut = () => false
+  for (const worker of workers) {
+    worker.ignores = () => false
+    worker.reaches = () => true
+  }
+  record.add('the cut has healed')
 }
 
 async function play() {
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -33,6 +33,12 @@
     this.hasLinkPorts = hasLinkPorts
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'review-'))
     this.processes = new Map()
+    for (const signal of ['SIGINT', 'SIGTERM']) {
+      process.once(signal, () => {
+        this.#killAll()
+        process.exit(2)
+      })
+    }
   }
 
   async prepare() {
@@ -166,10 +172,15 @@
     return false
   }
 
+  #killAll() {
+    const left = [...this.processes.values()].filter(({ exitCode }) => exitCode === null)
+    for (const child of left) child.kill('SIGCONT')
+    for (const child of left) child.kill('SIGKILL')
+  }
+
   /** Ends all processes that were started, and removes the temporary folder. */
   async end(keep = process.env.KEEP === '1') {
-    for (const child of this.processes.values()) if (child.exitCode === null) child.kill('SIGCONT')
-    for (const child of this.processes.values()) if (child.exitCode === null) child.kill('SIGKILL')
+    this.#killAll()
     await sleep(200)
     if (!keep) fs.rmSync(this.folder, { recursive: true, force: true })
   }
