--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -51,6 +51,8 @@
   const inside = world.cores.filter((node) => node.zone === zone).map(({ host }) => `${host}:`)
   for (const worker of workers) {
     const isInside = worker.zone === zone
+    // The answers to what the leader has asked the workers of the other zones are lost.
+    if (!isInside) worker.dropHolds()
     worker.ignores = (_, { fencingToken = 0 }) => fencingToken <= known !== isInside
     worker.reaches = (address) => inside.some((host) => address.startsWith(host)) === isInside
   }
@@ -59,7 +61,7 @@
 }
 
 function heal() {
-  links.isCut = () => false
+  links.heal()
   for (const worker of workers) {
     worker.ignores = () => false
     worker.reaches = () => true
@@ -112,7 +114,8 @@
   if (!JOBS.every((id) => running.get(`${id}.0.0.0`)?.size === 1)) return 2
   if (!withTrouble) {
     const answers = await Promise.all(posts)
-    return broken > 0 || answers.some(({ status }) => status !== 200) ? 1 : 0
+    if (broken > 0) return 1
+    return answers.every(({ status }) => status === 200) ? 0 : 2
   }
   world.signal(edge, 'SIGKILL')
   const answers = await Promise.all(posts)
--- a/review/lib/links.mjs
+++ b/review/lib/links.mjs
@@ -1,7 +1,8 @@
 /**
  * Proxies between the project's processes. Each process listens on a link port of its own and dials
  * all others at that same number, so a proxy per pair stands between them. A cut drops everything on
- * the connections between two sides without a reset, until it heals.
+ * the connections between two sides without a reset, until it heals; those that lost bytes are reset
+ * then.
  */
 import net from 'node:net'
 
@@ -24,7 +25,7 @@
   async #listen(from, to) {
     const server = net.createServer((near) => {
       const far = net.connect(to.ports.link, to.host)
-      const pair = { from, to, near, far }
+      const pair = { from, to, near, far, hasLost: false }
       this.pairs.add(pair)
       const end = () => {
         this.pairs.delete(pair)
@@ -38,7 +39,8 @@
         one.on('error', end)
         one.on('close', end)
         one.on('data', (bytes) => {
-          if (!this.isCut(from, to)) other.write(bytes)
+          if (this.isCut(from, to)) pair.hasLost = true
+          if (!pair.hasLost) other.write(bytes)
         })
       }
     })
@@ -49,6 +51,16 @@
     this.servers.push(server)
   }
 
+  /** Ends the cut. Connections that have lost bytes are reset, since they can't go on. */
+  heal() {
+    this.isCut = () => false
+    for (const { near, far, hasLost } of [...this.pairs]) {
+      if (!hasLost) continue
+      near.destroy()
+      far.destroy()
+    }
+  }
+
   end() {
     for (const server of this.servers) server.close()
     for (const { near, far } of this.pairs) {
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -86,6 +86,11 @@
     this.beats = setInterval(() => void beat(), HEARTBEAT_MS)
   }
 
+  /** Loses the answers to the holds that are open now. */
+  dropHolds() {
+    this.holds.clear()
+  }
+
   stop() {
     this.isOver = true
     clearInterval(this.beats)
@@ -213,7 +218,7 @@
     this.#extendLease(deadlineMs)
     const answer = () => {
       clearTimeout(timer)
-      this.holds.delete(answer)
+      if (!this.holds.delete(answer)) return
       const running = [...this.running].map(([task, { run, cpu }]) => [task, run, '', 0, cpu])
       this.#reply(res, 200, { running, finished: this.finished.slice(0, 500) })
     }
