--- a/packages/dispatch/src/lib/DispatchMachine.takeover.test.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.takeover.test.ts
@@ -4,6 +4,7 @@
 import {
   AskJobSchema,
   JobQuestionKind,
+  JobStepSchema,
   JobVerdict,
   makeSteppedJob,
   makeSubmitJob,
@@ -112,6 +113,28 @@
     assert.deepEqual(verdictsOf(actions), [JobVerdict.CANCELLED])
   })
 
+  it('does not refuse a job as not run while an earlier leader may be running it', () => {
+    const leader = new DispatchMachine({})
+    leader.step(0, {
+      kind: DispatchEventKind.BecomeLeader,
+      term: 2,
+      table: TABLE,
+      drainedZones: new Set(),
+    })
+    const step = create(JobStepSchema, { count: 1, estimateMs: 50, needs: { cpuMillis: 1 } })
+    const spec = makeSteppedJob('j', 'p', [step])
+    /** Submits the job, which no endpoint can take, and returns how it ends. */
+    const endOf = (now: number, requestId: string): readonly JobVerdict[] => {
+      const waits = { remainingMs: 100, waitedMs: 0, earlierAttempts: 0 }
+      const req = makeSubmitJob({ requestId, spec, ...PLACE, ...waits })
+      const actions = leader.step(now, { kind: DispatchEventKind.SubmitJob, from: 'e', req })
+      return verdictsOf([...actions, ...leader.tick(now + 200)])
+    }
+    assert.deepEqual(endOf(1, '1'), [JobVerdict.UNKNOWN])
+    // All orders of earlier leaders have expired by then.
+    assert.deepEqual(endOf(2_000, '2'), [JobVerdict.REFUSED])
+  })
+
   it('waits for the leases of endpoints that it cannot reach to expire', () => {
     const world = new DispatchSimulation({
       leaders: 2,
--- a/packages/dispatch/src/lib/takeover/EarlierJobs.ts
+++ b/packages/dispatch/src/lib/takeover/EarlierJobs.ts
@@ -19,10 +19,14 @@
   readonly jobs: ReadonlySet<number>
 }
 
-/** What a leader has: its jobs, and the runs of earlier leaders whose jobs it doesn't know. */
+/**
+ * What a leader has: its jobs, and the runs of earlier leaders whose jobs it doesn't know.
+ *
+ * @internal
+ */
 export interface LeaderJobs {
-  readonly jobs: Iterable<Job>
-  readonly foreignRuns: Iterable<Run>
+  readonly jobs: Iterable<Pick<Job, 'idHash' | 'earlierAttempts'>>
+  readonly foreignRuns: Iterable<Pick<Run, 'name'>>
 }
 
 const EMPTY_LIST: JobList = { completeUntil: -Infinity, attempts: 0, jobs: new Set() }
--- a/packages/settings/src/lib/dispatching/dispatchSettings.test.ts
+++ b/packages/settings/src/lib/dispatching/dispatchSettings.test.ts
@@ -38,6 +38,13 @@
     }
   })
 
+  it('are refused when resubmitDelayMs is negative', () => {
+    const timed = { ...dispatch, resubmitDelayMs: 1_300 }
+    assert.deepEqual(problemsOf(timed, DispatchRole.Dispatch), [])
+    const problems = problemsOf({ ...timed, resubmitDelayMs: -1 }, DispatchRole.Dispatch)
+    assert.match(problems.join(), /resubmitDelayMs/)
+  })
+
   it('may contain unknown settings', () => {
     assert.deepEqual(problemsOf({ ...entry, later: 1 }, DispatchRole.Entry), [])
   })
