Count the leases of earlier leaders from the launch of a restarted voter

Cause: a voter that has restarted said that it may have followed a leader until its parts started, some 0.2 s after its process was launched. Earlier processes of the instance had ended by the launch. After a loss of all dispatching instances no list of open jobs is left, so each new job waits until the leases are over.

Change: the launch counts.

--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -4,7 +4,7 @@
 import { splitAddress } from '@cherryhitch/model'
 import { startControlServer, WorkerGateway } from '@cherryhitch/platform'
 import type { Envelope } from '@cherryhitch/protocol'
-import { startVariableTimer, startTimer } from '@cherryhitch/runtime'
+import { launchedAt, startVariableTimer, startTimer } from '@cherryhitch/runtime'
 import type { DispatchSettings } from '@cherryhitch/settings'
 import { RealDisk } from '@cherryhitch/storage'
 import type { Disk } from '@cherryhitch/storage'
@@ -144,7 +144,7 @@
     completeAt: startedAt + 2 * settings.heartbeatMs + HEARTBEAT_MARGIN_MS,
     followedBefore: (term) => {
       // Until this voter learns of the term, it may still confirm an earlier leader.
-      return control.term() < term ? now() : (control.followedBefore(term) ?? startedAt)
+      return control.term() < term ? now() : (control.followedBefore(term) ?? launchedAt)
     },
   })
 }
--- a/packages/runtime/src/lib/Clock.ts
+++ b/packages/runtime/src/lib/Clock.ts
@@ -11,6 +11,14 @@
   now(): number
 }
 
+/**
+ * When this process was launched, in milliseconds of `systemClock`. Earlier processes of its instance
+ * had ended by then.
+ *
+ * @public
+ */
+export const launchedAt: number = performance.timeOrigin
+
 /** Wall-clock time at process start, advanced by the monotonic clock. @public */
 export const systemClock: Clock = {
   now: () => performance.timeOrigin + performance.now(),
