Bound the leases of earlier leaders by what a majority of voters can have done

Cause: a new leader took the latest time at which any voter that has answered had followed an earlier leader. A leader is confirmed by a majority, each voter of which follows it then, so with more answers the bound is earlier: with all three of three, the second latest.

Change: the bound is the latest time that a majority can have had in common; voters that haven't answered count as still following.

--- a/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
+++ b/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
@@ -12,6 +12,7 @@
 } from '@cherryhitch/protocol'
 import { Effect } from 'effect'
 import { endpointDirectoryOf } from './endpointDirectoryOf'
+import { lastConfirmableAt } from './lastConfirmableAt'
 import type { EndpointDirectory } from './endpointDirectoryOf'
 
 /**
@@ -36,13 +37,14 @@
   readonly after: (ms: number, run: () => void) => void
   /** Time from which the directory holds every endpoint that sends heartbeats. */
   readonly completeAt: number
-  /** When this process last followed a leader of an earlier term, or else its start time. */
+  /** When this voter last followed a leader of an earlier term, or else when it was launched. */
   readonly followedBefore: (term: number) => number
 }
 
 /** Progress of a new leader in reading the endpoint directories of the voters. */
 interface DirectoryReadProgress {
   readonly term: number
+  readonly voters: number
   /** Number of answers that make a majority. */
   readonly needed: number
   /** Instances that have answered with a complete directory. */
@@ -112,7 +114,7 @@
     const complete = new Set<string>()
     if (this.isComplete()) complete.add(instance)
     const followed = new Map([[instance, this.options.followedBefore(term)]])
-    this.readProgress = { term, needed, complete, followed }
+    this.readProgress = { term, voters: voters.length, needed, complete, followed }
     for (const voter of voters) {
       if (voter === instance) continue
       this.options.send(voter, envelope({ case: 'readEndpointNotices', value: { term } }))
@@ -176,9 +178,9 @@
 
   private checkReadProgress(): void {
     if (this.readProgress === undefined) return
-    const { term, needed, complete, followed } = this.readProgress
-    if (followed.size >= needed) {
-      const confirmedUntil = Math.max(...followed.values())
+    const { term, voters, needed, complete, followed } = this.readProgress
+    const confirmedUntil = lastConfirmableAt([...followed.values()], voters)
+    if (confirmedUntil < Infinity) {
       this.options.tell({
         kind: DispatchEventKind.EarlierLeadersConfirmed,
         term,
--- /dev/null
+++ b/apps/cherryhitch/src/lib/dispatching/lastConfirmableAt.ts
@@ -0,0 +1,13 @@
+/**
+ * Latest time at which a majority of the voters can have confirmed an earlier leader. Each voter of
+ * that majority followed the leader then; one that hasn't answered may still follow it.
+ *
+ * @param followedUntil - for each voter that has answered, when it last followed an earlier leader
+ * @internal
+ */
+export function lastConfirmableAt(followedUntil: readonly number[], voters: number): number {
+  const majority = Math.floor(voters / 2) + 1
+  const unanswered = voters - followedUntil.length
+  const latestFirst = [...followedUntil].sort((one, other) => other - one)
+  return latestFirst[majority - unanswered - 1] ?? Infinity
+}
