Admit jobs of unknown origin only once they can be placed

Cause: a job that waits because its origin is unknown was undecided for admission but no candidate of the round. Admission didn't see it, and it was taken off the undecided ones with the others. Once all runs were known it was placed without a decision; at its next change it was undecided again, and refused after its start.

Change: admission decides on the candidates of the round only, and only these are taken off. A waiting job no longer makes each round an admission round either.

--- a/packages/dispatch/src/lib/scheduling/JobQueue.ts
+++ b/packages/dispatch/src/lib/scheduling/JobQueue.ts
@@ -104,9 +104,9 @@
     if (queued.minCpuMillis === this.#minCpuMillis) this.#minCpuMillis = undefined
   }
 
-  /** Notes that admission has decided on all undecided jobs. */
-  clearUndecided(): void {
-    this.#undecided.clear()
+  /** Notes that admission has decided on these jobs. */
+  noteDecided(jobs: Iterable<Job>): void {
+    for (const job of jobs) this.#undecided.delete(job)
   }
 
   /** Jobs whose rank is no longer valid at this time. */
--- a/packages/dispatch/src/lib/scheduling/Scheduler.ts
+++ b/packages/dispatch/src/lib/scheduling/Scheduler.ts
@@ -45,6 +45,8 @@
 interface AdmissionRound {
   readonly queue: JobQueue
   readonly ordered: OrderedJobs
+  /** Those of the ordered jobs that admission has not decided on. */
+  readonly undecided: readonly Job[]
   readonly endpoints: ServiceEndpoints
   /** Whether admitted jobs are examined again. */
   readonly isReview: boolean
@@ -117,7 +119,8 @@
     if (candidates.length === 0) return
     const { isReviewDue } = state
     const endpoints = this.#endpoints.forService(service)
-    const isAdmissionDue = isReviewDue || queue.undecided.size > 0
+    const undecided = this.#undecided(queue, state)
+    const isAdmissionDue = isReviewDue || undecided.length > 0
     if (!isAdmissionDue && !hasRoom(queue, endpoints)) return
     const isPrioritized =
       this.dependencies.shares.needsUsage && this.#prioritized.has(this.core.table, service)
@@ -128,7 +131,7 @@
       return isPrioritized ? this.#order(now, queue, jobs) : NO_SHARES.order({ ranked: jobs })
     }
     const ordered = order(candidates)
-    const round = { queue, ordered, endpoints, isReview: isReviewDue }
+    const round = { queue, ordered, undecided, endpoints, isReview: isReviewDue }
     const hasChanged = isAdmissionDue && this.#admit(now, round)
     if (hasChanged) this.#waiting.refresh(now)
     const next = hasChanged ? order(this.#candidates(queue, state)) : ordered
@@ -159,14 +162,21 @@
     })
   }
 
+  /** Admission decides on a job only once the job can be placed. */
+  #undecided(queue: JobQueue, { areRunsKnown }: RoundState): readonly Job[] {
+    const undecided = [...queue.undecided]
+    if (areRunsKnown) return undecided
+    return undecided.filter(({ hasUnknownOrigin }) => !hasUnknownOrigin)
+  }
+
   /**
    * Applies the admission policy to the queue: marks jobs as admitted or late, and refuses others.
    *
    * @returns whether ranks have changed
    */
-  #admit(now: number, { queue, ordered, endpoints, isReview }: AdmissionRound): boolean {
+  #admit(now: number, round: AdmissionRound): boolean {
+    const { queue, ordered, undecided, endpoints, isReview } = round
     const slots = new ServiceSlots(now, endpoints, queue.meanNeeds)
-    const undecided = [...queue.undecided]
     const { ranked, beyondShare, shares } = ordered
     const slotCpuMillis = Math.max(1, queue.meanNeeds.cpuMillis)
     const headroomSlots = (job: Job): number => {
@@ -178,7 +188,7 @@
       now,
       input,
     )
-    queue.clearUndecided()
+    queue.noteDecided(undecided)
     this.core.counters.places_forecast += slotsSimulated
     for (const job of admitted) job.isAdmitted = true
     for (const job of late) this.#serveLate(now, job, ordered)
--- a/packages/dispatch/src/lib/soak/runZoneSoak.test.ts
+++ b/packages/dispatch/src/lib/soak/runZoneSoak.test.ts
@@ -55,6 +55,18 @@
     })
   }
 
+  for (const seed of [7, 16, 24, 25, 51, 92]) {
+    it(`doubles and refuses no running job whose caller has lost its entry, with seed ${seed}`, () => {
+      const callers = { callersRoam: true, losesEntries: true }
+      const { violations } = runZoneSoak(seed, STEPS, {
+        ...callers,
+        hasRestarts: true,
+        areAlone: false,
+      })
+      assert.deepEqual(violations, [])
+    })
+  }
+
   for (const [fault, seeds] of FAULTS) {
     it(`detects the fault ${fault}`, () => {
       const options = { hasRestarts: true, areCallersHasty: true }
--- a/packages/dispatch/src/lib/soak/runZoneSoak.ts
+++ b/packages/dispatch/src/lib/soak/runZoneSoak.ts
@@ -18,6 +18,11 @@
   readonly areCallersHasty?: boolean
   /** Whether entries and dispatching instances restart. */
   readonly hasRestarts?: boolean
+  /**
+   * Whether entries are lost often while jobs run that last longer than the delay of callers, so that
+   * callers submit jobs again that are running.
+   */
+  readonly losesEntries?: boolean
 }
 
 /** @internal */
@@ -37,6 +42,9 @@
 const RETRANSMIT_MS = 1_300
 const HASTY_RETRANSMIT_MS = 100
 const MAX_ATTEMPTS = 3
+const LONG_RUN_MS = 1_500
+/** Longer than the delay of callers and an election. */
+const LONGEST_RUN_MS = 2_500
 const CHANCES = { lostAnswer: 0.02, lateOrder: 0.02, failedRun: 0.03 }
 
 /**
@@ -64,15 +72,16 @@
     seed: number,
     private readonly options: ZoneSoakOptions,
   ) {
-    const { fault, areAlone = true, areCallersHasty = false } = options
-    const longShare = areCallersHasty ? 0.4 : 0.1
+    const { fault, areAlone = true, areCallersHasty = false, losesEntries = false } = options
+    const longShare = areCallersHasty || losesEntries ? 0.4 : 0.1
+    const longMs = losesEntries ? LONGEST_RUN_MS : LONG_RUN_MS
     this.#random = seededRandom(seed)
     this.#world = new DispatchSimulation({
       leaders: INSTANCES,
       endpoints: 6,
       placesEach: 3,
       random: this.#random,
-      runMs: () => (this.#random() < longShare ? 1_500 : 20 + this.#random() * 200),
+      runMs: () => (this.#random() < longShare ? longMs : 20 + this.#random() * 200),
       chances: CHANCES,
       resubmitDelayMs: options.areCallersHasty === true ? 0 : RETRANSMIT_MS,
       zones: { entriesPerZone: 2, areAlone, ...(fault !== undefined && { fault }) },
@@ -122,7 +131,8 @@
   #submitNew(): void {
     const id = `j${this.#submitted++}`
     const zone = this.#zone()
-    const job = { id, zone, tasks: 1 + this.#below(3), deadlineMs: 800 + this.#below(2_000) }
+    const leastMs = this.options.losesEntries === true ? LONGEST_RUN_MS : 800
+    const job = { id, zone, tasks: 1 + this.#below(3), deadlineMs: leastMs + this.#below(2_000) }
     this.#submit(job, 1)
     const isHasty = this.options.areCallersHasty === true
     // A copy of the request that the caller doesn't know of.
@@ -197,7 +207,7 @@
   }
 
   #restart(): void {
-    if (this.#random() < 0.02) {
+    if (this.#random() < (this.options.losesEntries === true ? 0.1 : 0.02)) {
       this.#world.zones?.restartEntry(this.#entryOf(this.#zone()), this.#below(1_500))
     }
     if (this.#random() < 0.01) {
