--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -246,7 +246,7 @@
         this.#reportOpenJobs(now, event)
         return
       case DispatchEventKind.OpenJobs:
-        this.#lifecycle.jobs.earlier.onReport(event.openJobs)
+        this.#lifecycle.jobs.earlierJobs.onReport(event.openJobs)
         return
       case DispatchEventKind.SubmitJob:
       case DispatchEventKind.QueryJob:
@@ -299,7 +299,7 @@
       endpoint.reset()
       this.#broadcast(now, endpoint)
     }
-    const earlierJobs = this.#lifecycle.jobs.earlier.summary(now)
+    const earlierJobs = this.#lifecycle.jobs.earlierJobs.summary(now)
     core.log('became leader', { term, routing: core.table?.version ?? 0, ...earlierJobs })
     this.#leases.tick(now)
   }
@@ -342,7 +342,7 @@
 
   #reportOpenJobs(now: number, { from, req }: EventOf<DispatchEventKind.ReadOpenJobs>): void {
     if (this.#core.term === undefined || this.#core.zone !== undefined) return
-    const openJobs = this.#lifecycle.jobs.earlier.report(now, req, this.#leaderJobs)
+    const openJobs = this.#lifecycle.jobs.earlierJobs.report(now, req, this.#leaderJobs)
     this.#core.emit({ kind: DispatchActionKind.SendOpenJobs, to: from, openJobs })
   }
 
@@ -362,7 +362,7 @@
     this.#lifecycle.crashes.handOver(now)
     const { term, zone } = core
     if (zone === undefined) {
-      this.#lifecycle.jobs.earlier.onStepDown(now, this.#leaderJobs)
+      this.#lifecycle.jobs.earlierJobs.onStepDown(now, this.#leaderJobs)
       core.log('stepped down as leader', { term, openJobs: this.openJobs })
     } else {
       core.log('zone dispatching ends', { zone, term, openJobs: this.openJobs })
--- a/packages/dispatch/src/lib/jobs/JobRegistry.ts
+++ b/packages/dispatch/src/lib/jobs/JobRegistry.ts
@@ -26,7 +26,7 @@
 /** The open jobs of this leader, and the verdicts of recently ended ones. @internal */
 export class JobRegistry {
   /** What is known of the jobs of earlier leaders. */
-  readonly earlier: EarlierJobs
+  readonly earlierJobs: EarlierJobs
   readonly #jobs = new Map<string, Job>()
   /** Jobs without a verdict. */
   readonly #open = new Set<Job>()
@@ -39,7 +39,7 @@
   readonly #requests = new Map<string, Job>()
 
   constructor(private readonly core: DispatchCore) {
-    this.earlier = new EarlierJobs(core)
+    this.earlierJobs = new EarlierJobs(core)
   }
 
   get size(): number {
@@ -99,11 +99,11 @@
       return known
     }
     const arrivedAt = now - req.waitedMs
-    const origin = this.earlier.originOf(now, spec.jobId, arrivedAt)
+    const origin = this.earlierJobs.originOf(now, spec.jobId, arrivedAt)
     const earlierAttempts = this.#earlierAttempts(spec, req, origin)
     const isResumed = earlierAttempts > 0
     const hasUnknownOrigin = !isResumed && origin === JobOrigin.Unknown
-    const earlierLeaders = hasUnknownOrigin ? this.earlier.attempts : earlierAttempts
+    const earlierLeaders = hasUnknownOrigin ? this.earlierJobs.attempts : earlierAttempts
     const stepMs = spec.steps.map(({ estimateMs }) => this.#estimate(route, estimateMs))
     const keepsMargin = this.core.isEnabled(Mechanism.StartMargin)
     const job = new Job({
@@ -137,7 +137,7 @@
   #earlierAttempts({ jobId }: SteppedJob, req: SubmitJob, origin: JobOrigin): number {
     // A caller that repeats an ended job names no earlier leader, but a run of one may go on.
     const endedAttempts = this.#ended.get(jobId)?.earlierAttempts ?? 0
-    const listedAttempts = origin === JobOrigin.Earlier ? this.earlier.attempts : 0
+    const listedAttempts = origin === JobOrigin.Earlier ? this.earlierJobs.attempts : 0
     return Math.max(req.earlierAttempts, endedAttempts, listedAttempts)
   }
 
--- a/packages/dispatch/src/lib/jobs/RequestHandler.ts
+++ b/packages/dispatch/src/lib/jobs/RequestHandler.ts
@@ -108,8 +108,8 @@
 
   /**
    * Refuses a new job while this instance is overloaded; returns true if it did. A job that an
-   * earlier leader had may have run, so it is never refused here. One of which that can't be told
-   * ends as unknown.
+   * earlier leader had may have run, so it is never refused here. As long as that can't be told, the
+   * outcome of a job is unknown.
    */
   #refuseIfOverloaded(now: number, waiter: JobWaiter, req: SubmitJob): boolean {
     if (!this.core.isEnabled(Mechanism.IntakeLimit)) return false
@@ -117,7 +117,7 @@
     const jobId = req.spec?.jobId ?? ''
     if (req.earlierAttempts > 0 || jobs.get(jobId) !== undefined) return false
     if (jobs.endedJob(jobId) !== undefined || this.intake.admit()) return false
-    const origin = jobs.earlier.originOf(now, jobId, now - req.waitedMs)
+    const origin = jobs.earlierJobs.originOf(now, jobId, now - req.waitedMs)
     if (origin === JobOrigin.Earlier) return false
     this.core.counters.refused_busy++
     const retryAfterMs = retryAfter(jobId, OVERLOAD_RECOVERY_MS)
--- a/packages/dispatch/src/lib/takeover/EarlierJobs.ts
+++ b/packages/dispatch/src/lib/takeover/EarlierJobs.ts
@@ -11,7 +11,7 @@
 
 /** Jobs that leaders may be running. */
 interface JobList {
-  /** Each of these jobs that a leader accepted before this local time is listed. */
+  /** Each such job that a leader accepted before this local time is listed. */
   readonly completeUntil: number
   /** Largest number of leaders that may have started one of the jobs. */
   readonly attempts: number
@@ -80,7 +80,6 @@
     return create(OpenJobsSchema, {
       askedAt,
       fromBoot,
-      term: this.core.term ?? 0,
       ...(isComplete && { completeMsAgo: now - completeUntil }),
       attempts,
       jobs: [...jobs],
