--- a/packages/dispatch/src/lib/DispatchMachine.takeover.test.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.takeover.test.ts
@@ -24,6 +24,14 @@
   services: ['s'],
 })
 
+/** A leader that begins its term at 0 and doesn't know any endpoint. */
+function makeLeader(term: number): DispatchMachine {
+  const leader = new DispatchMachine({})
+  const kind = DispatchEventKind.BecomeLeader
+  leader.step(0, { kind, term, table: TABLE, drainedZones: new Set() })
+  return leader
+}
+
 /** Verdicts that these actions send to callers. */
 function verdictsOf(actions: readonly DispatchAction[]): JobVerdict[] {
   return actions.flatMap((action) => {
@@ -33,13 +41,7 @@
 
 describe('a leader', () => {
   it('does not rerun a completed job that is submitted again after a late cancellation', () => {
-    const leader = new DispatchMachine({})
-    leader.step(0, {
-      kind: DispatchEventKind.BecomeLeader,
-      term: 1,
-      table: TABLE,
-      drainedZones: new Set(),
-    })
+    const leader = makeLeader(1)
     const submit = (now: number, requestId: string): readonly DispatchAction[] => {
       const spec = makeSteppedJob('j', 'p', [])
       const waits = { remainingMs: 1_000, waitedMs: 0, earlierAttempts: 0 }
@@ -92,13 +94,7 @@
   })
 
   it('starts no task of a job that was cancelled before an entry resubmitted it', () => {
-    const leader = new DispatchMachine({})
-    leader.step(0, {
-      kind: DispatchEventKind.BecomeLeader,
-      term: 2,
-      table: TABLE,
-      drainedZones: new Set(),
-    })
+    const leader = makeLeader(2)
     const question = { requestId: '1', kind: JobQuestionKind.CANCEL, ...PLACE }
     leader.step(1, {
       kind: DispatchEventKind.QueryJob,
@@ -114,13 +110,7 @@
   })
 
   it('does not refuse a job as not run while an earlier leader may be running it', () => {
-    const leader = new DispatchMachine({})
-    leader.step(0, {
-      kind: DispatchEventKind.BecomeLeader,
-      term: 2,
-      table: TABLE,
-      drainedZones: new Set(),
-    })
+    const leader = makeLeader(2)
     const step = create(JobStepSchema, { count: 1, estimateMs: 50, needs: { cpuMillis: 1 } })
     const spec = makeSteppedJob('j', 'p', [step])
     /** Submits the job, which no endpoint can take, and returns how it ends. */
--- a/packages/dispatch/src/lib/takeover/EarlierJobs.ts
+++ b/packages/dispatch/src/lib/takeover/EarlierJobs.ts
@@ -41,9 +41,9 @@
  * Tells whether an earlier leader may be running a job that a caller submits to this one.
  *
  * An entry names the leaders to which it has sent a job itself. A caller whose entry was lost submits
- * its job again through another entry, for which the job is new. So each instance that may lead reads
- * the list of open jobs from the leader, again and again. A job that isn't listed was accepted after
- * the list was made. Its caller has waited for `resubmitDelayMs` before submitting it again, so that an
+ * its job again through another entry, for which the job is new. So each instance that may lead keeps
+ * reading the list of open jobs from the leader. A job that isn't listed and that runs was accepted
+ * after the list was made, and its caller waits for `resubmitDelayMs` before submitting it again. So an
  * unlisted job that arrives earlier is new.
  *
  * @internal
