Send the hashes of open jobs as bytes

Cause: a list of numbers is encoded and decoded by reflection, for each instance that asks and ten times a second. A large deployment has five such readers, and a leader that has just started runs cold code.

Change: four bytes a hash, and plain objects in place of created messages.

--- a/apps/cherryhitch/src/lib/dispatching/OpenJobsReader.ts
+++ b/apps/cherryhitch/src/lib/dispatching/OpenJobsReader.ts
@@ -1,6 +1,6 @@
 import type { DispatchEvent } from '@cherryhitch/dispatch'
 import { DispatchEventKind } from '@cherryhitch/dispatch'
-import { envelope } from '@cherryhitch/protocol'
+import { wrapMessage } from '@cherryhitch/protocol'
 import type { Envelope, OpenJobs } from '@cherryhitch/protocol'
 
 /**
@@ -38,7 +38,9 @@
     if (leader === '' || leader === instance || isPending) return
     this.#asked = leader
     this.#askedAt = now
-    send(leader, envelope({ case: 'readOpenJobs', value: { askedAt: now, fromBoot: boot } }))
+    const $typeName = 'cherryhitch.v1.ReadOpenJobs' as const
+    const value = { $typeName, askedAt: now, fromBoot: boot }
+    send(leader, wrapMessage({ case: 'readOpenJobs', value }))
   }
 
   onReport(from: string, openJobs: OpenJobs): void {
--- a/packages/dispatch/src/lib/takeover/EarlierJobs.test.ts
+++ b/packages/dispatch/src/lib/takeover/EarlierJobs.test.ts
@@ -1,11 +1,17 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { create } from '@bufbuild/protobuf'
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
 import { hash32 } from '@cherryhitch/model'
-import { OpenJobsSchema, ReadOpenJobsSchema } from '@cherryhitch/protocol'
+import {
+  EnvelopeSchema,
+  OpenJobsSchema,
+  ReadOpenJobsSchema,
+  wrapMessage,
+} from '@cherryhitch/protocol'
 import type { OpenJobs } from '@cherryhitch/protocol'
 import { DispatchCore } from '../DispatchCore'
 import { EarlierJobs } from './EarlierJobs'
+import { decodeHashes, encodeHashes } from './hashBytes'
 import { JobOrigin } from './JobOrigin'
 
 const RESUBMIT_DELAY_MS = 1_300
@@ -20,10 +26,15 @@
   return { core, earlier: new EarlierJobs(core) }
 }
 
-function openJobs(askedAt: number, more: Partial<OpenJobs> = {}): OpenJobs {
-  const { completeMsAgo, attempts = 1, jobs = [hash32('listed')] } = more
-  const age = completeMsAgo !== undefined && { completeMsAgo }
-  return create(OpenJobsSchema, { askedAt, attempts, jobs, ...age })
+interface ListFields {
+  readonly completeMsAgo?: number
+  readonly attempts?: number
+  readonly ids?: readonly string[]
+}
+
+function openJobs(askedAt: number, { ids = ['listed'], ...more }: ListFields = {}): OpenJobs {
+  const jobs = encodeHashes(new Set(ids.map((id) => hash32(id))))
+  return create(OpenJobsSchema, { askedAt, attempts: 1, ...more, jobs })
 }
 
 describe('the origin of a job that a new leader does not know', () => {
@@ -65,7 +76,7 @@
   it('follows the most complete list, in whatever order the lists arrive', () => {
     const { earlier } = makeLeader()
     earlier.onReport(openJobs(9_500, { completeMsAgo: 0 }))
-    earlier.onReport(openJobs(9_400, { completeMsAgo: 0, jobs: [] }))
+    earlier.onReport(openJobs(9_400, { completeMsAgo: 0, ids: [] }))
     assert.equal(earlier.originOf(ELECTED_AT, 'listed', ELECTED_AT), JobOrigin.Earlier)
   })
 })
@@ -73,6 +84,18 @@
 describe('the list that a leader passes on', () => {
   const req = create(ReadOpenJobsSchema, { askedAt: 77, fromBoot: 5 })
 
+  it('arrives at another instance as it was sent', () => {
+    const { core, earlier } = makeLeader()
+    core.confirmedAt = ELECTED_AT
+    core.earlierLeadersConfirmedUntil = -Infinity
+    const foreignRuns = [{ name: 'listed.0.0.0' }, { name: 'other.0.0.0' }]
+    const value = earlier.report(ELECTED_AT, req, { jobs: [], foreignRuns })
+    const bytes = toBinary(EnvelopeSchema, wrapMessage({ case: 'openJobs', value }))
+    const { body } = fromBinary(EnvelopeSchema, bytes)
+    assert.deepEqual(body.value, create(OpenJobsSchema, value))
+    assert.equal(value.jobs.length, 8)
+  })
+
   it('is not complete beyond the time at which a majority confirmed the leader', () => {
     const { core, earlier } = makeLeader()
     core.earlierLeadersConfirmedUntil = -Infinity
@@ -88,10 +111,10 @@
     earlier.onReport(openJobs(9_500, { completeMsAgo: 0, attempts: 2 }))
     const list = earlier.report(ELECTED_AT, req, NO_JOBS)
     assert.deepEqual([list.completeMsAgo, list.attempts], [500, 3])
-    assert.deepEqual(list.jobs, [hash32('listed')])
+    assert.deepEqual([...decodeHashes(list.jobs)], [hash32('listed')])
     core.earlierLeadersConfirmedUntil = -Infinity
     const later = earlier.report(ELECTED_AT, req, NO_JOBS)
-    assert.deepEqual([later.completeMsAgo, later.jobs], [0, []])
+    assert.deepEqual([later.completeMsAgo, later.jobs.length], [0, 0])
   })
 
   it('says that it is incomplete if the leader knows no list of the one before it', () => {
--- a/packages/dispatch/src/lib/takeover/EarlierJobs.ts
+++ b/packages/dispatch/src/lib/takeover/EarlierJobs.ts
@@ -1,12 +1,11 @@
-import { create } from '@bufbuild/protobuf'
 import { hash32 } from '@cherryhitch/model'
-import { OpenJobsSchema } from '@cherryhitch/protocol'
 import type { OpenJobs, ReadOpenJobs } from '@cherryhitch/protocol'
 import type { DispatchCore } from '../DispatchCore'
 import type { Job } from '../jobs/Job'
 import { jobIdOf } from '../jobs/jobIdOf'
 import type { Run } from '../runs/Run'
 import { areAllRunsKnown } from '../scheduling/areAllRunsKnown'
+import { decodeHashes, encodeHashes } from './hashBytes'
 import { JobOrigin } from './JobOrigin'
 
 /** Jobs that leaders may be running. */
@@ -77,13 +76,14 @@
   report(now: number, { askedAt, fromBoot }: ReadOpenJobs, leaderJobs: LeaderJobs): OpenJobs {
     const { completeUntil, attempts, jobs } = this.#listOf(now, leaderJobs)
     const isComplete = completeUntil > -Infinity
-    return create(OpenJobsSchema, {
+    return {
+      $typeName: 'cherryhitch.v1.OpenJobs',
       askedAt,
       fromBoot,
       ...(isComplete && { completeMsAgo: now - completeUntil }),
       attempts,
-      jobs: [...jobs],
-    })
+      jobs: encodeHashes(jobs),
+    }
   }
 
   /**
@@ -92,7 +92,7 @@
    */
   onReport({ askedAt, completeMsAgo = Infinity, attempts, jobs }: OpenJobs): void {
     const completeUntil = askedAt - Math.max(0, completeMsAgo)
-    this.#learn({ completeUntil, attempts, jobs: new Set(jobs) })
+    this.#learn({ completeUntil, attempts, jobs: decodeHashes(jobs) })
   }
 
   /** This leader steps down; it may lead again while its runs go on. */
