Count a majority of voters in one place of the directory reader

lastConfirmableAt had the formula a second time, and the progress of a read kept a number that follows from the voters. Behaviour is the same; the reader's tests pass.

--- a/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
+++ b/apps/cherryhitch/src/lib/dispatching/NoticeExchange.ts
@@ -12,8 +12,9 @@
 } from '@cherryhitch/protocol'
 import { Effect } from 'effect'
 import { endpointDirectoryOf } from './endpointDirectoryOf'
-import { lastConfirmableAt } from './lastConfirmableAt'
 import type { EndpointDirectory } from './endpointDirectoryOf'
+import { lastConfirmableAt } from './lastConfirmableAt'
+import { majorityOf } from './majorityOf'
 
 /**
  * Heartbeats that change nothing are forwarded in batches, at most this long after the first of a
@@ -45,8 +46,6 @@
 interface DirectoryReadProgress {
   readonly term: number
   readonly voters: number
-  /** Number of answers that make a majority. */
-  readonly needed: number
   /** Instances that have answered with a complete directory. */
   readonly complete: Set<string>
   /** For each instance that has answered, when it last followed an earlier leader. */
@@ -110,11 +109,10 @@
    */
   readFromVoters(term: number, voters: readonly string[]): void {
     const { instance } = this.options
-    const needed = Math.floor(voters.length / 2) + 1
     const complete = new Set<string>()
     if (this.isComplete()) complete.add(instance)
     const followed = new Map([[instance, this.options.followedBefore(term)]])
-    this.readProgress = { term, voters: voters.length, needed, complete, followed }
+    this.readProgress = { term, voters: voters.length, complete, followed }
     for (const voter of voters) {
       if (voter === instance) continue
       this.options.send(voter, envelope({ case: 'readEndpointNotices', value: { term } }))
@@ -178,7 +176,7 @@
 
   private checkReadProgress(): void {
     if (this.readProgress === undefined) return
-    const { term, voters, needed, complete, followed } = this.readProgress
+    const { term, voters, complete, followed } = this.readProgress
     const confirmedUntil = lastConfirmableAt([...followed.values()], voters)
     if (confirmedUntil < Infinity) {
       this.options.tell({
@@ -187,7 +185,7 @@
         confirmedUntil,
       })
     }
-    if (complete.size < needed) return
+    if (complete.size < majorityOf(voters)) return
     this.readProgress = undefined
     this.options.tell({ kind: DispatchEventKind.DirectoryComplete, term })
   }
--- a/apps/cherryhitch/src/lib/dispatching/lastConfirmableAt.ts
+++ b/apps/cherryhitch/src/lib/dispatching/lastConfirmableAt.ts
@@ -1,3 +1,5 @@
+import { majorityOf } from './majorityOf'
+
 /**
  * Latest time at which a majority of the voters can have confirmed an earlier leader. Each voter of
  * that majority followed the leader then; one that hasn't answered may still follow it.
@@ -6,8 +8,7 @@
  * @internal
  */
 export function lastConfirmableAt(followedUntil: readonly number[], voters: number): number {
-  const majority = Math.floor(voters / 2) + 1
   const unanswered = voters - followedUntil.length
   const latestFirst = [...followedUntil].sort((one, other) => other - one)
-  return latestFirst[majority - unanswered - 1] ?? Infinity
+  return latestFirst[majorityOf(voters) - unanswered - 1] ?? Infinity
 }
