Count as found listed only jobs that the list shows

jobs_found_listed also counted a caller's repeat of a job that this leader had ended, which is resumed by its verdict and not by the list. No decision reads it.

--- a/packages/dispatch/src/lib/jobs/JobRegistry.ts
+++ b/packages/dispatch/src/lib/jobs/JobRegistry.ts
@@ -128,7 +128,8 @@
     this.#updateIndexes(job)
     this.#ended.delete(job.id)
     this.core.counters.jobs_taken++
-    if (req.earlierAttempts === 0 && isResumed) this.core.counters.jobs_found_listed++
+    const isFoundListed = origin === JobOrigin.Earlier && req.earlierAttempts === 0
+    if (isFoundListed) this.core.counters.jobs_found_listed++
     if (hasUnknownOrigin) this.core.counters.jobs_of_unknown_origin++
     return job
   }
