Open a voter anew within its process after a failed write

Cause: after a failed write a voter takes no part, since what the disk holds is then unknown. Only a restart read it back, and nothing in the program or on the platform restarted it. The random runs could not find it: they restarted such a voter themselves (runControlSoak, #restart and #recover), which no one does.

Change: RecoverableVoter asks its host to open the disk again, 100 ms after the failure and then at growing intervals up to 1 s, and makes a new machine from what was read back and synced. Kept over an opening: when the voter last followed a leader (for every term, as the disk may hold a lower one), the newest settings and routing, that a leader was heard. Opening and writing share one queue. Log lines for lost and regained, four counters.

The tests 'a voter whose disk fails' kept the disk failed by a single fault and the missing recovery. They now let all operations fail after the first, with the same checks, and each runs twice: until a restart, and until the disk recovers.

--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -16,9 +16,13 @@
 import type { Clock } from '@cherryhitch/runtime'
 import type { ControlError } from '../errors/ControlError'
 import { ControlActionKind, VoterRole } from '../voter/ControlAction'
-import type { ControlAction, PersistBatch } from '../voter/ControlAction'
 import { ControlEventKind } from '../voter/ControlEvent'
-import type { ControlEvent } from '../voter/ControlEvent'
+import { DiskActionKind } from '../voter/RecoverableVoter'
+import type {
+  RecoverableVoter,
+  RecoverableVoterAction,
+  RecoverableVoterEvent,
+} from '../voter/RecoverableVoter'
 import type { VoterMachine } from '../voter/VoterMachine'
 import { versionOfCommand } from '../state/commandVersion'
 import { drainedZonesOf } from '../state/zoneDrains'
@@ -31,10 +35,11 @@
 import type { KnownSettings } from './ControlNode'
 import type { ControlNodeOptions } from './ControlNodeOptions'
 import { isVoterMessage } from './isVoterMessage'
+import type { DiskWorker } from './startDiskWorker'
 
 /** Events in the mailbox of a control node. @internal */
 export type NodeEvent =
-  | { readonly to: NodePart.Voter; readonly event: ControlEvent }
+  | { readonly to: NodePart.Voter; readonly event: RecoverableVoterEvent }
   | { readonly to: NodePart.Client; readonly event: ClientEvent }
   /**
    * Claims or claim ends are pending; those added in one turn of the event loop share a command.
@@ -56,10 +61,10 @@
   readonly clock: Clock
   readonly timing: ClientTiming
   readonly client: ClientMachine
-  readonly voter: VoterMachine | undefined
-  readonly diskId: string | undefined
+  /** Present on an instance with a disk, as is `disk`. */
+  readonly voter?: RecoverableVoter
+  readonly disk?: DiskWorker
   readonly tell: (event: NodeEvent) => void
-  readonly persist: (batch: PersistBatch) => void
   readonly storeSettings: (settings: SettingsState) => void
 }
 
@@ -67,7 +72,6 @@
 
 /** Runs the state machines of a control node and performs their actions. @internal */
 export class ControlHost {
-  readonly diskId: string | undefined
   readonly #parts: ControlHostParts
   readonly #proposalCallbacks = new Map<string, Callback<CommandAnswer>[]>()
   readonly #readCallbacks = new Map<string, Callback<ReadControlReply>>()
@@ -86,14 +90,23 @@
 
   constructor(parts: ControlHostParts) {
     this.#parts = parts
-    this.diskId = parts.diskId
     const { instance, boot } = parts.options
     this.#claims = new ClaimBatcher(`${instance}.${boot}`)
     this.#ends = new ClaimEndBatcher(`${instance}.${boot}`)
   }
 
+  /** The voter of this instance; undefined without a disk, and until the disk could be opened. */
+  get #voter(): VoterMachine | undefined {
+    return this.#parts.voter?.machine
+  }
+
+  /** See `ControlNode.diskId`. */
+  get diskId(): string | undefined {
+    return this.#voter?.diskId
+  }
+
   receive(from: string, boot: number, body: EnvelopeBody): void {
-    if (this.#parts.voter !== undefined && isVoterMessage(body)) {
+    if (this.#voter !== undefined && isVoterMessage(body)) {
       const event = { kind: ControlEventKind.Received as const, from, boot, body }
       this.#parts.tell({ to: NodePart.Voter, event })
     } else {
@@ -122,7 +135,8 @@
 
   /** A leader whose build does not know a command would append it without applying it. */
   get #leaderCommandVersion(): number {
-    const { voter, client } = this.#parts
+    const { client } = this.#parts
+    const voter = this.#voter
     const followsLeader = voter !== undefined && voter.leader !== ''
     return followsLeader ? voter.leaderCommandVersion : client.leaderCommandVersion
   }
@@ -168,39 +182,39 @@
 
   /** See `ControlNode.confirmedAt`. */
   confirmedAt(): number {
-    const { voter, clock } = this.#parts
-    return voter?.confirmedAt(clock.now()) ?? -Infinity
+    return this.#voter?.confirmedAt(this.#parts.clock.now()) ?? -Infinity
   }
 
   status(): VotersStatus | undefined {
-    const { voter, client, clock } = this.#parts
-    return voter?.status(clock.now()) ?? client.voters
+    const { client, clock } = this.#parts
+    return this.#voter?.status(clock.now()) ?? client.voters
   }
 
   isLeader(): boolean {
-    return this.#parts.voter?.role === VoterRole.Leader
+    return this.#voter?.role === VoterRole.Leader
   }
 
   leader(): string {
-    const { voter, client } = this.#parts
-    return voter !== undefined && voter.leader !== '' ? voter.leader : client.leader
+    const followed = this.followedLeader()
+    return followed === '' ? this.#parts.client.leader : followed
   }
 
   followedLeader(): string {
-    return this.#parts.voter?.leader ?? ''
+    return this.#voter?.leader ?? ''
   }
 
   followedBefore(term: number): number | undefined {
-    return this.#parts.voter?.followedBefore(term)
+    return this.#voter?.followedBefore(term)
   }
 
   term(): number {
-    return this.#parts.voter?.term ?? 0
+    return this.#voter?.term ?? 0
   }
 
   counters(): Record<string, number> {
     return {
       ...this.#counters,
+      ...this.#parts.voter?.counters,
       claim_commands: this.#claims.commandCount,
       ends_waiting: this.#ends.pendingCount,
       ends_dropped: this.#ends.droppedCount,
@@ -211,7 +225,7 @@
   /** Handles mailbox events; those that arrived together share a batch of writes and messages. */
   handle(events: readonly NodeEvent[]): void {
     const now = this.#parts.clock.now()
-    const forVoter: ControlEvent[] = []
+    const forVoter: RecoverableVoterEvent[] = []
     for (const event of events) {
       if (event.to === NodePart.Voter) forVoter.push(event.event)
       else if (event.to === NodePart.Client)
@@ -231,7 +245,8 @@
    */
   #reportLeadership(): void {
     const { voter, options } = this.#parts
-    const term = voter?.isEstablished === true ? voter.term : undefined
+    const machine = this.#voter
+    const term = machine?.isEstablished === true ? machine.term : undefined
     if (term === this.#reportedTerm) return
     this.#reportedTerm = term
     options.onLeadership?.(term, { routing: voter?.routing, settings: voter?.settings })
@@ -257,12 +272,12 @@
     this.#parts.tell({ to: NodePart.Client, event })
   }
 
-  #performVoterActions(actions: readonly ControlAction[]): void {
+  #performVoterActions(actions: readonly RecoverableVoterAction[]): void {
     for (const action of actions) this.#performVoterAction(action)
   }
 
-  #performVoterAction(action: ControlAction): void {
-    const { options, persist } = this.#parts
+  #performVoterAction(action: RecoverableVoterAction): void {
+    const { options, disk } = this.#parts
     switch (action.kind) {
       case ControlActionKind.Send:
         this.#send(action.to, action.envelope)
@@ -270,7 +285,7 @@
       case ControlActionKind.Persist:
         this.#counters.persists++
         this.#counters.entries_persisted += action.batch.entries.length
-        persist(action.batch)
+        disk?.persist(action.batch)
         return
       case ControlActionKind.Applied:
         this.#counters.entries_applied++
@@ -288,6 +303,9 @@
       case ControlActionKind.Log:
         options.log(action.line)
         return
+      case DiskActionKind.Open:
+        disk?.open()
+        return
       default:
         exhaustive(action)
     }
--- /dev/null
+++ b/packages/control/src/lib/node/ControlNode.disk.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict'
+import { afterEach, describe, it } from 'node:test'
+import { CommandResult } from '@cherryhitch/protocol'
+import type { MemoryDisk } from '@cherryhitch/storage'
+import { Effect } from 'effect'
+import { claimKeys, keyClaim } from '../testing/commands'
+import { NodeCluster, waitUntil } from '../testing/nodeCluster'
+
+const voters = ['a', 'b', 'c']
+
+let cluster = new NodeCluster([])
+
+afterEach(async () => {
+  await cluster.stopAll()
+})
+
+async function awaitLeader(other?: string): Promise<string> {
+  const leader = (): string | undefined =>
+    voters.find((name) => name !== other && cluster.node(name).isLeader())
+  await waitUntil(() => leader() !== undefined, 'a leader is elected')
+  return leader() ?? ''
+}
+
+function diskOf(instance: string): MemoryDisk {
+  const disk = cluster.disks.get(instance)
+  if (disk === undefined) throw new Error(`${instance} has no disk`)
+  return disk
+}
+
+async function startVoters(): Promise<void> {
+  cluster = new NodeCluster(voters)
+  for (const name of voters) await cluster.start(name)
+  await awaitLeader()
+}
+
+/** Commits a claim of a key of its own. */
+async function commit(key: string): Promise<void> {
+  const node = cluster.node(await awaitLeader())
+  const command = claimKeys(`claim ${key}`, [keyClaim(key, `job ${key}`)])
+  const answer = await Effect.runPromise(node.propose(command))
+  assert.equal(answer.result, CommandResult.APPLIED, answer.detail)
+}
+
+function isDiskOpen(instance: string): boolean {
+  return cluster.node(instance).counters().disk_open === 1
+}
+
+/** Fills the disk of an instance until the others have gone on without its voter. */
+async function fillDisk(instance: string): Promise<void> {
+  diskOf(instance).capacityBytes = 0
+  const command = claimKeys(`fill ${instance}`, [keyClaim('k', 'job')])
+  Effect.runFork(cluster.node(instance).propose(command))
+  await waitUntil(() => !isDiskOpen(instance), 'the full disk is noticed')
+  await awaitLeader(instance)
+  diskOf(instance).capacityBytes = Infinity
+}
+
+describe('a disk that was full for some time', () => {
+  // Each disk that was full cost its voter until a restart, so that the second one cost the majority.
+  it('costs no voter for good, whichever disks are full in turn', async () => {
+    await startVoters()
+    for (const [turn, how] of ['leader', 'follower', 'leader', 'leader'].entries()) {
+      const leader = await awaitLeader()
+      const full = how === 'leader' ? leader : (voters.find((name) => name !== leader) ?? '')
+      await fillDisk(full)
+      await commit(`turn ${turn}`)
+      await waitUntil(() => isDiskOpen(full), 'it is a voter again')
+    }
+    await commit('after')
+  })
+})
--- a/packages/control/src/lib/node/ControlNode.ts
+++ b/packages/control/src/lib/node/ControlNode.ts
@@ -175,7 +175,8 @@
     return this.#host.diskId
   }
 
-  /** Values for metrics: counters, except for the gauges `ends_waiting` and `zones_drained`. */
+  /** Values for metrics: counters, except for the gauges `ends_waiting`, `zones_drained` and
+   * `disk_open`. */
   counters(): Record<string, number> {
     return this.#host.counters()
   }
--- a/packages/control/src/lib/node/startControlNode.ts
+++ b/packages/control/src/lib/node/startControlNode.ts
@@ -2,14 +2,15 @@
 import type { SettingsState } from '@cherryhitch/protocol'
 import { startMailbox, startTimer, systemClock } from '@cherryhitch/runtime'
 import type { Mailbox } from '@cherryhitch/runtime'
+import type { Disk } from '@cherryhitch/storage'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import type { ControlError } from '../errors/ControlError'
 import { initVoters, openVoter } from '../store/initVoters'
+import type { OpenVoter } from '../store/initVoters'
 import { VoterStore } from '../store/VoterStore'
-import type { PersistBatch } from '../voter/ControlAction'
-import { VoterMachine } from '../voter/VoterMachine'
-import type { StoredVoter, VoterMachineOptions } from '../voter/VoterOptions'
+import { RecoverableVoter } from '../voter/RecoverableVoter'
+import type { VoterMachineOptions } from '../voter/VoterOptions'
 import { ClientEventKind } from './ClientEvent'
 import { ClientMachine } from './ClientMachine'
 import { defaultClientTiming } from './ClientOptions'
@@ -18,13 +19,15 @@
 import { ControlNode } from './ControlNode'
 import { DEFAULT_TICK_MS } from './ControlNodeOptions'
 import type { ControlNodeOptions } from './ControlNodeOptions'
-import { startPersistWorker } from './startPersistWorker'
+import { startDiskWorker } from './startDiskWorker'
+import type { DiskWorker } from './startDiskWorker'
 import { startSettingsStore } from './startSettingsStore'
 import type { SettingsStore } from './startSettingsStore'
 
-interface OpenVoter {
-  readonly store: VoterStore
-  readonly stored: StoredVoter
+/** The voter of an instance with a disk, and access to its files. */
+interface NodeVoter {
+  readonly voter: RecoverableVoter
+  readonly disk: DiskWorker
 }
 
 /**
@@ -46,19 +49,16 @@
     const tell = (event: NodeEvent): void => {
       mailbox.tell(event)
     }
-    const opened = yield* openDisk(options)
-    const voter = opened && new VoterMachine(voterOptions(options), opened.stored)
-    const persist = yield* startPersistence(opened, tell)
+    const hosted = yield* startVoter(options, tell)
     const settingsStore = yield* openSettingsStore(options, tell)
     const storesSettings = settingsStore !== undefined
     const client = new ClientMachine({ instance, boot, voters, timing, storesSettings })
     const clock = options.clock ?? systemClock
-    const diskId = opened?.stored.diskId
     const storeSettings = settingsStore?.save ?? (() => undefined)
-    const parts = { options, clock, timing, client, voter, diskId, tell, persist, storeSettings }
+    const parts = { options, clock, timing, client, ...hosted, tell, storeSettings }
     const host = new ControlHost(parts)
     const mailbox = yield* startHost(host, options)
-    for (const settings of [settingsStore?.settings, voter?.settings]) {
+    for (const settings of [settingsStore?.settings, hosted?.voter.settings]) {
       if (settings === undefined) continue
       tell({ to: NodePart.Client, event: { kind: ClientEventKind.LocalSettings, settings } })
     }
@@ -66,17 +66,46 @@
   })
 }
 
-function openDisk(options: ControlNodeOptions): Effect.Effect<OpenVoter | undefined, ControlError> {
+/** Opens the disk and starts its voter; undefined for an instance without a disk. */
+function startVoter(
+  options: ControlNodeOptions,
+  tell: (event: NodeEvent) => void,
+): Effect.Effect<NodeVoter | undefined, ControlError, Scope.Scope> {
+  return Effect.gen(function* () {
+    if (options.disk === undefined) return undefined
+    const opener = makeOpener(options, options.disk)
+    const { store, stored } = yield* opener
+    const voter = new RecoverableVoter(voterOptions(options), stored)
+    const disk = yield* startDiskWorker({
+      store,
+      openVoter: opener,
+      tell: (event) => {
+        tell({ to: NodePart.Voter, event })
+      },
+    })
+    return { voter, disk }
+  })
+}
+
+/**
+ * Opens the voter on the disk. Only until the first success may an empty disk be initialized: a
+ * disk that is found empty later has lost what it acknowledged.
+ */
+function makeOpener(
+  { instance, voters, autoInit, log }: ControlNodeOptions,
+  disk: Disk,
+): Effect.Effect<OpenVoter, ControlError> {
+  let hasOpened = false
   return Effect.gen(function* () {
-    const { disk, instance, voters, autoInit } = options
-    if (disk === undefined) return undefined
     const { stored } = yield* VoterStore.open(disk)
-    if (stored === undefined && autoInit !== undefined && voters.includes(instance)) {
+    const mayInitialize = !hasOpened && autoInit !== undefined && voters.includes(instance)
+    if (stored === undefined && mayInitialize) {
       yield* initVoters(disk, { instance, voters, clusterId: autoInit.clusterId })
     }
     const opened = yield* openVoter(disk, instance)
+    hasOpened = true
     if (opened.stored.snapshot === undefined) {
-      options.log(`disk ${opened.stored.diskId} is empty: it waits to be added as a learner`)
+      log(`disk ${opened.stored.diskId} is empty: it waits to be added as a learner`)
     }
     return opened
   })
@@ -95,19 +124,6 @@
   }
 }
 
-function startPersistence(
-  opened: OpenVoter | undefined,
-  tell: (event: NodeEvent) => void,
-): Effect.Effect<(batch: PersistBatch) => void, never, Scope.Scope> {
-  return Effect.gen(function* () {
-    if (opened === undefined) return () => undefined
-    const worker = yield* startPersistWorker(opened.store, (event) => {
-      tell({ to: NodePart.Voter, event })
-    })
-    return worker.persist
-  })
-}
-
 function openSettingsStore(
   { disk, log }: ControlNodeOptions,
   tell: (event: NodeEvent) => void,
--- a/packages/control/src/lib/soak/SimulatedCluster.ts
+++ b/packages/control/src/lib/soak/SimulatedCluster.ts
@@ -9,7 +9,7 @@
 } from '@cherryhitch/protocol'
 import { EventScheduler, TieOrder } from '@cherryhitch/runtime'
 import { MemoryDisk } from '@cherryhitch/storage'
-import { Effect } from 'effect'
+import { Cause, Effect } from 'effect'
 import type { ClientAction, ClientEvent } from '../node/ClientEvent'
 import { ClientActionKind, ClientEventKind } from '../node/ClientEvent'
 import { ClientMachine } from '../node/ClientMachine'
@@ -20,11 +20,16 @@
 import { VoterStore } from '../store/VoterStore'
 import { SeededRandom } from '../util/SeededRandom'
 import { ControlActionKind, VoterRole } from '../voter/ControlAction'
-import type { ControlAction, PersistBatch } from '../voter/ControlAction'
+import type { PersistBatch } from '../voter/ControlAction'
 import { ControlEventKind } from '../voter/ControlEvent'
-import type { ControlEvent } from '../voter/ControlEvent'
 import type { QuorumRules } from '../voter/QuorumRules'
-import { VoterMachine } from '../voter/VoterMachine'
+import { DiskActionKind, DiskEventKind, RecoverableVoter } from '../voter/RecoverableVoter'
+import type {
+  DiskEvent,
+  RecoverableVoterAction,
+  RecoverableVoterEvent,
+} from '../voter/RecoverableVoter'
+import type { VoterMachine } from '../voter/VoterMachine'
 import type { VoterLimits, VoterTiming } from '../voter/VoterOptions'
 import { SoakChecks } from './SoakChecks'
 
@@ -66,7 +71,7 @@
   diskId: string
   version: number
   client: ClientMachine
-  voter: VoterMachine | undefined
+  voter: RecoverableVoter | undefined
   store: VoterStore | undefined
   writing: PersistBatch | undefined
 }
@@ -96,6 +101,7 @@
   readonly #processes = new Map<string, Process>()
   #lastRead: ReadControlReply | undefined
   #wipes = 0
+  #diskOpenings = 0
 
   constructor(options: SimulationOptions) {
     this.#options = options
@@ -114,8 +120,13 @@
     return [...this.#processes.keys()]
   }
 
+  /** How often a voter was read back from its disk within a running process. */
+  get diskOpenings(): number {
+    return this.#diskOpenings
+  }
+
   voter(instance: string): VoterMachine | undefined {
-    return this.#get(instance).voter
+    return this.#get(instance).voter?.machine
   }
 
   client(instance: string): ClientMachine {
@@ -139,9 +150,9 @@
   /** The leader in the highest term. */
   leader(): string | undefined {
     const leaders = [...this.#processes.values()].filter(({ up, voter }) => {
-      return up && voter?.role === VoterRole.Leader
+      return up && voter?.machine?.role === VoterRole.Leader
     })
-    leaders.sort((a, b) => (b.voter?.term ?? 0) - (a.voter?.term ?? 0))
+    leaders.sort((a, b) => (b.voter?.machine?.term ?? 0) - (a.voter?.machine?.term ?? 0))
     return leaders[0]?.instance
   }
 
@@ -157,8 +168,6 @@
     const timing = { ...defaultClientTiming, settingsLeaseMs }
     process.client = new ClientMachine({ instance, boot, voters, timing, storesSettings: false })
     if (process.disk !== undefined) {
-      const makeId = (): string => `disk${++this.#wipes}`
-      const opened = Effect.runSync(openVoter(process.disk, instance, makeId))
       const machineSeed = seed * 1_000 + boot * 10 + this.instances.indexOf(instance)
       const machine = {
         instance,
@@ -168,15 +177,30 @@
         ...(rules && { rules }),
         ...(toleratedLosses !== undefined && { toleratedLosses }),
       }
-      process.store = opened.store
-      process.diskId = opened.stored.diskId
-      process.voter = new VoterMachine(machine, opened.stored)
+      const opened = this.#open(process, process.disk)
+      const isOpen = opened.kind === DiskEventKind.Opened
+      process.voter = new RecoverableVoter(machine, isOpen ? opened.stored : undefined)
+      if (!isOpen) this.#tellVoter(process, opened)
     }
     this.#agenda.after(this.random.between(1, TICK_MS), () => {
       this.#tick(process, boot)
     })
   }
 
+  /** Opens the files of a disk; the report goes to the voter of the process. */
+  #open(process: Process, disk: MemoryDisk): DiskEvent {
+    const makeId = (): string => `disk${++this.#wipes}`
+    const exit = Effect.runSyncExit(openVoter(disk, process.instance, makeId))
+    if (exit._tag === 'Failure') {
+      const reason = String(Cause.squash(exit.cause))
+      return { kind: DiskEventKind.OpenFailed, reason }
+    }
+    const { store, stored } = exit.value
+    process.store = store
+    process.diskId = stored.diskId
+    return { kind: DiskEventKind.Opened, stored }
+  }
+
   /** Crashes the process; a write in progress is interrupted at a random point. */
   crash(instance: string): void {
     const process = this.#get(instance)
@@ -303,12 +327,13 @@
     if (process.up) this.#runClient(process, process.client.step(this.now, event))
   }
 
-  #tellVoter(process: Process, event: ControlEvent): void {
+  #tellVoter(process: Process, event: RecoverableVoterEvent): void {
     if (process.voter !== undefined) this.#runVoter(process, process.voter.step(this.now, event))
   }
 
-  #runVoter(process: Process, actions: readonly ControlAction[]): void {
+  #runVoter(process: Process, actions: readonly RecoverableVoterAction[]): void {
     for (const action of actions) {
+      if (action.kind === DiskActionKind.Open) this.#reopen(process)
       if (action.kind === ControlActionKind.Send) this.#send(process, action.to, action.envelope)
       if (action.kind === ControlActionKind.Persist) this.#persist(process, action.batch)
       if (action.kind === ControlActionKind.Applied) this.checks.recordApplied(action)
@@ -358,6 +383,16 @@
     })
   }
 
+  #reopen(process: Process): void {
+    const { boot, disk } = process
+    this.#agenda.after(this.#options.syncMs * this.random.between(0.5, 2), () => {
+      if (!process.up || process.boot !== boot || disk === undefined) return
+      const event = this.#open(process, disk)
+      if (event.kind === DiskEventKind.Opened) this.#diskOpenings++
+      this.#tellVoter(process, event)
+    })
+  }
+
   #send(from: Process, to: string, envelope: Envelope): void {
     // Encoded at once, as on a real link, so that later changes by the sender are not delivered.
     const bytes = toBinary(EnvelopeSchema, envelope)
@@ -379,7 +414,7 @@
     if (process?.up !== true || body.case === undefined) return
     // Links drop messages from an earlier boot of the sender.
     if (this.#get(from).boot !== boot) return
-    if (process.voter !== undefined && isVoterMessage(body)) {
+    if (process.voter?.machine !== undefined && isVoterMessage(body)) {
       this.#tellVoter(process, { kind: ControlEventKind.Received, from, boot, body })
     } else {
       this.#tellClient(to, { kind: ClientEventKind.Received, from, body })
--- a/packages/control/src/lib/soak/runControlSoak.ts
+++ b/packages/control/src/lib/soak/runControlSoak.ts
@@ -35,6 +35,8 @@
   readonly crashes: number
   readonly wipes: number
   readonly diskFaults: number
+  /** How often a voter was read back from its disk within a running process. */
+  readonly diskOpenings: number
 }
 
 const voters = ['v1', 'v2', 'v3']
@@ -52,6 +54,10 @@
 const diskFaults = [DiskOperation.Sync, DiskOperation.Rename, DiskOperation.Append]
 const KEYS = 12
 const RECOVERY_TIMEOUT_MS = 60_000
+/** A voter opens its disk again by itself within this time of the end of the disk's faults. */
+const DISK_RECOVERY_TIMEOUT_MS = 3_000
+/** How long a disk stays full or broken: less than a step up to many elections. */
+const DISK_FAULT_MS = [50, 8_000] as const
 
 /**
  * Runs the state machines of three voters, spares and two followers under random commands and
@@ -92,6 +98,8 @@
    * vote to voters that have (see `VoterCore.isFresh`), so no disk may be lost.
    */
   #hasStarted = false
+  /** When the fault of a disk that is full or broken for some time ends. */
+  readonly #faultEndsAt = new Map<string, number>()
   /** Ids of wiped disks for which the voter set has not been completed again. */
   readonly #lostDisks = new Set<string>()
 
@@ -164,9 +172,33 @@
     if (fault === 3) this.#cluster.cut(instance, { from: false, to: false })
     if (fault === 4) this.#cluster.link = random.chance(0.5) ? unreliableLink : reliableLink
     if (fault >= 6) this.#crashNewLeader(instance)
-    if (fault === 5 && this.#cluster.isUp(instance)) {
-      this.#diskFaults++
-      this.#cluster.disk(instance).fail({ operation: random.pick(diskFaults) })
+    if (fault === 5) this.#failDisk(instance)
+  }
+
+  /** Makes one operation of a disk fail, or all that write for some time. */
+  #failDisk(instance: string): void {
+    const { random, now } = this.#cluster
+    const disk = this.#cluster.disk(instance)
+    const span = random.chance(0.7)
+    if (!span && !this.#cluster.isUp(instance)) return
+    this.#diskFaults++
+    if (!span) {
+      disk.fail({ operation: random.pick(diskFaults) })
+      return
+    }
+    this.#faultEndsAt.set(instance, now + random.between(...DISK_FAULT_MS))
+    if (random.chance(0.6)) disk.capacityBytes = 0
+    else disk.haltAfter(0)
+  }
+
+  /** Ends the faults of disks that are due. */
+  #endDiskFaults(now: number): void {
+    for (const [instance, endsAt] of this.#faultEndsAt) {
+      if (now < endsAt) continue
+      this.#faultEndsAt.delete(instance)
+      const disk = this.#cluster.disk(instance)
+      disk.capacityBytes = Infinity
+      disk.clearFaults()
     }
   }
 
@@ -200,8 +232,9 @@
     }
   }
 
-  /** Restarts processes and adds new disks, as operators and the platform do. */
+  /** Starts processes and adds new disks, as the platform and the instances themselves do. */
   #repair(): void {
+    this.#endDiskFaults(this.#cluster.now)
     for (const instance of this.diskInstances) this.#restart(instance)
     const leader = this.#cluster.leader()
     const voter = this.#cluster.voter(leader ?? 'v1')
@@ -225,8 +258,6 @@
 
   #restart(instance: string): void {
     const { random } = this.#cluster
-    const broken = this.#cluster.voter(instance)?.isHealthy === false
-    if (broken && random.chance(0.4)) this.#crash(instance)
     if (!this.#cluster.isUp(instance) && random.chance(0.5)) this.#cluster.start(instance)
   }
 
@@ -239,15 +270,23 @@
     this.#cluster.propose(leader, create(CommandSchema, { commandId, change }))
   }
 
-  /** Ends all faults; a command must then commit, and no committed entry may be missing. */
+  /**
+   * Ends all faults. Each voter must then recover without a restart, a command must commit, and no
+   * committed entry may be missing.
+   */
   #recover(): void {
     this.#cluster.link = reliableLink
+    this.#endDiskFaults(Infinity)
     for (const instance of this.diskInstances) {
       this.#cluster.cut(instance, { from: false, to: false })
-      // A crash also clears the faults that are still scheduled for the disk.
-      this.#cluster.crash(instance)
+      this.#cluster.disk(instance).clearFaults()
       this.#cluster.start(instance)
     }
+    const areDisksOpen = (): boolean => {
+      return this.diskInstances.every((instance) => this.#cluster.voter(instance)?.isHealthy)
+    }
+    const areReopened = this.#cluster.runUntil(areDisksOpen, DISK_RECOVERY_TIMEOUT_MS)
+    assertInvariant(areReopened, 'a voter stays out although its disk works')
     const commandId = 'last'
     const change = { case: 'noop' as const, value: {} }
     const last = create(CommandSchema, { commandId, change })
@@ -273,6 +312,7 @@
       crashes: this.#crashes,
       wipes: this.#wipes,
       diskFaults: this.#diskFaults,
+      diskOpenings: cluster.diskOpenings,
     }
   }
 }
--- a/packages/control/src/lib/store/initVoters.ts
+++ b/packages/control/src/lib/store/initVoters.ts
@@ -51,6 +51,12 @@
   })
 }
 
+/** A voter's files and what they held when they were opened. @internal */
+export interface OpenVoter {
+  readonly store: VoterStore
+  readonly stored: StoredVoter
+}
+
 /**
  * Opens the voter stored in a folder. An empty folder gets a new identity, under which the voter
  * waits until an operator adds it as a learner.
@@ -61,7 +67,7 @@
   disk: Disk,
   instance: string,
   makeId: () => string = randomUUID,
-): Effect.Effect<{ store: VoterStore; stored: StoredVoter }, ControlError> {
+): Effect.Effect<OpenVoter, ControlError> {
   return Effect.gen(function* () {
     const opened = yield* VoterStore.open(disk)
     if (opened.stored !== undefined) return { store: opened.store, stored: opened.stored }
--- a/packages/control/src/lib/voter/ControlEvent.ts
+++ b/packages/control/src/lib/voter/ControlEvent.ts
@@ -19,7 +19,7 @@
     }
   /** All writes of the batch are synced. */
   | { readonly kind: ControlEventKind.Persisted; readonly id: number }
-  /** A disk write failed; the contents of the disk are unknown until the next start. */
+  /** A disk write failed; the contents of the disk are unknown until they are read back. */
   | { readonly kind: ControlEventKind.PersistFailed; readonly id: number; readonly reason: string }
   /** The process is about to stop: if this voter leads, another one is to take over. */
   | { readonly kind: ControlEventKind.TransferLeadership }
--- a/packages/control/src/lib/voter/Election.ts
+++ b/packages/control/src/lib/voter/Election.ts
@@ -11,11 +11,12 @@
   #electionDueAt: number | undefined
   #lastLeaderContactAt = -Infinity
   /** Whether this process has followed or been a leader. */
-  #hasHeardLeader = false
+  #hasHeardLeader: boolean
 
   constructor(core: VoterCore) {
     this.#core = core
     this.#random = new SeededRandom(core.config.seed)
+    this.#hasHeardLeader = core.followedLeaders.lastFollowedAt !== undefined
   }
 
   /** Starts a pre-vote when the election timeout has passed without contact from a leader. */
--- a/packages/control/src/lib/voter/FollowedLeaders.ts
+++ b/packages/control/src/lib/voter/FollowedLeaders.ts
@@ -9,6 +9,19 @@
   #lastFollowedAt: number | undefined
   #earlierTermFollowedAt: number | undefined
 
+  /**
+   * @param lastFollowedAt - when an earlier voter of this process last followed a leader. It counts
+   *   for every term, since the disk may hold a lower term than the one that was followed.
+   */
+  constructor(lastFollowedAt?: number) {
+    this.#lastFollowedAt = lastFollowedAt
+  }
+
+  /** When this process last followed a leader; undefined if it never did. */
+  get lastFollowedAt(): number | undefined {
+    return this.#lastFollowedAt
+  }
+
   record(now: number, term: number): void {
     if (term < this.#term) return
     if (term > this.#term) this.#earlierTermFollowedAt = this.#lastFollowedAt
--- a/packages/control/src/lib/voter/PersistQueue.ts
+++ b/packages/control/src/lib/voter/PersistQueue.ts
@@ -102,8 +102,8 @@
   }
 
   /**
-   * After a failed write nothing more is acknowledged: the contents of the disk are unknown until a
-   * restart reads them.
+   * After a failed write nothing more is acknowledged: the contents of the disk are unknown until
+   * they are read back.
    */
   markFailed(): void {
     this.#failed = true
--- a/packages/control/src/lib/voter/VoterCore.ts
+++ b/packages/control/src/lib/voter/VoterCore.ts
@@ -47,7 +47,7 @@
   readonly rules: QuorumRules
   readonly diskId: string
   readonly log: VoterLog
-  readonly followedLeaders = new FollowedLeaders()
+  readonly followedLeaders: FollowedLeaders
   readonly persist: PersistQueue
   /** Undefined on a new disk until a leader installs a snapshot on it. */
   state: ControlState | undefined
@@ -72,6 +72,7 @@
     this.config = config
     this.rules = rules
     this.diskId = stored.diskId
+    this.followedLeaders = new FollowedLeaders(config.lastFollowedAt)
     this.#snapshotStagger = new SeededRandom(config.seed).between(0.7, 1.3)
     this.#term = stored.term
     this.#votedFor = stored.votedFor
--- a/packages/control/src/lib/voter/VoterMachine.test.ts
+++ b/packages/control/src/lib/voter/VoterMachine.test.ts
@@ -265,62 +265,80 @@
   })
 })
 
+/** Waits until a write of the instance has failed; then all others fail too, also in an opening. */
+function awaitFailedDisk(cluster: SimulatedCluster, instance: string): void {
+  cluster.runUntil(() => cluster.voter(instance)?.isHealthy === false, 10_000)
+  assert.equal(cluster.voter(instance)?.isHealthy, false)
+  cluster.disk(instance).haltAfter(0)
+}
+
+/** How a voter whose disk has failed takes part again. */
+const recoveries: Record<string, (cluster: SimulatedCluster, instance: string) => void> = {
+  'it restarts': (cluster, instance) => {
+    cluster.crash(instance)
+    cluster.start(instance)
+  },
+  'its disk recovers': (cluster, instance) => {
+    cluster.disk(instance).clearFaults()
+  },
+}
+
 describe('a voter whose disk fails', () => {
-  for (const operation of [DiskOperation.Sync, DiskOperation.Append]) {
-    it(`acknowledges nothing more until it restarts (${operation})`, () => {
-      const cluster = simulate()
-      const failing = awaitLeader(cluster)
-      cluster.disk(failing).fail({ operation })
-      cluster.propose(failing, setPreset('c1', 'peak', 1))
-      const next = awaitLeader(cluster, failing)
-      assert.equal(cluster.voter(failing)?.isHealthy, false)
-      assert.equal(resultOf(proposeAndWait(cluster, next, setPreset('c1', 'peak', 1))), 'APPLIED')
-      const [third] = otherVoters(failing).filter((instance) => instance !== next)
-      cluster.crash(third ?? '')
-      cluster.run(5_000)
-      assert.equal(cluster.leader(), undefined, 'a failed disk does not make a majority')
-      cluster.crash(failing)
-      cluster.start(failing)
-      awaitLeader(cluster)
-    })
-  }
+  for (const [when, recover] of Object.entries(recoveries)) {
+    for (const operation of [DiskOperation.Sync, DiskOperation.Append]) {
+      it(`acknowledges nothing more until ${when} (${operation})`, () => {
+        const cluster = simulate()
+        const failing = awaitLeader(cluster)
+        cluster.disk(failing).fail({ operation })
+        cluster.propose(failing, setPreset('c1', 'peak', 1))
+        awaitFailedDisk(cluster, failing)
+        const next = awaitLeader(cluster, failing)
+        assert.equal(cluster.voter(failing)?.isHealthy, false)
+        assert.equal(resultOf(proposeAndWait(cluster, next, setPreset('c1', 'peak', 1))), 'APPLIED')
+        const [third] = otherVoters(failing).filter((instance) => instance !== next)
+        cluster.crash(third ?? '')
+        cluster.run(5_000)
+        assert.equal(cluster.leader(), undefined, 'a failed disk does not make a majority')
+        recover(cluster, failing)
+        awaitLeader(cluster)
+      })
+    }
 
-  for (const [what, operation] of Object.entries({
-    'the rename of its vote': DiskOperation.Rename,
-    'the sync of the folder': DiskOperation.SyncFolder,
-  })) {
-    it(`at ${what} gives no vote, and can lead after a restart`, () => {
+    for (const [what, operation] of Object.entries({
+      'the rename of its vote': DiskOperation.Rename,
+      'the sync of the folder': DiskOperation.SyncFolder,
+    })) {
+      it(`at ${what} gives no vote, and can lead after ${when}`, () => {
+        const cluster = simulate()
+        const leader = awaitLeader(cluster)
+        const [failing, third] = otherVoters(leader)
+        cluster.disk(failing).fail({ operation })
+        cluster.crash(leader)
+        awaitFailedDisk(cluster, failing)
+        cluster.run(8_000)
+        assert.equal(cluster.voter(failing)?.isHealthy, false)
+        assert.equal(cluster.leader(), undefined)
+        recover(cluster, failing)
+        assert.ok([failing, third].includes(awaitLeader(cluster)))
+      })
+    }
+
+    it(`while it truncates uncommitted entries recovers after ${when}`, () => {
       const cluster = simulate()
-      const leader = awaitLeader(cluster)
-      const [failing, third] = otherVoters(leader)
-      cluster.disk(failing).fail({ operation })
-      cluster.crash(leader)
-      cluster.run(8_000)
-      assert.equal(cluster.voter(failing)?.isHealthy, false)
-      assert.equal(cluster.leader(), undefined)
-      cluster.crash(failing)
-      cluster.start(failing)
-      assert.ok([failing, third].includes(awaitLeader(cluster)))
+      const old = awaitLeader(cluster)
+      cluster.cut(old, both)
+      proposeAndWait(cluster, old, setPreset('lost', 'peak', 1))
+      const next = awaitLeader(cluster, old)
+      proposeAndWait(cluster, next, setPreset('won', 'maintenance', 1))
+      // The truncation replaces a log file: its rename is the second one, after that of the vote.
+      cluster.disk(old).fail({ operation: DiskOperation.Rename, nth: 2 })
+      cluster.cut(old, none)
+      awaitFailedDisk(cluster, old)
+      recover(cluster, old)
+      cluster.run(3_000)
+      assert.equal(cluster.voter(old)?.settings?.preset, 'maintenance')
     })
   }
-
-  it('while it truncates uncommitted entries recovers after a restart', () => {
-    const cluster = simulate()
-    const old = awaitLeader(cluster)
-    cluster.cut(old, both)
-    proposeAndWait(cluster, old, setPreset('lost', 'peak', 1))
-    const next = awaitLeader(cluster, old)
-    proposeAndWait(cluster, next, setPreset('won', 'maintenance', 1))
-    // The truncation replaces a log file: its rename is the second one, after that of the vote.
-    cluster.disk(old).fail({ operation: DiskOperation.Rename, nth: 2 })
-    cluster.cut(old, none)
-    cluster.runUntil(() => cluster.voter(old)?.isHealthy === false, 10_000)
-    assert.equal(cluster.voter(old)?.isHealthy, false)
-    cluster.crash(old)
-    cluster.start(old)
-    cluster.run(3_000)
-    assert.equal(cluster.voter(old)?.settings?.preset, 'maintenance')
-  })
 })
 
 describe('messages', () => {
--- a/packages/control/src/lib/voter/VoterMachine.ts
+++ b/packages/control/src/lib/voter/VoterMachine.ts
@@ -56,6 +56,11 @@
     this.#follower = new Follower(this.#core)
   }
 
+  /** Id of the disk, by which the other voters know this one. */
+  get diskId(): string {
+    return this.#core.diskId
+  }
+
   get role(): VoterRole {
     return this.#core.role
   }
@@ -87,7 +92,8 @@
   }
 
   /**
-   * False after a failed write: the contents of the disk are unknown until a restart reads them.
+   * False after a failed write: the contents of the disk are unknown until they are read back, into
+   * a new machine.
    */
   get isHealthy(): boolean {
     return !this.#core.persist.failed
@@ -120,6 +126,11 @@
     return this.#core.followedLeaders.lastFollowedBefore(term)
   }
 
+  /** When this process last followed a leader; undefined if it never did. */
+  get lastFollowedAt(): number | undefined {
+    return this.#core.followedLeaders.lastFollowedAt
+  }
+
   /** Status of the voters as the leader sees it; undefined if this voter does not lead. */
   status(now: number): VotersStatus | undefined {
     return this.#leader?.status(now)
@@ -162,7 +173,7 @@
       case ControlEventKind.PersistFailed:
         this.#core.persist.markFailed()
         this.#core.logLine(
-          `disk write failed; no vote or entry is acknowledged until a restart: ${event.reason}`,
+          `disk write failed; no vote or entry is acknowledged until the disk is read back: ${event.reason}`,
         )
         this.#stepDown(now, 'its disk failed')
         return
--- a/packages/control/src/lib/voter/VoterOptions.ts
+++ b/packages/control/src/lib/voter/VoterOptions.ts
@@ -36,6 +36,10 @@
   readonly noticeResendMs: number
   /** Confirmations that arrive within this time are recorded in one entry. */
   readonly confirmBatchMs: number
+  /** Time from a failed write until the disk is opened again; it doubles with each failed opening. */
+  readonly reopenMinMs: number
+  /** Upper bound of that time: a voter takes part again at most this long after its disk recovers. */
+  readonly reopenMaxMs: number
 }
 
 /** @public */
@@ -50,6 +54,8 @@
   settingsLeaseMs: 3_000,
   noticeResendMs: 400,
   confirmBatchMs: 200,
+  reopenMinMs: 100,
+  reopenMaxMs: 1_000,
 }
 
 /** @public */
@@ -82,6 +88,8 @@
   readonly state?: ControlStateOptions
   /** Voters that may be lost at once; the leader grows the set to tolerate that. One by default. */
   readonly toleratedLosses?: number
+  /** When an earlier voter of this process last followed a leader; undefined if it never did. */
+  readonly lastFollowedAt?: number | undefined
   /** Overridden only by randomized tests, to verify that they detect broken rules. @internal */
   readonly rules?: QuorumRules
 }
@@ -93,6 +101,7 @@
   readonly timing: VoterTiming
   readonly limits: VoterLimits
   readonly state: ControlStateOptions
+  readonly lastFollowedAt: number | undefined
   /** Number of voters up to which the leader grows the set. */
   readonly targetVoterCount: number
 }
@@ -107,6 +116,7 @@
     timing: { ...defaultVoterTiming, ...options.timing },
     limits: { ...defaultVoterLimits, ...options.limits },
     state: options.state ?? defaultControlStateOptions,
+    lastFollowedAt: options.lastFollowedAt,
     // With 2n + 1 voters a majority remains after the loss of any n of them.
     targetVoterCount: 2 * (options.toleratedLosses ?? DEFAULT_TOLERATED_LOSSES) + 1,
   }
