Start without a voter while the disk is full, and open it later

What callers saw: a dispatching instance that was killed while its disk was full could not start. Its process ended by itself, was started, and ended again until the disk had room; each such end is an instance less that carries orders.

Cause: opening the log rewrites its last segment, so it fails on a full disk, and startControlNode failed with it.

Change: failures that may pass by themselves (StorageError.isTransient) no longer fail the start. The node runs as one without a disk, and RecoverableVoter opens the disk as after a failed write. A first voter is initialized then, but never after an opening has succeeded. Damaged or newer files still fail the start.

Evidence: both tests of 'a start while the disk is full' failed before with 'no room for 353 bytes' and 'no room for 32 bytes'; they hold now.

--- a/packages/control/src/lib/errors/ControlError.ts
+++ b/packages/control/src/lib/errors/ControlError.ts
@@ -1,3 +1,4 @@
+import { StorageError } from '@cherryhitch/storage'
 import { Data } from 'effect'
 
 /** @public */
@@ -18,6 +19,11 @@
   readonly detail: string
   readonly cause?: unknown
 }> {
+  /** True if a disk failed in a way that may pass by itself. */
+  get isTransient(): boolean {
+    return this.cause instanceof StorageError && this.cause.isTransient
+  }
+
   override get message(): string {
     return this.detail
   }
--- a/packages/control/src/lib/node/ControlNode.disk.test.ts
+++ b/packages/control/src/lib/node/ControlNode.disk.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { afterEach, describe, it } from 'node:test'
 import { CommandResult } from '@cherryhitch/protocol'
-import type { MemoryDisk } from '@cherryhitch/storage'
+import { MemoryDisk } from '@cherryhitch/storage'
 import { Effect } from 'effect'
 import { claimKeys, keyClaim } from '../testing/commands'
 import { NodeCluster, waitUntil } from '../testing/nodeCluster'
@@ -33,9 +33,9 @@
   await awaitLeader()
 }
 
-/** Commits a claim of a key of its own. */
-async function commit(key: string): Promise<void> {
-  const node = cluster.node(await awaitLeader())
+/** Commits a claim of a key of its own, without the instance that was stopped. */
+async function commit(key: string, stopped?: string): Promise<void> {
+  const node = cluster.node(await awaitLeader(stopped))
   const command = claimKeys(`claim ${key}`, [keyClaim(key, `job ${key}`)])
   const answer = await Effect.runPromise(node.propose(command))
   assert.equal(answer.result, CommandResult.APPLIED, answer.detail)
@@ -69,3 +69,32 @@
     await commit('after')
   })
 })
+
+describe('a start while the disk is full', () => {
+  // The start failed, so that the process ended again and again until the disk had room.
+  it('runs without a voter until the disk has room', async () => {
+    await startVoters()
+    await commit('before')
+    await cluster.stop('c')
+    await commit('while it is stopped', 'c')
+    diskOf('c').capacityBytes = 0
+    const restarted = await cluster.start('c')
+    await commit('while its disk is full', 'c')
+    assert.equal(restarted.diskId(), undefined)
+    assert.equal(restarted.counters().disk_open, 0)
+    diskOf('c').capacityBytes = Infinity
+    await waitUntil(() => restarted.diskId() === 'c-test', 'its voter is open')
+    const stopped = await awaitLeader('c')
+    await cluster.stop(stopped)
+    await commit('with its vote', stopped)
+  })
+
+  it('of a first voter initializes it once the disk has room', async () => {
+    cluster = new NodeCluster(['a'])
+    const disk = new MemoryDisk({ capacityBytes: 0 })
+    const node = await cluster.start('a', { disk })
+    disk.capacityBytes = Infinity
+    await waitUntil(() => node.isLeader(), 'it leads')
+    assert.equal(node.diskId(), 'a-test')
+  })
+})
--- a/packages/control/src/lib/node/startControlNode.ts
+++ b/packages/control/src/lib/node/startControlNode.ts
@@ -1,15 +1,16 @@
-import { hash64 } from '@cherryhitch/model'
+import { Err, hash64, Ok } from '@cherryhitch/model'
 import type { SettingsState } from '@cherryhitch/protocol'
 import { startMailbox, startTimer, systemClock } from '@cherryhitch/runtime'
 import type { Mailbox } from '@cherryhitch/runtime'
 import type { Disk } from '@cherryhitch/storage'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
+import type { Result } from 'ts-results'
 import type { ControlError } from '../errors/ControlError'
 import { initVoters, openVoter } from '../store/initVoters'
 import type { OpenVoter } from '../store/initVoters'
 import { VoterStore } from '../store/VoterStore'
-import { RecoverableVoter } from '../voter/RecoverableVoter'
+import { DiskEventKind, RecoverableVoter } from '../voter/RecoverableVoter'
 import type { VoterMachineOptions } from '../voter/VoterOptions'
 import { ClientEventKind } from './ClientEvent'
 import { ClientMachine } from './ClientMachine'
@@ -28,13 +29,16 @@
 interface NodeVoter {
   readonly voter: RecoverableVoter
   readonly disk: DiskWorker
+  /** Why the disk could not be opened yet; undefined if it is open. */
+  readonly openFailure: string | undefined
 }
 
 /**
  * Starts an instance's node of the replicated log: a voter or learner if it has a disk, otherwise
  * only a client. The node stops when the scope is closed.
  *
- * Fails if the disk fails or its contents are damaged.
+ * While the disk cannot be opened for a reason that may pass, such as a full disk, the node runs
+ * without its voter. Fails if the contents of the disk are damaged or not accessible.
  *
  * @public
  */
@@ -62,6 +66,10 @@
       if (settings === undefined) continue
       tell({ to: NodePart.Client, event: { kind: ClientEventKind.LocalSettings, settings } })
     }
+    if (hosted?.openFailure !== undefined) {
+      const event = { kind: DiskEventKind.OpenFailed as const, reason: hosted.openFailure }
+      tell({ to: NodePart.Voter, event })
+    }
     return new ControlNode(host)
   })
 }
@@ -74,16 +82,29 @@
   return Effect.gen(function* () {
     if (options.disk === undefined) return undefined
     const opener = makeOpener(options, options.disk)
-    const { store, stored } = yield* opener
-    const voter = new RecoverableVoter(voterOptions(options), stored)
+    const result = yield* openIfPossible(opener)
+    const opened = result.ok ? result.val : undefined
+    const voter = new RecoverableVoter(voterOptions(options), opened?.stored)
     const disk = yield* startDiskWorker({
-      store,
+      store: opened?.store,
       openVoter: opener,
       tell: (event) => {
         tell({ to: NodePart.Voter, event })
       },
     })
-    return { voter, disk }
+    return { voter, disk, openFailure: result.ok ? undefined : result.val }
+  })
+}
+
+/** The opened voter, or why it cannot be opened for the time being; other errors fail the start. */
+function openIfPossible(
+  opener: Effect.Effect<OpenVoter, ControlError>,
+): Effect.Effect<Result<OpenVoter, string>, ControlError> {
+  return Effect.matchEffect(opener, {
+    onSuccess: (val) => Effect.succeed(Ok(val)),
+    onFailure: (err) => {
+      return err.isTransient ? Effect.succeed(Err(err.detail)) : Effect.fail(err)
+    },
   })
 }
 
--- a/packages/storage/src/lib/errors/StorageError.ts
+++ b/packages/storage/src/lib/errors/StorageError.ts
@@ -38,6 +38,14 @@
   [StorageErrorKind.Misused]: 'Report this message as a fault of the program.',
 }
 
+/** Failures after which the same operation may succeed, without anyone changing the folder. */
+const transientKinds: ReadonlySet<StorageErrorKind> = new Set([
+  StorageErrorKind.DiskFull,
+  StorageErrorKind.SyncFailed,
+  StorageErrorKind.ReadFailed,
+  StorageErrorKind.WriteFailed,
+])
+
 /** The only error type of this package: kind, file, failure and advice to the operator. @public */
 export class StorageError extends Data.TaggedError('StorageError')<{
   readonly kind: StorageErrorKind
@@ -53,6 +61,11 @@
     return adviceByKind[this.kind]
   }
 
+  /** True if the failure may pass by itself, as that of a full disk does once it has room. */
+  get isTransient(): boolean {
+    return transientKinds.has(this.kind)
+  }
+
   override get message(): string {
     return `${this.file}: ${this.detail}. ${this.advice}`
   }
