Store the endpoint directory later when its write has failed

What would be seen: after one second with a full disk an instance never stored endpoints and losses again. After a loss of power everywhere, endpoints learnt later are unknown until their next heartbeat, and the tasks that took endpoints down start anew: the limit on starts of a fatal task rests on these losses.

Cause: as with the settings, one DurableFile was kept, which rejects every write after one that failed. Besides, losses counted as stored before their write had ended, so that a failed write wasn't made again until the next change.

Change: a new object for each operation; endpoints and losses count as stored once the write has succeeded; attempts are 500 ms apart. A read that fails for a reason that may pass is repeated, and nothing is written before it. The start waits for it for 1 s at most.

Evidence: 'stores losses later if their write failed' and 'does not replace the stored losses before it could read them' failed before, and hold now.

--- a/apps/cherryhitch/src/lib/dispatching/DirectoryStore.test.ts
+++ b/apps/cherryhitch/src/lib/dispatching/DirectoryStore.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { create } from '@bufbuild/protobuf'
 import { LostEndpointSchema, PossibleLossSchema } from '@cherryhitch/protocol'
-import { MemoryDisk } from '@cherryhitch/storage'
+import { DiskOperation, MemoryDisk } from '@cherryhitch/storage'
 import type { PartLog } from '@cherryhitch/telemetry'
 import { Effect } from 'effect'
 import { DirectoryStore } from './DirectoryStore'
@@ -42,6 +42,40 @@
     assert.deepEqual(possible, LOSSES.possible)
   })
 
+  // One failed write ended all later ones, and losses counted as stored before their write had ended,
+  // so that a loss of power forgot which tasks had taken their endpoints down.
+  it('stores losses later if their write failed, also without a further change', async () => {
+    const disk = new MemoryDisk({ capacityBytes: 0 })
+    const store = open(disk, 1)
+    store.onLossUpdate(0)
+    await settle()
+    assert.deepEqual((await Effect.runPromise(open(disk, 0).read())).lost, [])
+    disk.capacityBytes = Infinity
+    const before = disk.changes
+    store.tick(100)
+    await settle()
+    assert.equal(disk.changes, before, 'attempts are spaced out')
+    store.tick(500)
+    await settle()
+    disk.crash()
+    assert.deepEqual((await Effect.runPromise(open(disk, 0).read())).lost, LOSSES.lost)
+  })
+
+  it('does not replace the stored losses before it could read them', async () => {
+    const disk = new MemoryDisk()
+    open(disk, 1).onLossUpdate(0)
+    await settle()
+    disk.fail({ operation: DiskOperation.Read })
+    const restarted = open(disk, 2)
+    const read = Effect.runPromise(restarted.read())
+    await settle()
+    const before = disk.changes
+    restarted.tick(0)
+    await settle()
+    assert.equal(disk.changes, before)
+    assert.deepEqual((await read).lost, LOSSES.lost)
+  })
+
   it('returns an empty directory when nothing was stored', async () => {
     const { notices, lost, possible } = await Effect.runPromise(open(new MemoryDisk(), 0).read())
     assert.deepEqual([notices, lost, possible], [[], [], []])
--- a/apps/cherryhitch/src/lib/dispatching/DirectoryStore.ts
+++ b/apps/cherryhitch/src/lib/dispatching/DirectoryStore.ts
@@ -2,9 +2,9 @@
 import { EndpointNoticesSchema } from '@cherryhitch/protocol'
 import type { EndpointNotice } from '@cherryhitch/protocol'
 import { DurableFile, packNewest, unpackNewest } from '@cherryhitch/storage'
-import type { Disk, Migration } from '@cherryhitch/storage'
+import type { Disk, Migration, StorageError } from '@cherryhitch/storage'
 import type { PartLog } from '@cherryhitch/telemetry'
-import { Effect } from 'effect'
+import { Effect, Schedule } from 'effect'
 import type { EndpointDirectory } from './endpointDirectoryOf'
 
 const FILE = 'endpoints'
@@ -13,6 +13,8 @@
 const COMPARE_INTERVAL_MS = 1_000
 /** Minimum time between two writes that record losses: five disk syncs of 10 ms. */
 const MIN_LOSS_WRITE_INTERVAL_MS = 50
+/** Time between two attempts to write or read on a disk that fails. */
+const RETRY_INTERVAL_MS = 500
 const EMPTY_DIRECTORY: EndpointDirectory = { notices: [], lost: [], possible: [] }
 
 /** @internal */
@@ -35,25 +37,39 @@
  * @internal
  */
 export class DirectoryStore {
-  private readonly file: DurableFile
   private storedEndpointIds = ''
   private storedLossChanges = 0
   private comparedAt = -Infinity
   private storedAt = -Infinity
   private isWriting = false
+  private isReading = false
+  private hasFailed = false
+  private retryAt = -Infinity
 
-  constructor(private readonly options: DirectoryStoreOptions) {
-    this.file = new DurableFile(options.disk, FILE)
-  }
+  constructor(private readonly options: DirectoryStoreOptions) {}
 
-  /** The directory stored before the restart; empty if the file is missing or unusable. */
+  /**
+   * The directory stored before the restart; empty if the file is missing or damaged. While the disk
+   * fails, the read is repeated, and nothing replaces the file before it has succeeded.
+   */
   read(): Effect.Effect<EndpointDirectory> {
-    return Effect.match(this.file.read(), {
-      onSuccess: (bytes) => (bytes === undefined ? EMPTY_DIRECTORY : this.decode(bytes)),
-      onFailure: (err) => {
-        this.options.log.warn('cannot read the stored endpoint directory', { err })
-        return EMPTY_DIRECTORY
-      },
+    return Effect.gen({ self: this }, function* () {
+      this.isReading = true
+      const attempt = Effect.suspend(() => this.openFile().read())
+      const repeated = Effect.retry(
+        Effect.tapError(attempt, (err) =>
+          Effect.sync(() => {
+            this.reportFailure('cannot read the stored endpoint directory', err)
+          }),
+        ),
+        { while: (err) => err.isTransient, schedule: Schedule.spaced(RETRY_INTERVAL_MS) },
+      )
+      const directory = yield* Effect.match(repeated, {
+        onSuccess: (bytes) => (bytes === undefined ? EMPTY_DIRECTORY : this.decode(bytes)),
+        onFailure: () => EMPTY_DIRECTORY,
+      })
+      this.isReading = false
+      return directory
     })
   }
 
@@ -64,7 +80,7 @@
 
   /** Stores the directory if endpoints were added, removed or lost since the last write. */
   tick(now: number): void {
-    if (this.isWriting) return
+    if (this.isWriting || this.isReading || now < this.retryAt) return
     const lossChanges = this.options.lossChanges()
     const hasNewLosses = lossChanges !== this.storedLossChanges
     if (!hasNewLosses && now - this.comparedAt < COMPARE_INTERVAL_MS) return
@@ -72,18 +88,23 @@
     const directory = this.options.currentDirectory()
     const endpointIds = joinEndpointIds(directory.notices)
     if (!hasNewLosses && (endpointIds === this.storedEndpointIds || endpointIds === '')) return
-    this.storedEndpointIds = endpointIds
-    this.storedLossChanges = lossChanges
     this.storedAt = now
-    this.store(directory)
+    this.store(now, directory, () => {
+      this.storedEndpointIds = endpointIds
+      this.storedLossChanges = lossChanges
+    })
   }
 
-  private store(directory: EndpointDirectory): void {
+  private store(now: number, directory: EndpointDirectory, onStored: () => void): void {
     this.isWriting = true
-    const written = Effect.match(this.file.write(encode(directory)), {
-      onSuccess: () => undefined,
+    const written = Effect.match(this.openFile().write(encode(directory)), {
+      onSuccess: () => {
+        this.hasFailed = false
+        onStored()
+      },
       onFailure: (err) => {
-        this.options.log.warn('failed to store the endpoint directory', { err })
+        this.retryAt = now + RETRY_INTERVAL_MS
+        this.reportFailure('failed to store the endpoint directory', err)
       },
     })
     Effect.runFork(
@@ -93,6 +114,17 @@
     )
   }
 
+  /** A new object for each operation, since a file rejects all after one that failed. */
+  private openFile(): DurableFile {
+    return new DurableFile(this.options.disk, FILE)
+  }
+
+  /** Logs the first of the failures in a row, as each operation is repeated. */
+  private reportFailure(message: string, err: StorageError): void {
+    if (!this.hasFailed) this.options.log.warn(message, { err })
+    this.hasFailed = true
+  }
+
   private decode(bytes: Uint8Array): EndpointDirectory {
     const content = unpackNewest(bytes, migrations, FILE)
     if (content.ok) return fromBinary(EndpointNoticesSchema, content.val)
--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -8,7 +8,7 @@
 import type { DispatchSettings } from '@cherryhitch/settings'
 import { RealDisk } from '@cherryhitch/storage'
 import type { Disk } from '@cherryhitch/storage'
-import { Effect } from 'effect'
+import { Effect, Fiber } from 'effect'
 import type { Scope } from 'effect'
 import { DispatchParts } from './DispatchParts'
 import { DirectoryStore } from './DirectoryStore'
@@ -42,6 +42,8 @@
 const HEARTBEAT_MARGIN_MS = 500
 /** How often the stored endpoint directory is checked for changes; a disk sync takes 10 ms. */
 const DIRECTORY_CHECK_INTERVAL_MS = 200
+/** The start does not wait longer for a directory that is only a hint, on a disk that fails. */
+const DIRECTORY_READ_TIMEOUT_MS = 1_000
 /**
  * How often an instance that may lead next reads the open jobs of the leader. The longer the interval,
  * the more new jobs have to wait after an election, since they can't be told from repeated ones.
@@ -163,10 +165,13 @@
     lossChanges: () => machine.lossRevision,
   })
   parts.directoryStore.bind(store)
-  return Effect.gen(function* () {
-    const { notices, ...losses } = yield* store.read()
+  const load = Effect.map(store.read(), ({ notices, ...losses }) => {
     tell({ kind: DispatchEventKind.EndpointLosses, losses })
     for (const notice of notices) tell({ kind: DispatchEventKind.Notice, notice })
+  })
+  return Effect.gen(function* () {
+    const loading = yield* Effect.forkScoped(load)
+    yield* Effect.timeoutOption(Fiber.await(loading), DIRECTORY_READ_TIMEOUT_MS)
     yield* startTimer(DIRECTORY_CHECK_INTERVAL_MS, () => {
       store.tick(now())
     })
