Go on with a log or trace file after a failed write

What would be seen: after one failed write, as on a disk that is full for a second, a process with a log file wrote no line until its restart: the lines that tell why a voter stopped would be missing.

Cause: the stream ends with its first error, and LineWriter dropped everything from then on.

Lines in between are dropped and counted, as before. Standard output, which can't be opened anew, stays as it was. On the users' platform processes log to standard output.

Evidence: the new test failed before (the constructor took no second stream), and holds now.

--- a/packages/telemetry/src/lib/files/LineWriter.test.ts
+++ b/packages/telemetry/src/lib/files/LineWriter.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { Writable } from 'node:stream'
 import { afterEach, beforeEach, describe, it, mock } from 'node:test'
-import { LineWriter } from './LineWriter'
+import { LineWriter, MAX_BUFFERED_BYTES } from './LineWriter'
 
 /** Records each write as a separate chunk. */
 class RecordingStream extends Writable {
@@ -42,6 +42,20 @@
     assert.deepEqual(stream.chunks, ['last\n'])
   })
 
+  // One failed write, as on a disk that is full for a second, ended the log until a restart.
+  it('writes to a new stream some time after the first one has failed', async () => {
+    const broken = new RecordingStream()
+    const next = new RecordingStream()
+    const writer = new LineWriter(broken, MAX_BUFFERED_BYTES, () => next)
+    broken.emit('error', new Error('no space left'))
+    assert.equal(writer.write('lost\n'), false)
+    mock.timers.tick(1_000)
+    assert.equal(writer.write('kept\n'), true)
+    await writer.close()
+    assert.deepEqual(next.chunks, ['kept\n'])
+    assert.equal(writer.dropped, 1)
+  })
+
   it('flushes a large batch immediately, in order of arrival', async () => {
     const stream = new RecordingStream()
     const writer = new LineWriter(stream)
--- a/packages/telemetry/src/lib/files/LineWriter.ts
+++ b/packages/telemetry/src/lib/files/LineWriter.ts
@@ -11,6 +11,9 @@
 /** A batch of more characters than this is written immediately. */
 const MAX_BATCH_LENGTH = 64 * 1024
 
+/** Time after which a stream that has failed, as on a full disk, is replaced by a new one. */
+const REOPEN_DELAY_MS = 1_000
+
 /** Flushed on process exit, since the last lines tell why the process ended. */
 const openWriters = new Set<LineWriter>()
 process.once('exit', () => {
@@ -18,7 +21,8 @@
 })
 
 /**
- * Writes lines to a stream without blocking; lines that exceed the buffer are dropped.
+ * Writes lines to a stream without blocking. Lines that exceed the buffer are dropped, and so are
+ * those that arrive while the stream has failed.
  *
  * @internal
  */
@@ -27,14 +31,17 @@
   #isBroken = false
   #batch = ''
   #timer: NodeJS.Timeout | undefined
+  #reopenTimer: NodeJS.Timeout | undefined
+  #stream: Writable
 
+  /** @param reopen - opens a stream in place of one that has failed; without it, a failure is final */
   constructor(
-    private readonly stream: Writable,
+    stream: Writable,
     private readonly maxBufferedBytes = MAX_BUFFERED_BYTES,
+    private readonly reopen?: () => Writable,
   ) {
-    stream.on('error', () => {
-      this.#isBroken = true
-    })
+    this.#stream = stream
+    this.#attach(stream)
     openWriters.add(this)
   }
 
@@ -45,7 +52,7 @@
 
   /** Queues a line, which includes its line ending. Returns false if the line was dropped. */
   write(line: string): boolean {
-    if (this.#isBroken || this.stream.writableLength > this.maxBufferedBytes) {
+    if (this.#isBroken || this.#stream.writableLength > this.maxBufferedBytes) {
       this.#dropped += 1
       return false
     }
@@ -61,7 +68,7 @@
     this.#timer = undefined
     const lines = this.#batch
     this.#batch = ''
-    if (lines !== '' && !this.#isBroken) this.stream.write(lines)
+    if (lines !== '' && !this.#isBroken) this.#stream.write(lines)
   }
 
   /** Flushes and stops flushing on process exit; leaves the stream open. */
@@ -73,15 +80,34 @@
   /** Flushes all lines and closes the stream. */
   close(): Promise<void> {
     this.release()
+    clearTimeout(this.#reopenTimer)
     return new Promise((resolve) => {
       if (this.#isBroken) {
         resolve()
         return
       }
-      this.stream.once('error', () => {
+      this.#stream.once('error', () => {
         resolve()
       })
-      this.stream.end(resolve)
+      this.#stream.end(resolve)
     })
   }
+
+  #attach(stream: Writable): void {
+    this.#stream = stream
+    this.#isBroken = false
+    stream.on('error', () => {
+      this.#isBroken = true
+      this.#reopenLater()
+    })
+  }
+
+  #reopenLater(): void {
+    const { reopen } = this
+    if (reopen === undefined) return
+    this.#reopenTimer ??= setTimeout(() => {
+      this.#reopenTimer = undefined
+      this.#attach(reopen())
+    }, REOPEN_DELAY_MS)
+  }
 }
