Hand the leadership over when the leader's disk fails

Hypothesis: after a failed write the leader steps down and the others wait for the election timeout, 0.3 to 0.6 s in which callers wait too, though the old leader knows at once.

Change: before it steps down, it asks the voter with the longest log to start an election, as a leader does that stops.

Evidence: 'hands its leadership over at once' fails without it (a next leader after more than the shortest election timeout).

--- a/packages/control/src/lib/voter/VoterMachine.test.ts
+++ b/packages/control/src/lib/voter/VoterMachine.test.ts
@@ -5,6 +5,7 @@
 import type { SimulatedCluster } from '../soak/SimulatedCluster'
 import { changeVoters, claimKeys, keyClaim, setPreset } from '../testing/commands'
 import { VoterRole } from './ControlAction'
+import { defaultVoterTiming } from './VoterOptions'
 import {
   addLearner,
   awaitLeader,
@@ -284,6 +285,18 @@
 }
 
 describe('a voter whose disk fails', () => {
+  // Without a hand-over callers waited for the election timeout too.
+  it('hands its leadership over at once', () => {
+    const cluster = simulate()
+    const failing = awaitLeader(cluster)
+    cluster.disk(failing).capacityBytes = 0
+    cluster.propose(failing, setPreset('c1', 'peak', 1))
+    cluster.runUntil(() => cluster.voter(failing)?.isHealthy === false, 1_000)
+    const failedAt = cluster.now
+    awaitLeader(cluster, failing)
+    assert.ok(cluster.now - failedAt < defaultVoterTiming.electionMinMs)
+  })
+
   for (const [when, recover] of Object.entries(recoveries)) {
     for (const operation of [DiskOperation.Sync, DiskOperation.Append]) {
       it(`acknowledges nothing more until ${when} (${operation})`, () => {
--- a/packages/control/src/lib/voter/VoterMachine.ts
+++ b/packages/control/src/lib/voter/VoterMachine.ts
@@ -171,6 +171,8 @@
         for (const action of this.#core.persist.completeBatch(event.id)) this.#core.emit(action)
         return
       case ControlEventKind.PersistFailed:
+        // The others need not wait for the election timeout.
+        this.#leader?.transferLeadership(now)
         this.#core.persist.markFailed()
         this.#core.logLine(
           `disk write failed; no vote or entry is acknowledged until the disk is read back: ${event.reason}`,
