--- a/packages/control/src/lib/node/ControlNode.disk.test.ts
+++ b/packages/control/src/lib/node/ControlNode.disk.test.ts
@@ -89,6 +89,19 @@
     await commit('with its vote', stopped)
   })
 
+  it('of all voters at once lets the others lead, and keeps what was acknowledged', async () => {
+    await startVoters()
+    const full = await awaitLeader()
+    diskOf(full).capacityBytes = 0
+    await cluster.stopAll()
+    for (const name of voters) await cluster.start(name)
+    await commit('without it', full)
+    diskOf(full).capacityBytes = Infinity
+    await waitUntil(() => isDiskOpen(full), 'its voter is open')
+    const reply = await Effect.runPromise(cluster.node(full).read(-1, 0))
+    assert.equal(reply.ok, true)
+  })
+
   it('of a first voter initializes it once the disk has room', async () => {
     cluster = new NodeCluster(['a'])
     const disk = new MemoryDisk({ capacityBytes: 0 })
