Report an unexpected error of a disk as a failed write

Cause: an error that the program does not expect ended the fiber that writes a voter's files, so that its voter waited for the write for good: the same end as after one failed write, without a log line.

Change: such errors are reported as the failure of the write, or of the opening, that met them.

Evidence: 'costs the voter no longer than a failed write' timed out before ('until the failure is noticed'), and holds now.

--- a/packages/control/src/lib/node/ControlNode.disk.test.ts
+++ b/packages/control/src/lib/node/ControlNode.disk.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, it } from 'node:test'
 import { CommandResult } from '@cherryhitch/protocol'
 import { MemoryDisk } from '@cherryhitch/storage'
+import type { StorageError } from '@cherryhitch/storage'
 import { Effect } from 'effect'
 import { claimKeys, keyClaim } from '../testing/commands'
 import { NodeCluster, waitUntil } from '../testing/nodeCluster'
@@ -70,6 +71,30 @@
   })
 })
 
+/** A disk that fails in a way that the program does not expect. */
+class DefectiveDisk extends MemoryDisk {
+  isDefective = false
+
+  override append(name: string, bytes: Uint8Array): Effect.Effect<void, StorageError> {
+    return this.isDefective ? Effect.die(new Error('unexpected')) : super.append(name, bytes)
+  }
+}
+
+describe('an unexpected error of a disk', () => {
+  // It ended the fiber that writes, so that the voter waited for its write for good.
+  it('costs the voter no longer than a failed write', async () => {
+    cluster = new NodeCluster(['a'])
+    const disk = new DefectiveDisk()
+    const node = await cluster.start('a', { disk })
+    await waitUntil(() => node.isLeader(), 'it leads')
+    disk.isDefective = true
+    Effect.runFork(node.propose(claimKeys('c', [keyClaim('k', 'job')])))
+    await waitUntil(() => !isDiskOpen('a'), 'the failure is noticed')
+    disk.isDefective = false
+    await waitUntil(() => isDiskOpen('a') && node.isLeader(), 'it leads again')
+  })
+})
+
 describe('a start while the disk is full', () => {
   // The start failed, so that the process ended again and again until the disk had room.
   it('runs without a voter until the disk has room', async () => {
--- a/packages/control/src/lib/node/startDiskWorker.ts
+++ b/packages/control/src/lib/node/startDiskWorker.ts
@@ -1,6 +1,6 @@
-import { Effect, Queue } from 'effect'
+import { Cause, Effect, Queue } from 'effect'
 import type { Scope } from 'effect'
-import type { ControlError } from '../errors/ControlError'
+import { ControlError } from '../errors/ControlError'
 import type { OpenVoter } from '../store/initVoters'
 import type { VoterStore } from '../store/VoterStore'
 import type { PersistBatch } from '../voter/ControlAction'
@@ -37,13 +37,13 @@
 }: DiskWorkerOptions): Effect.Effect<DiskWorker, never, Scope.Scope> {
   return Effect.gen(function* () {
     let store = firstStore
-    const open = Effect.match(openVoter, {
+    const open = Effect.matchCause(openVoter, {
       onSuccess: (opened): RecoverableVoterEvent => {
         store = opened.store
         return { kind: DiskEventKind.Opened, stored: opened.stored }
       },
-      onFailure: ({ detail }): RecoverableVoterEvent => {
-        return { kind: DiskEventKind.OpenFailed, reason: detail }
+      onFailure: (cause): RecoverableVoterEvent => {
+        return { kind: DiskEventKind.OpenFailed, reason: reasonOf(cause) }
       },
     })
     const jobs = yield* Queue.unbounded<Effect.Effect<RecoverableVoterEvent>>()
@@ -71,12 +71,18 @@
   batch: PersistBatch,
 ): Effect.Effect<RecoverableVoterEvent> {
   const { id } = batch
-  if (store === undefined)
-    return Effect.die(new Error('a batch was written before the disk was opened'))
-  return Effect.match(store.persist(batch), {
+  const written =
+    store?.persist(batch) ?? Effect.die(new Error('a batch came before the disk was opened'))
+  return Effect.matchCause(written, {
     onSuccess: (): RecoverableVoterEvent => ({ kind: ControlEventKind.Persisted, id }),
-    onFailure: ({ detail }): RecoverableVoterEvent => {
-      return { kind: ControlEventKind.PersistFailed, id, reason: detail }
+    onFailure: (cause): RecoverableVoterEvent => {
+      return { kind: ControlEventKind.PersistFailed, id, reason: reasonOf(cause) }
     },
   })
 }
+
+/** Unexpected errors are reported too: they would otherwise end the fiber, and the voter, silently. */
+function reasonOf(cause: Cause.Cause<ControlError>): string {
+  const err = Cause.squash(cause)
+  return err instanceof ControlError ? err.detail : String(err)
+}
