--- a/packages/control/src/lib/soak/SimulatedCluster.ts
+++ b/packages/control/src/lib/soak/SimulatedCluster.ts
@@ -162,6 +162,7 @@
     process.up = true
     process.boot++
     process.writing = undefined
+    process.store = undefined
     const { boot } = process
     const { voters, seed, limits, voterTiming, rules, toleratedLosses } = this.#options
     const settingsLeaseMs = this.#options.clientLeaseMs ?? defaultClientTiming.settingsLeaseMs
--- a/packages/control/src/lib/soak/runControlSoak.ts
+++ b/packages/control/src/lib/soak/runControlSoak.ts
@@ -179,10 +179,10 @@
   #failDisk(instance: string): void {
     const { random, now } = this.#cluster
     const disk = this.#cluster.disk(instance)
-    const span = random.chance(0.7)
-    if (!span && !this.#cluster.isUp(instance)) return
+    const isLasting = random.chance(0.7)
+    if (!isLasting && !this.#cluster.isUp(instance)) return
     this.#diskFaults++
-    if (!span) {
+    if (!isLasting) {
       disk.fail({ operation: random.pick(diskFaults) })
       return
     }
@@ -271,8 +271,8 @@
   }
 
   /**
-   * Ends all faults. Each voter must then recover without a restart, a command must commit, and no
-   * committed entry may be missing.
+   * Ends all faults. Each voter must then recover without a restart. After a crash of all, a command
+   * must commit, and no committed entry may be missing.
    */
   #recover(): void {
     this.#cluster.link = reliableLink
@@ -287,6 +287,9 @@
     }
     const areReopened = this.#cluster.runUntil(areDisksOpen, DISK_RECOVERY_TIMEOUT_MS)
     assertInvariant(areReopened, 'a voter stays out although its disk works')
+    // Only what is on the disks may count from here on.
+    for (const instance of this.diskInstances) this.#cluster.crash(instance)
+    for (const instance of this.diskInstances) this.#cluster.start(instance)
     const commandId = 'last'
     const change = { case: 'noop' as const, value: {} }
     const last = create(CommandSchema, { commandId, change })
