Log when the endpoint directory is accessible again

A read that failed and then succeeded left the store marked as failing, so that the next failed write was not logged. The new test failed before: no line said that the directory is stored again.

--- a/apps/cherryhitch/src/lib/dispatching/DirectoryStore.test.ts
+++ b/apps/cherryhitch/src/lib/dispatching/DirectoryStore.test.ts
@@ -18,10 +18,10 @@
   possible: [create(PossibleLossSchema, { term: 3, endpoints: ['e2'], tasks: ['k.0.0.0'] })],
 }
 
-function open(disk: MemoryDisk, changes: number): DirectoryStore {
+function open(disk: MemoryDisk, changes: number, logTo = log): DirectoryStore {
   return new DirectoryStore({
     disk,
-    log,
+    log: logTo,
     currentDirectory: () => LOSSES,
     lossChanges: () => changes,
   })
@@ -76,6 +76,24 @@
     assert.deepEqual((await read).lost, LOSSES.lost)
   })
 
+  it('logs when the disk is lost and regained, and not each attempt', async () => {
+    const disk = new MemoryDisk({ capacityBytes: 0 })
+    const lines: string[] = []
+    const note = (line: string): void => {
+      lines.push(line)
+    }
+    const store = open(disk, 1, { ...log, info: note, warn: note })
+    for (const now of [0, 500, 1_000]) {
+      if (now === 1_000) disk.capacityBytes = Infinity
+      store.tick(now)
+      await settle()
+    }
+    assert.deepEqual(lines, [
+      'failed to store the endpoint directory',
+      'the endpoint directory is accessible again',
+    ])
+  })
+
   it('returns an empty directory when nothing was stored', async () => {
     const { notices, lost, possible } = await Effect.runPromise(open(new MemoryDisk(), 0).read())
     assert.deepEqual([notices, lost, possible], [[], [], []])
--- a/apps/cherryhitch/src/lib/dispatching/DirectoryStore.ts
+++ b/apps/cherryhitch/src/lib/dispatching/DirectoryStore.ts
@@ -65,7 +65,10 @@
         { while: (err) => err.isTransient, schedule: Schedule.spaced(RETRY_INTERVAL_MS) },
       )
       const directory = yield* Effect.match(repeated, {
-        onSuccess: (bytes) => (bytes === undefined ? EMPTY_DIRECTORY : this.decode(bytes)),
+        onSuccess: (bytes) => {
+          this.reportSuccess()
+          return bytes === undefined ? EMPTY_DIRECTORY : this.decode(bytes)
+        },
         onFailure: () => EMPTY_DIRECTORY,
       })
       this.isReading = false
@@ -99,7 +102,7 @@
     this.isWriting = true
     const written = Effect.match(this.openFile().write(encode(directory)), {
       onSuccess: () => {
-        this.hasFailed = false
+        this.reportSuccess()
         onStored()
       },
       onFailure: (err) => {
@@ -125,6 +128,11 @@
     this.hasFailed = true
   }
 
+  private reportSuccess(): void {
+    if (this.hasFailed) this.options.log.info('the endpoint directory is accessible again')
+    this.hasFailed = false
+  }
+
   private decode(bytes: Uint8Array): EndpointDirectory {
     const content = unpackNewest(bytes, migrations, FILE)
     if (content.ok) return fromBinary(EndpointNoticesSchema, content.val)
