Tell how many further losses the voters can bear, and each step of a new disk

safe_losses now counts voters that are in contact, have not lost entries, and hold what was committed an election timeout ago, less the majority of the present set. Each instance exposes it as the gauge cherryhitch_control_safe_losses_now, -1 while it knows no current status. The leader logs it whenever it changes, with the members that are missing and why (silent, behind, lost entries, unknown in this term, learner behind, learner that has caught up).

--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -68,6 +68,9 @@
   readonly storeSettings: (settings: SettingsState) => void
 }
 
+/** Value of a gauge that is not known at the moment. */
+const UNKNOWN = -1
+
 type Callback<T> = (value: T) => void
 
 /** Runs the state machines of a control node and performs their actions. @internal */
@@ -190,6 +193,13 @@
     return this.#voter?.status(clock.now()) ?? client.voters
   }
 
+  /** The status of the voters, unless it is older than the settings lease. */
+  #confirmedStatus(): VotersStatus | undefined {
+    const { client, clock } = this.#parts
+    const now = clock.now()
+    return this.#voter?.status(now) ?? (client.isCurrent(now) ? client.voters : undefined)
+  }
+
   isLeader(): boolean {
     return this.#voter?.role === VoterRole.Leader
   }
@@ -218,6 +228,7 @@
       claim_commands: this.#claims.commandCount,
       ends_waiting: this.#ends.pendingCount,
       ends_dropped: this.#ends.droppedCount,
+      safeLossesNow: this.#confirmedStatus()?.safeLosses ?? UNKNOWN,
       zones_drained: drainedZonesOf(this.committedSettings()?.zoneDrains ?? []).size,
     }
   }
--- a/packages/control/src/lib/node/ControlNode.ts
+++ b/packages/control/src/lib/node/ControlNode.ts
@@ -175,8 +175,11 @@
     return this.#host.diskId
   }
 
-  /** Values for metrics: counters, except for the gauges `ends_waiting`, `zones_drained` and
-   * `disk_open`. */
+  /**
+   * Values for metrics: counters, except for the gauges `ends_waiting`, `zones_drained`, `disk_open`
+   * and `safeLossesNow`, the further losses of voters that the set can bear: -1 while no current
+   * status of the leader is known.
+   */
   counters(): Record<string, number> {
     return this.#host.counters()
   }
--- a/packages/control/src/lib/voter/Leader.ts
+++ b/packages/control/src/lib/voter/Leader.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf'
-import { CommandSchema } from '@cherryhitch/protocol'
+import { CommandResult, CommandSchema, VoterChangeKind } from '@cherryhitch/protocol'
 import type {
   AppendReply,
   Command,
@@ -13,8 +13,9 @@
 import { QuorumReads } from './QuorumReads'
 import { Replication } from './Replication'
 import { SettingsRollout } from './SettingsRollout'
-import type { VoterCore } from './VoterCore'
+import type { AppliedEntry, VoterCore } from './VoterCore'
 import { VoterRepair } from './VoterRepair'
+import { VoterSafety } from './VoterSafety'
 import { makeVotersStatus } from './makeVotersStatus'
 import { answerRead } from './answerRead'
 
@@ -30,6 +31,7 @@
   readonly #reads = new QuorumReads()
   readonly #rollout: SettingsRollout
   readonly #repair: VoterRepair
+  readonly #safety: VoterSafety
   #heartbeatDueAt: number
   #repairCount = 0
 
@@ -39,6 +41,7 @@
     this.#proposals = new Proposals(core)
     this.#rollout = new SettingsRollout(core, now)
     this.#repair = new VoterRepair(core, this.#replication)
+    this.#safety = new VoterSafety(core, this.#replication, now)
     this.#heartbeatDueAt = now
     // Committing this no-op of the new term also commits the entries of earlier terms.
     const commandId = `term.${core.diskId}.${core.term}`
@@ -53,6 +56,7 @@
     if (now < this.#heartbeatDueAt) return true
     this.#heartbeatDueAt = now + heartbeatMs
     this.#replication.sendHeartbeats(now)
+    this.#safety.observe(now)
     this.#proposeRepair(now)
     return true
   }
@@ -145,7 +149,7 @@
   }
 
   status(now: number): VotersStatus {
-    return makeVotersStatus(now, this.#core, this.#replication)
+    return makeVotersStatus(now, this.#core, this.#replication, this.#safety)
   }
 
   #commit(): void {
@@ -153,10 +157,22 @@
     const term = this.#core.log.termAt(index)
     if (index <= this.#core.commitIndex || term === undefined) return
     if (!this.#core.rules.mayCommit(term, this.#core.term)) return
-    for (const applied of this.#core.commitThrough(index)) this.#proposals.onApplied(applied)
+    for (const applied of this.#core.commitThrough(index)) {
+      this.#proposals.onApplied(applied)
+      this.#logMembershipChange(applied)
+    }
     this.#core.compact()
   }
 
+  #logMembershipChange({ entry, answer }: AppliedEntry): void {
+    const { change } = entry.command ?? {}
+    if (change?.case !== 'changeVoters') return
+    const { kind, diskId, instance, operator, reason } = change.value
+    const result = CommandResult[answer.result]
+    const what = `${VoterChangeKind[kind]} of disk ${diskId} on ${instance}`
+    this.#core.logLine(`${what} is committed for ${operator}: ${reason} (${result})`)
+  }
+
   #answerReads(now: number): void {
     // Until the first commit of this term the state may lack entries that earlier leaders
     // committed.
--- a/packages/control/src/lib/voter/Replication.ts
+++ b/packages/control/src/lib/voter/Replication.ts
@@ -13,6 +13,8 @@
   /** Round of the message that carried them. */
   sentRound: number
   sentSnapshot: boolean
+  /** When the last snapshot was sent; -Infinity before the first one. */
+  snapshotSentAt: number
   /** Highest round that the member answered. */
   ackedRound: number
   /**
@@ -241,12 +243,20 @@
     const lastTerm = log.termAt(appliedIndex)
     if (state === undefined || lastTerm === undefined) return
     const snapshot = state.snapshot(appliedIndex, lastTerm)
+    this.#logSnapshot(member, progress, appliedIndex)
+    progress.snapshotSentAt = now
     const round = this.#beginRound(progress, now)
     const value = { term, leaderDiskId, diskId: member.diskId, snapshot, round }
     this.#core.send(member.instance, { case: 'installSnapshot', value })
     this.#recordSent(progress, now, true)
   }
 
+  /** Logs a snapshot, unless the member is silent and gets it again. */
+  #logSnapshot({ diskId, instance }: Voter, progress: Progress, index: number): void {
+    if (progress.heardAt < progress.snapshotSentAt) return
+    this.#core.logLine(`sending a snapshot up to entry ${index} to disk ${diskId} on ${instance}`)
+  }
+
   #beginRound({ unansweredRounds }: Progress, now: number): number {
     const round = ++this.#round
     unansweredRounds.push({ round, sentAt: now })
@@ -276,6 +286,7 @@
     sentAt: undefined,
     sentRound: 0,
     sentSnapshot: false,
+    snapshotSentAt: -Infinity,
     ackedRound: 0,
     matchedRound: 0,
     heardAt: now,
--- a/packages/control/src/lib/voter/makeVotersStatus.ts
+++ b/packages/control/src/lib/voter/makeVotersStatus.ts
@@ -3,15 +3,16 @@
 import type { VotersStatus } from '@cherryhitch/protocol'
 import type { Replication } from './Replication'
 import type { VoterCore } from './VoterCore'
+import type { VoterSafety } from './VoterSafety'
 
 /** Status of the voters as shown to operators, from the leader's view. @internal */
 export function makeVotersStatus(
   now: number,
   core: VoterCore,
   replication: Replication,
+  safety: VoterSafety,
 ): VotersStatus {
-  const { leader, term, commitIndex, members, majority } = core
-  const heard = replication.countRecentlyHeard(now, core.config.timing.electionMinMs)
+  const { leader, term, commitIndex, members } = core
   return create(VotersStatusSchema, {
     leader,
     term,
@@ -21,6 +22,6 @@
       const silentMs = replication.silentMs(now, diskId)
       return { instance, diskId, learner, matchIndex, silentMs }
     }),
-    safeLosses: Math.max(0, heard - majority),
+    safeLosses: safety.safeLosses(now),
   })
 }
