Log and count the configurations sent, refused, read and in force, with their digest

Metrics: the version in force and the highest one acknowledged by this process, counters of accepted, unanswered, refused by class and reads by outcome, and the counters of the control server, which sees bodies that are cut off before they are read as a configuration.

The decoder returns the class of the fault beside its reason; what it takes and refuses is unchanged.

--- a/apps/cherryhitch/src/lib/dispatching/ControlRequestHandler.ts
+++ b/apps/cherryhitch/src/lib/dispatching/ControlRequestHandler.ts
@@ -3,12 +3,15 @@
 import type { ControlNode } from '@cherryhitch/control'
 import { hostOf } from '@cherryhitch/dispatch'
 import { ControlService } from '@cherryhitch/platform'
+import type { InvalidRouting, RoutingChange } from '@cherryhitch/platform'
 import { CommandResult, CommandSchema } from '@cherryhitch/protocol'
-import type { EndpointNotice, RoutingTable } from '@cherryhitch/protocol'
+import type { EndpointNotice, RoutingState } from '@cherryhitch/protocol'
 import type { PartLog } from '@cherryhitch/telemetry'
 import { Effect } from 'effect'
 import type { NoticeExchange } from './NoticeExchange'
 import { compressDocument, decompressDocument } from './RoutingDocument'
+import { ReadOutcome } from './RoutingTelemetry'
+import type { ProposalResult, RoutingTelemetry } from './RoutingTelemetry'
 
 /** Minimum interval between log lines about invalid heartbeats of one endpoint. */
 const INVALID_NOTICE_LOG_INTERVAL_MS = 1_000
@@ -24,6 +27,7 @@
   readonly boot: number
   readonly control: ControlNode
   readonly notices: NoticeExchange
+  readonly routing: RoutingTelemetry
   readonly leader: () => string
   /** Port for endpoints and operators, the same on all instances. */
   readonly controlPort: number
@@ -34,15 +38,6 @@
 /** A change of the replicated log, as it is written in a command. */
 type CommandChange = NonNullable<MessageInitShape<typeof CommandSchema>['change']>
 
-/** Result of a proposed change, for the log. */
-interface ProposalResult {
-  readonly outcome: string | undefined
-  readonly detail: string
-  /** Time until the answer. */
-  readonly ms: number
-  readonly commandId: string
-}
-
 /** Handles the requests of operators and endpoints to a dispatching instance. @internal */
 export class ControlRequestHandler extends ControlService {
   private commandCount = 0
@@ -53,10 +48,12 @@
     super()
   }
 
-  override putRouting({ version }: RoutingTable, document: string): Effect.Effect<boolean> {
-    const value = { version, document: compressDocument(document), atMs: this.options.now() }
-    return this.propose('routing', { case: 'putRouting', value }, (fields) => {
-      this.options.log.info('routing update finished', { version, ...fields })
+  override putRouting(change: RoutingChange): Effect.Effect<boolean> {
+    const { now, routing } = this.options
+    const document = compressDocument(change.document)
+    const value = { version: change.table.version, document, atMs: now() }
+    return this.propose('routing', { case: 'putRouting', value }, (result) => {
+      routing.onFinished(change, result)
     })
   }
 
@@ -66,15 +63,23 @@
     // counts as outdated.
     const fromVersion = control.committedSettings()?.version ?? 0
     const value = { ...PLATFORM_ORDER, zone, drained, fromVersion, atMs: now() }
-    return this.propose('zone', { case: 'setZoneDrain', value }, (fields) => {
-      log.info('zone drain order finished', { zone, drained, fromVersion, ...fields })
+    return this.propose('zone', { case: 'setZoneDrain', value }, (result) => {
+      log.info('zone drain order finished', { zone, drained, fromVersion, ...result })
     })
   }
 
-  override readRouting(): Effect.Effect<string | undefined> {
-    return Effect.map(this.options.control.readRouting(), (state) => {
-      if (state === undefined || state.version === 0) return undefined
-      return decompressDocument(state.document)
+  override readRouting(from: string): Effect.Effect<string | undefined> {
+    const { control, now, routing } = this.options
+    const sentAt = now()
+    return Effect.map(control.readRouting(), (state) => {
+      const version = state?.version ?? 0
+      const hasDocument = state !== undefined && version !== 0
+      const document = hasDocument ? decompressDocument(state.document) : undefined
+      const answeredAt = now()
+      const ms = Math.round(answeredAt - sentAt)
+      const outcome = outcomeOf(state)
+      routing.onRead(answeredAt, { version, document, outcome, from, ms })
+      return document
     })
   }
 
@@ -87,15 +92,15 @@
     return leader === '' ? undefined : `${hostOf(leader)}:${this.options.controlPort}`
   }
 
-  override reportInvalidRouting(reason: string): void {
-    this.options.log.warn('rejected an invalid routing configuration', { reason })
+  override reportInvalidRouting(invalid: InvalidRouting): void {
+    this.options.routing.onRefused(invalid)
   }
 
   /** Proposes a change to the replicated log; true once it is applied. */
   private propose(
     kind: string,
     change: CommandChange,
-    logResult: (fields: ProposalResult) => void,
+    logResult: (result: ProposalResult) => void,
   ): Effect.Effect<boolean> {
     const { control, now } = this.options
     const commandId = this.nextCommandId(kind)
@@ -103,8 +108,9 @@
     const answered = control.propose(create(CommandSchema, { commandId, change }))
     return Effect.map(answered, ({ result, detail }) => {
       const ms = Math.round(now() - sentAt)
-      logResult({ outcome: CommandResult[result], detail, ms, commandId })
-      return result === CommandResult.APPLIED
+      const applied = result === CommandResult.APPLIED
+      logResult({ applied, outcome: CommandResult[result], detail, ms, commandId })
+      return applied
     })
   }
 
@@ -122,3 +128,8 @@
     this.options.log.warn('rejected an invalid heartbeat', { endpoint, reason })
   }
 }
+
+function outcomeOf(state: RoutingState | undefined): ReadOutcome {
+  if (state === undefined) return ReadOutcome.Unconfirmed
+  return state.version === 0 ? ReadOutcome.Empty : ReadOutcome.Answered
+}
--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -20,6 +20,8 @@
 import { createProcessContext } from './createProcessContext'
 import type { ProcessContext } from './createProcessContext'
 import { ControlRequestHandler } from './ControlRequestHandler'
+import { RoutingTelemetry } from './RoutingTelemetry'
+import { httpCounters } from '../instance/httpCounters'
 import { startDiscovery } from './startDiscovery'
 import type { DiscoveryActor } from './startDiscovery'
 import { startDispatchLinks } from './startDispatchLinks'
@@ -91,7 +93,8 @@
     const dispatcher = yield* startDispatchPart(context, parts, gateway, send)
     const disk = new RealDisk(settings.dataFolder ?? 'data')
     yield* startDirectoryStore(context, parts, dispatcher, disk)
-    const control = yield* startVoter(context, parts, dispatcher, disk, send)
+    const routing = new RoutingTelemetry(log)
+    const control = yield* startVoter(context, parts, dispatcher, disk, send, routing)
     const discovery = yield* startDiscovery(context, { hostsVoter: true, links }, (peer) => {
       control.observePeer(peer, 0)
       parts.notices.use((notices) => {
@@ -101,9 +104,10 @@
     parts.discovery.bind(discovery)
     const notices = makeNoticeExchange(context, { dispatcher, discovery, control }, send)
     parts.notices.bind(notices)
-    const server = yield* startControlApi(context, { dispatcher, control, discovery, notices })
+    const runningParts = { dispatcher, control, discovery, notices }
+    const server = yield* startControlApi(context, runningParts, routing)
     yield* startOpenJobsReader(context, parts, { dispatcher, discovery }, send)
-    yield* startStatusUpdates(context, { dispatcher, control, discovery, notices })
+    yield* startStatusUpdates(context, runningParts)
     yield* startWarmUp(context, dispatcher)
     yield* startUsageReport(context, () => {
       const { leads, endpoints, openJobs, counters } = dispatcher.machine
@@ -198,17 +202,26 @@
 function startControlApi(
   { settings, instance, boot, now, log, telemetry }: ProcessContext,
   { control, notices, discovery }: RunningDispatch,
+  routing: RoutingTelemetry,
 ) {
   const { host, port } = splitAddress(settings.control ?? '')
   const leader = (): string => discovery.machine.leader
-  const options = { instance, boot, control, notices, leader, controlPort: port, now, log }
+  const options = { instance, boot, control, notices, routing, leader, controlPort: port, now, log }
   const handler = new ControlRequestHandler(options)
-  return startControlServer({
+  const { metrics } = telemetry
+  metrics.registerCounters('routing', 'Counted by the configuration.', () => routing.counters())
+  const opened = startControlServer({
     host,
     port,
     control: handler,
     log: telemetry.lineLogger('operators'),
   })
+  return Effect.tap(opened, (server) =>
+    Effect.sync(() => {
+      // Bodies that are cut off or aren't UTF-8 are refused before the handler sees them.
+      metrics.registerCounters('operators', 'Counted by the server.', () => httpCounters(server))
+    }),
+  )
 }
 
 /** Periodically passes the control log's view of voters and leadership to the other parts. */
--- a/apps/cherryhitch/src/lib/dispatching/startVoter.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startVoter.ts
@@ -8,6 +8,7 @@
 import type { DispatchParts } from './DispatchParts'
 import type { ProcessContext } from './createProcessContext'
 import { routingTableOf } from './RoutingDocument'
+import type { RoutingTelemetry } from './RoutingTelemetry'
 import { seedInstances } from './startDiscovery'
 import type { DispatchPart } from './startDispatchPart'
 
@@ -47,6 +48,7 @@
   dispatcher: DispatchPart,
   disk: Disk,
   send: (to: string, message: Envelope) => void,
+  routingTelemetry: RoutingTelemetry,
 ): Effect.Effect<ControlNode, ControlError, Scope.Scope> {
   const { settings, instance, boot, telemetry, log, onDefect } = context
   const seeds = seedInstances(settings)
@@ -75,7 +77,7 @@
     tickMs: TICK_MS,
     voterLimits: { snapshotEvery: SNAPSHOT_EVERY },
     onRouting: (routing) => {
-      applyRouting(routing, dispatcher, log)
+      applyRouting(routing, dispatcher, routingTelemetry)
     },
     onCommittedSettings: (state) => {
       applyDrainedZones(state, dispatcher, log)
@@ -114,13 +116,10 @@
 function applyRouting(
   routing: RoutingState,
   dispatcher: DispatchPart,
-  log: ProcessContext['log'],
+  telemetry: RoutingTelemetry,
 ): void {
   const table = routingTableOf(routing)
   if (table === undefined) return
-  log.info('routing configuration in force', {
-    version: table.version,
-    routes: table.routes.length,
-  })
+  telemetry.onInForce(table, routing)
   dispatcher.tell({ kind: DispatchEventKind.Routing, table })
 }
--- a/packages/http-api/src/lib/exchange/ApiRequest.ts
+++ b/packages/http-api/src/lib/exchange/ApiRequest.ts
@@ -8,6 +8,8 @@
   readonly headers: IncomingHttpHeaders
   /** Name of the caller or operator; empty on routes without authentication. */
   readonly sender: string
+  /** IP address and port of the client's connection; empty once that is closed. */
+  readonly remote: string
   /** Text of the body; empty when the route takes none. */
   readonly body: string
   /** When the request head was received, in milliseconds since the epoch. */
--- a/packages/http-api/src/lib/exchange/Exchange.ts
+++ b/packages/http-api/src/lib/exchange/Exchange.ts
@@ -129,7 +129,8 @@
     const now = this.host.clock.now()
     const { headers } = this.req
     const { receivedAt } = this
-    const request = { params, query, headers, sender, body, receivedAt, now }
+    const remote = remoteOf(this.req)
+    const request = { params, query, headers, sender, remote, body, receivedAt, now }
     // Suspended so that an exception thrown by the handler becomes a defect of the fiber.
     this.fiber = Effect.runFork(Effect.suspend(() => route.handle(request)))
     this.fiber.addObserver((exit) => {
@@ -173,6 +174,11 @@
   }
 }
 
+function remoteOf({ socket }: IncomingMessage): string {
+  const { remoteAddress, remotePort } = socket
+  return remoteAddress === undefined ? '' : `${remoteAddress}:${remotePort ?? 0}`
+}
+
 function splitTarget(target: string): readonly string[] {
   const queryStart = target.indexOf('?')
   return queryStart < 0 ? [target] : [target.slice(0, queryStart), target.slice(queryStart + 1)]
