Read a stored configuration without the checks that a new one has to pass

What operators would have seen: after an update to a build that demands more of a configuration, every dispatching instance that reads the stored one ends with an exception, again after each restart; nothing is served and no configuration can be sent that would mend it.

Cause: the table of the stored document was read by the decoder of new configurations, and its error was thrown (unwrap), in the code that applies entries and begins a term.

The checks belong to the acceptance of a change. A stored document is now read leniently: what can't be read is left out and logged, and if nothing can be read there is no table, which callers see as 503. The decoder of new configurations is unchanged.

--- a/apps/cherryhitch/src/lib/dispatching/RoutingDocument.ts
+++ b/apps/cherryhitch/src/lib/dispatching/RoutingDocument.ts
@@ -1,7 +1,11 @@
 import { createHash } from 'node:crypto'
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
-import { decodeRouting } from '@cherryhitch/platform'
+import { Err } from '@cherryhitch/model'
+import { readStoredRouting } from '@cherryhitch/platform'
+import type { StoredRouting } from '@cherryhitch/platform'
 import type { RoutingState, RoutingTable } from '@cherryhitch/protocol'
+import type { PartLog } from '@cherryhitch/telemetry'
+import type { Result } from 'ts-results'
 
 /**
  * Compresses the operator's document for the control log. A configuration with 350 routes shrinks
@@ -35,9 +39,35 @@
   return { bytes: Buffer.byteLength(document), digest }
 }
 
-/** The routing table of a committed state; undefined while there is none. @internal */
-export function routingTableOf(state: RoutingState | undefined): RoutingTable | undefined {
+/**
+ * The routing table of a committed state; undefined while there is none, or if nothing of it can be
+ * read. An earlier build may have stored what this one would refuse, and an exception would end
+ * every instance, so what can't be read is left out and logged.
+ *
+ * @internal
+ */
+export function routingTableOf(
+  state: RoutingState | undefined,
+  log: PartLog,
+): RoutingTable | undefined {
   if (state === undefined || state.version === 0) return undefined
-  // Can't fail: the document was validated before it was stored.
-  return decodeRouting(decompressDocument(state.document)).unwrap()
+  const { version } = state
+  const read = readDocument(state)
+  if (read.err) {
+    log.error('the stored routing configuration cannot be read', { version, reason: read.val })
+    return undefined
+  }
+  const { table, unreadable } = read.val
+  if (unreadable.length > 0) {
+    log.error('routes of the stored configuration cannot be read', { version, unreadable })
+  }
+  return table
+}
+
+function readDocument({ version, document }: RoutingState): Result<StoredRouting, string> {
+  try {
+    return readStoredRouting(decompressDocument(document), version)
+  } catch (err) {
+    return Err(String(err))
+  }
 }
--- a/apps/cherryhitch/src/lib/dispatching/startVoter.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startVoter.ts
@@ -77,7 +77,7 @@
     tickMs: TICK_MS,
     voterLimits: { snapshotEvery: SNAPSHOT_EVERY },
     onRouting: (routing) => {
-      applyRouting(routing, dispatcher, routingTelemetry)
+      applyRouting(routing, { dispatcher, telemetry: routingTelemetry, log })
     },
     onCommittedSettings: (state) => {
       applyDrainedZones(state, dispatcher, log)
@@ -90,7 +90,7 @@
       dispatcher.tell({
         kind: DispatchEventKind.BecomeLeader,
         term,
-        table: routingTableOf(committed.routing),
+        table: routingTableOf(committed.routing, log),
         drainedZones: drainedZonesOf(committed.settings?.zoneDrains ?? []),
       })
       parts.readDirectories(term)
@@ -113,12 +113,14 @@
   dispatcher.tell({ kind: DispatchEventKind.DrainedZones, zones })
 }
 
-function applyRouting(
-  routing: RoutingState,
-  dispatcher: DispatchPart,
-  telemetry: RoutingTelemetry,
-): void {
-  const table = routingTableOf(routing)
+interface RoutingUsers {
+  readonly dispatcher: DispatchPart
+  readonly telemetry: RoutingTelemetry
+  readonly log: ProcessContext['log']
+}
+
+function applyRouting(routing: RoutingState, { dispatcher, telemetry, log }: RoutingUsers): void {
+  const table = routingTableOf(routing, log)
   if (table === undefined) return
   telemetry.onInForce(table, routing)
   dispatcher.tell({ kind: DispatchEventKind.Routing, table })
