Give the commands of a process ids that no other process can have given

What operators would see: a change of the configuration, or an order to drain a zone, is acknowledged and isn't in force; every instance goes on with the older one, and the change is never sent again.

Cause: the id of a command was kind, instance, time of the start and a count. The log answers a repeated id with the answer to its first use and applies nothing. A process that starts again after its machine's clock was set back may have the same time of start as the one before, and its count begins at 1 again. The class of the fault: an identity taken from the wall clock.

How likely it is: the two starts have to meet in one millisecond of a clock that went back in between, so it is rare, but likelier on machines without a clock of their own, which start with the same time after each loss of power. Nothing shows that it was the reported case.

The id now has eight random bytes, drawn once a process, in place of the time. The format of messages and of the log is unchanged; an id is compared only as a whole.

--- a/apps/cherryhitch/src/lib/dispatching/ControlRequestHandler.ts
+++ b/apps/cherryhitch/src/lib/dispatching/ControlRequestHandler.ts
@@ -8,6 +8,7 @@
 import type { EndpointNotice, RoutingState } from '@cherryhitch/protocol'
 import type { PartLog } from '@cherryhitch/telemetry'
 import { Effect } from 'effect'
+import { CommandIds } from './CommandIds'
 import type { NoticeExchange } from './NoticeExchange'
 import { compressDocument, decompressDocument } from './RoutingDocument'
 import { ReadOutcome } from './RoutingTelemetry'
@@ -24,9 +25,8 @@
 /** @internal */
 export interface ControlRequestHandlerOptions {
   readonly instance: string
-  readonly boot: number
   readonly control: ControlNode
-  readonly notices: NoticeExchange
+  readonly notices: Pick<NoticeExchange, 'acceptNotice'>
   readonly routing: RoutingTelemetry
   readonly leader: () => string
   /** Port for endpoints and operators, the same on all instances. */
@@ -40,12 +40,13 @@
 
 /** Handles the requests of operators and endpoints to a dispatching instance. @internal */
 export class ControlRequestHandler extends ControlService {
-  private commandCount = 0
+  private readonly commandIds: CommandIds
   /** When an invalid heartbeat of each endpoint was last logged. */
   private readonly invalidLoggedAt = new Map<string, number>()
 
   constructor(private readonly options: ControlRequestHandlerOptions) {
     super()
+    this.commandIds = new CommandIds(options.instance)
   }
 
   override putRouting(change: RoutingChange): Effect.Effect<boolean> {
@@ -103,7 +104,7 @@
     logResult: (result: ProposalResult) => void,
   ): Effect.Effect<boolean> {
     const { control, now } = this.options
-    const commandId = this.nextCommandId(kind)
+    const commandId = this.commandIds.next(kind)
     const sentAt = now()
     const answered = control.propose(create(CommandSchema, { commandId, change }))
     return Effect.map(answered, ({ result, detail }) => {
@@ -114,11 +115,6 @@
     })
   }
 
-  private nextCommandId(kind: string): string {
-    const { instance, boot } = this.options
-    return `${kind}.${instance}.${boot}.${++this.commandCount}`
-  }
-
   override reportInvalidNotice(endpoint: string, reason: string): void {
     const now = this.options.now()
     const loggedAt = this.invalidLoggedAt.get(endpoint) ?? -Infinity
--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -200,13 +200,13 @@
 
 /** Starts the control interface, which serves operators and endpoints. */
 function startControlApi(
-  { settings, instance, boot, now, log, telemetry }: ProcessContext,
+  { settings, instance, now, log, telemetry }: ProcessContext,
   { control, notices, discovery }: RunningDispatch,
   routing: RoutingTelemetry,
 ) {
   const { host, port } = splitAddress(settings.control ?? '')
   const leader = (): string => discovery.machine.leader
-  const options = { instance, boot, control, notices, routing, leader, controlPort: port, now, log }
+  const options = { instance, control, notices, routing, leader, controlPort: port, now, log }
   const handler = new ControlRequestHandler(options)
   const { metrics } = telemetry
   metrics.registerCounters('routing', 'Counted by the configuration.', () => routing.counters())
