--- a/apps/cherryhitch/src/lib/dispatching/startVoter.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startVoter.ts
@@ -8,6 +8,7 @@
 import type { DispatchParts } from './DispatchParts'
 import type { ProcessContext } from './createProcessContext'
 import { routingTableOf } from './RoutingDocument'
+import type { RoutingTelemetry } from './RoutingTelemetry'
 import { seedInstances } from './startDiscovery'
 import type { DispatchPart } from './startDispatchPart'
 
@@ -47,6 +48,7 @@
   dispatcher: DispatchPart,
   disk: Disk,
   send: (to: string, message: Envelope) => void,
+  routingTelemetry: RoutingTelemetry,
 ): Effect.Effect<ControlNode, ControlError, Scope.Scope> {
   const { settings, instance, boot, telemetry, log, onDefect } = context
   const seeds = seedInstances(settings)
@@ -75,7 +77,7 @@
     tickMs: TICK_MS,
     voterLimits: { snapshotEvery: SNAPSHOT_EVERY },
     onRouting: (routing) => {
-      applyRouting(routing, dispatcher, log)
+      applyRouting(routing, { dispatcher, telemetry: routingTelemetry, log })
     },
     onCommittedSettings: (state) => {
       applyDrainedZones(state, dispatcher, log)
@@ -88,7 +90,7 @@
       dispatcher.tell({
         kind: DispatchEventKind.BecomeLeader,
         term,
-        table: routingTableOf(committed.routing),
+        table: routingTableOf(committed.routing, log),
         drainedZones: drainedZonesOf(committed.settings?.zoneDrains ?? []),
       })
       parts.readDirectories(term)
@@ -111,16 +113,15 @@
   dispatcher.tell({ kind: DispatchEventKind.DrainedZones, zones })
 }
 
-function applyRouting(
-  routing: RoutingState,
-  dispatcher: DispatchPart,
-  log: ProcessContext['log'],
-): void {
-  const table = routingTableOf(routing)
+interface RoutingUsers {
+  readonly dispatcher: DispatchPart
+  readonly telemetry: RoutingTelemetry
+  readonly log: ProcessContext['log']
+}
+
+function applyRouting(routing: RoutingState, { dispatcher, telemetry, log }: RoutingUsers): void {
+  const table = routingTableOf(routing, log)
   if (table === undefined) return
-  log.info('routing configuration in force', {
-    version: table.version,
-    routes: table.routes.length,
-  })
+  telemetry.onInForce(table, routing)
   dispatcher.tell({ kind: DispatchEventKind.Routing, table })
 }
