Log and measure the search for a leader, the links and the members on disk

An instance that answered no read left no trace of why: neither how long it looked for a leader, nor which voter hosts answered, nor since when a link was away, nor why a stream was refused.

- 'first leader found' and 'first read confirmed' with the time since the start, gauges cherryhitch_discovery_start_to_leader_ms and _start_to_read_ms (-1 until then), _current_hosts_answered
- every 2 s without a leader or a confirmed read: a line with the hosts asked, those that answered and those connected
- 'started' names the members that the disk holds, next to the seeds
- the links log how long a peer was away or connected, and count refused streams by reason: refused_full, refused_superseded, current_peers_connected

--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -23,6 +23,7 @@
 import { startDiscovery } from './startDiscovery'
 import type { DiscoveryActor } from './startDiscovery'
 import { startDispatchLinks } from './startDispatchLinks'
+import type { DispatchLinks } from './startDispatchLinks'
 import { startDispatchPart } from './startDispatchPart'
 import type { DispatchPart } from './startDispatchPart'
 import { startMetricsServer } from './startMetricsServer'
@@ -92,13 +93,7 @@
     const disk = new RealDisk(settings.dataFolder ?? 'data')
     yield* startDirectoryStore(context, parts, dispatcher, disk)
     const control = yield* startVoter(context, parts, dispatcher, disk, send)
-    const discovery = yield* startDiscovery(context, { hostsVoter: true, links }, (peer) => {
-      control.observePeer(peer, 0)
-      parts.notices.use((notices) => {
-        notices.sendDirectoryTo(peer)
-      })
-    })
-    parts.discovery.bind(discovery)
+    const discovery = yield* startVoterDiscovery(context, parts, control, links)
     const notices = makeNoticeExchange(context, { dispatcher, discovery, control }, send)
     parts.notices.bind(notices)
     const server = yield* startControlApi(context, { dispatcher, control, discovery, notices })
@@ -110,7 +105,9 @@
       return { leads: Number(leads), endpoints, openJobs, ...counters, ...links.counters() }
     })
     const { host, zone, seeds } = settings
-    log.info('started', { host, zone, seeds, disk: control.diskId(), term: control.term() })
+    const members = control.memberInstances()
+    const known = { disk: control.diskId(), term: control.term(), members }
+    log.info('started', { host, zone, seeds, ...known })
     const why = yield* context.awaitStop
     const { leads, openJobs } = dispatcher.machine
     log.info('stopping', { why, leads, openJobs })
@@ -126,6 +123,27 @@
   return Effect.scoped(running)
 }
 
+function startVoterDiscovery(
+  context: ProcessContext,
+  parts: DispatchParts,
+  control: ControlNode,
+  links: DispatchLinks,
+): Effect.Effect<DiscoveryActor, never, Scope.Scope> {
+  const isReadConfirmed = (): boolean => control.settings()?.current === true
+  const onVoterHost = (peer: string): void => {
+    control.observePeer(peer, 0)
+    parts.notices.use((notices) => {
+      notices.sendDirectoryTo(peer)
+    })
+  }
+  const started = startDiscovery(context, { hostsVoter: true, links, isReadConfirmed }, onVoterHost)
+  return Effect.tap(started, (discovery) =>
+    Effect.sync(() => {
+      parts.discovery.bind(discovery)
+    }),
+  )
+}
+
 function makeNoticeExchange(
   { instance, boot, now, startedAt, settings }: ProcessContext,
   { dispatcher, discovery, control }: Omit<RunningDispatch, 'notices'>,
--- a/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
@@ -1,16 +1,20 @@
 import { DiscoveryActionKind, DiscoveryMachine, instanceAt } from '@cherryhitch/dispatch'
 import type { DiscoveryAction, DiscoveryEvent } from '@cherryhitch/dispatch'
 import { exhaustive, splitAddress } from '@cherryhitch/model'
-import { startActor } from '@cherryhitch/runtime'
+import { startActor, startVariableTimer } from '@cherryhitch/runtime'
 import type { Actor } from '@cherryhitch/runtime'
 import type { DispatchSettings } from '@cherryhitch/settings'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
 import type { ProcessContext } from './createProcessContext'
+import { LeaderSearchLog } from './LeaderSearchLog'
 import type { DispatchLinks } from './startDispatchLinks'
 
 /** Minimum interval between checks for due timers, which are at least 100 ms apart. */
 const TICK_MS = 20
+/** Resolution of the logged time until the first leader, and the interval of checks after that. */
+const FIRST_SEARCH_INTERVAL_MS = 100
+const SEARCH_INTERVAL_MS = 1_000
 
 /** @internal */
 export interface DiscoveryPartOptions {
@@ -18,6 +22,8 @@
   readonly links: DispatchLinks
   readonly onLeader?: (leader: string, term: number) => void
   readonly onQuorumUnreachable?: () => void
+  /** Whether a majority has confirmed a read recently; true for an instance that reads nothing. */
+  readonly isReadConfirmed?: () => boolean
 }
 
 /** The running discovery part. @internal */
@@ -32,10 +38,12 @@
 
 /** @internal */
 export function startDiscovery(
-  { settings, instance, startedAt, log, onDefect }: ProcessContext,
-  { hostsVoter, links, onLeader, onQuorumUnreachable }: DiscoveryPartOptions,
+  context: ProcessContext,
+  options: DiscoveryPartOptions,
   onVoterHost: (instance: string) => void = () => undefined,
 ): Effect.Effect<DiscoveryActor, never, Scope.Scope> {
+  const { settings, instance, startedAt, log, onDefect } = context
+  const { hostsVoter, links, onLeader, onQuorumUnreachable } = options
   const machine = new DiscoveryMachine({
     instance,
     zone: settings.zone,
@@ -66,11 +74,35 @@
         exhaustive(action)
     }
   }
-  return Effect.map(startActor(machine, { perform, onDefect, tickMs: TICK_MS }), (part) => {
+  return Effect.gen(function* () {
+    const part = yield* startActor(machine, { perform, onDefect, tickMs: TICK_MS })
+    yield* startSearchLog(context, options, machine)
     return { ...part, machine }
   })
 }
 
+/** Logs how long the search for the leader takes, and what it has found while it goes on. */
+function startSearchLog(
+  { log, startedAt, now, telemetry }: ProcessContext,
+  { links, isReadConfirmed = () => true }: DiscoveryPartOptions,
+  machine: DiscoveryMachine,
+): Effect.Effect<void, never, Scope.Scope> {
+  const search = new LeaderSearchLog(log, startedAt)
+  telemetry.metrics.registerCounters('discovery', 'Search for the leader.', () => {
+    return { ...search.counters(), currentHostsAnswered: machine.answeredHosts.length }
+  })
+  return startVariableTimer(() => {
+    search.record(now(), {
+      leader: machine.leader,
+      isReadConfirmed: isReadConfirmed(),
+      hosts: machine.voterHosts,
+      answered: machine.answeredHosts,
+      connected: links.connected,
+    })
+    return search.isFirst ? FIRST_SEARCH_INTERVAL_MS : SEARCH_INTERVAL_MS
+  })
+}
+
 function logLeader(log: ProcessContext['log'], leader: string, term: number): void {
   log.info(leader === '' ? 'leader lost' : 'leader found', { leader, term })
 }
--- a/apps/cherryhitch/src/lib/dispatching/startDispatchLinks.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchLinks.ts
@@ -4,6 +4,7 @@
 import type { LinkError, LinkHost, LinkTuning } from '@cherryhitch/rpc'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
+import { ConnectedPeers } from './ConnectedPeers'
 import type { ProcessContext } from './createProcessContext'
 
 /**
@@ -30,14 +31,21 @@
   constructor(
     private readonly host: LinkHost,
     private readonly port: number,
+    private readonly peers: ConnectedPeers,
   ) {}
 
+  /** Names of the instances with an open connection. */
+  get connected(): readonly string[] {
+    return this.peers.names
+  }
+
   send(to: string, message: Envelope): void {
     this.host.send(to, message)
   }
 
   setPeers(instances: readonly string[]): void {
     const { port } = this
+    this.peers.keepOnly(instances)
     this.host.setPeers(instances.map((instance) => ({ instance, host: hostOf(instance), port })))
   }
 
@@ -54,11 +62,12 @@
 
 /** @internal */
 export function startDispatchLinks(
-  { settings, instance, boot, telemetry }: ProcessContext,
+  { settings, instance, boot, now, telemetry }: ProcessContext,
   onEnvelope: (from: string, boot: number, message: Envelope) => void,
 ): Effect.Effect<DispatchLinks, LinkError, Scope.Scope> {
   const { host, linkPort: port } = settings
   const log = telemetry.lineLogger('links')
+  const connections = new ConnectedPeers()
   const started = startLinkHost({
     ...LINK_TUNING,
     instance,
@@ -67,10 +76,11 @@
     peers: [],
     onEnvelope,
     onLinkUp: (peer) => {
-      log(`${peer} is connected`)
+      const awayMs = connections.onConnected(now(), peer)
+      log(`${peer} is connected${awayMs === undefined ? '' : ` after ${awayMs} ms`}`)
     },
     onLinkDown: (peer) => {
-      log(`${peer} is disconnected`)
+      log(`${peer} is disconnected after ${connections.onDisconnected(now(), peer)} ms`)
     },
     onStaleBoot: (from, staleBoot) => {
       log(`message from an earlier process of ${from} (boot ${staleBoot})`)
@@ -79,8 +89,8 @@
   })
   return Effect.map(started, (links) => {
     telemetry.metrics.registerCounters('links', 'Counted by the links.', () => {
-      return { ...links.counters() }
+      return { ...links.counters(), currentPeersConnected: connections.names.length }
     })
-    return new DispatchLinks(links, port)
+    return new DispatchLinks(links, port, connections)
   })
 }
--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -64,6 +64,7 @@
   /** Present on an instance with a disk, as is `disk`. */
   readonly voter?: RecoverableVoter
   readonly disk?: DiskWorker
+  readonly membersOnDisk?: () => readonly string[]
   readonly tell: (event: NodeEvent) => void
   readonly storeSettings: (settings: SettingsState) => void
 }
@@ -190,6 +191,12 @@
     return this.#voter?.status(clock.now()) ?? client.voters
   }
 
+  /** See `ControlNode.memberInstances`. */
+  memberInstances(): readonly string[] {
+    const members = this.status()?.members.map(({ instance }) => instance)
+    return members ?? this.#parts.membersOnDisk?.() ?? []
+  }
+
   isLeader(): boolean {
     return this.#voter?.role === VoterRole.Leader
   }
--- a/packages/control/src/lib/node/ControlNode.ts
+++ b/packages/control/src/lib/node/ControlNode.ts
@@ -140,6 +140,14 @@
     return this.#host.status()
   }
 
+  /**
+   * Instances of the voters and learners in the last status of the voters; before the first one,
+   * those that the own disk names.
+   */
+  memberInstances(): readonly string[] {
+    return this.#host.memberInstances()
+  }
+
   isLeader(): boolean {
     return this.#host.isLeader()
   }
--- a/packages/control/src/lib/node/startControlNode.ts
+++ b/packages/control/src/lib/node/startControlNode.ts
@@ -24,6 +24,7 @@
 import type { DiskWorker } from './startDiskWorker'
 import { startSettingsStore } from './startSettingsStore'
 import type { SettingsStore } from './startSettingsStore'
+import { storedMembers } from './storedMembers'
 
 /** The voter of an instance with a disk, and access to its files. */
 interface NodeVoter {
@@ -31,6 +32,8 @@
   readonly disk: DiskWorker
   /** Why the disk could not be opened yet; undefined if it is open. */
   readonly openFailure: string | undefined
+  /** Instances of the members, as the disk named them when it was last opened. */
+  readonly membersOnDisk: () => readonly string[]
 }
 
 /**
@@ -81,7 +84,12 @@
 ): Effect.Effect<NodeVoter | undefined, ControlError, Scope.Scope> {
   return Effect.gen(function* () {
     if (options.disk === undefined) return undefined
-    const opener = makeOpener(options, options.disk)
+    let members: readonly string[] = []
+    const opener = Effect.tap(makeOpener(options, options.disk), ({ stored }) =>
+      Effect.sync(() => {
+        members = storedMembers(stored)
+      }),
+    )
     const result = yield* openIfPossible(opener)
     const opened = result.ok ? result.val : undefined
     const voter = new RecoverableVoter(voterOptions(options), opened?.stored)
@@ -92,7 +100,8 @@
         tell({ to: NodePart.Voter, event })
       },
     })
-    return { voter, disk, openFailure: result.ok ? undefined : result.val }
+    const openFailure = result.ok ? undefined : result.val
+    return { voter, disk, openFailure, membersOnDisk: () => members }
   })
 }
 
--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
@@ -77,6 +77,11 @@
     return this.#known.voterHosts
   }
 
+  /** Voter hosts that have answered since the leader was lost, or since the start. */
+  get answeredHosts(): readonly string[] {
+    return this.#known.answeredSince(this.#leaderLostAt)
+  }
+
   /** Other voter hosts with a working link in both directions that are not about to stop. */
   proxyCandidates(now: number): ProxyInstance[] {
     return this.#known.proxyCandidates(now, this.#timing.proxyCandidateTimeoutMs)
--- a/packages/rpc/src/lib/host/LinkCounters.ts
+++ b/packages/rpc/src/lib/host/LinkCounters.ts
@@ -26,6 +26,10 @@
   staleBoots: number
   /** Streams refused for any other reason. */
   refusedStreams: number
+  /** Of these, streams refused because the limit of tracked senders was reached. */
+  refusedFull: number
+  /** Of these, streams ended because their sender had opened a newer one. */
+  refusedSuperseded: number
   /** Incoming connections that ended with an error. */
   failedSessions: number
   /** Envelopes whose handler threw. */
@@ -53,6 +57,8 @@
     silentConnections: 0,
     staleBoots: 0,
     refusedStreams: 0,
+    refusedFull: 0,
+    refusedSuperseded: 0,
     failedSessions: 0,
     handlerErrors: 0,
     unknownMessages: 0,
--- a/packages/rpc/src/lib/server/BatchReceiver.ts
+++ b/packages/rpc/src/lib/server/BatchReceiver.ts
@@ -126,6 +126,8 @@
       this.options.handlers.onStaleBoot?.(from, fromBoot)
       throw new ConnectError(verdict, code)
     }
+    if (verdict === InboxVerdict.Full) this.options.counters.refusedFull += 1
+    if (verdict === InboxVerdict.Superseded) this.options.counters.refusedSuperseded += 1
     throw this.#createRefusal(`${from}: ${verdict}`, code)
   }
 
