--- a/apps/cherryhitch/src/lib/dispatching/LeaderSearchLog.ts
+++ b/apps/cherryhitch/src/lib/dispatching/LeaderSearchLog.ts
@@ -6,8 +6,8 @@
 /** What the search has found so far. */
 export interface LeaderSearch {
   readonly leader: string
-  /** Whether a read was confirmed by a majority recently. */
-  readonly isReadConfirmed: boolean
+  /** Whether a majority has confirmed a read recently; undefined if this instance reads nothing. */
+  readonly isReadConfirmed: boolean | undefined
   /** Voter hosts that are asked. */
   readonly hosts: readonly string[]
   /** Voter hosts that have answered. */
@@ -25,6 +25,7 @@
 export class LeaderSearchLog {
   private leaderAfterMs: number | undefined
   private readAfterMs: number | undefined
+  private isEnded = false
   private waitingSince: number
   private reportDueAt: number
 
@@ -37,9 +38,9 @@
     this.reportDueAt = startedAt + REPORT_INTERVAL_MS
   }
 
-  /** True until the first leader was found and the first read confirmed. */
+  /** True until a leader was known and a read confirmed for the first time. */
   get isFirst(): boolean {
-    return this.leaderAfterMs === undefined || this.readAfterMs === undefined
+    return !this.isEnded
   }
 
   /** Values for metrics, in milliseconds; -1 until it was reached. */
@@ -57,7 +58,7 @@
       this.leaderAfterMs = afterMs
       this.log.info('first leader found', { afterMs, leader, answered })
     }
-    if (isReadConfirmed && this.readAfterMs === undefined) {
+    if (isReadConfirmed === true && this.readAfterMs === undefined) {
       this.readAfterMs = afterMs
       this.log.info('first read confirmed', { afterMs, leader })
     }
@@ -66,7 +67,8 @@
 
   private reportWaiting(now: number, search: LeaderSearch): void {
     const { leader, isReadConfirmed, hosts, answered, connected } = search
-    if (leader !== '' && isReadConfirmed) {
+    if (leader !== '' && isReadConfirmed !== false) {
+      this.isEnded = true
       this.waitingSince = now
       this.reportDueAt = now + REPORT_INTERVAL_MS
       return
--- a/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDiscovery.ts
@@ -22,7 +22,7 @@
   readonly links: DispatchLinks
   readonly onLeader?: (leader: string, term: number) => void
   readonly onQuorumUnreachable?: () => void
-  /** Whether a majority has confirmed a read recently; true for an instance that reads nothing. */
+  /** Whether a majority has confirmed a read recently; absent for an instance that reads nothing. */
   readonly isReadConfirmed?: () => boolean
 }
 
@@ -84,7 +84,7 @@
 /** Logs how long the search for the leader takes, and what it has found while it goes on. */
 function startSearchLog(
   { log, startedAt, now, telemetry }: ProcessContext,
-  { links, isReadConfirmed = () => true }: DiscoveryPartOptions,
+  { links, isReadConfirmed }: DiscoveryPartOptions,
   machine: DiscoveryMachine,
 ): Effect.Effect<void, never, Scope.Scope> {
   const search = new LeaderSearchLog(log, startedAt)
@@ -94,7 +94,7 @@
   return startVariableTimer(() => {
     search.record(now(), {
       leader: machine.leader,
-      isReadConfirmed: isReadConfirmed(),
+      isReadConfirmed: isReadConfirmed?.(),
       hosts: machine.voterHosts,
       answered: machine.answeredHosts,
       connected: links.connected,
