Let restarted voters find each other by the members that their disks name

Operators and callers saw: after a restart of all instances whose settings name only seeds that are gone (all replaced over months), no instance answered a read of the configuration, for good: the acknowledged version was on the disks of a majority, but no voter reached another.

Cause: discovery knew the seeds and the members in the last status of a leader. A voter that does not lead has no such status until a leader answers it, so a vote request to a member that is no seed was dropped by the links as 'unknown peer'.

An entry has no disk: with no seed left it still finds nobody.

--- /dev/null
+++ b/apps/cherryhitch/src/lib/dispatching/restartWithoutSeeds.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict'
+import fs from 'node:fs'
+import os from 'node:os'
+import path from 'node:path'
+import { afterEach, describe, it } from 'node:test'
+import { DispatchRole, loadDispatchSettings } from '@cherryhitch/settings'
+import { Effect, Fiber } from 'effect'
+import { runDispatch } from './runDispatch'
+
+const hosts = ['127.71.3.1', '127.71.3.2', '127.71.3.3']
+/** Addresses at which nothing listens. */
+const goneHosts = ['127.71.3.11', '127.71.3.12', '127.71.3.13']
+const CONTROL_PORT = 18_166
+const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'cherryhitch-restart-'))
+const LIMIT_MS = 20_000
+const route = {
+  name: 'r',
+  host: 'h',
+  pathPrefix: '/q/',
+  type: 'idempotent',
+  timeoutMs: 500,
+  targetDurationMs: 60,
+  priority: 1,
+  service: 's',
+  maxAttempts: 4,
+  stretch: 2,
+}
+const service = { name: 's', healthPath: '/h', maxConnections: 8, protocol: 'h1', tls: false }
+const routing = JSON.stringify({ version: 7, routes: [route], services: [service], limits: {} })
+const put = { method: 'PUT', body: routing, headers: { 'content-type': 'application/json' } }
+let running: Fiber.Fiber<unknown, unknown>[] = []
+
+function startAll(seeds: readonly string[], firstStart: boolean): void {
+  running = hosts.map((host, index) => {
+    const file = path.join(folder, `${host}.jsonc`)
+    const dataFolder = path.join(folder, host)
+    fs.mkdirSync(dataFolder, { recursive: true })
+    const settings = {
+      name: `n${index}`,
+      host,
+      zone: `z${index}`,
+      linkPort: 17_720,
+      metricsPort: 17_721,
+      seeds: seeds.map((seed) => `${seed}:${CONTROL_PORT}`),
+      firstStart,
+      dataFolder,
+      control: `${host}:${CONTROL_PORT}`,
+      heartbeatMs: 1_500,
+      maxLeaseMs: 1_000,
+      stopGraceMs: 6_000,
+    }
+    fs.writeFileSync(file, JSON.stringify(settings))
+    return Effect.runFork(runDispatch(loadDispatchSettings(file, DispatchRole.Dispatch).unwrap()))
+  })
+}
+
+async function stopAll(): Promise<void> {
+  await Promise.all(running.map((fiber) => Effect.runPromise(Fiber.interrupt(fiber))))
+  running = []
+}
+
+/** Calls the instances in turn until one answers with success; fails after the limit. */
+async function callAny(init: RequestInit): Promise<string> {
+  const limit = performance.now() + LIMIT_MS
+  for (let attempt = 0; performance.now() < limit; attempt++) {
+    const url = `http://${hosts[attempt % hosts.length] ?? ''}:${CONTROL_PORT}/config`
+    const signal = AbortSignal.timeout(1_000)
+    const res = await fetch(url, { ...init, signal }).catch(() => undefined)
+    if (res?.ok === true) return res.text()
+    await new Promise((resolve) => setTimeout(resolve, 50))
+  }
+  throw new Error('no instance has answered with success')
+}
+
+describe('voters that all restart', { timeout: 60_000 }, () => {
+  afterEach(stopAll)
+
+  it('read back the configuration although all seeds of their settings are gone', async () => {
+    startAll(hosts, true)
+    await callAny(put)
+    await stopAll()
+    startAll(goneHosts, false)
+    assert.equal(await callAny({ method: 'GET' }), routing)
+  })
+})
--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -253,9 +253,12 @@
   })
 }
 
-/** The instances that host voters, and the leader, as this instance's control log knows them. */
+/**
+ * The instances that host voters, and the leader, as this instance's control log knows them. Until a
+ * leader is known, these are the instances that the own disk names: the seeds may all be gone.
+ */
 function votersOf(control: ControlNode, machine: DispatchMachine, instance: string) {
-  const instances = control.status()?.members.map((member) => member.instance) ?? []
+  const instances = control.memberInstances()
   const followed = control.followedLeader()
   // This instance counts as the leader only once it has applied all earlier committed entries.
   const leader = followed === instance && !machine.leads ? '' : followed
