Forget the senders of links that are gone when new ones need their place

What operators would see: after 256 instances have connected to an instance over its lifetime, entries and voters that replaced others under new addresses included, it refuses every further one for good ('stream refused: ...: too many senders'). Such an instance neither votes nor acknowledges, nor brings requests, and with each replacement a voter is lost silently.

Cause: the receiver of the links tracks at most maxSenders senders, and never removed one.

Before: 'refuses no new sender because of those that were replaced long ago': sender 1: expected 'deliver', actual 'too many senders' Change: if there is no room, the sender that was silent for longest is forgotten, after a minute of silence at the earliest. Its record is what tells repeated batches, so it stays as long as there is room, and longer than a machine is suspended. After: passes; all tests of packages/rpc pass.

--- a/packages/rpc/src/lib/host/LinkHostOptions.ts
+++ b/packages/rpc/src/lib/host/LinkHostOptions.ts
@@ -45,7 +45,7 @@
    * each batch gets its own receipt.
    */
   readonly receiptGapMs: number
-  /** Maximum number of senders tracked by the receiver. */
+  /** Maximum number of senders tracked by the receiver; those silent for long give way to others. */
   readonly maxSenders: number
   /** The receiver closes connections that are idle for this long. */
   readonly idleSessionMs: number
--- a/packages/rpc/src/lib/server/Inbox.test.ts
+++ b/packages/rpc/src/lib/server/Inbox.test.ts
@@ -80,6 +80,28 @@
     assert.equal(inbox.open(0, 'a', 3, 5), Deliver)
   })
 
+  it('refuses no new sender because of those that were replaced long ago', () => {
+    const inbox = new Inbox(2)
+    const minuteMs = 60_000
+    for (let n = 0; n < 20; n++) {
+      const now = 2 * n * minuteMs
+      assert.equal(inbox.open(now, `old${n}`, 1, 2 * n + 1), Deliver, `sender ${n}`)
+      assert.equal(inbox.open(now, 'kept', 1, 2 * n + 2), Deliver)
+      const batch = { from: 'kept', boot: 1, stream: 2 * n + 2, sequence: 1, isEmpty: false }
+      assert.equal(
+        inbox.accept(now + minuteMs, batch),
+        n === 0 ? Deliver : Duplicate,
+        'it is remembered',
+      )
+    }
+  })
+
+  it('still counts a sender that was silent for seconds', () => {
+    const inbox = new Inbox(1)
+    assert.equal(inbox.open(0, 'a', 1, 1), Deliver)
+    assert.equal(inbox.open(30_000, 'b', 1, 2), Full)
+  })
+
   it('accepts a lower boot number after the retention period', () => {
     const inbox = new Inbox(2)
     assert.equal(inbox.open(0, 'a', 9, 1), Deliver)
--- a/packages/rpc/src/lib/server/Inbox.ts
+++ b/packages/rpc/src/lib/server/Inbox.ts
@@ -18,6 +18,13 @@
  */
 const BOOT_RETENTION_MS = 3_000
 
+/**
+ * A sender that was silent for longer may be forgotten to make room for a new one: its instance was
+ * most likely replaced. Far longer than a machine is suspended, since a sender that returns may send
+ * its last batches again, and only its record shows that they were delivered.
+ */
+const SENDER_RETENTION_MS = 60_000
+
 /** The properties of a batch that decide whether it is delivered. */
 export interface ArrivedBatch {
   readonly from: string
@@ -50,7 +57,7 @@
   /** Makes a stream the only one accepted from its sender. Stream numbers must increase. */
   open(now: number, from: string, boot: number, stream: number): InboxVerdict {
     const known = this.#senders.get(from)
-    if (known === undefined && this.#senders.size >= this.maxSenders) return InboxVerdict.Full
+    if (known === undefined && !this.#hasRoom(now)) return InboxVerdict.Full
     if (known !== undefined && boot < known.boot && now - known.heardAt <= BOOT_RETENTION_MS) {
       return InboxVerdict.StaleBoot
     }
@@ -72,6 +79,14 @@
     return InboxVerdict.Deliver
   }
 
+  /** Whether another sender can be tracked; forgets the one that was silent for longest if needed. */
+  #hasRoom(now: number): boolean {
+    if (this.#senders.size < this.maxSenders) return true
+    const [longest] = [...this.#senders].sort(([, a], [, b]) => a.heardAt - b.heardAt)
+    if (longest === undefined || now - longest[1].heardAt < SENDER_RETENTION_MS) return false
+    return this.#senders.delete(longest[0])
+  }
+
   /** The sequence for a receipt to the sender. */
   highest(from: string): number {
     return this.#senders.get(from)?.highest ?? 0
