--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -25,6 +25,7 @@
 import { startDiscovery } from './startDiscovery'
 import type { DiscoveryActor } from './startDiscovery'
 import { startDispatchLinks } from './startDispatchLinks'
+import type { DispatchLinks } from './startDispatchLinks'
 import { startDispatchPart } from './startDispatchPart'
 import type { DispatchPart } from './startDispatchPart'
 import { startMetricsServer } from './startMetricsServer'
@@ -95,13 +96,7 @@
     yield* startDirectoryStore(context, parts, dispatcher, disk)
     const routing = new RoutingTelemetry(log)
     const control = yield* startVoter(context, parts, dispatcher, disk, send, routing)
-    const discovery = yield* startDiscovery(context, { hostsVoter: true, links }, (peer) => {
-      control.observePeer(peer, 0)
-      parts.notices.use((notices) => {
-        notices.sendDirectoryTo(peer)
-      })
-    })
-    parts.discovery.bind(discovery)
+    const discovery = yield* startVoterDiscovery(context, parts, control, links)
     const notices = makeNoticeExchange(context, { dispatcher, discovery, control }, send)
     parts.notices.bind(notices)
     const runningParts = { dispatcher, control, discovery, notices }
@@ -114,7 +109,9 @@
       return { leads: Number(leads), endpoints, openJobs, ...counters, ...links.counters() }
     })
     const { host, zone, seeds } = settings
-    log.info('started', { host, zone, seeds, disk: control.diskId(), term: control.term() })
+    const members = control.memberInstances()
+    const known = { disk: control.diskId(), term: control.term(), members }
+    log.info('started', { host, zone, seeds, ...known })
     const why = yield* context.awaitStop
     const { leads, openJobs } = dispatcher.machine
     log.info('stopping', { why, leads, openJobs })
@@ -130,6 +127,27 @@
   return Effect.scoped(running)
 }
 
+function startVoterDiscovery(
+  context: ProcessContext,
+  parts: DispatchParts,
+  control: ControlNode,
+  links: DispatchLinks,
+): Effect.Effect<DiscoveryActor, never, Scope.Scope> {
+  const isReadConfirmed = (): boolean => control.settings()?.current === true
+  const onVoterHost = (peer: string): void => {
+    control.observePeer(peer, 0)
+    parts.notices.use((notices) => {
+      notices.sendDirectoryTo(peer)
+    })
+  }
+  const started = startDiscovery(context, { hostsVoter: true, links, isReadConfirmed }, onVoterHost)
+  return Effect.tap(started, (discovery) =>
+    Effect.sync(() => {
+      parts.discovery.bind(discovery)
+    }),
+  )
+}
+
 function makeNoticeExchange(
   { instance, boot, now, startedAt, settings }: ProcessContext,
   { dispatcher, discovery, control }: Omit<RunningDispatch, 'notices'>,
@@ -248,9 +266,12 @@
   })
 }
 
-/** The instances that host voters, and the leader, as this instance's control log knows them. */
+/**
+ * The instances that host voters, and the leader, as this instance's control log knows them. Until a
+ * leader is known, these are the instances that the own disk names: the seeds may all be gone.
+ */
 function votersOf(control: ControlNode, machine: DispatchMachine, instance: string) {
-  const instances = control.status()?.members.map((member) => member.instance) ?? []
+  const instances = control.memberInstances()
   const followed = control.followedLeader()
   // This instance counts as the leader only once it has applied all earlier committed entries.
   const leader = followed === instance && !machine.leads ? '' : followed
--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -64,6 +64,7 @@
   /** Present on an instance with a disk, as is `disk`. */
   readonly voter?: RecoverableVoter
   readonly disk?: DiskWorker
+  readonly membersOnDisk?: () => readonly string[]
   readonly tell: (event: NodeEvent) => void
   readonly storeSettings: (settings: SettingsState) => void
 }
@@ -200,6 +201,12 @@
     return this.#voter?.status(now) ?? (client.isCurrent(now) ? client.voters : undefined)
   }
 
+  /** See `ControlNode.memberInstances`. */
+  memberInstances(): readonly string[] {
+    const members = this.status()?.members.map(({ instance }) => instance)
+    return members ?? this.#parts.membersOnDisk?.() ?? []
+  }
+
   isLeader(): boolean {
     return this.#voter?.role === VoterRole.Leader
   }
