Show under which routing version a request was answered

- An outcome carries the version of the routing table by which the leader handled the request (`routing_version`, one number in the row; builds without it are read as 0).
The line "a request was answered" has it as `routingVersion`.
- `cherryhitch_entry_routing_version` (highest so far), `cherryhitch_entry_answered_without_route_total` (404 of the table) and `cherryhitch_entry_answered_under_older_routing_total`: answers by an older version than that of an answer which had come before the request.
- `cherryhitch_entry_refused_unread_<kind>_total` and the line "the HTTP interface refused a request" (method, host, target, kind, reason) for what was never looked up in the table, and the interface's own counters by status as `cherryhitch_callers_answers_<status>_total`.

Changed test: the round trip of outcomes in textCodec.test.ts draws the new field as well.

--- a/apps/cherryhitch/src/lib/dispatching/CallerRequests.test.ts
+++ b/apps/cherryhitch/src/lib/dispatching/CallerRequests.test.ts
@@ -13,11 +13,13 @@
 /** The open requests of one process of an entry, and the events sent to its relay. */
 class EntryProcess {
   readonly events: RelayEvent[] = []
+  readonly warnings: string[] = []
   readonly requests: CallerRequests
 
   constructor(boot: number) {
-    const { events } = this
-    const log = { debug: ignore, info: ignore, warn: ignore, error: ignore }
+    const { events, warnings } = this
+    const warn = (message: string): void => void warnings.push(message)
+    const log = { debug: ignore, info: ignore, warn, error: ignore }
     this.requests = new CallerRequests({
       boot,
       tell: (event) => events.push(event),
@@ -48,8 +50,30 @@
     later.requests.answer(makeJobOutcome({ requestId, verdict, reason: 'all done' }), 1)
     assert.equal((await answer).verdict, JobVerdict.COMPLETED)
   })
+
+  it('reports an answer by older routing than an answer that came before the request', () => {
+    const { requests, submit, warnings } = makeAnswering()
+    const verdict = JobVerdict.COMPLETED
+    const before = submit()
+    requests.answer(makeJobOutcome({ requestId: submit(), verdict, routingVersion: 7 }), 1)
+    requests.answer(makeJobOutcome({ requestId: before, verdict, routingVersion: 6 }), 1)
+    requests.answer(makeJobOutcome({ requestId: submit(), verdict: JobVerdict.UNKNOWN }), 1)
+    assert.equal(requests.counters.answered_under_older_routing, 0)
+    const older = { verdict: JobVerdict.NO_ROUTE, routingVersion: 6 }
+    requests.answer(makeJobOutcome({ requestId: submit(), ...older }), 1)
+    assert.equal(requests.counters.answered_under_older_routing, 1)
+    assert.equal(requests.counters.answered_without_route, 1)
+    assert.equal(requests.counters.routingVersion, 7)
+    assert.deepEqual(warnings, ['a request was answered under an older routing version'])
+  })
 })
 
+function makeAnswering() {
+  const entry = new EntryProcess(1)
+  const { requests, warnings } = entry
+  return { requests, warnings, submit: () => entry.submit().requestId }
+}
+
 function ignore(): void {
   // Log lines and measurements are not checked here.
 }
--- a/apps/cherryhitch/src/lib/dispatching/CallerRequests.ts
+++ b/apps/cherryhitch/src/lib/dispatching/CallerRequests.ts
@@ -1,3 +1,4 @@
+import type { RefusedRequest } from '@cherryhitch/http-api'
 import { ClientService } from '@cherryhitch/platform'
 import type { RequestContext } from '@cherryhitch/platform'
 import { RelayEventKind } from '@cherryhitch/dispatch'
@@ -9,6 +10,8 @@
 
 interface OpenRequest {
   readonly context: RequestContext
+  /** Highest routing version of the answers that had come before the request. */
+  readonly knownVersion: number
   readonly done: (outcome: JobOutcome) => void
 }
 
@@ -28,7 +31,11 @@
 /** The requests of callers that are waiting for an answer at this instance. @internal */
 export class CallerRequests extends ClientService {
   private readonly open = new Map<string, OpenRequest>()
+  private readonly unread = new Map<string, number>()
   private requestCount = 0
+  private routingVersion = 0
+  private underOlderRouting = 0
+  private withoutRoute = 0
 
   constructor(private readonly options: CallerRequestsOptions) {
     super()
@@ -38,6 +45,17 @@
     return this.open.size
   }
 
+  /** Counters of answers and refusals, and the highest routing version of an answer so far. */
+  get counters(): Readonly<Record<string, number>> {
+    return {
+      requests_open: this.open.size,
+      routingVersion: this.routingVersion,
+      answered_without_route: this.withoutRoute,
+      answered_under_older_routing: this.underOlderRouting,
+      ...Object.fromEntries(this.unread),
+    }
+  }
+
   override submit(context: RequestContext, spec: SteppedJob): Effect.Effect<JobOutcome> {
     return this.relay(context, (requestId) => {
       return { kind: RelayEventKind.Submit, requestId, spec, ...context }
@@ -55,6 +73,12 @@
     this.options.log.info('a request was refused unread', { host, path, reason })
   }
 
+  override reportUnread(refused: RefusedRequest): void {
+    const key = `refused_unread_${refused.kind}`
+    this.unread.set(key, (this.unread.get(key) ?? 0) + 1)
+    this.options.log.info('the HTTP interface refused a request', { ...refused })
+  }
+
   /**
    * Delivers an outcome to the caller that waits for it.
    *
@@ -65,6 +89,7 @@
     if (request === undefined) return
     this.open.delete(outcome.requestId)
     this.recordAnswer(request.context, outcome, attempts)
+    this.recordVersion(request, outcome)
     request.done(outcome)
   }
 
@@ -78,7 +103,7 @@
       const done = (outcome: JobOutcome): void => {
         resume(Effect.succeed(outcome))
       }
-      this.open.set(requestId, { context, done })
+      this.open.set(requestId, { context, done, knownVersion: this.routingVersion })
       this.options.tell(toEvent(requestId))
       return Effect.sync(() => {
         this.abandon(requestId, context)
@@ -95,7 +120,7 @@
 
   private recordAnswer(context: RequestContext, outcome: JobOutcome, attempts: number): void {
     const { host, path, receivedAt, deadlineAt } = context
-    const { requestId, verdict, reason, term, retryAfterMs } = outcome
+    const { requestId, verdict, reason, term, routingVersion, retryAfterMs } = outcome
     const now = this.options.now()
     const ms = Math.round(now - receivedAt)
     this.options.measure('request', JobVerdict[verdict], ms)
@@ -108,8 +133,29 @@
       ms,
       leftMs: Math.round(deadlineAt - now),
       term,
+      routingVersion,
       attempts,
       ...(retryAfterMs > 0 && { retryAfterMs }),
     })
   }
+
+  /** Reports an answer by an older routing than that of an answer from before the request. */
+  private recordVersion({ context, knownVersion }: OpenRequest, outcome: JobOutcome): void {
+    const { verdict, routingVersion, term, requestId } = outcome
+    if (verdict === JobVerdict.NO_ROUTE) this.withoutRoute++
+    this.routingVersion = Math.max(this.routingVersion, routingVersion)
+    // Outcomes that no leader decided have no version.
+    if (routingVersion === 0 || routingVersion >= knownVersion) return
+    this.underOlderRouting++
+    const { host, path } = context
+    this.options.log.warn('a request was answered under an older routing version', {
+      requestId,
+      host,
+      path,
+      verdict: JobVerdict[verdict],
+      routingVersion,
+      knownVersion,
+      term,
+    })
+  }
 }
--- a/apps/cherryhitch/src/lib/dispatching/runEntry.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runEntry.ts
@@ -15,6 +15,7 @@
 import type { PartLog } from '@cherryhitch/telemetry'
 import { Effect } from 'effect'
 import type { Scope } from 'effect'
+import { httpCounters } from '../instance/httpCounters'
 import { LateBound } from '../instance/LateBound'
 import { CallerRequests } from './CallerRequests'
 import { createProcessContext } from './createProcessContext'
@@ -140,7 +141,7 @@
     else requests.answer(action.outcome, action.attempts)
   }
   telemetry.metrics.registerCounters('entry', 'Counted by the entry.', () => {
-    return { requests_open: requests.size, relayed_open: relay.openRequests }
+    return { ...requests.counters, relayed_open: relay.openRequests }
   })
   return Effect.map(startActor(relay, { perform, onDefect, tickMs: RELAY_TICK_MS }), (part) => {
     parts.relay.bind(part)
@@ -158,6 +159,9 @@
     const callers = splitAddress(settings.callers ?? '')
     const log = telemetry.lineLogger('callers')
     const front = yield* startFrontServer({ ...callers, clients, isReady, log })
+    telemetry.metrics.registerCounters('callers', 'Counted by the HTTP interface.', () => {
+      return httpCounters(front)
+    })
     const probes = splitAddress(settings.readiness ?? '')
     yield* startReadinessServer({ ...probes, isReady, log: telemetry.lineLogger('readiness') })
     return front
--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -295,9 +295,10 @@
     this.emit({ kind: DispatchActionKind.Log, message, fields })
   }
 
-  answer({ instance, requestId }: JobWaiter, verdict: JobVerdict, more: OutcomeFields = {}): void {
+  answer(waiter: JobWaiter, verdict: JobVerdict, more: OutcomeFields = {}): void {
+    const { instance, requestId, routingVersion } = waiter
     const term = this.term ?? 0
-    const outcome = makeJobOutcome({ requestId, verdict, term, ...more })
+    const outcome = makeJobOutcome({ requestId, verdict, term, routingVersion, ...more })
     this.emit({ kind: DispatchActionKind.Answer, to: instance, outcome })
   }
 
--- a/packages/dispatch/src/lib/jobs/Job.ts
+++ b/packages/dispatch/src/lib/jobs/Job.ts
@@ -40,6 +40,8 @@
   /** Instance through which the caller sent the request. */
   readonly instance: string
   readonly requestId: string
+  /** Version of the routing table by which the request was handled; 0 if there was none. */
+  readonly routingVersion: number
 }
 
 /** Counts of abnormal events in the runs of a job. The keys are fields of a log line. @internal */
--- a/packages/dispatch/src/lib/jobs/JobRegistry.ts
+++ b/packages/dispatch/src/lib/jobs/JobRegistry.ts
@@ -288,6 +288,6 @@
   }
 }
 
-function requestKey({ instance, requestId }: JobWaiter): string {
+function requestKey({ instance, requestId }: Pick<JobWaiter, 'instance' | 'requestId'>): string {
   return `${instance}/${requestId}`
 }
--- a/packages/dispatch/src/lib/jobs/RequestHandler.ts
+++ b/packages/dispatch/src/lib/jobs/RequestHandler.ts
@@ -33,7 +33,7 @@
   ) {}
 
   submit(now: number, from: string, req: SubmitJob): void {
-    const waiter = { instance: from, requestId: req.requestId }
+    const waiter = this.#waiterOf(from, req.requestId)
     const { spec, host, path } = req
     if (!this.#requireLeadership(waiter) || this.#refuseIfOverloaded(now, waiter, req)) return
     const found = findRoute(this.core.table, host, path)
@@ -57,7 +57,7 @@
   }
 
   ask(now: number, from: string, req: AskJob): void {
-    const waiter = { instance: from, requestId: req.requestId }
+    const waiter = this.#waiterOf(from, req.requestId)
     if (!this.#requireLeadership(waiter)) return
     const found = findRoute(this.core.table, req.host, req.path)
     if (found === undefined) {
@@ -84,6 +84,10 @@
     }
   }
 
+  #waiterOf(instance: string, requestId: string): JobWaiter {
+    return { instance, requestId, routingVersion: this.core.table?.version ?? 0 }
+  }
+
   abandon(now: number, from: string, { requestId }: AbandonJob): void {
     const job = this.lifecycle.jobs.removeWaiter(from, requestId)
     if (job !== undefined) this.lifecycle.end(now, job, JobVerdict.CANCELLED, 'its caller is gone')
--- a/packages/dispatch/src/lib/relay/JobRelay.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.ts
@@ -405,7 +405,7 @@
   }
 }
 
-function toUnknownOutcome({ requestId, reason, term }: JobOutcome): JobOutcome {
+function toUnknownOutcome({ requestId, reason, term, routingVersion }: JobOutcome): JobOutcome {
   const verdict = JobVerdict.UNKNOWN
-  return makeJobOutcome({ requestId, verdict, reason, term })
+  return makeJobOutcome({ requestId, verdict, reason, term, routingVersion })
 }
--- a/packages/http-api/src/index.ts
+++ b/packages/http-api/src/index.ts
@@ -32,6 +32,7 @@
   HttpClock,
   HttpLimits,
   HttpServerOptions,
+  RefusedRequest,
   TlsFiles,
 } from './lib/server/HttpServerOptions'
 export { openServer } from './lib/server/openServer'
--- a/packages/http-api/src/lib/exchange/Exchange.ts
+++ b/packages/http-api/src/lib/exchange/Exchange.ts
@@ -77,6 +77,7 @@
 
   /** Responds with a problem document stating that nothing ran. */
   refuse(err: RequestError): void {
+    if (!this.ended) this.reportRefusal(err)
     this.answer(requestErrorReply(err))
   }
 
@@ -89,6 +90,11 @@
     this.position.release()
   }
 
+  private reportRefusal({ kind, message: reason }: RequestError): void {
+    const { method = '', url: target = '', headers } = this.req
+    this.host.onRefused({ method, host: headers.host ?? '', target, kind, reason })
+  }
+
   private admit(): Result<Admitted, RequestError> {
     const { req } = this
     if (req.httpVersion === '1.1' && req.headers.host === undefined) {
--- a/packages/http-api/src/lib/exchange/ExchangeHost.ts
+++ b/packages/http-api/src/lib/exchange/ExchangeHost.ts
@@ -1,6 +1,6 @@
 import type { Authenticator } from '../auth/Authenticator'
 import type { Router } from '../routing/Router'
-import type { HttpClock, HttpLimits } from '../server/HttpServerOptions'
+import type { HttpClock, HttpLimits, RefusedRequest } from '../server/HttpServerOptions'
 import type { BodyBudget } from './BodyBudget'
 import type { TurnQueue } from './TurnQueue'
 
@@ -14,6 +14,7 @@
   readonly auth: Authenticator
   readonly clock: HttpClock
   readonly log: (line: string) => void
+  readonly onRefused: (refused: RefusedRequest) => void
   /** Whether responses close their connections. */
   isClosing(): boolean
   countAnswer(status: number): void
--- a/packages/http-api/src/lib/server/HttpServerOptions.ts
+++ b/packages/http-api/src/lib/server/HttpServerOptions.ts
@@ -1,4 +1,5 @@
 import { performance } from 'node:perf_hooks'
+import type { RequestErrorKind } from '../problems/RequestError'
 
 /** Limits of an HTTP server per client and for all clients together. @public */
 export interface HttpLimits {
@@ -66,6 +67,17 @@
   now(): number
 }
 
+/** A request that the interface refused, so that no service was called. @public */
+export interface RefusedRequest {
+  readonly method: string
+  /** The header Host as received; empty without one. */
+  readonly host: string
+  /** The request target as received: the path and the query, for most requests. */
+  readonly target: string
+  readonly kind: RequestErrorKind
+  readonly reason: string
+}
+
 /** Options shared by the caller, endpoint and operator servers. @public */
 export interface HttpServerOptions {
   /** IP address to listen on. */
@@ -77,6 +89,8 @@
   readonly limits?: Partial<HttpLimits>
   /** Receives the log lines of the server. */
   readonly log: (line: string) => void
+  /** Called for each refused request that could be parsed as HTTP. */
+  readonly onRefused?: (refused: RefusedRequest) => void
   readonly clock?: HttpClock
 }
 
--- a/packages/http-api/src/lib/server/ServerHost.ts
+++ b/packages/http-api/src/lib/server/ServerHost.ts
@@ -14,7 +14,7 @@
 import { ConnectionTable } from './ConnectionTable'
 import { Counters } from './Counters'
 import type { HttpServer } from './HttpServer'
-import type { HttpClock, HttpLimits } from './HttpServerOptions'
+import type { HttpClock, HttpLimits, RefusedRequest } from './HttpServerOptions'
 import { refuseUnparsed } from './refuseUnparsed'
 
 /** Time for clients to read written responses during shutdown, in milliseconds. */
@@ -28,6 +28,7 @@
   readonly limits: HttpLimits
   readonly clock: HttpClock
   readonly log: (line: string) => void
+  readonly onRefused: (refused: RefusedRequest) => void
 }
 
 /** Connections, budgets and counters of one HTTP server. @internal */
@@ -39,6 +40,7 @@
   readonly auth: Authenticator
   readonly clock: HttpClock
   readonly log: (line: string) => void
+  readonly onRefused: (refused: RefusedRequest) => void
   readonly whenIdle: Effect.Effect<void>
   private readonly node: http.Server
   private readonly table = new ConnectionTable()
@@ -52,6 +54,7 @@
     this.limits = options.limits
     this.clock = options.clock
     this.log = options.log
+    this.onRefused = options.onRefused
     this.budget = new BodyBudget(options.limits.bufferedBytes)
     const monotonic = (): number => performance.now()
     this.turns = new TurnQueue(options.limits.turnBudgetMs, monotonic, setImmediate)
--- a/packages/http-api/src/lib/server/openServer.ts
+++ b/packages/http-api/src/lib/server/openServer.ts
@@ -30,6 +30,7 @@
       limits,
       clock: resolveClock(options),
       log: options.log,
+      onRefused: options.onRefused ?? (() => undefined),
     })
     yield* listen(node, options)
     return host
--- a/packages/protocol/src/lib/text/messages.ts
+++ b/packages/protocol/src/lib/text/messages.ts
@@ -93,9 +93,10 @@
   retryAfterMs = 0,
   pending = 0,
   term = 0,
+  routingVersion = 0,
 }: Pick<JobOutcome, 'requestId' | 'verdict'> & Partial<Fields<JobOutcome>>): JobOutcome {
   const $typeName = 'cherryhitch.v1.JobOutcome'
-  return { $typeName, requestId, verdict, reason, retryAfterMs, pending, term }
+  return { $typeName, requestId, verdict, reason, retryAfterMs, pending, term, routingVersion }
 }
 
 /** @public */
--- a/packages/protocol/src/lib/text/rows.ts
+++ b/packages/protocol/src/lib/text/rows.ts
@@ -100,6 +100,8 @@
   retryAfterMs: number,
   pending: number,
   term: number,
+  /** Left out by builds that don't know it. */
+  routingVersion?: number,
 ]
 
 /** The distinct payloads of the orders in one message. */
@@ -236,11 +238,12 @@
 }
 
 export function encodeOutcome(message: JobOutcome): OutcomeRow {
-  const { requestId, verdict, reason, retryAfterMs, pending, term } = message
-  return [requestId, verdict, reason, retryAfterMs, pending, term]
+  const { requestId, verdict, reason, retryAfterMs, pending, term, routingVersion } = message
+  return [requestId, verdict, reason, retryAfterMs, pending, term, routingVersion]
 }
 
 export function decodeOutcome(row: OutcomeRow): JobOutcome {
-  const [requestId, verdict, reason, retryAfterMs, pending, term] = row
-  return makeJobOutcome({ requestId, verdict, reason, retryAfterMs, pending, term })
+  const [requestId, verdict, reason, retryAfterMs, pending, term, routingVersion = 0] = row
+  const decision = { verdict, reason, retryAfterMs, pending }
+  return makeJobOutcome({ requestId, ...decision, term, routingVersion })
 }
--- a/packages/protocol/src/lib/text/textCodec.test.ts
+++ b/packages/protocol/src/lib/text/textCodec.test.ts
@@ -100,6 +100,7 @@
   retryAfterMs: time,
   pending: integer,
   term: integer,
+  routingVersion: integer,
 })
 
 function assertRoundTrip(body: EnvelopeBody): void {
