Drop a request whose caller left while it waited for a confirmation

A submission without a route waits at the leader until a majority has confirmed it. `AbandonJob` removed only the waiters of jobs, so the request of a caller that had left stayed. If the route was added meanwhile, the job was accepted and run for nobody, although the entry had told the leader that its caller was gone.

Before the fix, the test said: jobs_taken 1, expected 0. After it, the unconfirmed request is dropped with its caller and no job is taken.

--- a/packages/dispatch/src/lib/jobs/RequestHandler.ts
+++ b/packages/dispatch/src/lib/jobs/RequestHandler.ts
@@ -89,6 +89,9 @@
   }
 
   abandon(now: number, from: string, { requestId }: AbandonJob): void {
+    this.#unconfirmed = this.#unconfirmed.filter(({ waiter }) => {
+      return waiter.instance !== from || waiter.requestId !== requestId
+    })
     const job = this.lifecycle.jobs.removeWaiter(from, requestId)
     if (job !== undefined) this.lifecycle.end(now, job, JobVerdict.CANCELLED, 'its caller is gone')
   }
