Refuse a request without a route once no confirmation can come in time

Callers saw: with a leader that no majority confirms, a request without a match was held until the leader stepped down (600 ms by its own clock), or, where its deadline came first, until the deadline, and then ended as 504 (unknown) although nothing had run. A leader that knows that it can't answer in time has to say so at once.

A request now waits at most 300 ms for the confirmation, after which a successor may be elected, and no longer than its caller's remaining time less the way back. Then it is refused as not run, with a retry delay; a job that this or an earlier leader may have run ends as unknown. A question gets the same refusal; `AskJob` therefore carries the remaining time (0 from entries that don't send it: 300 ms).

--- a/packages/dispatch/src/lib/DispatchMachine.ts
+++ b/packages/dispatch/src/lib/DispatchMachine.ts
@@ -182,6 +182,7 @@
       this.#takeBack.tick(now)
       this.#leases.tick(now)
       this.#lifecycle.tick(now)
+      this.#requests.tick(now)
       this.#knowledge.tick(now)
       this.#scheduler.wake()
     }
--- a/packages/dispatch/src/lib/jobs/RequestHandler.ts
+++ b/packages/dispatch/src/lib/jobs/RequestHandler.ts
@@ -14,13 +14,38 @@
 /** Time for an overloaded leader to catch up, in milliseconds; its intake limit adapts in less. */
 const OVERLOAD_RECOVERY_MS = 1_000
 
-/** A request to be answered once a majority has confirmed this leader after the request came. */
-interface UnconfirmedRequest {
-  readonly receivedAt: number
+/**
+ * Longest wait for a majority to confirm this leader, in milliseconds. Voters elect another leader
+ * when they haven't heard from theirs for as long.
+ *
+ * @internal
+ */
+export const CONFIRMATION_TIMEOUT_MS = 300
+/**
+ * Part of a caller's remaining time that is reserved for the way to its entry and on to the caller,
+ * in milliseconds: the entry's own margin and two transits between busy instances.
+ *
+ * @internal
+ */
+export const ANSWER_MARGIN_MS = 80
+
+/** A request for which no route is known here, and what to do with it. */
+interface UnroutedRequest {
   readonly waiter: JobWaiter
+  /** How long its caller still waits, in milliseconds. */
+  readonly remainingMs: number
+  /** Whether its job may have run, here or under another leader. */
+  readonly mayHaveRun: () => boolean
   readonly retry: () => void
 }
 
+/** A request to be answered once a majority has confirmed this leader after the request came. */
+interface UnconfirmedRequest extends UnroutedRequest {
+  readonly receivedAt: number
+  /** When it is answered without a confirmation. */
+  readonly expiresAt: number
+}
+
 /** Handles the requests of callers that other instances relay to the leader. @internal */
 export class RequestHandler {
   #unconfirmed: UnconfirmedRequest[] = []
@@ -38,9 +63,12 @@
     if (!this.#requireLeadership(waiter) || this.#refuseIfOverloaded(now, waiter, req)) return
     const found = findRoute(this.core.table, host, path)
     if (found === undefined || spec === undefined) {
-      this.#answerNoRoute(now, waiter, () => {
+      const { remainingMs } = req
+      const mayHaveRun = (): boolean => this.#mayHaveRun(now, req)
+      const retry = (): void => {
         this.submit(now, from, req)
-      })
+      }
+      this.#answerNoRoute(now, { waiter, remainingMs, mayHaveRun, retry })
       return
     }
     const { jobs } = this.lifecycle
@@ -61,9 +89,11 @@
     if (!this.#requireLeadership(waiter)) return
     const found = findRoute(this.core.table, req.host, req.path)
     if (found === undefined) {
-      this.#answerNoRoute(now, waiter, () => {
+      const remainingMs = req.remainingMs > 0 ? req.remainingMs : Infinity
+      const retry = (): void => {
         this.ask(now, from, req)
-      })
+      }
+      this.#answerNoRoute(now, { waiter, remainingMs, mayHaveRun: () => false, retry })
       return
     }
     switch (req.kind) {
@@ -96,6 +126,14 @@
     if (job !== undefined) this.lifecycle.end(now, job, JobVerdict.CANCELLED, 'its caller is gone')
   }
 
+  /** Answers the requests for which a confirmation would come too late. */
+  tick(now: number): void {
+    const expired = this.#unconfirmed.filter(({ expiresAt }) => now >= expiresAt)
+    if (expired.length === 0) return
+    this.#unconfirmed = this.#unconfirmed.filter(({ expiresAt }) => now < expiresAt)
+    for (const request of expired) this.#answerUnconfirmed(request)
+  }
+
   /** A majority of the voters followed this leader at the given time. */
   onConfirmed(at: number): void {
     const isConfirmed = ({ receivedAt }: UnconfirmedRequest): boolean => receivedAt <= at
@@ -138,6 +176,15 @@
     return true
   }
 
+  /** Whether this leader, or an earlier one, may have run a job. */
+  #mayHaveRun(now: number, { spec, earlierAttempts, waitedMs }: SubmitJob): boolean {
+    const { jobs } = this.lifecycle
+    const jobId = spec?.jobId ?? ''
+    if (earlierAttempts > 0 || jobs.get(jobId) !== undefined) return true
+    if (jobs.endedJob(jobId) !== undefined) return true
+    return jobs.earlierJobs.originOf(now, jobId, now - waitedMs) !== JobOrigin.New
+  }
+
   /** Answers the request with `NOT_LEADER` and returns false unless this instance leads. */
   #requireLeadership(waiter: JobWaiter): boolean {
     if (this.core.term !== undefined) return true
@@ -167,8 +214,9 @@
    * Answers that no route matches, once a majority has confirmed this leader after the request
    * came. Until then a newer leader may exist, whose newer routing table has a route.
    */
-  #answerNoRoute(receivedAt: number, waiter: JobWaiter, retry: () => void): void {
+  #answerNoRoute(receivedAt: number, request: UnroutedRequest): void {
     const { table } = this.core
+    const { waiter, remainingMs } = request
     if (table === undefined) {
       const reason = 'no routing is known yet'
       this.core.answer(waiter, JobVerdict.REFUSED, { reason, retryAfterMs: NO_ROUTING_RETRY_MS })
@@ -185,7 +233,21 @@
       this.core.answer(waiter, JobVerdict.NO_ROUTE, { reason: `no route in version ${version}` })
       return
     }
-    this.#unconfirmed.push({ receivedAt, waiter, retry })
+    const waitMs = Math.min(CONFIRMATION_TIMEOUT_MS, remainingMs - ANSWER_MARGIN_MS)
+    const unconfirmed = { ...request, receivedAt, expiresAt: receivedAt + waitMs }
+    if (waitMs > 0) this.#unconfirmed.push(unconfirmed)
+    else this.#answerUnconfirmed(unconfirmed)
+  }
+
+  /** Whether the route exists can't be told in time; this leader has not run the job. */
+  #answerUnconfirmed({ waiter, mayHaveRun }: UnconfirmedRequest): void {
+    const reason = 'no majority has confirmed in time that there is no route'
+    this.core.log('a request without a route was not confirmed in time', { ...waiter })
+    if (mayHaveRun()) this.core.answer(waiter, JobVerdict.UNKNOWN, { reason })
+    else {
+      const retryAfterMs = NO_ROUTING_RETRY_MS
+      this.core.answer(waiter, JobVerdict.REFUSED, { reason, retryAfterMs })
+    }
   }
 }
 
--- a/packages/dispatch/src/lib/jobs/unconfirmedRequests.test.ts
+++ b/packages/dispatch/src/lib/jobs/unconfirmedRequests.test.ts
@@ -2,6 +2,8 @@
 import { describe, it } from 'node:test'
 import { create } from '@bufbuild/protobuf'
 import {
+  AskJobSchema,
+  JobQuestionKind,
   JobStepSchema,
   JobVerdict,
   makeSteppedJob,
@@ -13,8 +15,10 @@
 import { DispatchEventKind } from '../DispatchEvent'
 import type { DispatchEvent } from '../DispatchEvent'
 import { DispatchMachine } from '../DispatchMachine'
+import { ANSWER_MARGIN_MS, CONFIRMATION_TIMEOUT_MS } from './RequestHandler'
 
 const ENTRY = 'e'
+const TICK_MS = 10
 
 function tableOf(version: number, prefixes: readonly string[]): RoutingTable {
   const routes = prefixes.map((pathPrefix) => ({ name: 'r', host: 'h', pathPrefix, service: 's' }))
@@ -25,6 +29,7 @@
 class Leader {
   readonly machine = new DispatchMachine({})
   readonly outcomes: JobOutcome[] = []
+  #now = 0
 
   constructor(term = 1) {
     const kind = DispatchEventKind.BecomeLeader
@@ -38,19 +43,32 @@
   }
 
   tell(event: DispatchEvent): void {
-    this.#take(this.machine.step(0, event))
+    this.#take(this.machine.step(this.#now, event))
   }
 
-  submit(remainingMs: number): void {
+  submit(remainingMs: number, earlierAttempts = 0): void {
     const step = create(JobStepSchema, { count: 1, estimateMs: 50, needs: { cpuMillis: 1 } })
     const spec = makeSteppedJob('j', 'p', [step])
     const place = { requestId: '1', host: 'h', path: '/q/j' }
-    const req = makeSubmitJob({ ...place, spec, remainingMs, waitedMs: 0, earlierAttempts: 0 })
+    const req = makeSubmitJob({ ...place, spec, remainingMs, waitedMs: 0, earlierAttempts })
     this.tell({ kind: DispatchEventKind.SubmitJob, from: ENTRY, req })
   }
 
+  ask(remainingMs: number): void {
+    const question = { requestId: '1', kind: JobQuestionKind.PENDING, host: 'h', path: '/q/' }
+    const req = create(AskJobSchema, { ...question, remainingMs })
+    this.tell({ kind: DispatchEventKind.QueryJob, from: ENTRY, req })
+  }
+
   confirm(): void {
-    this.tell({ kind: DispatchEventKind.LeadershipConfirmed, at: 0 })
+    this.tell({ kind: DispatchEventKind.LeadershipConfirmed, at: this.#now })
+  }
+
+  run(ms: number): void {
+    for (const end = this.#now + ms; this.#now < end;) {
+      this.#now += TICK_MS
+      this.#take(this.machine.tick(this.#now))
+    }
   }
 
   #take(actions: ReturnType<DispatchMachine['step']>): void {
@@ -60,6 +78,52 @@
 }
 
 describe('a request without a route, at a leader that no majority confirms', () => {
+  it('is refused with a retry delay rather than held until its deadline', () => {
+    const leader = new Leader()
+    leader.submit(5_000)
+    leader.run(CONFIRMATION_TIMEOUT_MS)
+    assert.deepEqual(leader.verdicts, [JobVerdict.REFUSED])
+    assert.ok((leader.outcomes[0]?.retryAfterMs ?? 0) > 0)
+  })
+
+  it('is refused while the entry can still pass the refusal on before the deadline', () => {
+    const leader = new Leader()
+    leader.submit(ANSWER_MARGIN_MS + 100)
+    leader.run(100)
+    assert.deepEqual(leader.verdicts, [JobVerdict.REFUSED])
+  })
+
+  it('is refused at once if no confirmation can come before its deadline', () => {
+    const leader = new Leader()
+    leader.submit(ANSWER_MARGIN_MS)
+    leader.ask(ANSWER_MARGIN_MS)
+    assert.deepEqual(leader.verdicts, [JobVerdict.REFUSED, JobVerdict.REFUSED])
+  })
+
+  it('is not said to have been refused unrun if an earlier leader may have run it', () => {
+    const leader = new Leader()
+    leader.submit(5_000, 1)
+    leader.run(CONFIRMATION_TIMEOUT_MS)
+    assert.deepEqual(leader.verdicts, [JobVerdict.UNKNOWN])
+  })
+
+  it('is a refused question if it asks for a count, also from an entry that names no deadline', () => {
+    const leader = new Leader()
+    leader.ask(0)
+    leader.run(CONFIRMATION_TIMEOUT_MS - TICK_MS)
+    assert.deepEqual(leader.verdicts, [])
+    leader.run(TICK_MS)
+    assert.deepEqual(leader.verdicts, [JobVerdict.REFUSED])
+  })
+
+  it('is answered as without a route once a majority has confirmed the leader', () => {
+    const leader = new Leader()
+    leader.submit(1_000)
+    leader.confirm()
+    leader.run(1_000)
+    assert.deepEqual(leader.verdicts, [JobVerdict.NO_ROUTE])
+  })
+
   it('runs no job whose caller left while it waited, though a route for it is added', () => {
     const leader = new Leader()
     leader.submit(5_000)
--- a/packages/dispatch/src/lib/relay/JobRelay.ts
+++ b/packages/dispatch/src/lib/relay/JobRelay.ts
@@ -235,9 +235,13 @@
     request.isLeaderLost = false
     request.isWithZone = this.#isZone
     request.attempts++
+    const remainingMs = deadlineAt - now
     const message =
       event.kind === RelayEventKind.Ask
-        ? envelope({ case: 'askJob', value: { requestId, kind: event.question, host, path } })
+        ? envelope({
+            case: 'askJob',
+            value: { requestId, kind: event.question, host, path, remainingMs },
+          })
         : wrapMessage({
             case: 'submitJob',
             value: makeSubmitJob({
@@ -245,7 +249,7 @@
               host,
               path,
               spec: event.spec,
-              remainingMs: deadlineAt - now,
+              remainingMs,
               waitedMs: now - receivedAt,
               earlierAttempts: attempts,
             }),
