Let a stopping voter leave its place to a learner that has caught up

What operators saw, or could see: an instance is replaced as planned. Its successor has been there for long, so the stopped instance doesn't count as lost, and the next machine may lose its disk. If it does within the two seconds and more until the silent voter is replaced, one voter of three is left: no configuration is acknowledged or read back, for good.

Cause: a set that is complete keeps the successor as a learner, and nothing but silence (replaceSilentMs) makes the leader replace a voter, also one whose process has announced its end.

On SIGTERM the instance passes on its leadership as before, then proposes the promotion of a learner and its own removal, each checked by the leader as an operator's change would be. So the set bears as many losses as before at any time, also while an instance is only restarted: it joins again as a learner. Without a learner nothing changes, and nobody is asked. The stop waits for it for half of the grace period at most.

Weighed: the leader acts on a new message of the departure (a change of the messages, and older leaders wouldn't know it); replacing sooner for silence alone (a window remains).

--- a/apps/cherryhitch/src/lib/dispatching/LearnerRegistration.ts
+++ b/apps/cherryhitch/src/lib/dispatching/LearnerRegistration.ts
@@ -27,14 +27,20 @@
   private isProposing = false
   private proposalCount = 0
   private nextProposalAt = -Infinity
+  private isStopped = false
 
   constructor(private readonly options: LearnerRegistrationOptions) {}
 
+  /** Called before the process stops: its disk must not join again once it has left. */
+  stop(): void {
+    this.isStopped = true
+  }
+
   tick(): void {
     const { control } = this.options
     const diskId = control.diskId()
     const status = control.status()
-    if (this.isProposing || this.options.now() < this.nextProposalAt) return
+    if (this.isStopped || this.isProposing || this.options.now() < this.nextProposalAt) return
     if (diskId === undefined || status === undefined) return
     if (status.members.some((member) => member.diskId === diskId)) return
     this.proposeLearner(diskId)
--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -1,3 +1,4 @@
+import { handOverVoter } from '@cherryhitch/control'
 import type { ControlNode } from '@cherryhitch/control'
 import { DiscoveryEventKind, DispatchEventKind, OrderProxy } from '@cherryhitch/dispatch'
 import type { DispatchMachine } from '@cherryhitch/dispatch'
@@ -51,6 +52,11 @@
 const OPEN_JOBS_INTERVAL_MS = 100
 /** How long an instance keeps running after handing over leadership, so that orders complete. */
 const HANDOVER_GRACE_MS = 300
+/**
+ * Part of the stop grace period after which a stopping instance no longer waits for a learner to
+ * take the place of its voter; the rest is for the last answers.
+ */
+const VOTER_HANDOVER_PART = 0.5
 
 /** The running parts of a dispatching instance. */
 interface RunningDispatch {
@@ -60,6 +66,11 @@
   readonly notices: NoticeExchange
 }
 
+/** What follows the voters and the leadership. */
+interface StatusReceivers extends Omit<RunningDispatch, 'notices'> {
+  readonly registration: LearnerRegistration
+}
+
 /**
  * Runs a dispatching instance until SIGTERM. The instance hosts a voter of the control log; while
  * it leads, it also queues jobs and dispatches their tasks.
@@ -103,7 +114,8 @@
     parts.notices.bind(notices)
     const server = yield* startControlApi(context, { dispatcher, control, discovery, notices })
     yield* startOpenJobsReader(context, parts, { dispatcher, discovery }, send)
-    yield* startStatusUpdates(context, { dispatcher, control, discovery, notices })
+    const registration = makeRegistration(context, control)
+    yield* startStatusUpdates(context, { dispatcher, control, discovery, registration })
     yield* startWarmUp(context, dispatcher)
     yield* startUsageReport(context, () => {
       const { leads, endpoints, openJobs, counters } = dispatcher.machine
@@ -116,8 +128,8 @@
     log.info('stopping', { why, leads, openJobs })
     server.closeAfterAnswers()
     discovery.tell({ kind: DiscoveryEventKind.Leaving })
-    control.transferLeadership()
-    yield* Effect.sleep(HANDOVER_GRACE_MS)
+    registration.stop()
+    yield* leaveGroup(context, control)
     server.stopAccepting()
     yield* links.drain(HANDOVER_GRACE_MS)
     log.info('stopped', { why, heldBack: telemetry.logger.counters().heldBack })
@@ -211,12 +223,31 @@
   })
 }
 
+function makeRegistration(
+  { instance, boot, now, log }: ProcessContext,
+  control: ControlNode,
+): LearnerRegistration {
+  return new LearnerRegistration({ instance, boot, control, now, log })
+}
+
+/** Passes on the leadership and the vote of a stopping instance, and lets orders complete. */
+function leaveGroup(
+  { instance, boot, now, telemetry, settings }: ProcessContext,
+  control: ControlNode,
+): Effect.Effect<void> {
+  control.transferLeadership()
+  const log = telemetry.lineLogger('control')
+  const limitMs = VOTER_HANDOVER_PART * settings.stopGraceMs
+  const handover = handOverVoter({ control, instance, boot, limitMs, now, log })
+  const both = Effect.all([handover, Effect.sleep(HANDOVER_GRACE_MS)], { concurrency: 2 })
+  return Effect.asVoid(both)
+}
+
 /** Periodically passes the control log's view of voters and leadership to the other parts. */
 function startStatusUpdates(
-  { instance, boot, now, log }: ProcessContext,
-  { dispatcher, control, discovery }: RunningDispatch,
+  { instance, now }: ProcessContext,
+  { dispatcher, control, discovery, registration }: StatusReceivers,
 ): Effect.Effect<void, never, Scope.Scope> {
-  const registration = new LearnerRegistration({ instance, boot, control, now, log })
   let lastLeader = ''
   let changedAt = now()
   return startVariableTimer(() => {
--- a/packages/control/src/lib/soak/SimulatedCluster.ts
+++ b/packages/control/src/lib/soak/SimulatedCluster.ts
@@ -1,5 +1,5 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
-import { EnvelopeSchema, HardStateSchema } from '@cherryhitch/protocol'
+import { CommandSchema, EnvelopeSchema, HardStateSchema } from '@cherryhitch/protocol'
 import type {
   AuditRecord,
   Command,
@@ -15,6 +15,7 @@
 import { ClientMachine } from '../node/ClientMachine'
 import { defaultClientTiming } from '../node/ClientOptions'
 import { isVoterMessage } from '../node/isVoterMessage'
+import { nextHandoverChange } from '../node/nextHandoverChange'
 import { genesisSnapshot } from '../state/genesis'
 import { initVoters, openVoter } from '../store/initVoters'
 import { VoterStore } from '../store/VoterStore'
@@ -62,6 +63,12 @@
   readonly wipeKeepsId?: boolean
 }
 
+/** @internal */
+export interface StopOptions {
+  readonly handsOver: boolean
+  readonly withinMs: number
+}
+
 /** A simulated process, and its disk, which survives a crash of the process. */
 interface Process {
   readonly instance: string
@@ -102,6 +109,7 @@
   #lastRead: ReadControlReply | undefined
   #wipes = 0
   #diskOpenings = 0
+  #handoverCount = 0
 
   constructor(options: SimulationOptions) {
     this.#options = options
@@ -215,6 +223,32 @@
     disk?.crash()
   }
 
+  /**
+   * Stops the process as on SIGTERM: it passes on its leadership and, if `handsOver`, its vote, and
+   * ends within the time that it is given.
+   */
+  stop(instance: string, { handsOver, withinMs }: StopOptions): void {
+    const endsAt = this.now + withinMs
+    this.#tellVoter(this.#get(instance), { kind: ControlEventKind.TransferLeadership })
+    while (handsOver && this.now < endsAt && this.#handOver(instance, endsAt));
+    this.crash(instance)
+  }
+
+  /** Makes the next change of a handover; false if there is none. */
+  #handOver(instance: string, endsAt: number): boolean {
+    const { diskId, boot } = this.#get(instance)
+    const voters = this.read(instance, endsAt - this.now)?.voters
+    if (voters === undefined) return true
+    const next = nextHandoverChange(voters, diskId)
+    if (next === undefined) return false
+    const commandId = `leave.${diskId}.${boot}.${++this.#handoverCount}`
+    const value = { ...next, operator: instance, reason: 'its process stops' }
+    const change = { case: 'changeVoters' as const, value }
+    this.propose(instance, create(CommandSchema, { commandId, change }), endsAt - this.now)
+    this.runUntil(() => this.answers.has(commandId), endsAt - this.now)
+    return true
+  }
+
   /** Crashes the process and replaces its disk by an empty one. */
   wipe(instance: string): void {
     this.crash(instance)
@@ -259,6 +293,16 @@
     }
   }
 
+  /** Tells all instances of each other, as the discovery does after a start. */
+  introduceAll(): void {
+    const settingsVersion = 0
+    for (const to of this.instances) {
+      for (const instance of this.instances) {
+        this.#tellClient(to, { kind: ClientEventKind.PeerSeen, instance, settingsVersion })
+      }
+    }
+  }
+
   propose(instance: string, command: Command, timeoutMs = 5_000): void {
     this.#tellClient(instance, { kind: ClientEventKind.Propose, command, timeoutMs })
   }
@@ -284,9 +328,9 @@
   }
 
   /** Advances the clock until the condition holds; false if it does not within the limit. */
-  runUntil(condition: () => boolean, limitMs: number): boolean {
+  runUntil(condition: () => boolean, limitMs: number, stepMs = TICK_MS): boolean {
     const end = this.now + limitMs
-    while (!condition() && this.now < end) this.run(TICK_MS)
+    while (!condition() && this.now < end) this.run(stepMs)
     return condition()
   }
 
--- /dev/null
+++ b/packages/control/src/lib/voter/VoterHandover.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { SimulatedCluster } from '../soak/SimulatedCluster'
+import { setPreset } from '../testing/commands'
+import {
+  addLearner,
+  awaitLeader,
+  otherVoters,
+  proposeAndWait,
+  resultOf,
+  simulate,
+  votersOf,
+} from '../testing/simulation'
+
+const STOP_MS = 2_500
+const CAUGHT_UP_MS = 4_000
+const VOTERS = ['a', 'b', 'c']
+const deployedTiming = {
+  replaceSilentMs: 2_000,
+  heartbeatMs: 60,
+  electionMinMs: 300,
+  electionMaxMs: 600,
+  startupElectionMaxMs: 400,
+  resendMs: 300,
+}
+
+/** Three voters, and an instance `d` whose empty disk has had the time to catch up. */
+function simulateWithSuccessor(): SimulatedCluster {
+  const cluster = simulate({ spares: ['d'], voterTiming: deployedTiming })
+  addLearner(cluster, 'd')
+  cluster.run(CAUGHT_UP_MS)
+  return cluster
+}
+
+function loseDisk(cluster: SimulatedCluster, instance: string): void {
+  cluster.wipe(instance)
+  cluster.start(instance)
+}
+
+describe('a voter that is replaced as planned', () => {
+  for (const leads of [true, false]) {
+    it(`costs no majority with the next lost disk, ${leads ? 'as leader' : 'as follower'}`, () => {
+      const cluster = simulateWithSuccessor()
+      const leader = awaitLeader(cluster)
+      const leaving = leads ? leader : otherVoters(leader)[0]
+      const [lost = ''] = VOTERS.filter((instance) => instance !== leaving)
+      proposeAndWait(cluster, 'f', setPreset('before', 'peak', 1))
+      cluster.stop(leaving, { handsOver: true, withinMs: STOP_MS })
+      loseDisk(cluster, lost)
+      awaitLeader(cluster)
+      const answer = proposeAndWait(cluster, 'f', setPreset('after', 'maintenance', 2))
+      assert.equal(resultOf(answer), 'APPLIED')
+    })
+  }
+
+  it('keeps its place where no learner could take it', () => {
+    const cluster = simulate({ spares: ['d'], voterTiming: deployedTiming })
+    const before = votersOf(cluster)
+    cluster.stop('a', { handsOver: true, withinMs: STOP_MS })
+    cluster.start('a')
+    cluster.run(CAUGHT_UP_MS)
+    assert.deepEqual(votersOf(cluster), before)
+  })
+})
+
+describe('restarts one after the other with a spare instance', () => {
+  it('leave three voters that hold everything', () => {
+    const cluster = simulateWithSuccessor()
+    for (const instance of [...VOTERS, 'd']) {
+      cluster.stop(instance, { handsOver: true, withinMs: STOP_MS })
+      const [remaining = ''] = VOTERS.filter((other) => other !== instance)
+      cluster.run(1_000)
+      assert.equal(votersOf(cluster).filter((disk) => !disk.startsWith('(')).length, 3)
+      assert.ok(cluster.isUp(remaining))
+      cluster.start(instance)
+      const isMember = votersOf(cluster).some((disk) => disk.includes(cluster.diskId(instance)))
+      if (!isMember) addLearner(cluster, instance)
+      cluster.run(CAUGHT_UP_MS)
+    }
+    assert.equal(cluster.voter(awaitLeader(cluster))?.status(cluster.now)?.safeLosses, 1)
+  })
+})
