--- a/packages/control/src/lib/voter/Replication.ts
+++ b/packages/control/src/lib/voter/Replication.ts
@@ -13,6 +13,12 @@
   /** Round of the message that carried them. */
   sentRound: number
   sentSnapshot: boolean
+  /**
+   * The member answered a later round than that of the snapshot in flight. Messages arrive in the
+   * order in which they were sent, so the snapshot or its reply is lost: the member was not there, or
+   * its process or its disk failed meanwhile.
+   */
+  isSnapshotOvertaken: boolean
   /** When the last snapshot was sent; -Infinity before the first one. */
   snapshotSentAt: number
   /** Highest round that the member answered. */
@@ -83,9 +89,8 @@
 
   /** Sends a heartbeat to every member; resends entries or a snapshot whose reply is overdue. */
   sendHeartbeats(now: number): void {
-    const { resendMs, snapshotResendMs } = this.#core.config.timing
     for (const [member, progress] of this.#otherMembers()) {
-      const resendAfterMs = progress.sentSnapshot ? snapshotResendMs : resendMs
+      const resendAfterMs = this.#resendAfterMs(progress)
       if (progress.sentAt !== undefined && now - progress.sentAt >= resendAfterMs) {
         progress.sentAt = undefined
       }
@@ -94,6 +99,12 @@
     }
   }
 
+  #resendAfterMs({ sentSnapshot, isSnapshotOvertaken }: Progress): number {
+    const { resendMs, snapshotResendMs, lostSnapshotResendMs } = this.#core.config.timing
+    if (!sentSnapshot) return resendMs
+    return isSnapshotOvertaken ? lostSnapshotResendMs : snapshotResendMs
+  }
+
   onReply(now: number, reply: AppendReply): void {
     const progress = this.#members.get(reply.diskId)
     if (progress === undefined) return
@@ -103,6 +114,7 @@
     recordAnsweredRound(progress, reply.round)
     // A reply to a heartbeat says nothing about the entries or snapshot still in flight.
     if (reply.round === progress.sentRound) progress.sentAt = undefined
+    if (reply.round > progress.sentRound) progress.isSnapshotOvertaken = true
     if (reply.accepted) this.#advance(progress, reply.matchIndex)
     else this.#backtrack(progress, reply)
   }
@@ -221,6 +233,7 @@
     progress.sentAt = now
     progress.sentRound = this.#round
     progress.sentSnapshot = sentSnapshot
+    progress.isSnapshotOvertaken = false
   }
 
   #sendEntries(member: Voter, progress: Progress, limit: number, now: number): number {
@@ -286,6 +299,7 @@
     sentAt: undefined,
     sentRound: 0,
     sentSnapshot: false,
+    isSnapshotOvertaken: false,
     snapshotSentAt: -Infinity,
     ackedRound: 0,
     matchedRound: 0,
--- a/packages/control/src/lib/voter/VoterOptions.ts
+++ b/packages/control/src/lib/voter/VoterOptions.ts
@@ -23,9 +23,15 @@
   /** Time after which unanswered entries are sent again. */
   readonly resendMs: number
   /**
-   * Time after which an unanswered snapshot is sent again; it takes longer to send and to store.
+   * Time after which an unanswered snapshot is sent again to a silent member; it takes longer to
+   * send and to store.
    */
   readonly snapshotResendMs: number
+  /**
+   * The same for a member that has answered a later message: the snapshot or its reply is lost,
+   * unless messages overtake each other.
+   */
+  readonly lostSnapshotResendMs: number
   /**
    * A voter that is silent for longer than this may be replaced by a learner that has caught up.
    */
@@ -50,6 +56,7 @@
   startupElectionMaxMs: 800,
   resendMs: 500,
   snapshotResendMs: 5_000,
+  lostSnapshotResendMs: 1_000,
   replaceSilentMs: 10_000,
   settingsLeaseMs: 3_000,
   noticeResendMs: 400,
