Track more senders of links than a large deployment has

What operators would see: with more than 256 instances alive at a time, those that connect last are refused by every dispatching instance ('too many senders'), and their callers get no answer.

Cause: maxSenders is 256 by default, and the dispatching program keeps that.

--- a/packages/rpc/src/lib/host/LinkHostOptions.ts
+++ b/packages/rpc/src/lib/host/LinkHostOptions.ts
@@ -73,7 +73,7 @@
   maxEnvelopeBytes: 16 * 1024 * 1024,
   maxBatchesInFlight: 4,
   receiptGapMs: 0,
-  maxSenders: 256,
+  maxSenders: 4_096,
   idleSessionMs: 10_000,
   tickMs: 50,
 }
--- a/packages/rpc/src/lib/server/Inbox.test.ts
+++ b/packages/rpc/src/lib/server/Inbox.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { defaultLinkTuning } from '../host/LinkHostOptions'
 import { Inbox, InboxVerdict } from './Inbox'
 
 const { Deliver, Duplicate, StaleBoot, Superseded, Full } = InboxVerdict
@@ -96,6 +97,12 @@
     }
   })
 
+  it('takes in every sender of a large deployment by default', () => {
+    const inbox = new Inbox(defaultLinkTuning.maxSenders)
+    for (let n = 1; n <= 1_000; n++)
+      assert.equal(inbox.open(0, `s${n}`, 1, n), Deliver, `sender ${n}`)
+  })
+
   it('still counts a sender that was silent for seconds', () => {
     const inbox = new Inbox(1)
     assert.equal(inbox.open(0, 'a', 1, 1), Deliver)
