Remember the voter hosts while an instance is cut off from all others

What callers would see: an instance that was cut off for more than 15 s, and whose seeds were all replaced since its start, never finds a leader again, though the network is whole: its callers get no answer until it restarts.

Cause: discovery removes voter hosts that no directory has listed for 15 s, also while no directory can arrive. What is left are the seeds.

--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.test.ts
@@ -42,6 +42,36 @@
     assert.deepEqual(entry.voterHosts, ['a', 'b', 'c'])
   })
 
+  it('finds the voter hosts again after a long cut although its seeds are gone', () => {
+    const { peerExpiryMs } = defaultDiscoveryTiming
+    const entry = makeEntry()
+    entry.step(0, directoryFrom('c', 'c', 1, ['c', 'd']))
+    const healedAt = 10 * peerExpiryMs
+    for (let now = 0; now < healedAt; now += 100) entry.tick(now)
+    assert.deepEqual(entry.voterHosts, ['a', 'b', 'c', 'd'])
+    entry.step(healedAt, directoryFrom('d', 'd', 2, ['d', 'e']))
+    entry.tick(healedAt + 100)
+    assert.deepEqual(entry.voterHosts, ['a', 'b', 'c', 'd', 'e'], 'c may only answer later')
+    for (let now = healedAt; now < healedAt + 2 * peerExpiryMs; now += 100) {
+      entry.step(now, directoryFrom('d', 'd', 2, ['d', 'e']))
+      entry.tick(now)
+    }
+    assert.deepEqual(entry.voterHosts, ['a', 'b', 'd', 'e'])
+  })
+
+  it('remembers a voter host that only announced itself through a long cut', () => {
+    const host = new DiscoveryMachine({
+      instance: 'own',
+      zone: 'z',
+      hostsVoter: true,
+      seeds: [],
+      startedAt: 0,
+    })
+    host.step(0, announced('c', true, 100))
+    host.tick(10 * defaultDiscoveryTiming.peerExpiryMs)
+    assert.deepEqual(host.voterHosts, ['c'])
+  })
+
   it('accepts the leader of the highest term', () => {
     const entry = makeEntry()
     entry.step(10, directoryFrom('a', 'a', 3))
--- a/packages/dispatch/src/lib/discovery/KnownInstances.ts
+++ b/packages/dispatch/src/lib/discovery/KnownInstances.ts
@@ -12,6 +12,8 @@
 
 /** Start times computed from the announced ages of one process differ by less, in milliseconds. */
 const START_TIME_TOLERANCE_MS = 1_000
+/** Live instances send directories or announcements far more often than this, in milliseconds. */
+const CONTACT_GAP_MS = 5_000
 
 /**
  * The other instances, from their own announcements and from the directories of others.
@@ -27,6 +29,8 @@
   readonly #reportedHosts = new Map<string, number>()
   /** When each instance last answered an announcement. */
   readonly #answeredAt = new Map<string, number>()
+  /** When any other instance was last heard. */
+  #lastContactAt = -Infinity
   #voterHosts: readonly string[] | undefined
   #all: readonly string[] | undefined
 
@@ -59,6 +63,7 @@
 
   /** Records an announcement. Returns true if it is the first one of its process. */
   recordAnnouncement(now: number, from: string, announcement: AnnounceInstance): boolean {
+    this.#recordContact(now)
     const { zone, hostsVoter, ageMs, leaving: isLeaving } = announcement
     const startedAt = now - ageMs
     const known = this.#announced.get(from)
@@ -76,6 +81,7 @@
   }
 
   recordAnswer(now: number, from: string): void {
+    this.#recordContact(now)
     this.#answeredAt.set(from, now)
   }
 
@@ -93,15 +99,33 @@
     })
   }
 
-  /** Removes what was last updated more than `afterMs` ago. */
+  /**
+   * Removes what was last updated more than `afterMs` ago. For voter hosts, only time with contact to
+   * other instances counts: an instance that was cut off for long needs them to find the others
+   * again, as its seeds may be gone.
+   */
   expire(now: number, afterMs: number): void {
     const isOld = (at: number): boolean => now - at > afterMs
-    for (const [name, { heardAt }] of this.#announced) {
-      if (isOld(heardAt) && this.#announced.delete(name)) this.#invalidateLists()
+    for (const [name, { heardAt, hostsVoter }] of this.#announced) {
+      if (!isOld(heardAt)) continue
+      this.#announced.delete(name)
+      if (hostsVoter && !this.#reportedHosts.has(name)) this.#reportedHosts.set(name, heardAt)
+      this.#invalidateLists()
     }
     for (const [name, at] of this.#answeredAt) if (isOld(at)) this.#answeredAt.delete(name)
     for (const [name, at] of this.#reportedHosts) {
-      if (isOld(at) && this.#reportedHosts.delete(name)) this.#invalidateLists()
+      const isGone = this.#lastContactAt - at > afterMs
+      if (isGone && this.#reportedHosts.delete(name)) this.#invalidateLists()
+    }
+  }
+
+  /** Excludes the time without contact from the ages of the reported voter hosts. */
+  #recordContact(now: number): void {
+    const gapMs = now - this.#lastContactAt
+    this.#lastContactAt = now
+    if (gapMs <= CONTACT_GAP_MS) return
+    for (const [name, at] of this.#reportedHosts) {
+      this.#reportedHosts.set(name, Math.min(now, at + gapMs))
     }
   }
 
