Tell processes of an instance apart that started at the same time of day

What operators would see: all changes that are sent after a restart are acknowledged at once, with 200, and none takes effect; later reads give the version from before the restart.

Cause: a boot number was the time of day in milliseconds. Where the time of day is the same at two starts (set back between them, or a machine that starts with a fixed time), the numbers are equal. Command ids are made of the instance, the boot and a count; the log remembers the answers to recent command ids, so the second process gets the answers to the first one's commands.

Change: a boot number is the time of day in tenths of a second, followed by a random part of 18 bits. It stays a whole number on the wire, above all those of earlier builds. The order is only a hint, as before: where the time of day was set back, peers refuse the lower number for at most 3 s.

--- a/apps/cherryhitch/src/lib/dispatching/createProcessContext.ts
+++ b/apps/cherryhitch/src/lib/dispatching/createProcessContext.ts
@@ -7,6 +7,7 @@
 import { awaitSignal } from '../serve/awaitSignal'
 import { openDispatchTelemetry } from './DispatchTelemetry'
 import type { DispatchTelemetry } from './DispatchTelemetry'
+import { makeBoot } from './makeBoot'
 import { onReload } from './onReload'
 
 /** State and services shared by all parts of a process. @internal */
@@ -14,7 +15,10 @@
   readonly settings: DispatchSettings
   /** Name of this instance, unique among all instances. */
   readonly instance: string
-  /** Higher than the boot of every earlier process of this instance. */
+  /**
+   * Differs from the boots of all earlier processes of this instance, and is higher unless the time of
+   * day was set back.
+   */
   readonly boot: number
   /** When the process started, in milliseconds of its clock. */
   readonly startedAt: number
@@ -44,7 +48,7 @@
     return {
       settings,
       instance: instanceAt(settings.host),
-      boot: Date.now(),
+      boot: makeBoot(Date.now()),
       startedAt,
       now,
       telemetry,
--- a/apps/cherryhitch/src/lib/dispatching/restartWithoutSeeds.test.ts
+++ b/apps/cherryhitch/src/lib/dispatching/restartOfAll.test.ts
@@ -2,7 +2,7 @@
 import fs from 'node:fs'
 import os from 'node:os'
 import path from 'node:path'
-import { afterEach, describe, it } from 'node:test'
+import { afterEach, describe, it, mock } from 'node:test'
 import { DispatchRole, loadDispatchSettings } from '@cherryhitch/settings'
 import { Effect, Fiber } from 'effect'
 import { runDispatch } from './runDispatch'
@@ -26,8 +26,8 @@
   stretch: 2,
 }
 const service = { name: 's', healthPath: '/h', maxConnections: 8, protocol: 'h1', tls: false }
-const routing = JSON.stringify({ version: 7, routes: [route], services: [service], limits: {} })
-const put = { method: 'PUT', body: routing, headers: { 'content-type': 'application/json' } }
+const routing = (version: number): string =>
+  JSON.stringify({ version, routes: [route], services: [service], limits: {} })
 let running: Fiber.Fiber<unknown, unknown>[] = []
 
 function startAll(seeds: readonly string[], firstStart: boolean): void {
@@ -72,14 +72,36 @@
   throw new Error('no instance has answered with success')
 }
 
-describe('voters that all restart', { timeout: 60_000 }, () => {
-  afterEach(stopAll)
+/** Sends a configuration until it is acknowledged. */
+async function putRouting(version: number): Promise<void> {
+  const headers = { 'content-type': 'application/json' }
+  await callAny({ method: 'PUT', body: routing(version), headers })
+}
+
+describe('voters that all restart', { timeout: 90_000 }, () => {
+  afterEach(async () => {
+    mock.restoreAll()
+    await stopAll()
+    fs.rmSync(folder, { recursive: true })
+  })
 
   it('read back the configuration although all seeds of their settings are gone', async () => {
     startAll(hosts, true)
-    await callAny(put)
+    await putRouting(7)
     await stopAll()
     startAll(goneHosts, false)
-    assert.equal(await callAny({ method: 'GET' }), routing)
+    assert.equal(await callAny({ method: 'GET' }), routing(7))
+  })
+
+  it('put in force what they acknowledge although each starts at the same time of day', async () => {
+    mock.method(Date, 'now', () => Date.UTC(2026, 0))
+    startAll(hosts, true)
+    for (const version of [1, 2, 3]) await putRouting(version)
+    await stopAll()
+    startAll(hosts, false)
+    for (const version of [4, 5, 6]) {
+      await putRouting(version)
+      assert.equal(await callAny({ method: 'GET' }), routing(version))
+    }
   })
 })
