Look up every request target in the routes

A path with a percent sign that encodes nothing, or with encoded bytes that aren't UTF-8, was answered 404 by the HTTP interface before any route was looked at, and so was a whole URL as the target, as clients behind a forward proxy send it and servers have to take it (RFC 9112, 3.2.2). Such a 404 can't be told from the table's "no such queue", and a route of a prefix like /100%/ was never served.

The other servers still answer 404 to what they can't decode: their tests are unchanged.

--- a/packages/http-api/src/lib/exchange/ApiRequest.ts
+++ b/packages/http-api/src/lib/exchange/ApiRequest.ts
@@ -2,6 +2,8 @@
 
 /** An authenticated request whose body has been received completely. @public */
 export interface ApiRequest {
+  /** The request target as received: the path and the query, for most requests. */
+  readonly target: string
   /** Values of the path's variable segments. */
   readonly params: Readonly<Record<string, string>>
   readonly query: URLSearchParams
--- a/packages/http-api/src/lib/exchange/Exchange.ts
+++ b/packages/http-api/src/lib/exchange/Exchange.ts
@@ -133,9 +133,9 @@
     if (this.ended) return
     this.body?.release()
     const now = this.host.clock.now()
-    const { headers } = this.req
+    const { headers, url: target = '' } = this.req
     const { receivedAt } = this
-    const request = { params, query, headers, sender, body, receivedAt, now }
+    const request = { target, params, query, headers, sender, body, receivedAt, now }
     // Suspended so that an exception thrown by the handler becomes a defect of the fiber.
     this.fiber = Effect.runFork(Effect.suspend(() => route.handle(request)))
     this.fiber.addObserver((exit) => {
--- a/packages/http-api/src/lib/routing/Router.test.ts
+++ b/packages/http-api/src/lib/routing/Router.test.ts
@@ -31,6 +31,14 @@
     assert.ok(open.find('GET', '/b/c').err)
   })
 
+  it("passes targets that it can't decode to a route that takes any", () => {
+    const open = new Router([
+      { method: Method.Get, path: '', takesAnyTarget: true, takesBody: false, handle },
+    ])
+    for (const target of ['/%', 'http://h/a', '*', '/a']) assert.ok(open.find('GET', target).ok)
+    assert.equal(open.find('PUT', '/%').err, true)
+  })
+
   const missed: readonly (readonly [string, string, string])[] = [
     ['GET', '/', ''],
     ['GET', '', ''],
--- a/packages/http-api/src/lib/routing/Router.ts
+++ b/packages/http-api/src/lib/routing/Router.ts
@@ -28,6 +28,8 @@
   readonly takesBody: boolean
   /** Whether requests need no authentication. */
   readonly open?: boolean
+  /** Whether the handler reads the path from the target itself; `path` isn't compared then. */
+  readonly takesAnyTarget?: boolean
   readonly handle: Handler
 }
 
@@ -75,10 +77,10 @@
 
   find(method: string, path: string): Result<RouteMatch, RequestError> {
     const segments = decodeSegments(path)
-    if (segments === undefined) return Err(notFound(path))
     const allowed = new Set<string>()
     for (const { route, segments: pattern } of this.compiled) {
-      const params = matchSegments(pattern, segments)
+      const takesAny = route.takesAnyTarget === true
+      const params = takesAny ? {} : segments && matchSegments(pattern, segments)
       if (params === undefined) continue
       if (accepts(route, method)) return Ok({ route, params })
       allowed.add(route.method)
