Compare route prefixes decoded, as the paths of requests are

A prefix that the operator wrote percent-encoded (/caf%C3%A9/, /%61/) was compared as written with the decoded path of a request, so its route was never served: 404 for every request.

`findRoute` now decodes the prefixes of a table once, by the same rules as the target of a request (`decodePath`).

Before the fix 2 of 6 prefixes of findRoute.test.ts weren't found (/caf%C3%A9/ and /%61/); all are now.

--- a/packages/dispatch/src/lib/jobs/findRoute.test.ts
+++ b/packages/dispatch/src/lib/jobs/findRoute.test.ts
@@ -26,6 +26,20 @@
     })
   }
 
+  const prefixes: readonly (readonly [configured: string, decodedPath: string])[] = [
+    ['/caf%C3%A9/', '/café/j'],
+    ['/café/', '/café/j'],
+    ['/%61/', '/a/j'],
+    ['/my queue/', '/my queue/j'],
+    ['/100%/', '/100%/j'],
+    ['/%zz/', '/%zz/j'],
+  ]
+  for (const [pathPrefix, path] of prefixes) {
+    it(`with the prefix ${pathPrefix} is found by the path ${path}`, () => {
+      assert.equal(find({ host: 'h', pathPrefix }, 'h', path), 'j')
+    })
+  }
+
   it('is not found by a request to another host, or to a part of its host', () => {
     for (const sent of ['b.example', 'example', 'a.example.b', ''])
       assert.equal(find({ host: 'a.example', pathPrefix: '/p/' }, sent, '/p/j'), undefined)
--- a/packages/dispatch/src/lib/jobs/findRoute.ts
+++ b/packages/dispatch/src/lib/jobs/findRoute.ts
@@ -1,4 +1,5 @@
 import type { Route, RoutingTable } from '@cherryhitch/protocol'
+import { decodePath } from './decodePath'
 import { normalizeHost } from './normalizeHost'
 
 /** A route, and the part of the path after its prefix. @internal */
@@ -7,16 +8,22 @@
   readonly rest: string
 }
 
-/** A route with its host as hosts are compared. */
+/** A route with its host and prefix in the form in which they are compared. */
 interface ComparableRoute {
   readonly route: Route
   readonly host: string
+  readonly prefix: string
 }
 
-/** A table is looked up thousands of times, so its hosts are normalized once. */
+/** A table is looked up thousands of times, so its routes are normalized once. */
 const comparable = new WeakMap<RoutingTable, readonly ComparableRoute[]>()
 
-/** Finds the route of the host with the longest matching path prefix. @internal */
+/**
+ * Finds the route of the host with the longest matching path prefix.
+ *
+ * @param path - the decoded path of the request
+ * @internal
+ */
 export function findRoute(
   table: RoutingTable | undefined,
   host: string,
@@ -24,18 +31,20 @@
 ): FoundRoute | undefined {
   if (table === undefined) return undefined
   const wanted = normalizeHost(host)
-  let best: Route | undefined
-  for (const { route, host: own } of comparableRoutes(table)) {
-    if (own !== wanted || !path.startsWith(route.pathPrefix)) continue
-    if (best === undefined || route.pathPrefix.length > best.pathPrefix.length) best = route
+  let best: ComparableRoute | undefined
+  for (const candidate of comparableRoutes(table)) {
+    if (candidate.host !== wanted || !path.startsWith(candidate.prefix)) continue
+    if (best === undefined || candidate.prefix.length > best.prefix.length) best = candidate
   }
-  return best && { route: best, rest: path.slice(best.pathPrefix.length) }
+  return best && { route: best.route, rest: path.slice(best.prefix.length) }
 }
 
 function comparableRoutes(table: RoutingTable): readonly ComparableRoute[] {
   const known = comparable.get(table)
   if (known !== undefined) return known
-  const routes = table.routes.map((route) => ({ route, host: normalizeHost(route.host) }))
+  const routes = table.routes.map((route) => {
+    return { route, host: normalizeHost(route.host), prefix: decodePath(route.pathPrefix) }
+  })
   comparable.set(table, routes)
   return routes
 }
