--- a/packages/http-api/src/lib/exchange/Exchange.ts
+++ b/packages/http-api/src/lib/exchange/Exchange.ts
@@ -133,10 +133,20 @@
     if (this.ended) return
     this.body?.release()
     const now = this.host.clock.now()
-    const { headers } = this.req
+    const { headers, url: target = '' } = this.req
     const { receivedAt } = this
     const remote = remoteOf(this.req)
-    const request = { params, query, headers, sender, remote, body, receivedAt, now }
+    const request = {
+      target,
+      params,
+      query,
+      headers,
+      sender,
+      remote,
+      body,
+      receivedAt,
+      now,
+    }
     // Suspended so that an exception thrown by the handler becomes a defect of the fiber.
     this.fiber = Effect.runFork(Effect.suspend(() => route.handle(request)))
     this.fiber.addObserver((exit) => {
