Keep a voter that stops together with another one that has left its place

What operators could see: two instances stop at the same time and a single learner is ready. Both found the set of four after its promotion and removed themselves one after the other, since a command that is refused while another change is pending is proposed again. Two voters were left, which bear no loss, and the disk of the second one didn't count any more when it came back: one more lost disk would have cost the majority for good.

The leader now refuses that a voter removes itself from a set of an odd size. Removals by operators and by the leader are as before.

Before, the new test: 2 voters, 3 expected.

--- a/packages/control/src/lib/voter/VoterHandover.test.ts
+++ b/packages/control/src/lib/voter/VoterHandover.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { VoterChangeKind } from '@cherryhitch/protocol'
 import type { SimulatedCluster } from '../soak/SimulatedCluster'
-import { setPreset } from '../testing/commands'
+import { changeVoters, setPreset } from '../testing/commands'
 import {
   addLearner,
   awaitLeader,
@@ -63,6 +64,25 @@
   })
 })
 
+describe('two voters that leave at the same time', () => {
+  it('leave no smaller set than one of them does', () => {
+    const cluster = simulateWithSuccessor()
+    const leaving = otherVoters(awaitLeader(cluster))
+    const change = (kind: VoterChangeKind, by: string, of: string): void => {
+      const diskId = cluster.diskId(of)
+      const command = changeVoters(`${by} ${VoterChangeKind[kind]}`, kind, of, diskId)
+      if (command.change.case === 'changeVoters') command.change.value.operator = by
+      cluster.propose(by, command)
+    }
+    // Both find the set of three, then the larger one.
+    for (const by of leaving) change(VoterChangeKind.PROMOTE, by, 'd')
+    cluster.run(500)
+    for (const by of leaving) change(VoterChangeKind.REMOVE, by, by)
+    cluster.run(STOP_MS)
+    assert.equal(votersOf(cluster).length, 3)
+  })
+})
+
 describe('restarts one after the other with a spare instance', () => {
   it('leave three voters that hold everything', () => {
     const cluster = simulateWithSuccessor()
--- a/packages/control/src/lib/voter/VoterRepair.ts
+++ b/packages/control/src/lib/voter/VoterRepair.ts
@@ -42,6 +42,9 @@
     if (isPromotion && !this.#hasCaughtUp(now, change.diskId)) {
       return Err(`disk ${change.diskId} has not caught up`)
     }
+    if (isDeparture(change) && countVoters(members) % 2 === 1) {
+      return Err('no learner has taken the place, or another voter has left instead')
+    }
     const changed = changeMembers(members, change)
     if (changed.err || this.#hasReachableMajority(now, changed.val)) return Ok.EMPTY
     return Err('no majority of the changed set can be reached')
@@ -119,3 +122,15 @@
     return create(ChangeVotersSchema, { kind, instance, diskId, operator, reason, atMs })
   }
 }
+
+/**
+ * True if a voter removes itself before its process stops. Several may do so at the same time, after
+ * a single learner was promoted; only the first one leaves, since the smaller set bears no loss.
+ */
+function isDeparture({ kind, instance, operator }: ChangeVoters): boolean {
+  return kind === VoterChangeKind.REMOVE && operator === instance
+}
+
+function countVoters(members: readonly Voter[]): number {
+  return members.filter(({ learner }) => !learner).length
+}
