Let a voter lead until its own removal is committed

What operators could see: a leader that is about to leave has its own removal in its log, and loses power before any other voter has it. Another disk is lost. The voters that are left are a majority, but none of them is elected, for good: nothing is acknowledged or read back.

Cause: the leader's log is the newest, so it gives the others no vote, and it didn't ask for votes itself since its own log has it removed. It was so before for removals by operators; handing over the vote at a stop made it likely.

A voter now also asks for votes while the committed set still has it. As leader it commits its removal and steps down.

Before, the new test: 'UNAVAILABLE' after 30 s, 'APPLIED' expected.

--- a/packages/control/src/lib/voter/Election.ts
+++ b/packages/control/src/lib/voter/Election.ts
@@ -22,11 +22,11 @@
   /** Starts a pre-vote when the election timeout has passed without contact from a leader. */
   tick(now: number): void {
     if (this.#electionDueAt === undefined) this.#startTimer(now)
-    const { role, isVoter, persist } = this.#core
+    const { role, mayLead, persist } = this.#core
     if (role === VoterRole.Leader || persist.failed) return
     if (now < (this.#electionDueAt ?? Infinity)) return
     this.#restartTimer(now)
-    if (isVoter) this.#startPreVote()
+    if (mayLead) this.#startPreVote()
     else this.#core.setRole(VoterRole.Follower, '')
   }
 
@@ -52,7 +52,7 @@
    * stopping.
    */
   startImmediately(now: number): void {
-    if (this.#core.isVoter && !this.#core.persist.failed) this.#startElection(now)
+    if (this.#core.mayLead && !this.#core.persist.failed) this.#startElection(now)
     else this.#restartTimer(now)
   }
 
--- a/packages/control/src/lib/voter/VoterCore.ts
+++ b/packages/control/src/lib/voter/VoterCore.ts
@@ -122,6 +122,18 @@
     return this.hasVote(this.diskId)
   }
 
+  /**
+   * True if this disk may be needed to elect a leader. Until its removal is committed, it may be the
+   * only one that holds the newest entries, and then it would vote for no other.
+   */
+  get mayLead(): boolean {
+    const committed = this.state?.voters ?? []
+    return (
+      this.isVoter ||
+      committed.some((member) => member.diskId === this.diskId && this.rules.hasVote(member))
+    )
+  }
+
   /**
    * True for an initial voter that has neither voted nor heard from a leader. A wiped folder that
    * was initialized a second time looks the same, so a voter in this state must not vote for a log
--- a/packages/control/src/lib/voter/VoterHandover.test.ts
+++ b/packages/control/src/lib/voter/VoterHandover.test.ts
@@ -83,6 +83,25 @@
   })
 })
 
+describe('a voter whose own removal is not committed yet', () => {
+  it('leads if it alone holds the newest entries, so that the next lost disk costs no majority', () => {
+    const cluster = simulateWithSuccessor()
+    const old = awaitLeader(cluster)
+    const promote = changeVoters('in', VoterChangeKind.PROMOTE, 'd', cluster.diskId('d'))
+    assert.equal(resultOf(proposeAndWait(cluster, 'f', promote)), 'APPLIED')
+    cluster.cut(old, { from: true, to: true })
+    cluster.propose(old, changeVoters('out', VoterChangeKind.REMOVE, old, cluster.diskId(old)))
+    cluster.run(100)
+    for (const instance of [...VOTERS, 'd']) cluster.crash(instance)
+    cluster.cut(old, { from: false, to: false })
+    cluster.wipe('d')
+    for (const instance of [...VOTERS, 'd']) cluster.start(instance)
+    const answer = proposeAndWait(cluster, 'f', setPreset('after', 'peak', 1))
+    assert.equal(resultOf(answer), 'APPLIED')
+    assert.deepEqual(votersOf(cluster).includes(cluster.diskId(old)), false)
+  })
+})
+
 describe('restarts one after the other with a spare instance', () => {
   it('leave three voters that hold everything', () => {
     const cluster = simulateWithSuccessor()
