--- a/packages/control/src/lib/voter/VoterHandover.test.ts
+++ b/packages/control/src/lib/voter/VoterHandover.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { VoterChangeKind } from '@cherryhitch/protocol'
 import type { SimulatedCluster } from '../soak/SimulatedCluster'
-import { setPreset } from '../testing/commands'
+import { changeVoters, setPreset } from '../testing/commands'
 import {
   addLearner,
   awaitLeader,
@@ -63,6 +64,44 @@
   })
 })
 
+describe('two voters that leave at the same time', () => {
+  it('leave no smaller set than one of them does', () => {
+    const cluster = simulateWithSuccessor()
+    const leaving = otherVoters(awaitLeader(cluster))
+    const change = (kind: VoterChangeKind, by: string, of: string): void => {
+      const diskId = cluster.diskId(of)
+      const command = changeVoters(`${by} ${VoterChangeKind[kind]}`, kind, of, diskId)
+      if (command.change.case === 'changeVoters') command.change.value.operator = by
+      cluster.propose(by, command)
+    }
+    // Both find the set of three, then the larger one.
+    for (const by of leaving) change(VoterChangeKind.PROMOTE, by, 'd')
+    cluster.run(500)
+    for (const by of leaving) change(VoterChangeKind.REMOVE, by, by)
+    cluster.run(STOP_MS)
+    assert.equal(votersOf(cluster).length, 3)
+  })
+})
+
+describe('a voter whose own removal is not committed yet', () => {
+  it('leads if it alone holds the newest entries, so that the next lost disk costs no majority', () => {
+    const cluster = simulateWithSuccessor()
+    const old = awaitLeader(cluster)
+    const promote = changeVoters('in', VoterChangeKind.PROMOTE, 'd', cluster.diskId('d'))
+    assert.equal(resultOf(proposeAndWait(cluster, 'f', promote)), 'APPLIED')
+    cluster.cut(old, { from: true, to: true })
+    cluster.propose(old, changeVoters('out', VoterChangeKind.REMOVE, old, cluster.diskId(old)))
+    cluster.run(100)
+    for (const instance of [...VOTERS, 'd']) cluster.crash(instance)
+    cluster.cut(old, { from: false, to: false })
+    cluster.wipe('d')
+    for (const instance of [...VOTERS, 'd']) cluster.start(instance)
+    const answer = proposeAndWait(cluster, 'f', setPreset('after', 'peak', 1))
+    assert.equal(resultOf(answer), 'APPLIED')
+    assert.deepEqual(votersOf(cluster).includes(cluster.diskId(old)), false)
+  })
+})
+
 describe('restarts one after the other with a spare instance', () => {
   it('leave three voters that hold everything', () => {
     const cluster = simulateWithSuccessor()
