Ask the leader that the own voter follows, in place of searching for it again

What operators saw: after a restart or the loss of a leader, a node answered a read only after it had asked each seed that is gone for 500 ms, or had waited 500 ms for the lost leader, though its own voter followed the new one already. With three such seeds that is longer than an operator waits (1 s).

Cause: the client of the log searched for the leader by itself, through the seeds; what the voter beside it knows was used for nothing.

Proposals still go only to a leader that has answered.

--- a/packages/control/src/lib/node/ClientEvent.ts
+++ b/packages/control/src/lib/node/ClientEvent.ts
@@ -15,6 +15,7 @@
   LocalSettings = 'local_settings',
   SettingsStored = 'settings_kept',
   PeerSeen = 'peer_seen',
+  LeaderFollowed = 'leader_followed',
 }
 
 /** What a read through the quorum returns in addition to the settings. @internal */
@@ -43,6 +44,8 @@
   | { readonly kind: ClientEventKind.LocalSettings; readonly settings: SettingsState }
   /** The settings are stored, so that a restart does not go back to an earlier version. */
   | { readonly kind: ClientEventKind.SettingsStored; readonly settings: SettingsState }
+  /** The own voter follows this instance as the leader, after another one or none. */
+  | { readonly kind: ClientEventKind.LeaderFollowed; readonly leader: string }
   /** An instance of the own availability zone announced its settings version. */
   | {
       readonly kind: ClientEventKind.PeerSeen
--- a/packages/control/src/lib/node/ClientMachine.ts
+++ b/packages/control/src/lib/node/ClientMachine.ts
@@ -86,6 +86,8 @@
       case ClientEventKind.PeerSeen:
         this.#finder.addPeer(event.instance)
         return this.#settings.onPeerSeen(now, event.instance, event.settingsVersion)
+      case ClientEventKind.LeaderFollowed:
+        return this.#onLeaderFollowed(now, event.leader)
       default:
         return exhaustive(event)
     }
@@ -117,6 +119,16 @@
     }
   }
 
+  /** Sends to the leader at once what waits for an answer of another instance, which may be gone. */
+  #onLeaderFollowed(now: number, leader: string): ClientAction[] {
+    this.#finder.onLeaderFollowed(leader)
+    const reads = [...this.#reads.values()].filter(({ target }) => target !== leader)
+    return [
+      ...reads.flatMap((read) => this.#sendRead(now, read)),
+      ...this.#settings.onLeaderFollowed(now, leader),
+    ]
+  }
+
   #onReadAnswered(from: string, { ok, leader, commandVersion }: ReadControlReply): void {
     if (!ok) {
       this.#finder.onLeaderHint(from, leader)
--- a/packages/control/src/lib/node/ControlHost.ts
+++ b/packages/control/src/lib/node/ControlHost.ts
@@ -78,6 +78,7 @@
   readonly #readCallbacks = new Map<string, Callback<ReadControlReply>>()
   readonly #claims: ClaimBatcher
   #reportedTerm: number | undefined
+  #reportedLeader = ''
   readonly #ends: ClaimEndBatcher
   readonly #counters = {
     messages_sent: 0,
@@ -244,6 +245,7 @@
     if (events.some(({ to }) => to === NodePart.Timer)) this.#tick(now)
     if (events.some(({ to }) => to === NodePart.Batches)) this.#proposeBatches()
     this.#reportLeadership()
+    this.#reportFollowedLeader()
   }
 
   /**
@@ -259,6 +261,14 @@
     options.onLeadership?.(term, { routing: voter?.routing, settings: voter?.settings })
   }
 
+  /** Tells the client of each leader that the own voter follows, so that it need not search for it. */
+  #reportFollowedLeader(): void {
+    const leader = this.followedLeader()
+    if (leader === this.#reportedLeader) return
+    this.#reportedLeader = leader
+    if (leader !== '') this.#tellClient({ kind: ClientEventKind.LeaderFollowed, leader })
+  }
+
   #tick(now: number): void {
     const { voter, client } = this.#parts
     if (voter !== undefined) this.#performVoterActions(voter.tick(now))
--- a/packages/control/src/lib/node/LeaderFinder.ts
+++ b/packages/control/src/lib/node/LeaderFinder.ts
@@ -49,6 +49,13 @@
     this.#confirmedLeader = ''
   }
 
+  /** Called when the own voter follows an instance as the leader. */
+  onLeaderFollowed(leader: string): void {
+    if (leader === this.#leader) return
+    this.#leader = leader
+    this.#confirmedLeader = ''
+  }
+
   /** Called when an instance did not answer or no longer leads: forgets it as the leader. */
   clearLeader(instance: string): void {
     if (this.#leader === instance) this.#leader = ''
--- a/packages/control/src/lib/node/SettingsClient.ts
+++ b/packages/control/src/lib/node/SettingsClient.ts
@@ -93,6 +93,11 @@
     return this.#sendPoll(now, instance)
   }
 
+  /** Asks a new leader at once: its answer confirms it, so that proposals are sent to it. */
+  onLeaderFollowed(now: number, leader: string): ClientAction[] {
+    return this.#poll?.to === leader ? [] : this.#sendPoll(now, leader)
+  }
+
   tick(now: number): ClientAction[] {
     const reports = this.#reportLeaseChange(now)
     const { attemptMs } = this.#options.timing
