Give a peer longer to answer after each failed dial

What operators would see: a peer whose first receipt takes longer than the probe timeout (250 ms) is never connected, however long it goes on: each dial is given up and made anew, which costs both ends a connection more. That hits processes that all start at once with cold code, and that are dialled by all others.

Cause: the probe timeout is the same for each dial.

Before: 'connects to a peer that takes longer than the first probe timeout to answer': up: expected true, actual false, after 10 s of simulated time Change: the timeout doubles with each failed dial, up to maxProbeTimeoutMs (750 ms in the dispatching program); the first probe of a silent connection keeps 250 ms, so a lost peer is noticed as early as before.

--- a/apps/cherryhitch/src/lib/dispatching/startDispatchLinks.ts
+++ b/apps/cherryhitch/src/lib/dispatching/startDispatchLinks.ts
@@ -14,6 +14,8 @@
 const LINK_TUNING: Partial<LinkTuning> = {
   silentAfterMs: 350,
   probeTimeoutMs: 250,
+  // With the backoff, a link is used again some 1.2 s after a cut: a quarter of the time to catch up.
+  maxProbeTimeoutMs: 750,
   // Announcements use each link at least once a second and request an answer themselves.
   keepAliveMs: 1_100,
   reconnectMaxMs: 400,
--- a/packages/rpc/src/lib/host/LinkHostOptions.ts
+++ b/packages/rpc/src/lib/host/LinkHostOptions.ts
@@ -19,8 +19,10 @@
 export interface LinkTuning {
   /** If a receipt is missing for this long, the peer is probed on a new connection. */
   readonly silentAfterMs: number
-  /** How long the first receipt on a new connection may take. */
+  /** How long the first receipt on a new connection may take; it doubles with each failed dial. */
   readonly probeTimeoutMs: number
+  /** Upper bound of that time, and of what a dial that hangs adds to the end of a cut. */
+  readonly maxProbeTimeoutMs: number
   /** Interval at which an empty batch is sent on an idle connection to request a receipt. */
   readonly keepAliveMs: number
   /** Shortest delay between two dials of an unreachable peer. */
@@ -62,6 +64,7 @@
 export const defaultLinkTuning: LinkTuning = {
   silentAfterMs: 1000,
   probeTimeoutMs: 500,
+  maxProbeTimeoutMs: 900,
   keepAliveMs: 300,
   reconnectMinMs: 50,
   reconnectMaxMs: 1000,
--- a/packages/rpc/src/lib/peer/PeerLink.test.ts
+++ b/packages/rpc/src/lib/peer/PeerLink.test.ts
@@ -11,6 +11,8 @@
 import { PeerLinkEventKind } from './PeerLinkEvent'
 
 const { tickMs, silentAfterMs, keepAliveMs, probeTimeoutMs } = defaultLinkTuning
+/** A replacement has 4 s to catch up, of which the links may take half. */
+const RECONNECT_LIMIT_MS = 2_000
 const seeds = [1, 2, 3, 4, 5, 6, 7, 8]
 
 type SentBatch = Extract<PeerLinkAction, { kind: PeerLinkActionKind.SendBatch }>
@@ -278,6 +280,37 @@
     assert.equal(pair.counters.silentConnections, 1)
   })
 
+  it('carries messages soon after a silent cut of any length that heals for new connections', () => {
+    for (let cutMs = 1_000; cutMs <= 30_000; cutMs += 290) {
+      const pair = new SimulatedPair()
+      pair.advanceBy(1_000)
+      pair.silenceAll()
+      pair.silenceNew = true
+      pair.advanceBy(cutMs)
+      pair.silenceNew = false
+      pair.queue(1)
+      pair.advanceBy(RECONNECT_LIMIT_MS)
+      assert.deepEqual(pair.delivered, [1], `after a cut of ${cutMs} ms`)
+    }
+  })
+
+  it('connects to a peer that takes longer than the first probe timeout to answer', () => {
+    const link = new PeerLink({ ...defaultLinkTuning, peer: 'b', counters: newLinkCounters() })
+    const answerMs = 1.5 * probeTimeoutMs
+    const dialledAt = new Map<number, number>()
+    for (let now = 0; now < 10_000; now += tickMs) {
+      for (const action of link.tick(now)) {
+        if (action.kind === PeerLinkActionKind.Dial) dialledAt.set(action.connection, now)
+        if (action.kind === PeerLinkActionKind.Close) dialledAt.delete(action.connection)
+      }
+      for (const [connection, at] of dialledAt) {
+        if (now - at !== answerMs) continue
+        link.step(now, { kind: PeerLinkEventKind.ReceiptArrived, connection, sequence: 0, boot: 1 })
+      }
+    }
+    assert.equal(link.isUp, true)
+  })
+
   it('backs off when a peer resets every connection', () => {
     const pair = new SimulatedPair()
     for (let elapsed = 0; elapsed < 10_000; elapsed += tickMs) {
--- a/packages/rpc/src/lib/peer/PeerLink.ts
+++ b/packages/rpc/src/lib/peer/PeerLink.ts
@@ -75,6 +75,8 @@
   #lastConnectionId = 0
   /** Failed dials and short-lived connections since a connection was last stable. */
   #failures = 0
+  /** Dials without a receipt since a connection was last promoted. */
+  #failedDials = 0
   #nextDialAt = 0
   #disconnectedAt = 0
   #lastTickAt: number | undefined
@@ -246,6 +248,7 @@
     this.#current = connection
     this.#candidate = undefined
     connection.firstReceiptAt = now
+    this.#failedDials = 0
     actions.push(...this.#dropIfPeerRestarted(connection))
     this.outbox.rewind()
     // Also while the peer is up: a batch that breaks every stream it is sent on must not block the
@@ -303,6 +306,7 @@
   /** Handles a failed candidate: the peer is down, or still down. */
   #dialFailed(now: number, reason: string, refused: boolean): readonly PeerLinkAction[] {
     this.#failures += 1
+    this.#failedDials += 1
     this.#nextDialAt = now + this.#dialDelay(refused)
     const actions = this.#up ? [...this.#markDown(now)] : []
     if (reason !== this.#lastDialError) actions.push(this.#log(`dial failed: ${reason}`))
@@ -351,13 +355,23 @@
   #checkCandidate(now: number): readonly PeerLinkAction[] {
     const candidate = this.#candidate
     if (candidate === undefined) return []
-    if (now - candidate.dialledAt < this.options.probeTimeoutMs) return []
+    if (now - candidate.dialledAt < this.#candidateTimeoutMs()) return []
     return [
       ...this.#closeCandidate(),
       ...this.#dialFailed(now, 'no receipt within the probe timeout', false),
     ]
   }
 
+  /**
+   * How long the first receipt may take; longer after each failed dial, since a peer that is slow, or
+   * that all others dial at the same time, would otherwise never be connected.
+   */
+  #candidateTimeoutMs(): number {
+    const { probeTimeoutMs, maxProbeTimeoutMs } = this.options
+    const limitMs = Math.max(probeTimeoutMs, maxProbeTimeoutMs)
+    return Math.min(limitMs, probeTimeoutMs * 2 ** this.#failedDials)
+  }
+
   /** Marks the peer as down if a lost connection was not redialled within the probe timeout. */
   #checkDisconnected(now: number): readonly PeerLinkAction[] {
     if (!this.#up || this.#current !== undefined || this.#candidate !== undefined) return []
