Serve routes whose prefix does not end with a slash

With the prefix /p, a job submitted to /p + ID was refused with 400 (the entry took the last path segment, p + ID, for the id), and one submitted to /p/ID ran, but a GET for it was answered 410 and a DELETE cancelled nothing: the leader looked for the id /ID. A GET of /p was answered as a question for a job, 410, instead of the number of pending jobs.

Where the two ids differ, the path isn't that of a job: 404.

--- a/packages/dispatch/src/lib/jobs/RequestHandler.ts
+++ b/packages/dispatch/src/lib/jobs/RequestHandler.ts
@@ -5,6 +5,7 @@
 import { retryAfter } from '../scheduling/retryAfter'
 import { JobOrigin } from '../takeover/JobOrigin'
 import { findRoute } from './findRoute'
+import type { FoundRoute } from './findRoute'
 import type { IntakeLimit } from './IntakeLimit'
 import type { JobWaiter } from './Job'
 import type { JobLifecycle } from './JobLifecycle'
@@ -71,6 +72,10 @@
       this.#answerNoRoute(now, { waiter, remainingMs, mayHaveRun, retry })
       return
     }
+    if (spec.jobId !== jobIdIn(found)) {
+      this.core.answer(waiter, JobVerdict.NO_ROUTE, { reason: 'the path is not that of a job' })
+      return
+    }
     const { jobs } = this.lifecycle
     const ended = jobs.endedJob(spec.jobId)
     if (ended !== undefined && isFinal(ended.verdict, req)) {
@@ -96,21 +101,22 @@
       this.#answerNoRoute(now, { waiter, remainingMs, mayHaveRun: () => false, retry })
       return
     }
-    switch (req.kind) {
+    const question = questionOf(req, found)
+    switch (question) {
       case JobQuestionKind.PENDING: {
         const pending = this.lifecycle.jobs.countPending(found.route)
         this.core.answer(waiter, JobVerdict.COUNTED, { pending })
         return
       }
       case JobQuestionKind.CANCEL:
-        this.#cancel(now, found.rest, waiter)
+        this.#cancel(now, jobIdIn(found), waiter)
         return
       case JobQuestionKind.STATE:
       case JobQuestionKind.UNSPECIFIED:
-        this.core.answer(waiter, this.#stateOf(found.rest))
+        this.core.answer(waiter, this.#stateOf(jobIdIn(found)))
         return
       default:
-        exhaustive(req.kind)
+        exhaustive(question)
     }
   }
 
@@ -251,6 +257,16 @@
   }
 }
 
+/** The id of the job that a path names; a slash may stand between it and the prefix. */
+function jobIdIn({ rest }: FoundRoute): string {
+  return rest.slice(rest.lastIndexOf('/') + 1)
+}
+
+/** A path that is only a prefix addresses the queue, also one without a slash at its end. */
+function questionOf({ kind }: AskJob, { rest }: FoundRoute): JobQuestionKind {
+  return kind === JobQuestionKind.STATE && rest === '' ? JobQuestionKind.PENDING : kind
+}
+
 /** Whether a request for a job with this verdict is answered without running the job again. */
 function isFinal(verdict: JobVerdict, { earlierAttempts }: SubmitJob): boolean {
   if (verdict === JobVerdict.COMPLETED || verdict === JobVerdict.FAILED) return true
