--- a/apps/cherryhitch/src/index.ts
+++ b/apps/cherryhitch/src/index.ts
@@ -5,6 +5,7 @@
  */
 export type { ClusterInstance, ClusterOptions } from './lib/cluster/ClusterOptions'
 export { startCluster } from './lib/cluster/startCluster'
+export { runDispatch } from './lib/dispatching/runDispatch'
 export { DrainEnd, Instance } from './lib/instance/Instance'
 export type { InstancePorts } from './lib/instance/Instance'
 export { defaultInstanceTiming } from './lib/instance/InstanceOptions'
--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -52,6 +52,12 @@
 /** How long an instance keeps running after handing over leadership, so that orders complete. */
 const HANDOVER_GRACE_MS = 300
 
+type OpenDisk = (folder: string) => Disk
+
+function openRealDisk(folder: string): Disk {
+  return new RealDisk(folder)
+}
+
 /** The running parts of a dispatching instance. */
 interface RunningDispatch {
   readonly dispatcher: DispatchPart
@@ -64,10 +70,11 @@
  * Runs a dispatching instance until SIGTERM. The instance hosts a voter of the control log; while
  * it leads, it also queues jobs and dispatches their tasks.
  *
+ * @param openDisk - opens the disk of the data folder
  * @returns the reason for stopping
- * @internal
+ * @public
  */
-export function runDispatch(settings: DispatchSettings) {
+export function runDispatch(settings: DispatchSettings, openDisk: OpenDisk = openRealDisk) {
   const running = Effect.gen(function* () {
     const context = yield* createProcessContext(settings, 'dispatch')
     const { log, telemetry } = context
@@ -89,7 +96,7 @@
     }
     parts.proxy.bind(new OrderProxy({ gateway, send, now: context.now, after }))
     const dispatcher = yield* startDispatchPart(context, parts, gateway, send)
-    const disk = new RealDisk(settings.dataFolder ?? 'data')
+    const disk = openDisk(settings.dataFolder ?? 'data')
     yield* startDirectoryStore(context, parts, dispatcher, disk)
     const control = yield* startVoter(context, parts, dispatcher, disk, send)
     const discovery = yield* startDiscovery(context, { hostsVoter: true, links }, (peer) => {
