--- a/apps/bench/src/platform/OperatorTraffic.ts
+++ b/apps/bench/src/platform/OperatorTraffic.ts
@@ -24,6 +24,7 @@
 const MAX_BACKOFF_MS = 500
 /** A change is sent again for so long, if nothing newer was acknowledged. */
 const RESEND_LIMIT_MS = 15_000
+const FIRST_LIMIT_MS = 60_000
 const MAX_OPEN = 8
 const MAX_ROUTES = 12
 const MANY_ROUTES = 350
@@ -90,8 +91,13 @@
     return new Promise((resolve) => this.onAck.push(resolve))
   }
 
+  /** @throws Error if it isn't acknowledged */
   async sendFirst(): Promise<void> {
-    await this.send(this.makeNext())
+    const untilMs = this.record.now() + FIRST_LIMIT_MS
+    const first = this.makeNext()
+    while (first.ackedAtMs === undefined && this.record.now() < untilMs) await this.send(first)
+    if (first.ackedAtMs === undefined)
+      throw new Error('the first configuration is not acknowledged')
   }
 
   /** Sends changes at drawn times, until it is over. */
