--- a/packages/rpc/src/lib/host/startLinkHost.test.ts
+++ b/packages/rpc/src/lib/host/startLinkHost.test.ts
@@ -299,6 +299,7 @@
     a.sendNumbers('b', 2, 3)
     await until('arrived', () => b.numbers.length >= 2)
     assert.equal(a.host.counters().oversized, 1)
+    assert.ok(a.logLines.some((line) => /^b: jobQuery of \d+ bytes not sent/.test(line)))
   })
 
   it('ends a stream with a batch above its own size limit, but no other stream', async () => {
--- a/packages/rpc/src/lib/peer/startPeerLink.ts
+++ b/packages/rpc/src/lib/peer/startPeerLink.ts
@@ -119,11 +119,13 @@
   }
 
   #send(envelope: Envelope): boolean {
-    const { counters, maxEnvelopeBytes } = this.options
+    const { counters, handlers, maxEnvelopeBytes, peer } = this.options
     const encoded = encodeBody(envelope)
     const bytes = estimateBytes(encoded)
     if (bytes > maxEnvelopeBytes) {
       counters.oversized += 1
+      const kind = envelope.body.case ?? 'empty'
+      handlers.log(`${peer}: ${kind} of ${bytes} bytes not sent, the limit is ${maxEnvelopeBytes}`)
       return false
     }
     // While the peer is down, old envelopes are dropped for new ones, so there is always room.
