Lose all power and disks right after an answer in the random runs of voters

No random run did that: disks were wiped at any moment, but the other processes went on. A run now waits for an answer, in steps of 1 ms, wipes as many disks as may be lost, crashes all processes and starts them within 0.3 s; each run ends with it once more. And instances are stopped as planned: if it is committed that a stopped voter has no vote, its disk is gone at no cost, often with the loss of another disk at once. In half of the runs spare disks join as learners in any case, as those of the program do.

--- a/packages/control/src/lib/soak/runControlSoak.ts
+++ b/packages/control/src/lib/soak/runControlSoak.ts
@@ -35,6 +35,10 @@
   readonly crashes: number
   readonly wipes: number
   readonly diskFaults: number
+  /** How often all power was lost at an acknowledgement, together with disks. */
+  readonly lossesAtAcknowledgement: number
+  /** How often a voter left its place to a learner, and its disk was gone for good. */
+  readonly plannedReplacements: number
   /** How often a voter was read back from its disk within a running process. */
   readonly diskOpenings: number
 }
@@ -58,6 +62,12 @@
 const DISK_RECOVERY_TIMEOUT_MS = 3_000
 /** How long a disk stays full or broken: less than a step up to many elections. */
 const DISK_FAULT_MS = [50, 8_000] as const
+/** How long an instance has to stop. */
+const STOP_MS = [100, 3_000] as const
+/** How long a run waits for the acknowledgement at which it loses all power. */
+const ACKNOWLEDGEMENT_TIMEOUT_MS = 3_000
+/** After a loss of all power the processes start within this time of each other. */
+const STARTS_WITHIN_MS = 300
 
 /**
  * Runs the state machines of three voters, spares and two followers under random commands and
@@ -93,8 +103,12 @@
   #crashes = 0
   #wipes = 0
   #diskFaults = 0
+  #lossesAtAcknowledgement = 0
+  #plannedReplacements = 0
+  /** Whether spare disks join as learners before a disk is lost, as those of the program do. */
+  readonly #hasSpareLearners: boolean
   /**
-   * True once every member has synced an entry. Until then a voter that has synced none refuses its
+   * True once every member has synced an entry, and the set has grown to its size. Until then a voter that has synced none refuses its
    * vote to voters that have (see `VoterCore.isFresh`), so no disk may be lost.
    */
   #hasStarted = false
@@ -109,6 +123,7 @@
     private readonly toleratedLosses: number,
   ) {
     this.#cluster = cluster
+    this.#hasSpareLearners = cluster.random.chance(0.5)
   }
 
   run(steps: number): ControlSoakReport {
@@ -123,13 +138,14 @@
     return this.#report()
   }
 
-  #proposeCommand(): void {
+  #proposeCommand(): Command {
     const { random, instances } = this.#cluster
     const instance = random.pick(instances)
     const newest = this.#commands.at(-1)
     const resend = newest !== undefined && random.chance(0.25)
     const command = resend ? random.pick(this.#commands.slice(-5)) : this.#newCommand(instance)
     this.#cluster.propose(instance, command)
+    return command
   }
 
   #newCommand(instance: string): Command {
@@ -165,7 +181,15 @@
   #injectFault(): void {
     const { random } = this.#cluster
     const instance = random.pick(this.diskInstances)
-    const fault = Math.floor(random.between(0, 9))
+    const fault = Math.floor(random.between(0, 11))
+    if (fault === 9) {
+      this.#losePowerAtAcknowledgement()
+      return
+    }
+    if (fault === 10) {
+      this.#replaceAsPlanned(instance)
+      return
+    }
     if (fault === 0) this.#crash(instance)
     if (fault === 1) this.#wipe(instance)
     if (fault === 2) this.#cluster.cut(instance, { from: true, to: random.chance(0.6) })
@@ -175,6 +199,33 @@
     if (fault === 5) this.#failDisk(instance)
   }
 
+  /**
+   * Stops an instance. If its voter has left its place to a learner, its disk is gone for good, which
+   * costs no voter: as many further disks may be lost right after it as before.
+   */
+  #replaceAsPlanned(instance: string): void {
+    const { random } = this.#cluster
+    if (!this.#hasStarted || !this.#cluster.isUp(instance)) return
+    const diskId = this.#cluster.diskId(instance)
+    this.#cluster.stop(instance, { handsOver: true, withinMs: random.between(...STOP_MS) })
+    if (this.#hasLeft(diskId)) {
+      this.#plannedReplacements++
+      this.#cluster.wipe(instance)
+      if (random.chance(0.5)) this.#wipe(random.pick(this.diskInstances))
+    }
+    this.#cluster.start(instance)
+  }
+
+  /** True if it is committed that the disk has no vote. */
+  #hasLeft(diskId: string): boolean {
+    const leader = this.#cluster.leader()
+    const voter = leader === undefined ? undefined : this.#cluster.voter(leader)
+    const status = voter?.status(this.#cluster.now)
+    if (voter === undefined || status === undefined) return false
+    const isVoter = status.members.some((member) => member.diskId === diskId && !member.learner)
+    return !isVoter && status.commitIndex === voter.lastIndex
+  }
+
   /** Makes one operation of a disk fail, or all that write for some time. */
   #failDisk(instance: string): void {
     const { random, now } = this.#cluster
@@ -219,17 +270,42 @@
    * the set is complete again.
    */
   #wipe(instance: string): void {
-    if (!this.#hasStarted) return
+    for (const lost of this.#wipeDisks(instance)) this.#cluster.start(lost)
+  }
+
+  /** Wipes the disk, and others at the same moment; returns the instances whose disk was wiped. */
+  #wipeDisks(instance: string): readonly string[] {
+    if (!this.#hasStarted) return []
     const { random } = this.#cluster
     const atOnce =
       this.toleratedLosses > 1 && random.chance(0.5) ? [random.pick(this.diskInstances)] : []
-    for (const lost of [instance, ...atOnce]) {
-      if (this.#lostDisks.size >= this.toleratedLosses) return
+    const mayLose = this.toleratedLosses - this.#lostDisks.size
+    const wiped = [...new Set([instance, ...atOnce])].slice(0, mayLose)
+    for (const lost of wiped) {
       this.#wipes++
       this.#lostDisks.add(this.#cluster.diskId(lost))
       this.#cluster.wipe(lost)
-      this.#cluster.start(lost)
     }
+    return wiped
+  }
+
+  /**
+   * Waits for an answer. At that moment disks are lost, and all processes lose power: only what the
+   * remaining disks hold may count.
+   */
+  #losePowerAtAcknowledgement(): void {
+    const { random, answers, instances } = this.#cluster
+    const { commandId } = this.#proposeCommand()
+    const isAnswered = (): boolean => answers.has(commandId)
+    if (!this.#cluster.runUntil(isAnswered, ACKNOWLEDGEMENT_TIMEOUT_MS, 1)) return
+    this.#lossesAtAcknowledgement++
+    this.#wipeDisks(random.pick(this.diskInstances))
+    for (const instance of instances) this.#cluster.crash(instance)
+    for (const instance of instances) {
+      this.#cluster.run(random.between(0, STARTS_WITHIN_MS / instances.length))
+      this.#cluster.start(instance)
+    }
+    this.#cluster.introduceAll()
   }
 
   /** Starts processes and adds new disks, as the platform and the instances themselves do. */
@@ -242,11 +318,18 @@
     if (leader === undefined || voter === undefined || status === undefined) return
     const { members } = status
     const isComplete = this.#isComplete(members)
-    this.#hasStarted ||= isComplete && members.every(({ matchIndex }) => matchIndex > 0)
-    const isGrowing = this.toleratedLosses > 1 && !this.#hasStarted
-    if (!isGrowing && this.#lostDisks.size === 0) return
+    const isCommitted = status.commitIndex === voter.lastIndex
+    const isStored = members.every(({ matchIndex }) => matchIndex > 0)
+    this.#hasStarted ||= isComplete && isStored && isCommitted
+    if (!this.#needsLearners()) return
     for (const instance of this.diskInstances) this.#addDisk(leader, instance, members)
-    if (isComplete && status.commitIndex === voter.lastIndex) this.#lostDisks.clear()
+    if (isComplete && isCommitted) this.#lostDisks.clear()
+  }
+
+  /** True while the set grows, if disks are lost, or if spare disks join in any case. */
+  #needsLearners(): boolean {
+    const isGrowing = this.toleratedLosses > 1 && !this.#hasStarted
+    return isGrowing || this.#hasSpareLearners || this.#lostDisks.size > 0
   }
 
   /** True if the set has enough voters to tolerate the losses, and no lost disk is a member. */
@@ -287,9 +370,11 @@
     }
     const areReopened = this.#cluster.runUntil(areDisksOpen, DISK_RECOVERY_TIMEOUT_MS)
     assertInvariant(areReopened, 'a voter stays out although its disk works')
+    this.#losePowerAtAcknowledgement()
     // Only what is on the disks may count from here on.
     for (const instance of this.diskInstances) this.#cluster.crash(instance)
     for (const instance of this.diskInstances) this.#cluster.start(instance)
+    this.#cluster.introduceAll()
     const commandId = 'last'
     const change = { case: 'noop' as const, value: {} }
     const last = create(CommandSchema, { commandId, change })
@@ -315,6 +400,8 @@
       crashes: this.#crashes,
       wipes: this.#wipes,
       diskFaults: this.#diskFaults,
+      lossesAtAcknowledgement: this.#lossesAtAcknowledgement,
+      plannedReplacements: this.#plannedReplacements,
       diskOpenings: cluster.diskOpenings,
     }
   }
