--- a/packages/dispatch/src/lib/jobs/unconfirmedRequests.test.ts
+++ b/packages/dispatch/src/lib/jobs/unconfirmedRequests.test.ts
@@ -124,6 +124,28 @@
     assert.deepEqual(leader.verdicts, [JobVerdict.NO_ROUTE])
   })
 
+  it('is not answered by a confirmation of an earlier term, or from before it came', () => {
+    const leader = new Leader()
+    leader.confirm()
+    leader.run(100)
+    const next = { term: 2, table: tableOf(1, []), drainedZones: new Set<string>() }
+    leader.confirm()
+    leader.tell({ kind: DispatchEventKind.BecomeLeader, ...next })
+    leader.run(TICK_MS)
+    leader.submit(1_000)
+    leader.tell({ kind: DispatchEventKind.LeadershipConfirmed, at: 100 })
+    assert.deepEqual(leader.verdicts, [])
+  })
+
+  it('is served by a table that came before the confirmation', () => {
+    const leader = new Leader()
+    leader.submit(1_000)
+    leader.tell({ kind: DispatchEventKind.Routing, table: tableOf(2, ['/q/']) })
+    leader.confirm()
+    assert.deepEqual(leader.verdicts, [])
+    assert.equal(leader.machine.counters.jobs_taken, 1)
+  })
+
   it('runs no job whose caller left while it waited, though a route for it is added', () => {
     const leader = new Leader()
     leader.submit(5_000)
