--- a/packages/dispatch/src/lib/DispatchCore.ts
+++ b/packages/dispatch/src/lib/DispatchCore.ts
@@ -226,6 +226,11 @@
     return this.isEnabled(Mechanism.LateService) && this.isEnabled(Mechanism.Admission)
   }
 
+  /** Local time at which all orders of this leader expire, unless a majority confirms it again. */
+  get ordersExpireAt(): number {
+    return this.confirmedAt + this.timing.leaderLeaseMs
+  }
+
   /** Whether this instance gives orders to an endpoint when it dispatches. */
   serves({ notice }: EndpointRecord): boolean {
     return this.zone === undefined || notice.zone === this.zone
--- a/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
+++ b/packages/dispatch/src/lib/endpoints/LeaseLoop.ts
@@ -79,10 +79,9 @@
   orderEnd(now: number, endpoint: EndpointRecord, validMs: number): number | undefined {
     const { clock } = endpoint
     if (!clock.isKnown) return undefined
-    const { zone, confirmedAt } = this.core
-    const { leaderLeaseMs } = this.core.timing
+    const { zone, ordersExpireAt } = this.core
     // No majority confirms a zone dispatcher: its token alone decides whether its orders count.
-    const expiresAt = zone === undefined ? clock.after(confirmedAt, leaderLeaseMs) : Infinity
+    const expiresAt = zone === undefined ? clock.at(ordersExpireAt) : Infinity
     const end = Math.min(clock.at(now) + validMs, expiresAt)
     return end <= clock.at(now) ? undefined : Math.floor(end)
   }
@@ -181,6 +180,6 @@
     const { confirmedAt } = this.core
     if (endpoint.isReplaced) return endpoint.isQuiescent(now)
     if (this.core.zone !== undefined) return false
-    return endpoint.clock.hadPassed(confirmedAt, endpoint.leaseEndsAt)
+    return endpoint.clock.isPast(confirmedAt, endpoint.leaseEndsAt)
   }
 }
