Restart tests in a loopback network of their own process

Two clones that ran the tests at the same time on one machine reached each other's instances: a foreign version arrived. Assertions and limits are as before.

--- a/apps/cherryhitch/src/lib/dispatching/restartOfAll.test.ts
+++ b/apps/cherryhitch/src/lib/dispatching/restartOfAll.test.ts
@@ -7,9 +7,11 @@
 import { Effect, Fiber } from 'effect'
 import { runDispatch } from './runDispatch'
 
-const hosts = ['127.71.3.1', '127.71.3.2', '127.71.3.3']
+/** A loopback network of this process's own, so that runs beside each other don't meet. */
+const network = `127.${64 + (process.pid % 128)}.${(process.pid >> 7) % 256}`
+const hosts = [1, 2, 3].map((host) => `${network}.${host}`)
 /** Addresses at which nothing listens. */
-const goneHosts = ['127.71.3.11', '127.71.3.12', '127.71.3.13']
+const goneHosts = [11, 12, 13].map((host) => `${network}.${host}`)
 const CONTROL_PORT = 18_166
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'cherryhitch-restart-'))
 /** Far longer than an election takes, also on a busy machine. */
