Forget voter hosts that are gone, and search for leaders without them

What callers would see: after the loss of a leader, an entry ends its open requests as refused or unknown within a second, though all other voters answer and a successor is due, because a host that was replaced long ago does not. Operators see instances dial hosts that are gone, for good.

Cause: a directory listed every voter host that its sender knew, also seeds and names that it had only read in directories of others. Each receiver takes a listed name for fresh, so two instances kept a name alive between them. The search counted these names, and the seeds, among the hosts that must answer.

Change: a directory lists only hosts that announced themselves to its sender or answered it within 1.2 s (two announcements, as for proxies), and the members that the log of the sender's voter names. Names known from others are kept for the expiry less the refresh interval, as they are listed for a while after the host is gone. The age still counts only time with contact. A search counts the hosts that have answered in it, or that such an answer lists.

--- a/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryMachine.ts
@@ -31,7 +31,8 @@
 
 /**
  * Discovers the other instances and the leader from a few seeds: every instance announces itself to
- * the voter hosts, which answer with a directory of the voter hosts that they know and the leader.
+ * the voter hosts, which answer with a directory of the voter hosts that they know first-hand, and
+ * the leader.
  *
  * @public
  */
@@ -131,7 +132,7 @@
   }
 
   #onVoters(now: number, { instances, leader, term }: VotersEvent): void {
-    this.#known.recordVoterHosts(now, instances)
+    this.#known.recordMembers(now, instances)
     this.#voterView = { leader, term }
     this.#updateLeader(now, leader, term)
     if (leader !== '') this.#leaderHeardAt = now
@@ -198,24 +199,28 @@
   #isOutdated(now: number, instance: string): boolean {
     const last = this.#sentDirectories.get(instance)
     if (last === undefined || now - last.sentAt >= this.#timing.refreshIntervalMs) return true
-    return last.directory !== this.#directoryKey()
+    return last.directory !== this.#directoryKey(now)
   }
 
   /** Sends the directory to an instance. */
   #advertise(now: number, to: string): void {
-    this.#sentDirectories.set(to, { directory: this.#directoryKey(), sentAt: now })
+    this.#sentDirectories.set(to, { directory: this.#directoryKey(now), sentAt: now })
     this.#leadershipSentAt.set(to, now)
-    this.#send(to, this.#directory())
+    this.#send(to, this.#directory(now))
   }
 
-  #directoryKey(): string {
+  #directHosts(now: number): readonly string[] {
+    return this.#known.directHosts(now, this.#timing.directHostTimeoutMs)
+  }
+
+  #directoryKey(now: number): string {
     const { leader, term } = this.#voterView
-    return `${leader} ${term} ${this.voterHosts.join(' ')}`
+    return `${leader} ${term} ${this.#directHosts(now).join(' ')}`
   }
 
-  #directory(): Envelope {
+  #directory(now: number): Envelope {
     const { instance, hostsVoter } = this.#options
-    const voterHosts = [...this.voterHosts, ...(hostsVoter ? [instance] : [])]
+    const voterHosts = [...this.#directHosts(now), ...(hostsVoter ? [instance] : [])]
     const value = { voterHosts, ...this.#voterView }
     return envelope({ case: 'instanceDirectory', value })
   }
@@ -255,17 +260,22 @@
     for (const to of this.#known.announced) this.#advertise(now, to)
   }
 
-  /** Reports that no majority of the voter hosts has answered by the end of the search. */
+  /**
+   * Reports that no majority of the voter hosts has answered by the end of the search. Only hosts that
+   * have answered or that an answer lists are counted: seeds and other known hosts may be gone.
+   */
   #endSearch(): void {
     this.#searchDueAt = Infinity
     const answered = this.#known.answeredSince(this.#leaderLostAt).length
-    if (this.#options.hostsVoter || 2 * answered > this.voterHosts.length) return
+    const listed = this.#known.listedSince(this.#leaderLostAt).length
+    if (this.#options.hostsVoter || 2 * answered > listed) return
     this.#actions.push({ kind: DiscoveryActionKind.QuorumUnreachable })
   }
 
   #expire(now: number): void {
-    const { peerExpiryMs, leaderTimeoutMs } = this.#timing
-    this.#known.expire(now, peerExpiryMs)
+    const { peerExpiryMs, refreshIntervalMs, leaderTimeoutMs } = this.#timing
+    // Others list a host for a while after it is gone.
+    this.#known.expire(now, peerExpiryMs, peerExpiryMs - refreshIntervalMs)
     for (const [name, { sentAt }] of this.#sentDirectories)
       if (now - sentAt > peerExpiryMs) this.#sentDirectories.delete(name)
     for (const [name, at] of this.#leadershipSentAt)
--- a/packages/dispatch/src/lib/discovery/DiscoveryTiming.ts
+++ b/packages/dispatch/src/lib/discovery/DiscoveryTiming.ts
@@ -12,6 +12,11 @@
   readonly refreshIntervalMs: number
   /** An instance that was silent for longer is removed from the peers. */
   readonly peerExpiryMs: number
+  /**
+   * A voter host that was silent for longer is no longer listed to others, unless it is a member of
+   * the own voter's group. Two announcements fit in, so that one may be lost.
+   */
+  readonly directHostTimeoutMs: number
   /** A leader that was silent for longer is considered lost. */
   readonly leaderTimeoutMs: number
   /**
@@ -44,6 +49,7 @@
   leaderHeartbeatIntervalMs: 140,
   refreshIntervalMs: 4_000,
   peerExpiryMs: 15_000,
+  directHostTimeoutMs: 1_200,
   leaderTimeoutMs: 450,
   proxyCandidateTimeoutMs: 1_200,
   leaderSearchMs: 200,
--- a/packages/dispatch/src/lib/discovery/KnownInstances.ts
+++ b/packages/dispatch/src/lib/discovery/KnownInstances.ts
@@ -14,6 +14,14 @@
 const START_TIME_TOLERANCE_MS = 1_000
 /** Live instances send directories or announcements far more often than this, in milliseconds. */
 const CONTACT_GAP_MS = 5_000
+/** A list of hosts is rebuilt after this long, as some may have fallen silent, in milliseconds. */
+const LIST_LIFETIME_MS = 100
+
+/** Voter hosts, as known at a time. */
+interface TimedList {
+  readonly hosts: readonly string[]
+  readonly madeAt: number
+}
 
 /**
  * The other instances, from their own announcements and from the directories of others.
@@ -27,11 +35,14 @@
   readonly #announced = new Map<string, AnnouncedInstance>()
   /** When each voter host was last listed in a directory of another instance. */
   readonly #reportedHosts = new Map<string, number>()
+  /** Voter hosts that the log of the own voter names. */
+  #members: readonly string[] = []
   /** When each instance last answered an announcement. */
   readonly #answeredAt = new Map<string, number>()
   /** When any other instance was last heard. */
   #lastContactAt = -Infinity
   #voterHosts: readonly string[] | undefined
+  #directHosts: TimedList | undefined
   #all: readonly string[] | undefined
 
   constructor(
@@ -72,6 +83,26 @@
     return known === undefined || Math.abs(known.startedAt - startedAt) > START_TIME_TOLERANCE_MS
   }
 
+  /** Records the voter hosts that the log of the own voter names. */
+  recordMembers(now: number, hosts: readonly string[]): void {
+    if (hosts.join(' ') !== this.#members.join(' ')) this.#invalidateLists()
+    this.#members = hosts
+    this.recordVoterHosts(now, hosts)
+  }
+
+  /**
+   * Other voter hosts that this instance knows from themselves or from its own voter. What others
+   * have listed is left out: otherwise two instances would report a host that is gone to each other
+   * for good.
+   */
+  directHosts(now: number, withinMs: number): readonly string[] {
+    const list = this.#directHosts
+    if (list !== undefined && now - list.madeAt < LIST_LIFETIME_MS) return list.hosts
+    const hosts = this.#listDirectHosts(now - withinMs)
+    this.#directHosts = { hosts, madeAt: now }
+    return hosts
+  }
+
   /** Records the voter hosts that another instance lists. */
   recordVoterHosts(now: number, hosts: readonly string[]): void {
     for (const host of hosts) {
@@ -82,6 +113,7 @@
 
   recordAnswer(now: number, from: string): void {
     this.#recordContact(now)
+    if (!this.#answeredAt.has(from)) this.#directHosts = undefined
     this.#answeredAt.set(from, now)
   }
 
@@ -90,6 +122,14 @@
     return this.voterHosts.filter((host) => (this.#answeredAt.get(host) ?? -Infinity) > time)
   }
 
+  /** Voter hosts that have answered, or that an answer has listed, after a given time. */
+  listedSince(time: number): readonly string[] {
+    return this.voterHosts.filter((host) => {
+      const listedAt = this.#reportedHosts.get(host) ?? -Infinity
+      return Math.max(listedAt, this.#answeredAt.get(host) ?? -Infinity) > time
+    })
+  }
+
   /** Voter hosts that have both announced themselves and answered recently, and are not leaving. */
   proxyCandidates(now: number, withinMs: number): ProxyInstance[] {
     return [...this.#announced].flatMap(([instance, { zone, hostsVoter, isLeaving, heardAt }]) => {
@@ -100,11 +140,11 @@
   }
 
   /**
-   * Removes what was last updated more than `afterMs` ago. For voter hosts, only time with contact to
-   * other instances counts: an instance that was cut off for long needs them to find the others
-   * again, as its seeds may be gone.
+   * Removes what was last updated more than `afterMs` ago, and voter hosts that were last listed more
+   * than `listedAfterMs` ago. For voter hosts, only time with contact to other instances counts: an
+   * instance that was cut off for long needs them to find the others again, as its seeds may be gone.
    */
-  expire(now: number, afterMs: number): void {
+  expire(now: number, afterMs: number, listedAfterMs: number): void {
     const isOld = (at: number): boolean => now - at > afterMs
     for (const [name, { heardAt, hostsVoter }] of this.#announced) {
       if (!isOld(heardAt)) continue
@@ -114,7 +154,7 @@
     }
     for (const [name, at] of this.#answeredAt) if (isOld(at)) this.#answeredAt.delete(name)
     for (const [name, at] of this.#reportedHosts) {
-      const isGone = this.#lastContactAt - at > afterMs
+      const isGone = this.#lastContactAt - at > listedAfterMs
       if (isGone && this.#reportedHosts.delete(name)) this.#invalidateLists()
     }
   }
@@ -131,9 +171,20 @@
 
   #invalidateLists(): void {
     this.#voterHosts = undefined
+    this.#directHosts = undefined
     this.#all = undefined
   }
 
+  /** Members, and voter hosts that have announced themselves or answered since a given time. */
+  #listDirectHosts(since: number): readonly string[] {
+    const members = new Set(this.#members)
+    return this.voterHosts.filter((host) => {
+      const heardAt = this.#announced.get(host)?.heardAt ?? -Infinity
+      const answeredAt = this.#answeredAt.get(host) ?? -Infinity
+      return members.has(host) || Math.max(heardAt, answeredAt) >= since
+    })
+  }
+
   #listVoterHosts(): readonly string[] {
     const hosts = [...this.#announced].flatMap(([name, { hostsVoter }]) => (hostsVoter ? name : []))
     const all = new Set([...this.seeds, ...hosts, ...this.#reportedHosts.keys()])
