--- a/apps/bench/src/platform/Disturbances.ts
+++ b/apps/bench/src/platform/Disturbances.ts
@@ -6,7 +6,7 @@
 import type { PlatformNode } from './PlatformNode'
 import type { RunRecord } from './RunRecord'
 import type { StarvationWatch } from './StarvationWatch'
-import { CORE } from './checkConfig'
+import { CORE, STARVED } from './checkConfig'
 import type { DiskState } from './diskState'
 
 /** What a run's disturbances are drawn from. */
@@ -199,7 +199,7 @@
     while (this.watch.servedMs - fromMs < CATCH_UP_MS) {
       await sleep(POLL_MS)
       const now = this.record.now()
-      if (!this.record.isCalm([CORE], now - POLL_MS, now)) fromMs = this.watch.servedMs
+      if (!this.record.isCalm([CORE, STARVED], now - 2 * POLL_MS, now)) fromMs = this.watch.servedMs
     }
     this.isDiskLost = false
   }
--- a/apps/bench/src/platform/runPlatformSoak.ts
+++ b/apps/bench/src/platform/runPlatformSoak.ts
@@ -14,6 +14,7 @@
 import type { PlatformPrograms } from './buildPlatformPrograms'
 import {
   CONTACT_MS,
+  STARVED,
   checkForbidden,
   checkOldReads,
   checkReadContent,
@@ -164,15 +165,20 @@
   }
 
   /**
-   * Sleeps until the processes have had a processor for so long, in milliseconds.
+   * Sleeps until the processes have had a processor for so long at one stretch, in milliseconds.
    *
    * @returns false if that took too long
    */
   private async sleepServed(ms: number): Promise<boolean> {
-    const fromMs = this.watch.servedMs
-    const untilMs = this.record.now() + FAIR_LIMIT_MS
-    while (this.watch.servedMs - fromMs < ms && this.record.now() < untilMs) await sleep(POLL_MS)
-    return this.watch.servedMs - fromMs >= ms
+    const { record } = this
+    const untilMs = record.now() + FAIR_LIMIT_MS
+    let fromMs = record.now()
+    while (record.now() - fromMs < ms && record.now() < untilMs) {
+      await sleep(POLL_MS)
+      // An election that was interrupted begins anew, so the time counts at one stretch only.
+      if (!record.isCalm([STARVED], record.now() - 2 * POLL_MS, record.now())) fromMs = record.now()
+    }
+    return record.now() - fromMs >= ms
   }
 
   private unserved(fromMs: number): readonly string[] {
