Bound the size of the entries in a message to a voter that is behind

What operators would see: nothing at first. A voter that has missed many large changes never catches up again, though it runs, is connected and follows the leader, so it isn't replaced either; the next loss that the deployment allows costs the majority, and no configuration is acknowledged or read back.

Cause: a message carried up to 256 entries, whatever their size. The links refuse a message above 16 MiB; only a counter (links, oversized) shows it, and the same message is made and refused again.

In a test: one message of 4,002,054 bytes for 40 entries of 100 kB.

The entries of a message are now bounded by 256 KiB, a larger one goes by itself. The class of the fault: a bound by number on what has no bound in size. At 350 routes (some 10 kB an entry) 256 entries are far below the limit, so nothing says that the reported case was this one; a message of 2.5 MB may still take longer than the links' second for a receipt on a slowed link (not tried).

--- a/packages/control/src/lib/voter/Replication.test.ts
+++ b/packages/control/src/lib/voter/Replication.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { VoterChangeKind } from '@cherryhitch/protocol'
+import { create, toBinary } from '@bufbuild/protobuf'
+import { AppendEntriesSchema, CommandSchema, VoterChangeKind } from '@cherryhitch/protocol'
 import { changeVoters } from '../testing/commands'
 import { DirectVoter } from '../testing/DirectVoter'
+import { defaultVoterLimits } from './VoterOptions'
 
 function startLeader(): DirectVoter {
   const voter = new DirectVoter()
@@ -90,3 +92,51 @@
     assert.equal(snapshots.length, 1)
   })
 })
+
+describe('a member that lacks many large entries', () => {
+  const ENTRIES = 40
+  const ENTRY_BYTES = 100_000
+  /** What a message has beside its entries. */
+  const HEADER_BYTES = 1_000
+
+  function sentTo(voter: DirectVoter, instance: string) {
+    return voter.sent.flatMap(({ to, envelope: { body } }) => {
+      return to === instance && body.case === 'appendEntries' ? [body.value] : []
+    })
+  }
+
+  // Links refuse larger messages, so the same one was sent and refused again and again.
+  it('gets all of them, in messages of a bounded size', () => {
+    const voter = startLeader()
+    for (let version = 1; version <= ENTRIES; version++) {
+      const value = { version, document: new Uint8Array(ENTRY_BYTES).fill(version) }
+      const change = { case: 'putRouting' as const, value }
+      const command = create(CommandSchema, { commandId: `put${version}`, change })
+      voter.receive('x', { case: 'propose', value: { requestId: `${version}`, command } })
+    }
+    let held = 0
+    for (let turn = 0; turn < 2 * ENTRIES && held < voter.machine.lastIndex; turn++) {
+      const { round, lastIndex } = voter.lastAppendTo('c')
+      held = lastIndex
+      voter.appendReply('c', true, held, round)
+    }
+    assert.equal(held, voter.machine.lastIndex)
+    const sizes = sentTo(voter, 'c').map((message) => toBinary(AppendEntriesSchema, message).length)
+    const bound = defaultVoterLimits.entryBytesPerMessage + HEADER_BYTES
+    assert.ok(Math.max(...sizes) <= bound, `${Math.max(...sizes)} bytes`)
+  })
+
+  it('gets one that is larger than the bound by itself', () => {
+    const voter = startLeader()
+    const value = {
+      version: 1,
+      document: new Uint8Array(defaultVoterLimits.entryBytesPerMessage * 2),
+    }
+    const change = { case: 'putRouting' as const, value }
+    const command = create(CommandSchema, { commandId: 'put', change })
+    const { round, lastIndex } = voter.lastAppendTo('c')
+    voter.receive('x', { case: 'propose', value: { requestId: 'p', command } })
+    voter.appendReply('c', true, lastIndex, round)
+    assert.equal(voter.lastAppendTo('c').lastIndex, voter.machine.lastIndex)
+  })
+})
--- a/packages/control/src/lib/voter/Replication.ts
+++ b/packages/control/src/lib/voter/Replication.ts
@@ -1,5 +1,6 @@
 import type { AppendReply, Voter } from '@cherryhitch/protocol'
 import { BASE_VERSION, COMMAND_VERSION } from '../state/commandVersion'
+import { entriesWithin } from './entriesWithin'
 import type { VoterCore } from './VoterCore'
 
 /** Replication progress of one member, as the leader knows it. */
@@ -237,12 +238,14 @@
   }
 
   #sendEntries(member: Voter, progress: Progress, limit: number, now: number): number {
-    const { log, term, diskId: leaderDiskId, commitIndex } = this.#core
+    const { log, term, diskId: leaderDiskId, commitIndex, config } = this.#core
+    const { entryBytesPerMessage } = config.limits
     const previousTerm = log.termAt(progress.nextIndex - 1)
     // For a member that needs a snapshot the message refers to index 0, which all members have.
     const previousIndex = previousTerm === undefined ? 0 : progress.nextIndex - 1
     const canSend = previousTerm !== undefined && limit > 0
-    const entries = canSend ? log.slice(progress.nextIndex, limit) : []
+    const waiting = canSend ? log.slice(progress.nextIndex, limit) : []
+    const entries = entriesWithin(waiting, entryBytesPerMessage)
     const round = this.#beginRound(progress, now)
     const { diskId } = member
     const header = { term, leaderDiskId, diskId, previousIndex, previousTerm: previousTerm ?? 0 }
--- a/packages/control/src/lib/voter/VoterOptions.ts
+++ b/packages/control/src/lib/voter/VoterOptions.ts
@@ -69,6 +69,11 @@
 export interface VoterLimits {
   /** Maximum number of entries in a message. */
   readonly entriesPerMessage: number
+  /**
+   * Maximum size of the entries in a message, in bytes, unless a single one is larger. Links refuse
+   * messages above their own limit, and a message that takes too long on a slow link breaks it.
+   */
+  readonly entryBytesPerMessage: number
   /** Maximum number of proposals waiting for their commit; further ones are refused. */
   readonly maxPendingProposals: number
   /** Entries between snapshots, in addition to a quarter of the number of items in the state. */
@@ -80,6 +85,7 @@
 /** @public */
 export const defaultVoterLimits: VoterLimits = {
   entriesPerMessage: 256,
+  entryBytesPerMessage: 256 * 1024,
   maxPendingProposals: 10_000,
   snapshotEvery: 4_096,
   entriesKept: 1_024,
