--- a/packages/control/src/lib/soak/SimulatedCluster.ts
+++ b/packages/control/src/lib/soak/SimulatedCluster.ts
@@ -230,7 +230,8 @@
   stop(instance: string, { handsOver, withinMs }: StopOptions): void {
     const endsAt = this.now + withinMs
     this.#tellVoter(this.#get(instance), { kind: ControlEventKind.TransferLeadership })
-    while (handsOver && this.now < endsAt && this.#handOver(instance, endsAt));
+    let isLeaving = handsOver
+    while (isLeaving && this.now < endsAt) isLeaving = this.#handOver(instance, endsAt)
     this.crash(instance)
   }
 
--- a/packages/control/src/lib/soak/runControlSoak.ts
+++ b/packages/control/src/lib/soak/runControlSoak.ts
@@ -108,8 +108,9 @@
   /** Whether spare disks join as learners before a disk is lost, as those of the program do. */
   readonly #hasSpareLearners: boolean
   /**
-   * True once every member has synced an entry, and the set has grown to its size. Until then a voter that has synced none refuses its
-   * vote to voters that have (see `VoterCore.isFresh`), so no disk may be lost.
+   * True once every member has synced an entry, and the set has grown to its size. Until then a voter
+   * that has synced none refuses its vote to voters that have (see `VoterCore.isFresh`), so no disk
+   * may be lost.
    */
   #hasStarted = false
   /** When the fault of a disk that is full or broken for some time ends. */
