--- a/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
+++ b/apps/cherryhitch/src/lib/dispatching/runDispatch.ts
@@ -2,6 +2,7 @@
 import type { ControlNode } from '@cherryhitch/control'
 import { DiscoveryEventKind, DispatchEventKind, OrderProxy } from '@cherryhitch/dispatch'
 import type { DispatchMachine } from '@cherryhitch/dispatch'
+import type { HttpServer } from '@cherryhitch/http-api'
 import { splitAddress } from '@cherryhitch/model'
 import { startControlServer, WorkerGateway } from '@cherryhitch/platform'
 import type { Envelope } from '@cherryhitch/protocol'
@@ -80,6 +81,12 @@
   readonly registration: LearnerRegistration
 }
 
+/** What a stopping instance closes or hands over. */
+interface StoppingParts extends Pick<StatusReceivers, 'control' | 'discovery' | 'registration'> {
+  readonly server: HttpServer
+  readonly links: DispatchLinks
+}
+
 /**
  * Runs a dispatching instance until SIGTERM. The instance hosts a voter of the control log; while
  * it leads, it also queues jobs and dispatches their tasks.
@@ -134,12 +141,7 @@
     const why = yield* context.awaitStop
     const { leads, openJobs } = dispatcher.machine
     log.info('stopping', { why, leads, openJobs })
-    server.closeAfterAnswers()
-    discovery.tell({ kind: DiscoveryEventKind.Leaving })
-    registration.stop()
-    yield* leaveGroup(context, control)
-    server.stopAccepting()
-    yield* links.drain(HANDOVER_GRACE_MS)
+    yield* shutDown(context, { server, links, discovery, control, registration })
     log.info('stopped', { why, heldBack: telemetry.logger.counters().heldBack })
     return why
   })
@@ -268,6 +270,21 @@
   return new LearnerRegistration({ instance, boot, control, now, log })
 }
 
+/** Ends the service: what is under way is answered, and others take over leadership and vote. */
+function shutDown(
+  context: ProcessContext,
+  { server, links, discovery, control, registration }: StoppingParts,
+): Effect.Effect<void> {
+  return Effect.gen(function* () {
+    server.closeAfterAnswers()
+    discovery.tell({ kind: DiscoveryEventKind.Leaving })
+    registration.stop()
+    yield* leaveGroup(context, control)
+    server.stopAccepting()
+    yield* links.drain(HANDOVER_GRACE_MS)
+  })
+}
+
 /** Passes on the leadership and the vote of a stopping instance, and lets orders complete. */
 function leaveGroup(
   { instance, boot, now, telemetry, settings }: ProcessContext,
